--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Tools are pinned here and run through the Go module proxy.
+GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
+GOFUMPT := go run mvdan.cc/gofumpt@v0.9.2
+BIN := $(CURDIR)/bin
+
+.PHONY: check fmt fmt-check lint vet build test demo generate
+
+check: fmt-check vet lint build test demo
+
+fmt:
+	$(GOFUMPT) -w -extra $$(git ls-files -co --exclude-standard '*.go' | grep -v '^gen/')
+
+fmt-check:
+	@unformatted=$$($(GOFUMPT) -l -extra $$(git ls-files -co --exclude-standard '*.go' | grep -v '^gen/')); \
+	if [ -n "$$unformatted" ]; then echo "run make fmt: $$unformatted"; exit 1; fi
+
+vet:
+	go vet ./...
+
+lint:
+	$(GOLANGCI) run ./...
+
+build:
+	go build ./...
+
+test:
+	./.ci/test
+
+demo:
+	go run ./cmd/filbertmux demo
+
+# Needs protoc; the generated code is committed, so a build does not.
+generate:
+	mkdir -p $(BIN)
+	GOBIN=$(BIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(BIN) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@v1.21.1
+	PATH=$(BIN):$$PATH protoc -I proto --go_out=gen --go_opt=paths=source_relative \
+		--connect-go_out=gen --connect-go_opt=paths=source_relative proto/filbertmux/v1/*.proto
--- /dev/null
+++ b/cmd/filbertmux/main.go
@@ -0,0 +1,6 @@
+// Command filbertmux runs the daemons and the operators' commands.
+package main
+
+import "os"
+
+func main() { os.Exit(1) }
