Add stand-ins for the platform, engines and plain services

Cause: the daemons and the demo need a log, an instance list, a weight store, engines and plain services to talk to, with faults that can be set at run time. Ruled out: a fake only in Go. Separate processes need the HTTP protocol too, so one type serves both. Change: package standin with retention, append limit, outage, delay, answers lost after taking effect, list lag, and calls counted by idempotency key. Before: none.

--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// logStream is one stream. Records below oldest are trimmed.
+type logStream struct {
+	records []platform.Record
+	next    platform.Offset
+	changed chan struct{}
+}
+
+func newLogStream() *logStream {
+	return &logStream{next: 1, changed: make(chan struct{})}
+}
+
+func (s *logStream) append(now time.Time, data []byte) platform.Offset {
+	offset := s.next
+	s.next++
+	s.records = append(s.records, platform.Record{Offset: offset, Time: now, Data: data})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+func (s *logStream) trim(before time.Time) {
+	keep := 0
+	for keep < len(s.records) && s.records[keep].Time.Before(before) {
+		keep++
+	}
+	s.records = s.records[keep:]
+}
+
+func (s *logStream) oldest() platform.Offset {
+	if len(s.records) == 0 {
+		return s.next
+	}
+	return s.records[0].Offset
+}
+
+func (s *logStream) read(after platform.Offset, limit int) (platform.Batch, error) {
+	oldest := s.oldest()
+	end := s.next - 1
+	if after+1 < oldest {
+		return platform.Batch{}, &platform.TrimmedError{Oldest: oldest, End: end}
+	}
+	batch := platform.Batch{Oldest: oldest, End: end}
+	if after >= end {
+		return batch, nil
+	}
+	from := int(after + 1 - oldest)
+	to := min(from+limit, len(s.records))
+	batch.Records = append([]platform.Record(nil), s.records[from:to]...)
+	return batch, nil
+}
+
+// logService is the stand-in for the log service.
+type logService struct {
+	mu        sync.Mutex
+	streams   map[string]*logStream
+	retention time.Duration
+	limiter   *rate.Limiter
+	faults    *faultControl
+	now       func() time.Time
+	appends   int64
+}
+
+var _ platform.Log = (*logService)(nil)
+
+func newLogService(cfg PlatformConfig, faults *faultControl) *logService {
+	limit := rate.Inf
+	if cfg.AppendsPerSecond > 0 {
+		limit = rate.Limit(cfg.AppendsPerSecond)
+	}
+	burst := max(1, int(cfg.AppendsPerSecond))
+	return &logService{
+		streams:   make(map[string]*logStream),
+		retention: cfg.Retention,
+		limiter:   rate.NewLimiter(limit, burst),
+		faults:    faults,
+		now:       cfg.Now,
+	}
+}
+
+// Append implements platform.Log.
+func (l *logService) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	if err := l.faults.beforeLog(ctx, stream); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	now := l.now()
+	if !l.limiter.AllowN(now, 1) {
+		l.mu.Unlock()
+		return 0, errkind.New(errkind.PlatformRateLimited, "append rate of the log exceeded").WithRetryAfter(time.Second)
+	}
+	offset := l.stream(stream).append(now, append([]byte(nil), data...))
+	l.appends++
+	l.mu.Unlock()
+	if l.faults.loseAnswer(stream) {
+		return 0, errkind.New(errkind.PlatformUnavailable, "answer lost after the append took effect")
+	}
+	return offset, nil
+}
+
+// Read implements platform.Log.
+func (l *logService) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if err := l.faults.beforeLog(ctx, stream); err != nil {
+		return platform.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		batch, changed, err := l.readNow(stream, after, limit)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log read")
+		}
+		if err := l.faults.beforeLog(ctx, stream); err != nil {
+			return platform.Batch{}, err
+		}
+	}
+}
+
+func (l *logService) readNow(stream string, after platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(stream)
+	if l.retention > 0 {
+		s.trim(l.now().Add(-l.retention))
+	}
+	batch, err := s.read(after, limit)
+	return batch, s.changed, err
+}
+
+func (l *logService) stream(name string) *logStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = newLogStream()
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *logService) appendCount() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
--- /dev/null
+++ b/standin/plain.go
@@ -0,0 +1,119 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// PlainConfig sets up a Plain service.
+type PlainConfig struct {
+	Name string
+	// Delay is the time that each call takes.
+	Delay time.Duration
+	// CrashOn makes a call whose body equals it close the connection without
+	// an answer and calls OnCrash. The empty string never matches.
+	CrashOn string
+	OnCrash func()
+}
+
+// Plain stands in for a plain service. It counts the runs of each call by its
+// Idempotency-Key, so that a test can tell whether a booking ran twice.
+type Plain struct {
+	cfg  PlainConfig
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+var _ http.Handler = (*Plain)(nil)
+
+// NewPlain returns a plain service that has run nothing.
+func NewPlain(cfg PlainConfig) *Plain {
+	return &Plain{cfg: cfg, runs: make(map[string]int)}
+}
+
+// Runs returns how often a call with the given Idempotency-Key ran here.
+func (p *Plain) Runs(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[key]
+}
+
+// TotalRuns returns the number of calls with an Idempotency-Key that ran here.
+func (p *Plain) TotalRuns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	total := 0
+	for _, n := range p.runs {
+		total += n
+	}
+	return total
+}
+
+// ServeHTTP implements http.Handler. GET /standin/runs?key=K returns the
+// count of one key.
+func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/standin/runs" {
+		_, _ = fmt.Fprint(w, p.Runs(r.URL.Query().Get("key")))
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	run := p.record(r.Header.Get("Idempotency-Key"))
+	if p.cfg.CrashOn != "" && string(body) == p.cfg.CrashOn {
+		p.crash()
+	}
+	if !p.sleep(r) {
+		return
+	}
+	writeJSON(w, http.StatusOK, PlainAnswer{
+		Service: p.cfg.Name,
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		Run:     run,
+		Body:    string(body),
+	})
+}
+
+// PlainAnswer is the JSON answer of a Plain service.
+type PlainAnswer struct {
+	Service string `json:"service"`
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	// Run is the number of runs with this Idempotency-Key so far.
+	Run  int    `json:"run"`
+	Body string `json:"body"`
+}
+
+func (p *Plain) record(key string) int {
+	if key == "" {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.runs[key]++
+	return p.runs[key]
+}
+
+func (p *Plain) crash() {
+	if p.cfg.OnCrash != nil {
+		p.cfg.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (p *Plain) sleep(r *http.Request) bool {
+	if p.cfg.Delay <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(p.cfg.Delay):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,85 @@
+package standin_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/standin"
+)
+
+type fakeClock struct{ now time.Time }
+
+func (c *fakeClock) Now() time.Time { return c.now }
+
+func newPlatform(t *testing.T, cfg standin.PlatformConfig) (*standin.Platform, *platform.HTTPClient, *fakeClock) {
+	t.Helper()
+	clock := &fakeClock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	cfg.Now = clock.Now
+	p := standin.NewPlatform(cfg)
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	client, err := platform.NewHTTPClient(server.URL, server.Client())
+	require.NoError(t, err)
+	return p, client, clock
+}
+
+// Guards against a client that takes a lost answer for a failed append: the
+// record must be readable although Append returned an error.
+func TestLostAppendAnswerTookEffect(t *testing.T) {
+	ctx := context.Background()
+	p, client, _ := newPlatform(t, standin.PlatformConfig{})
+	p.SetFaults(standin.Faults{LoseAppendAnswers: 1})
+	_, err := client.Append(ctx, "s", []byte("a"))
+	require.True(t, errkind.Is(err, errkind.PlatformUnavailable), "%v", err)
+	batch, err := client.Read(ctx, "s", 0, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 1)
+	require.Equal(t, platform.Offset(1), batch.Records[0].Offset)
+}
+
+// Guards against a read that silently skips trimmed records.
+func TestReadBelowRetentionReportsTrim(t *testing.T) {
+	ctx := context.Background()
+	_, client, clock := newPlatform(t, standin.PlatformConfig{Retention: time.Minute})
+	_, err := client.Append(ctx, "s", []byte("a"))
+	require.NoError(t, err)
+	clock.now = clock.now.Add(2 * time.Minute)
+	_, err = client.Append(ctx, "s", []byte("b"))
+	require.NoError(t, err)
+	_, err = client.Read(ctx, "s", 0, 10, 0)
+	require.True(t, errkind.Is(err, errkind.RecordsTrimmed), "%v", err)
+	batch, err := client.Read(ctx, "s", 1, 10, 0)
+	require.NoError(t, err)
+	require.Equal(t, "b", string(batch.Records[0].Data))
+}
+
+// Guards against an append limit that counts a refused append as taken.
+func TestAppendLimitRefusesWithoutEffect(t *testing.T) {
+	ctx := context.Background()
+	p, client, _ := newPlatform(t, standin.PlatformConfig{AppendsPerSecond: 1})
+	_, err := client.Append(ctx, "s", []byte("a"))
+	require.NoError(t, err)
+	_, err = client.Append(ctx, "s", []byte("b"))
+	require.True(t, errkind.Is(err, errkind.PlatformRateLimited), "%v", err)
+	require.EqualValues(t, 1, p.Appends())
+}
+
+// Guards against a stand-in list that shows changes at once: the real list lags.
+func TestInstanceListLags(t *testing.T) {
+	ctx := context.Background()
+	p, client, clock := newPlatform(t, standin.PlatformConfig{ListLag: 3 * time.Second})
+	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Live}})
+	got, err := client.Instances(ctx)
+	require.NoError(t, err)
+	require.Empty(t, got)
+	clock.now = clock.now.Add(3 * time.Second)
+	got, err = client.Instances(ctx)
+	require.NoError(t, err)
+	require.Len(t, got, 1)
+}
--- /dev/null
+++ b/standin/respond.go
@@ -0,0 +1,41 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+func writeResult(w http.ResponseWriter, value any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, value)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		writeJSON(w, http.StatusGone, platform.TrimmedResponse{Oldest: trimmed.Oldest, End: trimmed.End})
+		return
+	}
+	e := errkind.Of(err)
+	status := e.Kind.Answer().HTTP
+	if e.Kind == errkind.PlatformRateLimited {
+		status = http.StatusTooManyRequests
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(e.RetryAfter.Seconds()))))
+	}
+	writeJSON(w, status, map[string]string{"error": e.Error()})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
