Add settings, telemetry and the drain gate

Cause: the daemons need settings that are checked at start, log lines and metrics that can be matched to requests, and one shutdown rule for both. Change: settings.Entry and settings.Sidecar with validator rules and masked secrets; telemetry with zerolog and tally; drain.Gate runs charts/drain.yaml. Conclusion: all faults of one start are in one line; exit code 2.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,7 +1,6 @@
-// Package drain tracks the requests in flight of a daemon and refuses new ones
-// after a termination signal, as the state chart drain.yaml says.
-//
-// A Drainer is safe for concurrent use.
+// Package drain runs the shutdown chart of a daemon (chart/charts/drain.yaml):
+// a Gate admits requests, refuses them once the daemon leaves, and tells when
+// the last request in flight has ended.
 package drain
 
 import (
@@ -31,96 +30,95 @@
 	Actions: []string{actionAccept, actionRefuse, actionAnnounce, actionStop},
 })
 
-// Drainer counts requests in flight. Invariant: once Stopped is closed, no
-// request is in flight and none is accepted.
-type Drainer struct {
+// Gate counts the requests in flight of one daemon. It is safe for concurrent
+// use.
+type Gate struct {
 	mu       sync.Mutex
 	machine  *chart.Machine
 	inFlight int
 	leaving  chan struct{}
 	stopped  chan struct{}
+	left     bool
 }
 
-// New returns a Drainer that accepts requests.
-func New() *Drainer {
-	return &Drainer{
+// NewGate returns a gate that admits requests.
+func NewGate() *Gate {
+	return &Gate{
 		machine: drainChart.New(),
 		leaving: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
 }
 
-// Begin accepts one request, or refuses it with kind Leaving, which proves
-// that it was not run. After a nil error the caller calls End exactly once.
-func (d *Drainer) Begin() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.fire(eventRequest) != actionAccept {
-		return errkind.New(errkind.Leaving, "this instance is shutting down")
+// Enter admits one request or refuses it with kind Leaving. After a nil error
+// the caller calls Exit exactly once.
+func (g *Gate) Enter() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fire(eventRequest) != actionAccept {
+		return errkind.New(errkind.Leaving, "this process is shutting down")
 	}
-	d.inFlight++
+	g.inFlight++
 	return nil
 }
 
-// End marks one accepted request as finished.
-func (d *Drainer) End() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.inFlight--
-	invariant.Check(d.inFlight >= 0, "drain: %d requests in flight", d.inFlight)
-	if d.inFlight == 0 {
-		d.fire(eventIdle)
+// Exit ends one admitted request.
+func (g *Gate) Exit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	invariant.Check(g.inFlight >= 0, "more requests ended than entered")
+	if g.inFlight == 0 {
+		g.fire(eventIdle)
 	}
 }
 
 // Terminate starts the shutdown. Further calls have no effect.
-func (d *Drainer) Terminate() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.fire(eventTerminate)
+func (g *Gate) Terminate() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fire(eventTerminate)
 }
 
 // Leaving is closed when the shutdown starts.
-func (d *Drainer) Leaving() <-chan struct{} { return d.leaving }
+func (g *Gate) Leaving() <-chan struct{} { return g.leaving }
 
-// Stopped is closed when the shutdown has started and nothing is in flight.
-func (d *Drainer) Stopped() <-chan struct{} { return d.stopped }
+// Stopped is closed when the shutdown has started and no request is in flight.
+func (g *Gate) Stopped() <-chan struct{} { return g.stopped }
 
 // IsLeaving reports whether the shutdown has started.
-func (d *Drainer) IsLeaving() bool {
-	select {
-	case <-d.leaving:
-		return true
-	default:
-		return false
-	}
+func (g *Gate) IsLeaving() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.left
 }
 
 // InFlight returns the number of requests in flight.
-func (d *Drainer) InFlight() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.inFlight
+func (g *Gate) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
 }
 
-func (d *Drainer) fire(event string) string {
-	action, err := d.machine.Fire(event, chart.Guards{guardIdle: d.inFlight == 0})
-	if !invariant.Check(err == nil, "drain: %v", err) {
+// fire applies the event and returns its action. The caller holds mu.
+func (g *Gate) fire(event string) string {
+	action, err := g.machine.Fire(event, chart.Guards{guardIdle: g.inFlight == 0})
+	if !invariant.Check(err == nil, "drain chart: %v", err) {
 		return actionRefuse
 	}
 	switch action {
 	case actionAnnounce:
-		close(d.leaving)
+		g.announce()
 	case actionStop:
-		d.stop()
+		g.announce()
+		close(g.stopped)
 	}
 	return action
 }
 
-func (d *Drainer) stop() {
-	invariant.Check(d.inFlight == 0, "drain: stopped with %d requests in flight", d.inFlight)
-	if !d.IsLeaving() {
-		close(d.leaving)
+func (g *Gate) announce() {
+	if !g.left {
+		g.left = true
+		close(g.leaving)
 	}
-	close(d.stopped)
 }
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,67 @@
+// Package settings holds the settings of the daemons as structs for kong. Each
+// field is a flag and an environment variable FILBERTMUX_<FLAG>. Sizes are in
+// bytes, durations in Go notation such as 1.5s.
+//
+// Settings are filled and validated once at start and not changed afterwards.
+package settings
+
+import "time"
+
+// Common holds the settings that entry and sidecar share.
+type Common struct {
+	Advertise     string `name:"advertise" validate:"required,hostname_port" help:"Address at which other filbertmux processes reach this one."`
+	Region        string `name:"region" validate:"required,max=64" help:"Region of this instance."`
+	FailureDomain string `name:"failure-domain" validate:"required,max=64" help:"Failure domain of this instance."`
+	Office        string `name:"office" validate:"max=64" help:"Office that runs this instance; only for log lines."`
+	Instance      string `name:"instance" validate:"required,max=128" help:"Unique id of this instance in the instance list."`
+	PlatformURL   string `name:"platform-url" validate:"required,http_url" help:"URL of the platform services."`
+	PeerToken     Secret `name:"peer-token" validate:"max=1024" help:"Shared secret of calls between filbertmux processes; empty accepts any caller."`
+	LogLevel      string `name:"log-level" default:"info" validate:"oneof=debug info warn error" help:"Lowest level of log lines."`
+
+	MaxBodyBytes   int `name:"max-body-bytes" default:"4194304" validate:"min=1,max=1073741824" help:"Largest request body in bytes."`
+	MaxHeaderBytes int `name:"max-header-bytes" default:"65536" validate:"min=1024,max=16777216" help:"Largest total of request headers in bytes."`
+
+	PlatformTimeout time.Duration `name:"platform-timeout" default:"5s" validate:"min=1ms" help:"Longest wait for an answer of the platform, beside long polls."`
+	RetentionWindow time.Duration `name:"retention-window" default:"24h" validate:"min=1s" help:"Time for which claim records are retained in the log."`
+	ClockSkew       time.Duration `name:"clock-skew" default:"5m" validate:"min=0" help:"Largest clock difference between callers, instances and the log."`
+	DrainTimeout    time.Duration `name:"drain-timeout" default:"0s" validate:"min=0" help:"Time after which a shutdown fails the requests still in flight; 0 waits for all."`
+
+	PrintSettings bool `name:"print-settings" help:"Print the settings in force, with secrets masked, and exit."`
+}
+
+// Entry holds the settings of an entry.
+type Entry struct {
+	Common `embed:""`
+
+	Listen     string `name:"listen" default:":8080" validate:"required,hostname_port" help:"Address for callers."`
+	PeerListen string `name:"peer-listen" default:":8081" validate:"required,hostname_port" help:"Address for other filbertmux processes."`
+
+	MaxPromptBytes int `name:"max-prompt-bytes" default:"1048576" validate:"min=1" help:"Largest total of the message contents of a completion in bytes."`
+	MaxStreams     int `name:"max-streams" default:"4096" validate:"min=1,max=1000000" help:"Largest number of requests in flight."`
+	QueueSize      int `name:"queue-size" default:"1024" validate:"min=1,max=1000000" help:"Largest number of queued requests."`
+
+	RequestTimeout   time.Duration `name:"request-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a request."`
+	HeaderTimeout    time.Duration `name:"header-timeout" default:"10s" validate:"min=1ms" help:"Longest wait for the headers of a request."`
+	BodyTimeout      time.Duration `name:"body-timeout" default:"30s" validate:"min=1ms" help:"Longest wait for the body of a request."`
+	SilenceTimeout   time.Duration `name:"silence-timeout" default:"3s" validate:"min=1ms" help:"Time without any chunk after which a connection to a sidecar counts as silent."`
+	ProgressTimeout  time.Duration `name:"progress-timeout" default:"60s" validate:"min=1ms,gtfield=SilenceTimeout" help:"Time without progress after which an attempt is given up."`
+	InstanceInterval time.Duration `name:"instance-interval" default:"1s" validate:"min=1ms" help:"Time between reads of the instance list."`
+}
+
+// Sidecar holds the settings of a sidecar.
+type Sidecar struct {
+	Common `embed:""`
+
+	Listen     string `name:"listen" default:":8082" validate:"required,hostname_port" help:"Address for entries and other sidecars."`
+	BackendURL string `name:"backend-url" validate:"required,http_url" help:"URL of the backend server beside this process."`
+	Service    string `name:"service" validate:"required,max=64" help:"Service that the backend server runs."`
+	Group      string `name:"group" validate:"max=64" help:"Rank group of the backend server, if any."`
+	Ranks      []int  `name:"ranks" validate:"max=64,dive,min=0" help:"Ranks of the group that the backend server hosts."`
+
+	MaxInFlight       int           `name:"max-in-flight" default:"256" validate:"min=1,max=100000" help:"Largest number of attempts in flight."`
+	ReplayBytes       int           `name:"replay-bytes" default:"262144" validate:"min=1024" help:"Size of the replay buffer of each attempt in bytes."`
+	ChunkBytes        int           `name:"chunk-bytes" default:"16384" validate:"min=1,ltefield=ReplayBytes" help:"Largest data chunk in bytes."`
+	HeartbeatInterval time.Duration `name:"heartbeat-interval" default:"1s" validate:"min=1ms" help:"Time between heartbeats of a stream."`
+	ResumeWindow      time.Duration `name:"resume-window" default:"10s" validate:"min=1ms" help:"Time for which an attempt without connection can be resumed."`
+	BackendTimeout    time.Duration `name:"backend-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a call to the backend server."`
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,72 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/settings"
+)
+
+func parse(t *testing.T, target any, args ...string) error {
+	t.Helper()
+	var faults settings.Faults
+	parser, err := kong.New(target, faults.Options()...)
+	require.NoError(t, err)
+	_, err = parser.Parse(args)
+	require.NoError(t, err)
+	return settings.Validate(target, &faults)
+}
+
+var valid = []string{
+	"--advertise=127.0.0.1:8082", "--region=ro-centru", "--failure-domain=medias",
+	"--instance=od-1", "--platform-url=http://127.0.0.1:9000",
+	"--backend-url=http://127.0.0.1:9100", "--service=order-book",
+}
+
+// Guards against an operator who repairs one setting after another because each
+// start shows only the first fault.
+func TestAllFaultsAreReportedAtOnce(t *testing.T) {
+	t.Setenv("FILBERTMUX_PLATFORM_TIMEOUT", "soon")
+	var s settings.Sidecar
+	err := parse(t, &s, "--max-in-flight=many", "--replay-bytes=1", "--backend-url=ftp://x", "--log-level=loud", "--ranks=1,-1")
+	require.True(t, errkind.Is(err, errkind.InvalidSettings))
+	require.Equal(t, 2, errkind.Of(err).Kind.Answer().Exit)
+	require.NotContains(t, err.Error(), "\n")
+	for _, want := range []string{
+		`--platform-timeout "soon": want a duration`, `--max-in-flight "many": want a whole number`,
+		"--replay-bytes: must be at least 1024", `--backend-url "ftp://x": want http`,
+		`--log-level "loud": want one of`, "--instance is required", "--advertise is required",
+	} {
+		require.Contains(t, err.Error(), want)
+	}
+	require.Equal(t, 1, strings.Count(err.Error(), "--max-in-flight"))
+}
+
+// Guards against environment variables that are ignored, and against a flag
+// that loses against one.
+func TestFlagsOverrideTheEnvironment(t *testing.T) {
+	t.Setenv("FILBERTMUX_HEARTBEAT_INTERVAL", "250ms")
+	t.Setenv("FILBERTMUX_MAX_BODY_BYTES", "100")
+	var s settings.Sidecar
+	require.NoError(t, parse(t, &s, append(valid, "--max-body-bytes=200")...))
+	require.Equal(t, 250*time.Millisecond, s.HeartbeatInterval)
+	require.Equal(t, 200, s.MaxBodyBytes)
+	require.Equal(t, 262144, s.ReplayBytes)
+}
+
+// Guards against a secret in the printed settings.
+func TestPrintMasksSecrets(t *testing.T) {
+	var s settings.Sidecar
+	require.NoError(t, parse(t, &s, append(valid, "--peer-token=hunter2")...))
+	require.Equal(t, "hunter2", s.PeerToken.Reveal())
+	var out strings.Builder
+	require.NoError(t, settings.Print(&out, &s))
+	require.NotContains(t, out.String(), "hunter2")
+	require.Contains(t, out.String(), `"peer-token": "********"`)
+	require.Contains(t, out.String(), `"heartbeat-interval": "1s"`)
+}
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,50 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/telemetry"
+)
+
+// Guards against a log line of a request that can't be matched to the request.
+func TestRequestLinesCarryTheRequestID(t *testing.T) {
+	var out bytes.Buffer
+	log := telemetry.NewLogger(&out, zerolog.InfoLevel, "entry", "e1")
+	ctx := telemetry.WithRequest(context.Background(), log, "r1")
+	telemetry.Log(ctx).Info().Msg("answered")
+	telemetry.Log(ctx).Debug().Msg("below the level")
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	require.Equal(t, "r1", line[telemetry.RequestIDField])
+	require.Equal(t, "entry", line["role"])
+}
+
+// Guards against one time series for each of 1,100 organisations, and against
+// an endpoint that shows nothing.
+func TestMetricsHaveBoundedLabels(t *testing.T) {
+	m := telemetry.NewMetrics("entry", "e1", zerolog.Nop())
+	for i := range 1100 {
+		r := telemetry.Request{Organisation: fmt.Sprintf("org-%d", i), Class: "desk", Service: "s"}
+		m.Answered(r, "ok", time.Millisecond)
+	}
+	m.Gauge("in_flight", 3)
+	require.NoError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := w.Body.String()
+	require.Equal(t, telemetry.MaxOrganisationLabels+1, strings.Count(text, "filbertmux_request_seconds_count{"))
+	require.Contains(t, text, `organisation="other"`)
+	require.Contains(t, text, `filbertmux_in_flight{instance="e1",role="entry"} 3`)
+	require.Contains(t, text, `outcome="ok"`)
+}
