Let the stand-in engine batch by priority, cache prefixes and resume

Cause: the sidecar has to deal with priorities, prefix-cache events that are late and lossy, resumable streams and engines that ignore fencing tokens. Ruled out: answers tied to their connection, because then resume can't be tested. Change: generations run apart from connections; batch slots by priority; least-recently-used prefix cache with lagging, lossy events; commands with an optional fencing check.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,42 +1,72 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
 )
 
-// EngineConfig sets up an Engine. TokenInterval 0 generates without delay.
+// EngineConfig sets up an Engine. Zero durations generate without delay.
 type EngineConfig struct {
 	Model         string
 	TokenInterval time.Duration
+	// PrefillPerByte is the time to first token for each prompt byte that is
+	// not in the prefix cache.
+	PrefillPerByte time.Duration
 	// MaxBatch is the number of requests that generate at once; further ones
-	// wait. 0 means no bound.
+	// wait by priority. 0 means no bound.
 	MaxBatch int
 	// DefaultTokens is the answer length when the request has no max_tokens.
 	DefaultTokens int
+	// PrefixBlocks is the capacity of the prefix cache in blocks of 64 bytes.
+	PrefixBlocks int
+	// CacheEventLag is by how many events the published cache events lag.
+	CacheEventLag int
+	// DropEveryCacheEvent loses each n-th cache event. 0 loses none.
+	DropEveryCacheEvent int
+	// ChecksFencing makes the engine refuse commands with a stale token.
+	ChecksFencing bool
 	// CrashMarker makes a request whose prompt contains it crash the engine:
-	// all its streams end without an answer and OnCrash is called.
+	// all its answers end unfinished and OnCrash is called.
 	CrashMarker string
 	OnCrash     func()
 }
 
-const defaultAnswerTokens = 16
+const (
+	defaultAnswerTokens = 16
+	maxTokens           = 100_000
+	// maxKeptAnswers bounds the answers that can be resumed.
+	maxKeptAnswers = 1024
+)
+
+// RequestIDHeader carries the id under which an answer can be resumed by
+// GET /v1/streams/{id}?from=TOKEN and cancelled by DELETE /v1/streams/{id}.
+const RequestIDHeader = "X-Request-Id"
 
 // Engine stands in for a model engine with continuous batching. Token i of an
 // answer is a function of prompt and i, so a whole answer can be recognised.
 type Engine struct {
 	cfg      EngineConfig
-	slots    chan struct{}
+	batch    *batch
+	cache    *prefixCache
+	commands *commandState
+	mux      *http.ServeMux
 	inFlight atomic.Int64
 	served   atomic.Int64
+	crashes  atomic.Int64
 
-	mu      sync.Mutex
-	crashed chan struct{}
+	mu          sync.Mutex
+	alive       context.Context
+	stop        context.CancelFunc
+	generations map[string]*generation
+	order       []string
 }
 
 var _ http.Handler = (*Engine)(nil)
@@ -46,214 +76,164 @@
 	if cfg.DefaultTokens == 0 {
 		cfg.DefaultTokens = defaultAnswerTokens
 	}
-	e := &Engine{cfg: cfg, crashed: make(chan struct{})}
-	if cfg.MaxBatch > 0 {
-		e.slots = make(chan struct{}, cfg.MaxBatch)
-	}
+	e := &Engine{
+		cfg:         cfg,
+		batch:       newBatch(cfg.MaxBatch),
+		cache:       newPrefixCache(cfg),
+		commands:    &commandState{checksFencing: cfg.ChecksFencing},
+		mux:         http.NewServeMux(),
+		generations: make(map[string]*generation),
+	}
+	e.alive, e.stop = context.WithCancel(context.Background())
+	e.mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("GET /v1/streams/{id}", e.resume)
+	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.cancel)
+	e.mux.HandleFunc("GET /v1/cache_events", e.cacheEvents)
+	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("POST /v1/commands", e.commands.serve)
 	return e
 }
 
-// InFlight returns the number of requests accepted and not yet answered.
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+
+// InFlight returns the number of answers in generation or waiting.
 func (e *Engine) InFlight() int { return int(e.inFlight.Load()) }
 
-// Served returns the number of requests answered whole.
+// Served returns the number of answers that were generated whole.
 func (e *Engine) Served() int { return int(e.served.Load()) }
 
-// ChatMessage is one message of a chat-completions request.
-type ChatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-// ChatRequest is the part of a chat-completions request that the engine reads.
-type ChatRequest struct {
-	Model     string        `json:"model"`
-	Messages  []ChatMessage `json:"messages"`
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
-}
-
-// Prompt returns all message contents, one a line.
-func (r ChatRequest) Prompt() string {
-	parts := make([]string, 0, len(r.Messages))
-	for _, m := range r.Messages {
-		parts = append(parts, m.Content)
-	}
-	return strings.Join(parts, "\n")
-}
-
-// ExpectedAnswer returns the whole answer of an Engine to a prompt.
-func ExpectedAnswer(prompt string, tokens int) string {
-	var b strings.Builder
-	for i := range tokens {
-		b.WriteString(token(prompt, i))
-	}
-	return b.String()
-}
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
 
-func token(prompt string, i int) string {
-	words := strings.Fields(prompt)
-	if len(words) == 0 {
-		return fmt.Sprintf("t%d ", i)
-	}
-	return fmt.Sprintf("%s%d ", words[i%len(words)], i)
-}
+// Commands returns the commands that the engine took, in order.
+func (e *Engine) Commands() []Command { return e.commands.list() }
 
-// ServeHTTP implements http.Handler for POST /v1/chat/completions and for
-// GET /health.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch {
-	case r.URL.Path == "/health":
-		w.WriteHeader(http.StatusOK)
-	case r.Method == http.MethodPost && r.URL.Path == "/v1/chat/completions":
-		e.complete(w, r)
-	default:
-		http.NotFound(w, r)
-	}
+// Crash ends all answers unfinished and forgets them.
+func (e *Engine) Crash() {
+	e.crashes.Add(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stop()
+	e.alive, e.stop = context.WithCancel(context.Background())
+	clear(e.generations)
+	e.order = nil
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	var req ChatRequest
-	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
-		http.Error(w, "malformed JSON", http.StatusBadRequest)
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil || req.MaxTokens > maxTokens {
+		writeError(w, errkind.New(errkind.InvalidRequest, "want a chat-completions JSON body with max_tokens up to %d", maxTokens))
 		return
 	}
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
-	crashed := e.crashSignal()
 	if e.cfg.CrashMarker != "" && strings.Contains(req.Prompt(), e.cfg.CrashMarker) {
-		e.crash()
-	}
-	if !e.acquire(r, crashed) {
+		e.Crash()
+		if e.cfg.OnCrash != nil {
+			e.cfg.OnCrash()
+		}
 		panic(http.ErrAbortHandler)
 	}
-	defer e.release()
-	e.generate(w, r, req, crashed)
-	e.served.Add(1)
+	id := r.Header.Get(RequestIDHeader)
+	g := e.start(id, req)
+	if id == "" {
+		// Without an id nobody can resume, so the answer ends with its caller.
+		stop := context.AfterFunc(r.Context(), g.cancel)
+		defer stop()
+	}
+	e.answer(w, r, g, 0, req.Stream)
 }
 
-func (e *Engine) generate(w http.ResponseWriter, r *http.Request, req ChatRequest, crashed <-chan struct{}) {
+// start begins a generation in the background.
+func (e *Engine) start(id string, req ChatRequest) *generation {
 	tokens := req.MaxTokens
 	if tokens <= 0 {
 		tokens = e.cfg.DefaultTokens
 	}
 	prompt := req.Prompt()
-	if req.Stream {
-		e.stream(w, r, prompt, tokens, crashed)
-		return
-	}
-	for range tokens {
-		e.step(r, crashed)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ctx, cancel := context.WithCancel(e.alive)
+	g := newGeneration(prompt, tokens, e.cache.lookup(prompt), cancel)
+	if id != "" {
+		e.keep(id, g)
 	}
-	writeJSON(w, http.StatusOK, e.wholeAnswer(ExpectedAnswer(prompt, tokens), tokens))
+	e.inFlight.Add(1)
+	go e.generate(ctx, g, req.Priority)
+	return g
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, prompt string, tokens int, crashed <-chan struct{}) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	flusher := http.NewResponseController(w)
-	for i := range tokens {
-		e.step(r, crashed)
-		data, err := json.Marshal(e.delta(token(prompt, i)))
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
-		_ = flusher.Flush()
+// keep makes an answer resumable and forgets the oldest one above the bound.
+// The caller holds e.mu.
+func (e *Engine) keep(id string, g *generation) {
+	e.generations[id] = g
+	e.order = append(e.order, id)
+	if len(e.order) > maxKeptAnswers {
+		delete(e.generations, e.order[0])
+		e.order = e.order[1:]
 	}
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// step waits for one token interval. It aborts the answer when the engine
-// crashes or the caller leaves.
-func (e *Engine) step(r *http.Request, crashed <-chan struct{}) {
-	timer := time.NewTimer(e.cfg.TokenInterval)
-	defer timer.Stop()
+func (e *Engine) generate(ctx context.Context, g *generation, priority int) {
+	defer e.inFlight.Add(-1)
+	defer g.cancel()
+	w := e.batch.enter(priority)
+	defer e.batch.leave(w)
 	select {
-	case <-crashed:
-		panic(http.ErrAbortHandler)
-	case <-r.Context().Done():
-		panic(http.ErrAbortHandler)
-	case <-timer.C:
+	case <-w.ready:
+	case <-ctx.Done():
+	}
+	prefill := time.Duration(len(g.prompt)-g.cached) * e.cfg.PrefillPerByte
+	pause(ctx, prefill)
+	if g.run(ctx, e.cfg.TokenInterval) {
+		e.served.Add(1)
 	}
 }
 
-func (e *Engine) acquire(r *http.Request, crashed <-chan struct{}) bool {
-	if e.slots == nil {
-		return true
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil || from < 0 {
+		writeError(w, errkind.New(errkind.InvalidRequest, "from must be a token number from 0"))
+		return
 	}
-	select {
-	case e.slots <- struct{}{}:
-		return true
-	case <-crashed:
-		return false
-	case <-r.Context().Done():
-		return false
+	g := e.find(r.PathValue("id"))
+	if g == nil {
+		http.NotFound(w, r)
+		return
 	}
+	e.answer(w, r, g, from, true)
 }
 
-func (e *Engine) release() {
-	if e.slots != nil {
-		<-e.slots
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	g := e.find(r.PathValue("id"))
+	if g == nil {
+		http.NotFound(w, r)
+		return
 	}
+	g.cancel()
+	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) crashSignal() <-chan struct{} {
+func (e *Engine) find(id string) *generation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.crashed
+	return e.generations[id]
 }
 
-// Crash ends all streams in flight without an answer.
-func (e *Engine) Crash() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	close(e.crashed)
-	e.crashed = make(chan struct{})
-}
-
-func (e *Engine) crash() {
-	e.Crash()
-	if e.cfg.OnCrash != nil {
-		e.cfg.OnCrash()
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
 	}
-	panic(http.ErrAbortHandler)
-}
-
-type completion struct {
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
+	writeJSON(w, http.StatusOK, e.cache.since(after))
 }
 
-type choice struct {
-	Index        int          `json:"index"`
-	Message      *ChatMessage `json:"message,omitempty"`
-	Delta        *ChatMessage `json:"delta,omitempty"`
-	FinishReason string       `json:"finish_reason,omitempty"`
+// LoadReport is the JSON answer of GET /v1/load.
+type LoadReport struct {
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
 }
 
-type usage struct {
-	CompletionTokens int `json:"completion_tokens"`
-}
-
-func (e *Engine) delta(content string) completion {
-	return completion{
-		Object:  "chat.completion.chunk",
-		Model:   e.cfg.Model,
-		Choices: []choice{{Delta: &ChatMessage{Role: "assistant", Content: content}}},
-	}
-}
-
-func (e *Engine) wholeAnswer(content string, tokens int) completion {
-	return completion{
-		Object: "chat.completion",
-		Model:  e.cfg.Model,
-		Choices: []choice{{
-			Message:      &ChatMessage{Role: "assistant", Content: content},
-			FinishReason: "stop",
-		}},
-		Usage: &usage{CompletionTokens: tokens},
-	}
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, LoadReport{InFlight: e.InFlight(), Queued: e.batch.queued()})
 }
