Add claims for non-idempotent calls and their log driver

Cause: a booking runs at most once although its caller sends it again, its append is answered after the fact, or its sidecar dies.

Ruled out: a claim that wins later, after the one ahead of it is abandoned. Its sender has already answered, so the key would stay held. A claim wins at its own position or never.

Change: package claim holds the fold of a claim stream (Book) and the state machine of one call (Call). Package claimlog commits entries in groups, tails the stream and runs calls. errkind gets AnswerNotStored for a call that is done and whose answer was too large to keep.

A call refused without a view of its own claim in the log answers not_run only for a key that was not sent before (younger than FirstSendAge and not marked Repeated). Otherwise an earlier claim may exist that was not read yet, and the answer is unknown.

Conclusion: usable by the sidecar through claimlog.Client.Run.

--- /dev/null
+++ b/claim/book.go
@@ -0,0 +1,294 @@
+package claim
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Status is what a Book knows about an identity.
+type Status uint8
+
+// Statuses. Free is the only one under which a claim may win.
+const (
+	// Free: no claim was made, or each one was abandoned.
+	Free Status = iota
+	// Open: a claim holds the identity and has no outcome.
+	Open
+	// Lost: the run ended without a known result.
+	Lost
+	// Done: the run is complete and its answer known.
+	Done
+	// Reused: the identity belongs to a request with another body.
+	Reused
+	// Expired: the key is older than the claims that the Book holds.
+	Expired
+	// Gap: records that could hold a claim for the key are missing.
+	Gap
+)
+
+// View is the state of one identity as of the Book's last record.
+type View struct {
+	Status Status
+	// Claim, Offset and Time belong to the claim that holds the identity.
+	Claim  ID
+	Offset platform.Offset
+	Time   time.Time
+	Answer *StoredAnswer
+}
+
+// Verdict is the result of folding one claim. Won is final: it says that the
+// claim holds the identity from Offset on. Before is the state ahead of it.
+type Verdict struct {
+	Claim    ID
+	Identity Identity
+	Offset   platform.Offset
+	Won      bool
+	Repeat   bool // a further copy of the claim that holds the identity
+	Before   View
+}
+
+// Applied is the result of folding one record.
+type Applied struct {
+	RecordID    string
+	Incarnation string
+	Verdicts    []Verdict
+}
+
+// holding is the state of one identity in the Book.
+type holding struct {
+	identity  Identity
+	bodyHash  string
+	status    Status
+	claim     ID
+	offset    platform.Offset
+	time      time.Time
+	abandoned ID
+	answer    *StoredAnswer
+}
+
+// Book folds one partition of the claim stream. Every Book that has read the
+// same records from the first one on has the same state.
+type Book struct {
+	settings Settings
+	applied  platform.Offset
+	logTime  time.Time
+	// floor: identities with an older key were dropped.
+	floor time.Time
+	// covered: a claim made after this log time is known. The zero time
+	// means that the Book has read the stream from its first record.
+	covered    time.Time
+	gapPending bool
+	holdings   map[Identity]*holding
+	byAge      ageHeap
+	skipped    int64
+}
+
+// NewBook returns a Book that has read nothing.
+func NewBook(s Settings) *Book {
+	return &Book{settings: s, holdings: make(map[Identity]*holding)}
+}
+
+// Offset returns the offset of the last record that was folded.
+func (b *Book) Offset() platform.Offset { return b.applied }
+
+// LogTime returns the time of the last record that was folded.
+func (b *Book) LogTime() time.Time { return b.logTime }
+
+// Len returns the number of identities held.
+func (b *Book) Len() int { return len(b.holdings) }
+
+// Skipped returns the number of records and entries of unknown type.
+func (b *Book) Skipped() int64 { return b.skipped }
+
+// Missing records that the log no longer holds offsets below oldest. If the
+// Book has not read them all, coverage starts at its next record.
+func (b *Book) Missing(oldest platform.Offset) {
+	if oldest <= b.applied+1 {
+		return
+	}
+	b.applied = oldest - 1
+	b.gapPending = true
+}
+
+// NeedsMarker reports whether a record without entries has to be appended: the
+// coverage of the stream is unproved, or its newest record is older than every.
+func (b *Book) NeedsMarker(now time.Time, every time.Duration) bool {
+	if b.gapPending {
+		return true
+	}
+	return b.applied > 0 && now.Sub(b.logTime) > every
+}
+
+// View returns the state of id for a request with the given body hash.
+func (b *Book) View(id Identity, bodyHash string) View {
+	created := KeyTime(id.Key)
+	if created.Before(b.floor) {
+		return View{Status: Expired}
+	}
+	h := b.holdings[id]
+	if h != nil && h.bodyHash != bodyHash {
+		return View{Status: Reused}
+	}
+	if h != nil && h.status != Free {
+		return View{Status: h.status, Claim: h.claim, Offset: h.offset, Time: h.time, Answer: h.answer}
+	}
+	if !b.covers(created) {
+		return View{Status: Gap}
+	}
+	return View{Status: Free}
+}
+
+// covers reports whether the Book knows each claim for a key created at the
+// given time. A sidecar accepts a key at most Skew before its creation time,
+// and its clock differs from that of the log by at most Skew.
+func (b *Book) covers(created time.Time) bool {
+	if b.gapPending {
+		return false
+	}
+	return b.covered.IsZero() || created.Add(-2*b.settings.Skew).After(b.covered)
+}
+
+// Apply folds the next record and returns the verdict on each claim in it.
+// A record at or below the applied offset is ignored.
+func (b *Book) Apply(r platform.Record) Applied {
+	if r.Offset <= b.applied {
+		return Applied{}
+	}
+	if r.Offset != b.applied+1 {
+		b.Missing(r.Offset)
+	}
+	b.applied = r.Offset
+	if r.Time.After(b.logTime) {
+		b.logTime = r.Time
+	}
+	if b.gapPending {
+		b.gapPending = false
+		b.covered = b.logTime
+	}
+	b.evict()
+	record, ok := Decode(r.Data)
+	if !ok {
+		b.skipped++
+		return Applied{}
+	}
+	return Applied{RecordID: record.ID, Incarnation: record.Incarnation, Verdicts: b.applyEntries(r, record)}
+}
+
+func (b *Book) applyEntries(r platform.Record, record Record) []Verdict {
+	var verdicts []Verdict
+	for i := range record.Entries {
+		e := &record.Entries[i]
+		id := ID{Incarnation: record.Incarnation, Seq: e.Seq}
+		switch e.Type {
+		case EntryClaim:
+			verdicts = append(verdicts, b.applyClaim(r, e, id))
+		case EntryDone, EntryAbandoned, EntryLost:
+			b.applyOutcome(e, id)
+		default:
+			b.skipped++
+		}
+	}
+	return verdicts
+}
+
+// applyClaim decides a claim at its own position. A claim that doesn't win
+// there never wins, so its sender can answer at once and needs no record to
+// withdraw it.
+func (b *Book) applyClaim(r platform.Record, e *Entry, claim ID) Verdict {
+	id := e.Identity()
+	v := Verdict{Claim: claim, Identity: id, Offset: r.Offset, Before: b.View(id, e.BodyHash)}
+	h := b.holdings[id]
+	if h != nil && h.claim == claim && h.status != Free {
+		v.Repeat = true
+		return v
+	}
+	// A copy of an abandoned claim arrives when an append took effect late.
+	if h != nil && h.abandoned == claim {
+		v.Repeat = true
+		return v
+	}
+	// Under Gap the claim holds the identity too, so that later claims see it
+	// as open. Its owner sees Before and doesn't run it.
+	if v.Before.Status != Free && v.Before.Status != Gap {
+		return v
+	}
+	if h == nil {
+		h = &holding{identity: id, bodyHash: e.BodyHash}
+		b.holdings[id] = h
+		heap.Push(&b.byAge, h)
+	}
+	h.status, h.claim, h.offset, h.time = Open, claim, r.Offset, r.Time
+	v.Won = true
+	b.evict()
+	return v
+}
+
+// applyOutcome accepts an outcome only from the incarnation that made the
+// claim and only for the claim that holds the identity.
+func (b *Book) applyOutcome(e *Entry, claim ID) {
+	h := b.holdings[e.Identity()]
+	if h == nil || h.claim != claim || h.offset != e.ClaimOffset || h.status == Free {
+		return
+	}
+	if h.status == Done {
+		invariant.Check(e.Type != EntryAbandoned, "claim at offset %d: abandoned after done", h.offset)
+		return
+	}
+	switch e.Type {
+	case EntryDone:
+		h.status, h.answer = Done, e.Answer
+	case EntryAbandoned:
+		if invariant.Check(h.status == Open, "claim at offset %d: abandoned after a run", h.offset) {
+			h.status, h.abandoned = Free, claim
+		}
+	case EntryLost:
+		h.status = Lost
+	}
+}
+
+// evict drops identities by age and above the size bound. It raises the floor
+// so that a dropped identity is answered as expired and never runs.
+func (b *Book) evict() {
+	if floor := b.logTime.Add(-b.settings.Window); floor.After(b.floor) {
+		b.floor = floor
+	}
+	for len(b.byAge) > 0 {
+		created := KeyTime(b.byAge[0].identity.Key)
+		if len(b.byAge) > b.settings.MaxEntries && !created.Before(b.floor) {
+			b.floor = created.Add(time.Millisecond)
+		}
+		if !created.Before(b.floor) {
+			return
+		}
+		h := heap.Pop(&b.byAge).(*holding)
+		delete(b.holdings, h.identity)
+	}
+}
+
+// ageHeap orders holdings by the creation time of their keys.
+type ageHeap []*holding
+
+func (h ageHeap) Len() int { return len(h) }
+
+func (h ageHeap) Less(i, j int) bool {
+	return KeyTime(h[i].identity.Key).Before(KeyTime(h[j].identity.Key))
+}
+
+func (h ageHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+}
+
+// Push implements heap.Interface.
+func (h *ageHeap) Push(x any) { *h = append(*h, x.(*holding)) }
+
+// Pop implements heap.Interface.
+func (h *ageHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/claimlog/client.go
@@ -0,0 +1,244 @@
+// Package claimlog runs non-idempotent calls under claims in the log. It does
+// the I/O around package claim: for each partition, one goroutine that commits
+// claims and outcomes in groups and one that tails the stream.
+package claimlog
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/filbertmux/filbertmux/claim"
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Clock returns the present time. Its values carry a monotonic reading.
+type Clock func() time.Time
+
+// Settings configure a Client.
+type Settings struct {
+	Claim claim.Settings
+	// Partitions is the number of claim streams of each service. It is the
+	// same in every sidecar of the service.
+	Partitions int
+	// GroupDelay is how long a group commit waits for further entries.
+	GroupDelay time.Duration
+	// MaxBatchEntries and MaxBatchBytes bound one log record. The size counts
+	// stored answer bodies plus a fixed estimate for the rest of an entry.
+	MaxBatchEntries int
+	MaxBatchBytes   int
+	// QueueLength bounds the entries that wait for a commit in a partition.
+	QueueLength int
+	// MaxCalls bounds the calls of one Client.
+	MaxCalls int
+	// AppendTimeout bounds one append, ReadWait one long poll.
+	AppendTimeout time.Duration
+	ReadWait      time.Duration
+	ReadLimit     int
+	// DownAfter is how long appends or reads fail before new calls are refused
+	// without a claim.
+	DownAfter time.Duration
+	// MarkerEvery is the age of the newest record above which a record without
+	// entries is appended. Log retention must exceed Window + MarkerEvery, so
+	// that a new sidecar finds a record older than any key it accepts.
+	MarkerEvery time.Duration
+}
+
+// DefaultSettings returns the settings used by the daemons.
+func DefaultSettings() Settings {
+	return Settings{
+		Claim:           claim.DefaultSettings(),
+		Partitions:      4,
+		GroupDelay:      3 * time.Millisecond,
+		MaxBatchEntries: 256,
+		MaxBatchBytes:   256 << 10,
+		QueueLength:     4096,
+		MaxCalls:        4096,
+		AppendTimeout:   time.Second,
+		ReadWait:        time.Second,
+		ReadLimit:       512,
+		DownAfter:       500 * time.Millisecond,
+		MarkerEvery:     time.Hour,
+	}
+}
+
+// RunFunc sends the call to the backend server. A nil error means that the
+// answer is the backend server's own. An error whose execution status is
+// not_run proves that the backend server did not receive the call; any other
+// error means that it may have run. ctx ends at the request's deadline and not
+// when the caller goes away, so that the outcome still reaches the log.
+type RunFunc func(ctx context.Context) (claim.Answer, error)
+
+// Stats are counters since the Client started.
+type Stats struct {
+	Appends         int64 // appends that were acknowledged
+	Entries         int64 // entries in them
+	AppendsLost     int64
+	RateLimited     int64
+	OutcomesDropped int64 // their claims stay without outcome
+	RecordsSkipped  int64 // records and entries of unknown type
+}
+
+type counters struct {
+	appends, entries, lost, rateLimited, outcomesDropped atomic.Int64
+}
+
+// Client runs non-idempotent calls. All methods are safe for concurrent use.
+type Client struct {
+	log         platform.Log
+	incarnation string
+	now         Clock
+	settings    Settings
+	counters    counters
+	slots       chan struct{}
+	seq         atomic.Uint64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+	calls  sync.WaitGroup
+
+	mu         sync.Mutex
+	leaving    bool
+	partitions map[string]*partition
+}
+
+// New returns a Client. incarnation is unique for this process start, such as
+// a new UUID. The caller ends the Client with Shutdown.
+func New(log platform.Log, incarnation string, now Clock, s Settings) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{
+		log: log, incarnation: incarnation, now: now, settings: s,
+		slots: make(chan struct{}, s.MaxCalls),
+		ctx:   ctx, cancel: cancel, partitions: make(map[string]*partition),
+	}
+}
+
+// Serve starts to tail partition n of service, so that its first call doesn't
+// wait for the stream to be read. Run starts further partitions on demand.
+func (c *Client) Serve(service string, n int) error {
+	_, err := c.partition(service, n)
+	return err
+}
+
+// Stats returns the counters.
+func (c *Client) Stats() Stats {
+	s := Stats{
+		Appends: c.counters.appends.Load(), Entries: c.counters.entries.Load(),
+		AppendsLost: c.counters.lost.Load(), RateLimited: c.counters.rateLimited.Load(),
+		OutcomesDropped: c.counters.outcomesDropped.Load(),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.partitions {
+		s.RecordsSkipped += p.skipped()
+	}
+	return s
+}
+
+// Run executes one non-idempotent call at most once for its identity. The
+// error is an *errkind.Error; its Execution tells whether the call ran.
+func (c *Client) Run(ctx context.Context, r claim.Request, run RunFunc) (claim.Answer, error) {
+	now := c.now()
+	if deadline, ok := ctx.Deadline(); ok && (r.Deadline.IsZero() || deadline.Before(r.Deadline)) {
+		r.Deadline = deadline
+	}
+	key, bad := claim.ParseKey(r.Key, now, c.settings.Claim)
+	if bad != nil {
+		return claim.Answer{}, bad
+	}
+	id := claim.Identity{Organisation: r.Organisation, Service: r.Service, Key: key}
+	p, err := c.partition(r.Service, claim.Partition(id, c.settings.Partitions))
+	if err != nil {
+		return claim.Answer{}, err
+	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		return claim.Answer{}, errkind.New(errkind.QueueFull, "too many non-idempotent calls in flight").
+			WithRetryAfter(c.settings.Claim.RetryAfter)
+	}
+	if !c.enter() {
+		<-c.slots
+		return claim.Answer{}, leaving()
+	}
+	l := newLiveCall(c, p, claim.NewCall(c.settings.Claim, c.nextID(), r, now), id, r)
+	go l.drive(ctx, run)
+	result := <-l.result
+	if result.err != nil {
+		return claim.Answer{}, result.err
+	}
+	return result.answer, nil
+}
+
+// Shutdown refuses new calls, waits for those in flight and for their outcomes
+// to be written, and stops all goroutines. When ctx ends it stops at once;
+// claims without outcome then stay unknown.
+func (c *Client) Shutdown(ctx context.Context) error {
+	c.mu.Lock()
+	c.leaving = true
+	c.mu.Unlock()
+	err := c.drain(ctx)
+	c.cancel()
+	c.loops.Wait()
+	return err
+}
+
+func (c *Client) drain(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		c.calls.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.Canceled, ctx.Err(), "calls were in flight")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.partitions {
+		if err := p.flush(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Client) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaving {
+		return false
+	}
+	c.calls.Add(1)
+	return true
+}
+
+func (c *Client) nextID() claim.ID {
+	return claim.ID{Incarnation: c.incarnation, Seq: c.seq.Add(1)}
+}
+
+func (c *Client) partition(service string, n int) (*partition, error) {
+	stream := claim.Stream(service, n)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.partitions[stream]; p != nil {
+		return p, nil
+	}
+	if c.leaving {
+		return nil, leaving()
+	}
+	p := newPartition(c, stream)
+	c.partitions[stream] = p
+	c.loops.Add(2)
+	go p.write()
+	go p.tail()
+	return p, nil
+}
+
+func leaving() *errkind.Error {
+	return errkind.New(errkind.Leaving, "the sidecar is shutting down")
+}
--- a/errkind/answers.go
+++ b/errkind/answers.go
@@ -58,4 +58,5 @@
 	InvalidCounts:         {"invalid_counts", http.StatusBadRequest, connect.CodeInvalidArgument, ExitInvalid, NotRun, false},
 	StaleCounts:           {"stale_counts", http.StatusConflict, connect.CodeFailedPrecondition, ExitUnavailable, NotRun, true},
 	InvalidMap:            {"invalid_map", http.StatusBadRequest, connect.CodeInvalidArgument, ExitInvalid, NotRun, false},
+	AnswerNotStored:       {"answer_not_stored", http.StatusGone, connect.CodeAlreadyExists, ExitFailure, Done, false},
 }
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -78,6 +78,7 @@
 	InvalidCounts
 	StaleCounts
 	InvalidMap
+	AnswerNotStored
 
 	kindCount
 )
