--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,33 @@
+// Package examples embeds the example tables.
+//
+// The API key of organisation X is "dev-key-X" in all of them; the tables hold
+// its SHA-256 hash. The keys are for development only.
+package examples
+
+import (
+	"embed"
+	"io/fs"
+)
+
+//go:embed demo tesatoria kandy
+var files embed.FS
+
+// DevKey returns the development API key of an organisation.
+func DevKey(organisation string) string { return "dev-key-" + organisation }
+
+// Demo returns the combined table of the demo.
+func Demo() fs.FS { return directory("demo") }
+
+// Tesatoria returns the table of Țesătoria Mureșan & Fiii.
+func Tesatoria() fs.FS { return directory("tesatoria") }
+
+// Kandy returns the table of Kandy Rungs Manufacturing.
+func Kandy() fs.FS { return directory("kandy") }
+
+func directory(name string) fs.FS {
+	dir, err := fs.Sub(files, name)
+	if err != nil {
+		panic("examples: " + err.Error()) // the names are constants and valid
+	}
+	return dir
+}
--- /dev/null
+++ b/table/fold.go
@@ -0,0 +1,317 @@
+package table
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strconv"
+
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Horizon is the number of offsets for which verdicts, deletions and digests
+// are remembered: almost two days at 2,200 changes a day. A change set that
+// was made further back is refused, so a forgotten verdict is never decided a
+// second time.
+const Horizon platform.Offset = 4096
+
+// Fold is the state of the table after the records up to Offset. It is owned
+// by one goroutine.
+type Fold struct {
+	offset   platform.Offset
+	entries  map[Key]Entry
+	verdicts map[string]Verdict
+	// deleted holds the offset of the deletion of rows that do not exist.
+	deleted map[Key]platform.Offset
+	// byOffset holds what was remembered at an offset and is forgotten when
+	// the offset leaves the horizon.
+	byOffset map[platform.Offset]remembered
+	sum      digestSum
+	digests  map[platform.Offset]Digest
+	stats    Stats
+	rules    ruleSwitches
+}
+
+// ruleSwitches turn a rule off, so that tests can show that they detect it.
+type ruleSwitches struct {
+	noBaseCheck  bool
+	noDuplicates bool
+	noOwnerCheck bool
+}
+
+type remembered struct {
+	verdict string
+	deleted []Key
+}
+
+// NewFold returns the empty table at offset 0.
+func NewFold() *Fold {
+	f := &Fold{
+		entries:  make(map[Key]Entry),
+		verdicts: make(map[string]Verdict),
+		deleted:  make(map[Key]platform.Offset),
+		byOffset: make(map[platform.Offset]remembered),
+		digests:  make(map[platform.Offset]Digest),
+	}
+	f.digests[0] = f.sum.digest(0)
+	return f
+}
+
+// Offset returns the offset of the last applied record.
+func (f *Fold) Offset() platform.Offset { return f.offset }
+
+// Stats returns the counters.
+func (f *Fold) Stats() Stats { return f.stats }
+
+// Digest returns the digest of the state at Offset.
+func (f *Fold) Digest() Digest { return f.sum.digest(f.offset) }
+
+// VerdictOf returns the remembered verdict of a change set.
+func (f *Fold) VerdictOf(id string) (Verdict, bool) {
+	v, ok := f.verdicts[id]
+	return v, ok
+}
+
+// Apply applies the next record. A record that is not the next one has no
+// effect: the offset of a fold never decreases and never skips a record.
+func (f *Fold) Apply(r platform.Record) Verdict {
+	if r.Offset <= f.offset {
+		f.stats.Rereads++
+		return Verdict{Outcome: OutcomeReread, Offset: r.Offset}
+	}
+	if r.Offset != f.offset+1 {
+		f.stats.Gaps++
+		return Verdict{Outcome: OutcomeGap, Offset: r.Offset}
+	}
+	f.offset = r.Offset
+	v := f.dispatch(r)
+	f.forget()
+	f.digests[f.offset] = f.sum.digest(f.offset)
+	return v
+}
+
+func (f *Fold) dispatch(r platform.Record) Verdict {
+	switch RecordType(r.Data) {
+	case TypeChangeSet:
+		s, err := DecodeChangeSet(r.Data)
+		if err != nil {
+			f.stats.Malformed++
+			return Verdict{Outcome: OutcomeSkipped, Offset: r.Offset}
+		}
+		return f.judge(s)
+	case TypeSnapshot:
+		return f.compare(r)
+	case "":
+		f.stats.Malformed++
+	default:
+		f.stats.UnknownTypes++
+	}
+	return Verdict{Outcome: OutcomeSkipped, Offset: r.Offset}
+}
+
+// compare checks the digest of a snapshot record against the own digest at the
+// offset that the snapshot covers.
+func (f *Fold) compare(r platform.Record) Verdict {
+	var head snapshotHead
+	if err := json.Unmarshal(r.Data, &head); err != nil {
+		f.stats.Malformed++
+		return Verdict{Outcome: OutcomeSkipped, Offset: r.Offset}
+	}
+	f.stats.Snapshots++
+	own, known := f.digests[head.Offset]
+	if head.Offset >= r.Offset || known && own != head.Digest {
+		f.stats.Mismatches++
+		return Verdict{Outcome: OutcomeMismatch, Offset: r.Offset}
+	}
+	return Verdict{Outcome: OutcomeSnapshot, Offset: r.Offset}
+}
+
+func (f *Fold) judge(s ChangeSet) Verdict {
+	if first, ok := f.verdicts[s.ID]; ok && !f.rules.noDuplicates {
+		f.stats.Duplicates++
+		first.Duplicate = true
+		return first
+	}
+	v := Verdict{Outcome: OutcomeAccepted, ID: s.ID, Office: s.Office, Offset: f.offset}
+	if faults := f.tryApply(s); len(faults) > 0 {
+		v = refusal(s.ID, s.Office, f.offset, faults)
+		f.stats.Refused++
+	} else {
+		f.stats.Accepted++
+	}
+	f.rememberVerdict(v)
+	return v
+}
+
+// Check returns the faults that the change set would have if it were the next
+// record. The fold is unchanged afterwards.
+func (f *Fold) Check(s ChangeSet) []Fault {
+	faults := f.basicFaults(s)
+	if len(faults) > 0 {
+		return faults
+	}
+	undo := f.put(s, f.offset+1)
+	faults = checkRules(f.entries)
+	undo()
+	return faults
+}
+
+func (f *Fold) basicFaults(s ChangeSet) []Fault {
+	faults := s.validate()
+	if s.ReadOffset+Horizon <= f.offset || s.ReadOffset > f.offset {
+		faults = append(faults, Fault{
+			Row: "change set " + s.ID, Column: "read_offset", Value: formatOffset(s.ReadOffset), Conflict: true,
+			Reason: fmt.Sprintf("want a set made at most %d records before offset %d", Horizon, f.offset),
+		})
+	}
+	for _, c := range s.Changes {
+		faults = append(faults, f.checkChange(s, c)...)
+	}
+	sortFaults(faults)
+	return faults
+}
+
+func (f *Fold) checkChange(s ChangeSet, c Change) []Fault {
+	current, exists := f.entries[c.Key]
+	var faults []Fault
+	if exists && current.Row.Office != s.Office && !f.rules.noOwnerCheck {
+		faults = append(faults, Fault{
+			Row: c.Key.String(), Column: "office", Value: s.Office,
+			Reason: "the row belongs to office " + current.Row.Office,
+		})
+	}
+	if !exists && c.Row != nil && c.Row.Office != s.Office {
+		faults = append(faults, Fault{
+			Row: c.Key.String(), Column: "office", Value: c.Row.Office,
+			Reason: "a new row belongs to the publishing office " + s.Office,
+		})
+	}
+	if f.rules.noBaseCheck {
+		return faults
+	}
+	if reason := f.staleBase(s, c, current); reason != "" {
+		faults = append(faults, Fault{
+			Row: c.Key.String(), Column: "version", Value: formatOffset(c.Base), Reason: reason, Conflict: true,
+		})
+	}
+	return faults
+}
+
+// staleBase returns why the base of c is not the current version, or "".
+func (f *Fold) staleBase(s ChangeSet, c Change, current Entry) string {
+	if c.Base != current.Version {
+		if current.Version == 0 {
+			return "the row does not exist any more"
+		}
+		return fmt.Sprintf("the row is at version %d now: %s", current.Version, current.Row)
+	}
+	if c.Row == nil && current.Version == 0 {
+		return "the row to delete does not exist"
+	}
+	// A new row has base 0 both before its creation and after its deletion.
+	if at := f.deleted[c.Key]; current.Version == 0 && at > s.ReadOffset {
+		return fmt.Sprintf("the row was deleted at offset %d", at)
+	}
+	return ""
+}
+
+func (f *Fold) tryApply(s ChangeSet) []Fault {
+	if faults := f.basicFaults(s); len(faults) > 0 {
+		return faults
+	}
+	undo := f.put(s, f.offset)
+	if faults := checkRules(f.entries); len(faults) > 0 {
+		undo()
+		return faults
+	}
+	f.commit(s)
+	return nil
+}
+
+// put writes the rows of s and returns the function that restores the old ones.
+func (f *Fold) put(s ChangeSet, version Version) (undo func()) {
+	before := make(map[Key]Entry, len(s.Changes))
+	for _, c := range s.Changes {
+		before[c.Key] = f.entries[c.Key]
+		f.sum.sub(c.Key, f.entries[c.Key])
+		if c.Row == nil {
+			delete(f.entries, c.Key)
+			continue
+		}
+		f.entries[c.Key] = Entry{Row: *c.Row, Version: version}
+		f.sum.add(c.Key, f.entries[c.Key])
+	}
+	return func() {
+		for key, old := range before {
+			f.sum.sub(key, f.entries[key])
+			f.sum.add(key, old)
+			if old.Version == 0 {
+				delete(f.entries, key)
+				continue
+			}
+			f.entries[key] = old
+		}
+	}
+}
+
+// commit records the deletions of an accepted set.
+func (f *Fold) commit(s ChangeSet) {
+	for _, c := range s.Changes {
+		if c.Row == nil {
+			f.rememberDeletion(c.Key, f.offset)
+			continue
+		}
+		if at, ok := f.deleted[c.Key]; ok {
+			f.sum.subDeletion(c.Key, at)
+			delete(f.deleted, c.Key)
+		}
+	}
+}
+
+func (f *Fold) rememberVerdict(v Verdict) {
+	if old, ok := f.verdicts[v.ID]; ok {
+		f.sum.subVerdict(old)
+	}
+	f.verdicts[v.ID] = v
+	f.sum.addVerdict(v)
+	m := f.byOffset[v.Offset]
+	m.verdict = v.ID
+	f.byOffset[v.Offset] = m
+}
+
+func (f *Fold) rememberDeletion(key Key, at platform.Offset) {
+	f.deleted[key] = at
+	f.sum.addDeletion(key, at)
+	m := f.byOffset[at]
+	m.deleted = append(m.deleted, key)
+	f.byOffset[at] = m
+}
+
+// forget drops what was remembered at the offset that leaves the horizon.
+func (f *Fold) forget() {
+	if f.offset < Horizon {
+		return
+	}
+	leaving := f.offset - Horizon
+	delete(f.digests, leaving)
+	m, ok := f.byOffset[leaving]
+	if !ok {
+		return
+	}
+	delete(f.byOffset, leaving)
+	if v, ok := f.verdicts[m.verdict]; ok && v.Offset == leaving {
+		f.sum.subVerdict(v)
+		delete(f.verdicts, m.verdict)
+	}
+	for _, key := range m.deleted {
+		if f.deleted[key] == leaving {
+			f.sum.subDeletion(key, leaving)
+			delete(f.deleted, key)
+		}
+	}
+}
+
+// View returns an immutable copy of the rows for lookups.
+func (f *Fold) View() *View { return newView(f.offset, maps.Clone(f.entries)) }
+
+func formatOffset(o platform.Offset) string { return strconv.FormatUint(uint64(o), 10) }
