Add the sidecar server

Cause: the sidecar is the only path to its backend server; it has to run a non-idempotent call at most once and keep answers for resume.

--- /dev/null
+++ b/daemon/server.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/drain"
+)
+
+// writeTimeout is the longest wait for a peer that reads nothing. A peer that
+// went silent would otherwise block its handler until TCP gives up, which takes
+// minutes.
+const writeTimeout = 30 * time.Second
+
+// Server is one HTTP server of a daemon.
+type Server struct {
+	Name     string
+	Listener net.Listener
+	Handler  http.Handler
+	// MaxHeaderBytes and HeaderTimeout bound the headers of a request.
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration
+	// Gate decides when the server stops. Without one, it stops at once.
+	Gate *drain.Gate
+	// DrainTimeout bounds the wait for requests in flight; 0 waits for all.
+	DrainTimeout time.Duration
+	// Abort fails the requests still in flight after DrainTimeout.
+	Abort func()
+}
+
+// Serve runs s for the lifetime of the application. On stop, s refuses new
+// requests through its gate and closes after the last request in flight.
+func Serve(lc fx.Lifecycle, log zerolog.Logger, s Server) {
+	server := &http.Server{
+		Handler:           withWriteDeadline(s.Handler),
+		MaxHeaderBytes:    s.MaxHeaderBytes,
+		ReadHeaderTimeout: s.HeaderTimeout,
+	}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(s.Listener); !errors.Is(err, http.ErrServerClosed) {
+					log.Error().Err(err).Str("server", s.Name).Msg("server ended")
+				}
+			}()
+			log.Info().Str("server", s.Name).Str("address", s.Listener.Addr().String()).Msg("listening")
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			s.drain(ctx, log)
+			return server.Shutdown(ctx)
+		},
+	})
+}
+
+func (s Server) drain(ctx context.Context, log zerolog.Logger) {
+	if s.Gate == nil {
+		return
+	}
+	s.Gate.Terminate()
+	log.Info().Str("server", s.Name).Int("in_flight", s.Gate.InFlight()).Msg("draining")
+	var timeout <-chan time.Time
+	if s.DrainTimeout > 0 {
+		timer := time.NewTimer(s.DrainTimeout)
+		defer timer.Stop()
+		timeout = timer.C
+	}
+	select {
+	case <-s.Gate.Stopped():
+	case <-ctx.Done():
+	case <-timeout:
+		log.Warn().Str("server", s.Name).Int("in_flight", s.Gate.InFlight()).Msg("drain timeout")
+		s.Abort()
+	}
+}
+
+// RequireToken refuses requests without the bearer token. An empty token admits
+// every request.
+func RequireToken(token string, next http.Handler) http.Handler {
+	if token == "" {
+		return next
+	}
+	want := []byte("Bearer " + token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			http.Error(w, "peer token required", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// TokenTransport adds the bearer token to each request.
+type TokenTransport struct {
+	Token string
+	Base  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t TokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.Token == "" {
+		return t.Base.RoundTrip(r)
+	}
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.Token)
+	return t.Base.RoundTrip(r)
+}
+
+func withWriteDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&deadlineWriter{ResponseWriter: w, control: http.NewResponseController(w)}, r)
+	})
+}
+
+// deadlineWriter renews the write deadline on each write.
+type deadlineWriter struct {
+	http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Write implements io.Writer.
+func (w *deadlineWriter) Write(b []byte) (int, error) {
+	w.extend()
+	return w.ResponseWriter.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *deadlineWriter) Flush() {
+	w.extend()
+	_ = w.control.Flush()
+}
+
+// Unwrap serves http.ResponseController.
+func (w *deadlineWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *deadlineWriter) extend() {
+	// A recorder in a test supports no deadline.
+	_ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+}
--- /dev/null
+++ b/sidecar/events.go
@@ -0,0 +1,54 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// doneEvent is the data of the event that ends a whole completion stream.
+var doneEvent = []byte("[DONE]")
+
+// eventReader splits a stream of server-sent events into whole events, so that
+// each chunk holds one event and the last event can be held back until the
+// answer is verified. An event above maxBytes is returned in parts.
+type eventReader struct {
+	in       *bufio.Reader
+	maxBytes int
+	done     bool
+}
+
+func newEventReader(in io.Reader, maxBytes int) *eventReader {
+	return &eventReader{in: bufio.NewReaderSize(in, maxBytes), maxBytes: maxBytes}
+}
+
+// next returns the next event with its closing empty line. At the end of the
+// stream it returns what is left with io.EOF.
+func (r *eventReader) next() ([]byte, error) {
+	var event []byte
+	for {
+		line, err := r.in.ReadSlice('\n')
+		if err == bufio.ErrBufferFull { //nolint:errorlint // bufio returns this value unwrapped
+			err = nil
+		}
+		event = append(event, line...)
+		if err != nil {
+			return event, err
+		}
+		r.note(line)
+		if isEmptyLine(line) || len(event) >= r.maxBytes {
+			return event, nil
+		}
+	}
+}
+
+// note remembers whether the event that ends the stream was seen.
+func (r *eventReader) note(line []byte) {
+	if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+		r.done = bytes.Equal(bytes.TrimSpace(data), doneEvent)
+	}
+}
+
+func isEmptyLine(line []byte) bool {
+	return string(line) == "\n" || string(line) == "\r\n"
+}
