Measure the slopes of table and claims for the capacity page

Cause: the users ask for state, messages, time and memory of each role at the design size, worked out from measured slopes. Ruled out: estimates from struct sizes; maps and JSON cost more than they show. Change: bench/capacity with least-squares lines over three sizes or more.

--- /dev/null
+++ b/bench/capacity/claim.go
@@ -0,0 +1,117 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/filbertmux/filbertmux/claim"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+const roleClaims = "sidecar of a plain service"
+
+func claimSeries() []series {
+	return []series{
+		{
+			roleClaims, "memory of the claim book", "claims in the window", "B",
+			[]int{1000, 10_000, 100_000},
+			100_000,
+			func(n int) (float64, error) {
+				var err error
+				heap := heapOf(func() any {
+					var b *claim.Book
+					b, err = filledBook(n)
+					return b
+				})
+				return heap, err
+			},
+		},
+		{
+			roleClaims, "bytes of a claim record", "claims in the record", "B",
+			[]int{1, 4, 16, 64},
+			1,
+			func(n int) (float64, error) {
+				data, err := claim.Encode(uuid.NewString(), uuid.NewString(), claimEntries(n, 0))
+				return float64(len(data)), err
+			},
+		},
+		{
+			roleClaims, "time to fold one claim", "claims held", "s",
+			[]int{1000, 10_000, 100_000},
+			100_000,
+			foldTime,
+		},
+	}
+}
+
+func foldTime(n int) (float64, error) {
+	b, err := filledBook(n)
+	if err != nil {
+		return 0, err
+	}
+	i := n
+	var failure error
+	perCall := timePerCall(func() {
+		i++
+		if err := applyClaims(b, claimEntries(1, i)); err != nil {
+			failure = err
+		}
+	})
+	return perCall, failure
+}
+
+func filledBook(n int) (*claim.Book, error) {
+	settings := claim.DefaultSettings()
+	settings.MaxEntries = 10 * n
+	b := claim.NewBook(settings)
+	const perRecord = 16
+	for first := 0; first < n; first += perRecord {
+		if err := applyClaims(b, claimEntries(perRecord, first)); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func applyClaims(b *claim.Book, entries []claim.Entry) error {
+	data, err := claim.Encode("record", "incarnation", entries)
+	if err != nil {
+		return err
+	}
+	b.Apply(platform.Record{Offset: b.Offset() + 1, Time: claimTime, Data: data})
+	return nil
+}
+
+// claimTime is the creation time of all keys, so that none leaves the window.
+var claimTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// claimEntries returns n claims whose keys follow from their number.
+func claimEntries(n, first int) []claim.Entry {
+	entries := make([]claim.Entry, 0, n)
+	for i := range n {
+		number := first + i
+		entries = append(entries, claim.Entry{
+			Type: claim.EntryClaim, Seq: uint64(number), Organisation: organisationName(number % designOrganisations),
+			Service: "order-book", Key: numberedKey(number), BodyHash: "0123456789abcdef",
+		})
+	}
+	return entries
+}
+
+// numberedKey returns a UUIDv7 with the time of claimTime.
+func numberedKey(number int) uuid.UUID {
+	rng := rand.New(rand.NewPCG(uint64(number), 1))
+	var key uuid.UUID
+	ms := uint64(claimTime.UnixMilli())
+	for i := range 6 {
+		key[i] = byte(ms >> (8 * (5 - i)))
+	}
+	for i := 6; i < len(key); i++ {
+		key[i] = byte(rng.Uint32())
+	}
+	key[6] = key[6]&0x0f | 0x70
+	key[8] = key[8]&0x3f | 0x80
+	return key
+}
