Add the entry and wire both daemons with fx

Cause: callers need one HTTP interface that refuses bad calls before anything is forwarded and that never ends an incomplete answer cleanly. Ruled out: passing [DONE] on when it arrives, because totals and checksum are known only with the end chunk; resuming on a pooled connection, because it may be the silent one; the fx signal handling, which restores the default action and so lets a second SIGTERM kill requests in flight. Change: entry with authentication, bounds, refusals, routing by instance list and key, attempts with resume, and answers that hold back their last bytes until they are verified; fx modules for both daemons. daemon.Table follows the table stream until tablesync takes its place. Four tests fail with their rule off: holding back [DONE], no repeat of a booking that may have run, execution status over several attempts, proof of not run by a failed dial.

--- /dev/null
+++ b/daemon/providers.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/telemetry"
+)
+
+// longPollAllowance is added to the platform timeout, because a read of the log
+// waits at the platform for a record.
+const longPollAllowance = 10 * time.Second
+
+// Incarnation identifies one start of a process in messages, claims and status.
+type Incarnation string
+
+// NewIncarnation returns an incarnation that is unique for ever.
+func NewIncarnation() Incarnation { return Incarnation(uuid.Must(uuid.NewV7()).String()) }
+
+// Common provides what every daemon needs: its incarnation, drain gate,
+// platform client, table and metrics.
+func Common(s settings.Common, role platform.Role, log zerolog.Logger) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(log),
+		fx.Provide(
+			NewIncarnation,
+			drain.NewGate,
+			func() (*platform.HTTPClient, error) { return newPlatform(s) },
+			func(c *platform.HTTPClient) platform.Log { return c },
+			func(c *platform.HTTPClient) platform.InstanceList { return c },
+			func(lc fx.Lifecycle) *telemetry.Metrics { return newMetrics(lc, s, role, log) },
+			func(lc fx.Lifecycle, l platform.Log) *Table { return startTable(lc, l, log) },
+		),
+	)
+}
+
+func newPlatform(s settings.Common) (*platform.HTTPClient, error) {
+	return platform.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: s.PlatformTimeout + longPollAllowance})
+}
+
+func newMetrics(lc fx.Lifecycle, s settings.Common, role platform.Role, log zerolog.Logger) *telemetry.Metrics {
+	m := telemetry.NewMetrics(string(role), s.Instance, log)
+	lc.Append(fx.StopHook(m.Close))
+	return m
+}
+
+func startTable(lc fx.Lifecycle, l platform.Log, log zerolog.Logger) *Table {
+	t := NewTable(l, log)
+	Start(lc, log, Duty{Name: "follow the table", Run: t.Follow})
+	return t
+}
+
+// Listen returns the given listener or opens one on address.
+func Listen(given net.Listener, address string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/daemon/table.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+const (
+	tableStream    = "table"
+	tableReadLimit = 500
+	tableReadWait  = time.Second
+	tableRetry     = 200 * time.Millisecond
+)
+
+// Table follows the table stream. The goroutine in Follow owns the fold; View
+// and Offset are safe for concurrent use.
+type Table struct {
+	log    platform.Log
+	logger zerolog.Logger
+	fold   *table.Fold
+	view   atomic.Pointer[table.View]
+}
+
+// NewTable returns a table without a view.
+func NewTable(log platform.Log, logger zerolog.Logger) *Table {
+	return &Table{log: log, logger: logger, fold: table.NewFold()}
+}
+
+// View returns the table in force, or nil before the first record was read.
+func (t *Table) View() *table.View { return t.view.Load() }
+
+// Offset returns the offset of the table in force.
+func (t *Table) Offset() platform.Offset {
+	if v := t.View(); v != nil {
+		return v.Offset()
+	}
+	return 0
+}
+
+// Follow applies records until ctx ends. During an outage of the log the table
+// in force stays.
+func (t *Table) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := t.read(ctx); err != nil && ctx.Err() == nil {
+			t.logger.Warn().Err(err).Msg("table stream")
+			pause(ctx, tableRetry)
+		}
+	}
+	return nil
+}
+
+func (t *Table) read(ctx context.Context) error {
+	batch, err := t.log.Read(ctx, tableStream, t.fold.Offset(), tableReadLimit, tableReadWait)
+	if err != nil || len(batch.Records) == 0 {
+		return err
+	}
+	for _, r := range batch.Records {
+		t.fold.Apply(r)
+	}
+	t.view.Store(t.fold.View())
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/clients.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+)
+
+const (
+	dialTimeout        = 2 * time.Second
+	idleConnTimeout    = 30 * time.Second
+	idleConnsPerHost   = 16
+	maxChunkBytes      = 64 << 20
+	maxIdleConnections = 1024
+)
+
+// sidecarClient talks to one sidecar. Calls may reuse a connection; resumes
+// never do, because the connection that went silent must not be used again.
+type sidecarClient struct {
+	calls   filbertmuxv1connect.SidecarServiceClient
+	resumes filbertmuxv1connect.SidecarServiceClient
+}
+
+// clients holds one client for each sidecar address. It is safe for concurrent
+// use. HTTP/1.1 gives each stream a connection of its own.
+type clients struct {
+	reusing *http.Client
+	fresh   *http.Client
+
+	mu     sync.Mutex
+	byAddr map[string]*sidecarClient
+}
+
+func newClients(token string) *clients {
+	client := func(fresh bool) *http.Client {
+		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:   fresh,
+			DisableCompression:  true,
+			MaxIdleConns:        maxIdleConnections,
+			MaxIdleConnsPerHost: idleConnsPerHost,
+			IdleConnTimeout:     idleConnTimeout,
+		}}}
+	}
+	return &clients{reusing: client(false), fresh: client(true), byAddr: make(map[string]*sidecarClient)}
+}
+
+func (c *clients) of(address string) *sidecarClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known := c.byAddr[address]; known != nil {
+		return known
+	}
+	url := "http://" + address
+	limit := connect.WithReadMaxBytes(maxChunkBytes)
+	s := &sidecarClient{
+		calls:   filbertmuxv1connect.NewSidecarServiceClient(c.reusing, url, limit),
+		resumes: filbertmuxv1connect.NewSidecarServiceClient(c.fresh, url, limit),
+	}
+	c.byAddr[address] = s
+	return s
+}
--- /dev/null
+++ b/entry/server.go
@@ -0,0 +1,183 @@
+// Package entry is the daemon that callers reach: it authenticates and bounds
+// requests, runs them on sidecars, and streams whole answers.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/errkind"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/telemetry"
+)
+
+// tableSource is the part of the table follower that the entry needs.
+type tableSource interface {
+	// View returns the table in force, or nil before the first one was read.
+	View() *table.View
+}
+
+// Server serves the callers of one entry. It is safe for concurrent use.
+type Server struct {
+	settings    settings.Entry
+	incarnation daemon.Incarnation
+	table       tableSource
+	backends    *backends
+	dispatcher  *dispatcher
+	parser      parser
+	gate        *drain.Gate
+	log         zerolog.Logger
+	metrics     *telemetry.Metrics
+
+	streams atomic.Int64
+	ctx     context.Context // ends when the drain timeout has passed
+	abort   context.CancelCauseFunc
+}
+
+// NewServer returns a server that admits requests.
+func NewServer(s settings.Entry, incarnation daemon.Incarnation, source tableSource, list platform.InstanceList,
+	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
+) *Server {
+	b := newBackends(list, s, log)
+	ctx, abort := context.WithCancelCause(context.Background())
+	return &Server{
+		settings: s, incarnation: incarnation, table: source, backends: b,
+		dispatcher: &dispatcher{
+			backends: b,
+			clients:  newClients(s.PeerToken.Reveal()),
+			receiver: stream.ReceiverConfig{
+				MaxPending:      maxPendingChunks,
+				SilenceTimeout:  s.SilenceTimeout,
+				ProgressTimeout: s.ProgressTimeout,
+			},
+		},
+		parser: parser{settings: s}, gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
+	}
+}
+
+// Abort fails all requests in flight.
+func (s *Server) Abort() {
+	s.abort(errkind.New(errkind.Leaving, "drain timeout"))
+}
+
+// Handler returns the HTTP interface for callers.
+func (s *Server) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	// A redirect would make the caller send its request again.
+	engine.RedirectTrailingSlash = false
+	engine.RedirectFixedPath = false
+	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	engine.GET("/readyz", s.serveReady)
+	engine.GET("/statusz", s.serveStatus)
+	engine.GET("/metrics", gin.WrapH(s.metrics.Handler()))
+	engine.POST(completionsPath, func(c *gin.Context) { s.serve(c, s.parser.completion) })
+	engine.NoRoute(func(c *gin.Context) { s.serve(c, s.parser.plain) })
+	return engine
+}
+
+type parseFunc func(*gin.Context, *table.View, table.Organisation) (*pb.CallRequest, error)
+
+// serve handles one request of a caller.
+func (s *Server) serve(c *gin.Context, parse parseFunc) {
+	start := time.Now()
+	requestID := newRequestID()
+	c.Header(requestIDHeader, requestID)
+	ctx, cancel := s.requestContext(c.Request, requestID)
+	defer cancel()
+	release, err := s.admit()
+	if err != nil {
+		s.finish(ctx, start, nil, err)
+		refuse(c, requestID, err)
+		return
+	}
+	defer release()
+	call, err := s.accept(c, parse)
+	if err != nil {
+		s.finish(ctx, start, call, err)
+		refuse(c, requestID, err)
+		return
+	}
+	call.Id = &pb.AttemptId{RequestId: requestID}
+	out := newAnswer(c, requestID, func() {
+		s.metrics.FirstByte(labels(call), time.Since(start))
+	})
+	err = s.dispatcher.run(ctx, call, out)
+	s.finish(ctx, start, call, err)
+	if err != nil {
+		out.fail(err)
+	}
+}
+
+func newRequestID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// requestContext ends when the caller leaves, at the request timeout, or when
+// the entry gives up its drain.
+func (s *Server) requestContext(r *http.Request, requestID string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(r.Context(), s.settings.RequestTimeout)
+	stop := context.AfterFunc(s.ctx, cancel)
+	ctx = telemetry.WithRequest(ctx, s.log, requestID)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// admit bounds the requests in flight. The queues and the limits of the
+// organisations take its place between accept and dispatch.
+func (s *Server) admit() (release func(), err error) {
+	if err := s.gate.Enter(); err != nil {
+		return nil, err
+	}
+	if s.streams.Add(1) > int64(s.settings.MaxStreams) {
+		s.streams.Add(-1)
+		s.gate.Exit()
+		return nil, errkind.New(errkind.QueueFull, "%d requests are in flight", s.settings.MaxStreams)
+	}
+	return func() {
+		s.streams.Add(-1)
+		s.gate.Exit()
+	}, nil
+}
+
+// accept authenticates the caller and parses the request.
+func (s *Server) accept(c *gin.Context, parse parseFunc) (*pb.CallRequest, error) {
+	view := s.table.View()
+	if view == nil {
+		return nil, errkind.New(errkind.StaleTable, "the table has not been read yet")
+	}
+	org, err := s.parser.organisation(c.Request, view)
+	if err != nil {
+		return nil, err
+	}
+	return parse(c, view, org)
+}
+
+// finish records the outcome of a request.
+func (s *Server) finish(ctx context.Context, start time.Time, call *pb.CallRequest, err error) {
+	duration := time.Since(start)
+	s.metrics.Answered(labels(call), outcome(err), duration)
+	line := telemetry.Log(ctx).Info()
+	if err != nil {
+		line = telemetry.Log(ctx).Warn().Err(err).Str("execution", errkind.Of(err).Execution.String())
+	}
+	line.Str("organisation", call.GetOrganisation()).
+		Str("service", call.GetService()).
+		Str("outcome", outcome(err)).
+		Dur("duration_ms", duration).
+		Msg("request")
+}
--- /dev/null
+++ b/sidecar/module.go
@@ -0,0 +1,150 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/claimlog"
+	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/telemetry"
+)
+
+const (
+	// messageOverheadBytes allows for the fields of a call beside its body.
+	messageOverheadBytes = 1 << 20
+	headerTimeout        = 10 * time.Second
+	// markerFraction is the part of the retention window between two markers
+	// in an idle claim stream.
+	markerFraction = 20
+)
+
+// Options sets up a sidecar. Without a Listener it listens on Settings.Listen.
+type Options struct {
+	Settings settings.Sidecar
+	Listener net.Listener
+	Log      zerolog.Logger
+}
+
+// Module returns the fx module of a sidecar.
+func Module(o Options) fx.Option {
+	return fx.Options(
+		daemon.Common(o.Settings.Common, platform.RoleBackend, o.Log),
+		fx.Supply(o),
+		fx.Provide(newClaims, provideServer),
+		fx.Invoke(serve),
+	)
+}
+
+func provideServer(o Options, incarnation daemon.Incarnation, claims *claimlog.Client, t *daemon.Table,
+	gate *drain.Gate, metrics *telemetry.Metrics,
+) (*Server, error) {
+	return NewServer(o.Settings, incarnation, claims, t, gate, o.Log, metrics)
+}
+
+func newClaims(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, log platform.Log) (*claimlog.Client, error) {
+	s, err := claimSettings(o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	client := claimlog.New(log, string(incarnation), time.Now, s)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for n := range s.Partitions {
+				if err := client.Serve(o.Settings.Service, n); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		OnStop: client.Shutdown,
+	})
+	return client, nil
+}
+
+// claimSettings keeps the window short enough that every record of an accepted
+// key, and a marker ahead of it, is still retained.
+func claimSettings(s settings.Sidecar) (claimlog.Settings, error) {
+	c := claimlog.DefaultSettings()
+	c.MarkerEvery = min(c.MarkerEvery, s.RetentionWindow/markerFraction)
+	c.Claim.Skew = s.ClockSkew
+	c.Claim.Window = s.RetentionWindow - c.MarkerEvery - s.ClockSkew
+	if c.Claim.Window <= c.Claim.Skew {
+		return c, errkind.New(errkind.InvalidSettings,
+			"--retention-window %s leaves no time for keys with --clock-skew %s", s.RetentionWindow, s.ClockSkew)
+	}
+	return c, nil
+}
+
+func serve(lc fx.Lifecycle, o Options, s *Server) error {
+	listener, err := daemon.Listen(o.Listener, o.Settings.Listen)
+	if err != nil {
+		return err
+	}
+	daemon.Serve(lc, o.Log, daemon.Server{
+		Name:           "sidecar",
+		Listener:       listener,
+		Handler:        s.Handler(),
+		MaxHeaderBytes: o.Settings.MaxHeaderBytes,
+		HeaderTimeout:  headerTimeout,
+		Gate:           s.gate,
+		DrainTimeout:   o.Settings.DrainTimeout,
+		Abort:          s.Abort,
+	})
+	return nil
+}
+
+// Handler returns the HTTP interface of the sidecar. Only the SidecarService
+// needs the peer token.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path, service := filbertmuxv1connect.NewSidecarServiceHandler(s,
+		connect.WithReadMaxBytes(s.settings.MaxBodyBytes+messageOverheadBytes))
+	mux.Handle(path, daemon.RequireToken(s.settings.PeerToken.Reveal(), service))
+	mux.Handle("GET /metrics", s.metrics.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /statusz", s.serveStatus)
+	return mux
+}
+
+// Status is the JSON body of /statusz.
+type Status struct {
+	Role          string          `json:"role"`
+	Instance      string          `json:"instance"`
+	Incarnation   string          `json:"incarnation"`
+	Service       string          `json:"service"`
+	Region        string          `json:"region"`
+	FailureDomain string          `json:"failure_domain"`
+	TableOffset   platform.Offset `json:"table_offset"`
+	InFlight      int             `json:"in_flight"`
+	Leaving       bool            `json:"leaving"`
+	Violations    int64           `json:"invariant_violations"`
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Status{
+		Role:          "sidecar",
+		Instance:      s.settings.Instance,
+		Incarnation:   s.incarnation,
+		Service:       s.settings.Service,
+		Region:        s.settings.Region,
+		FailureDomain: s.settings.FailureDomain,
+		TableOffset:   s.table.Offset(),
+		InFlight:      s.gate.InFlight(),
+		Leaving:       s.gate.IsLeaving(),
+		Violations:    invariant.Violations(),
+	})
+}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertmux/filbertmux/claim"
 	"github.com/filbertmux/filbertmux/claimlog"
+	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -28,7 +29,6 @@
 // tableSource is the part of the table follower that the sidecar needs.
 type tableSource interface {
 	Offset() platform.Offset
-	Since(ctx context.Context, request *pb.TableSinceRequest) (*pb.TableSinceResponse, error)
 }
 
 // claimRunner runs a non-idempotent call at most once.
@@ -38,6 +38,8 @@
 
 // Server implements the SidecarService. It is safe for concurrent use.
 type Server struct {
+	filbertmuxv1connect.UnimplementedSidecarServiceHandler
+
 	settings    settings.Sidecar
 	incarnation string
 	backend     *backend
@@ -58,11 +60,8 @@
 
 var _ filbertmuxv1connect.SidecarServiceHandler = (*Server)(nil)
 
-// Incarnation identifies one start of the process in messages and claims.
-type Incarnation string
-
 // NewServer returns a server that admits attempts.
-func NewServer(s settings.Sidecar, incarnation Incarnation, claims claimRunner, table tableSource,
+func NewServer(s settings.Sidecar, incarnation daemon.Incarnation, claims claimRunner, table tableSource,
 	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
 ) (*Server, error) {
 	b, err := newBackend(s.BackendURL)
@@ -122,15 +121,6 @@
 	return connect.NewResponse(&pb.ProbeResponse{Load: s.load(), TableOffset: uint64(s.table.Offset())}), nil
 }
 
-// TableSince implements SidecarServiceHandler.
-func (s *Server) TableSince(ctx context.Context, req *connect.Request[pb.TableSinceRequest]) (*connect.Response[pb.TableSinceResponse], error) {
-	resp, err := s.table.Since(ctx, req.Msg)
-	if err != nil {
-		return nil, connectError(err)
-	}
-	return connect.NewResponse(resp), nil
-}
-
 func (s *Server) find(id *pb.AttemptId) *attempt {
 	if id.GetIncarnation() != "" && id.GetIncarnation() != s.incarnation {
 		return nil
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -37,10 +37,6 @@
 
 func (noTable) Offset() platform.Offset { return 7 }
 
-func (noTable) Since(context.Context, *pb.TableSinceRequest) (*pb.TableSinceResponse, error) {
-	return &pb.TableSinceResponse{}, nil
-}
-
 type fixture struct {
 	server *Server
 	client filbertmuxv1connect.SidecarServiceClient
