Add the command line and the demo

Cause: the whole path has to be runnable with one command. Ruled out: sending the booking again without Retry-After, because a booking that was just answered is in_progress until its outcome is in the log. Change: kong commands entry, sidecar, standin and demo; the demo runs the stand-ins, four sidecars and two entries on loopback in one process.

--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,150 @@
+// Package cli holds the commands of the filbertmux program.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/demo"
+	"github.com/filbertmux/filbertmux/entry"
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/sidecar"
+	"github.com/filbertmux/filbertmux/telemetry"
+)
+
+type commands struct {
+	Entry   entryCommand   `cmd:"" help:"Run an entry, which serves callers."`
+	Sidecar sidecarCommand `cmd:"" help:"Run the sidecar of a backend server."`
+	Standin standinCommand `cmd:"" help:"Run a stand-in for tests."`
+	Demo    demoCommand    `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
+}
+
+// Streams are the outputs of a command.
+type Streams struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// Main runs one command and returns the exit code of the process.
+func Main(ctx context.Context, args []string, streams Streams) int {
+	var c commands
+	var faults settings.Faults
+	exit := -1
+	options := append(faults.Options(),
+		kong.Name("filbertmux"),
+		kong.Description("Load balancer for expert-parallel model groups and plain services."),
+		kong.Writers(streams.Out, streams.Err),
+		kong.Exit(func(code int) { exit = code }),
+		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.Bind(&faults, streams),
+	)
+	parser, err := kong.New(&c, options...)
+	if err != nil {
+		return report(streams, errkind.Wrap(errkind.Internal, err, "command line"))
+	}
+	command, err := parser.Parse(args)
+	if exit >= 0 { // --help
+		return exit
+	}
+	if err != nil {
+		return report(streams, errkind.Wrap(errkind.InvalidSettings, err, "command line"))
+	}
+	return report(streams, command.Run())
+}
+
+// report prints err in one line and returns its exit code.
+func report(streams Streams, err error) int {
+	if err == nil {
+		return 0
+	}
+	_, _ = fmt.Fprintln(streams.Err, "filbertmux: "+errkind.Of(err).Error())
+	return errkind.Of(err).Kind.Answer().Exit
+}
+
+type entryCommand struct {
+	settings.Entry `embed:""`
+}
+
+// Run implements the entry command.
+func (c *entryCommand) Run(ctx context.Context, faults *settings.Faults, streams Streams) error {
+	done, err := check(&c.Entry, c.PrintSettings, faults, streams)
+	if done || err != nil {
+		return err
+	}
+	log := logger(c.Common, "entry", streams)
+	return daemon.Run(ctx, fx.New(entry.Module(entry.Options{Settings: c.Entry, Log: log})))
+}
+
+type sidecarCommand struct {
+	settings.Sidecar `embed:""`
+}
+
+// Run implements the sidecar command.
+func (c *sidecarCommand) Run(ctx context.Context, faults *settings.Faults, streams Streams) error {
+	done, err := check(&c.Sidecar, c.PrintSettings, faults, streams)
+	if done || err != nil {
+		return err
+	}
+	log := logger(c.Common, "sidecar", streams)
+	return daemon.Run(ctx, fx.New(sidecar.Module(sidecar.Options{Settings: c.Sidecar, Log: log})))
+}
+
+// check validates the settings and prints them on request. done says that the
+// command ends here.
+func check(s any, show bool, faults *settings.Faults, streams Streams) (done bool, err error) {
+	if show {
+		if err := settings.Print(streams.Out, s); err != nil {
+			return true, err
+		}
+	}
+	return show, settings.Validate(s, faults)
+}
+
+func logger(s settings.Common, role string, streams Streams) zerolog.Logger {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel // validated before
+	}
+	log := telemetry.NewLogger(streams.Err, level, role, s.Instance)
+	telemetry.LogViolations(log)
+	return log
+}
+
+type demoCommand struct {
+	JSON bool `name:"json" help:"Print the report as one JSON object."`
+	Logs bool `name:"logs" help:"Print the log lines of the daemons to standard error."`
+}
+
+// Run implements the demo command.
+func (c *demoCommand) Run(ctx context.Context, streams Streams) error {
+	logs := io.Discard
+	if c.Logs {
+		logs = streams.Err
+	}
+	result, err := demo.Run(ctx, logs)
+	if err != nil {
+		return err
+	}
+	write := result.WriteText
+	if c.JSON {
+		write = result.WriteJSON
+	}
+	if err := write(streams.Out); err != nil {
+		return err
+	}
+	if !result.OK {
+		return errkind.New(errkind.Internal, "the demo found a fault")
+	}
+	return nil
+}
+
+// StandardStreams returns the outputs of the process.
+func StandardStreams() Streams { return Streams{Out: os.Stdout, Err: os.Stderr} }
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,43 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/cli"
+)
+
+func run(args ...string) (code int, out, errs string) {
+	var stdout, stderr bytes.Buffer
+	code = cli.Main(context.Background(), args, cli.Streams{Out: &stdout, Err: &stderr})
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against a daemon that starts with bad settings, reports them one by
+// one, or exits with a code that scripts can't tell from a crash.
+func TestBadSettingsEndTheStart(t *testing.T) {
+	code, _, errs := run("sidecar", "--max-in-flight=x", "--platform-url=nowhere")
+	require.Equal(t, 2, code)
+	require.Equal(t, 1, strings.Count(errs, "\n"), errs)
+	for _, flag := range []string{"--max-in-flight", "--platform-url", "--advertise", "--backend-url", "--service"} {
+		require.Contains(t, errs, flag)
+	}
+	code, _, errs = run("entry", "--no-such-flag")
+	require.Equal(t, 2, code)
+	require.Contains(t, errs, "unknown flag --no-such-flag")
+}
+
+// Guards against settings that can't be inspected, and against a secret in them.
+func TestPrintSettings(t *testing.T) {
+	t.Setenv("FILBERTMUX_PEER_TOKEN", "hunter2")
+	code, out, errs := run("entry", "--print-settings", "--advertise=127.0.0.1:8081", "--region=r",
+		"--failure-domain=d", "--instance=e1", "--platform-url=http://127.0.0.1:9000")
+	require.Zero(t, code, errs)
+	require.Contains(t, out, `"peer-token": "********"`)
+	require.Contains(t, out, `"silence-timeout": "3s"`)
+	require.NotContains(t, out, "hunter2")
+}
--- a/cmd/filbertmux/main.go
+++ b/cmd/filbertmux/main.go
@@ -1,6 +1,13 @@
 // Command filbertmux runs the daemons and the operators' commands.
 package main
 
-import "os"
+import (
+	"context"
+	"os"
 
-func main() { os.Exit(1) }
+	"github.com/filbertmux/filbertmux/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(context.Background(), os.Args[1:], cli.StandardStreams()))
+}
