Test signals, silent connections and leaving sidecars

Cause: the thin path had no test of two SIGTERMs, of a connection that goes silent, or of a sidecar that leaves while the instance list lags. Ruled out: short timeouts in the tests, because they depend on the load of the machine; the deadlines of the tested receivers have passed already.

--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -55,6 +55,7 @@
 	mu      sync.Mutex
 	calls   []*pb.CallRequest
 	sender  *stream.Sender
+	replay  *stream.Sender // answers a resume in place of sender, if set
 	resumes int
 }
 
@@ -87,10 +88,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.resumes++
-	if err := f.sender.Resume(req.Msg.GetNextSeq()); err != nil {
+	sender := f.sender
+	if f.replay != nil {
+		sender = f.replay
+	}
+	if err := sender.Resume(req.Msg.GetNextSeq()); err != nil {
 		return err
 	}
-	flush(out, f.sender)
+	flush(out, sender)
 	return nil
 }
 
