Restore the concurrent shutdown test

Cause: the rewrite of drain dropped the seeded test of requests that race with the shutdown. Change: the test stands again on Gate, with its 50 seeds.

--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -1,6 +1,8 @@
 package drain_test
 
 import (
+	"math/rand/v2"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -45,3 +47,30 @@
 	g.Terminate()
 	require.True(t, closed(g.Stopped()))
 }
+
+// Guards against a race between admitting a request and the shutdown: every
+// admitted request ends before Stopped is closed.
+func TestConcurrentRequestsAndTerminate(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		g := drain.NewGate()
+		var wg sync.WaitGroup
+		terminator := rng.IntN(20)
+		for i := range 20 {
+			wg.Go(func() {
+				if i == terminator {
+					g.Terminate()
+					return
+				}
+				if g.Enter() == nil {
+					if closed(g.Stopped()) {
+						t.Errorf("seed %d: stopped with a request in flight", seed)
+					}
+					g.Exit()
+				}
+			})
+		}
+		wg.Wait()
+		require.True(t, closed(g.Stopped()), "seed %d", seed)
+	}
+}
