--- a/table/csv.go
+++ b/table/csv.go
@@ -136,17 +136,29 @@
 	p.faults = append(p.faults, Fault{Source: source, Row: string(p.kind), Column: column, Value: value, Reason: reason})
 }
 
+// faultCSV reports a line that is not CSV. The rest of the file is not read,
+// because an open quote shifts all later lines.
+func (p *csvParser) faultCSV(err error) {
+	line := 1
+	var parseError *csv.ParseError
+	if errors.As(err, &parseError) {
+		line = parseError.Line
+		err = parseError.Err
+	}
+	p.fault(line, "line", "", err.Error())
+}
+
 func (p *csvParser) parse(r *csv.Reader) {
 	for {
 		fields, err := r.Read()
 		if errors.Is(err, io.EOF) {
 			return
 		}
-		line, _ := r.FieldPos(0)
 		if err != nil {
-			p.fault(line, "line", "", err.Error())
+			p.faultCSV(err)
 			return
 		}
+		line, _ := r.FieldPos(0)
 		for i := range fields {
 			fields[i] = strings.TrimSpace(fields[i])
 		}
--- a/table/fold.go
+++ b/table/fold.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/filbertmux/filbertmux/platform"
@@ -19,6 +20,7 @@
 // by one goroutine.
 type Fold struct {
 	offset   platform.Offset
+	horizon  platform.Offset // Horizon, or less in tests
 	entries  map[Key]Entry
 	verdicts map[string]Verdict
 	// deleted holds the offset of the deletion of rows that do not exist.
@@ -45,8 +47,11 @@
 }
 
 // NewFold returns the empty table at offset 0.
-func NewFold() *Fold {
+func NewFold() *Fold { return newFold(Horizon) }
+
+func newFold(horizon platform.Offset) *Fold {
 	f := &Fold{
+		horizon:  horizon,
 		entries:  make(map[Key]Entry),
 		verdicts: make(map[string]Verdict),
 		deleted:  make(map[Key]platform.Offset),
@@ -146,28 +151,32 @@
 // Check returns the faults that the change set would have if it were the next
 // record. The fold is unchanged afterwards.
 func (f *Fold) Check(s ChangeSet) []Fault {
-	faults := f.basicFaults(s)
-	if len(faults) > 0 {
-		return faults
-	}
-	undo := f.put(s, f.offset+1)
-	faults = checkRules(f.entries)
+	faults, undo := f.tryPut(s, f.offset+1)
 	undo()
 	return faults
 }
 
+// tryPut writes the rows of s and returns all faults, so that an operator sees
+// them at once. The caller calls undo unless there are none.
+func (f *Fold) tryPut(s ChangeSet, version Version) (faults []Fault, undo func()) {
+	faults = f.basicFaults(s)
+	undo = f.put(s, version)
+	faults = append(faults, checkRules(f.entries)...)
+	sortFaults(faults)
+	return slices.Compact(faults), undo
+}
+
 func (f *Fold) basicFaults(s ChangeSet) []Fault {
 	faults := s.validate()
-	if s.ReadOffset+Horizon <= f.offset || s.ReadOffset > f.offset {
+	if s.ReadOffset+f.horizon <= f.offset || s.ReadOffset > f.offset {
 		faults = append(faults, Fault{
 			Row: "change set " + s.ID, Column: "read_offset", Value: formatOffset(s.ReadOffset), Conflict: true,
-			Reason: fmt.Sprintf("want a set made at most %d records before offset %d", Horizon, f.offset),
+			Reason: fmt.Sprintf("want a set made at most %d records before offset %d", f.horizon, f.offset),
 		})
 	}
 	for _, c := range s.Changes {
 		faults = append(faults, f.checkChange(s, c)...)
 	}
-	sortFaults(faults)
 	return faults
 }
 
@@ -216,11 +225,8 @@
 }
 
 func (f *Fold) tryApply(s ChangeSet) []Fault {
-	if faults := f.basicFaults(s); len(faults) > 0 {
-		return faults
-	}
-	undo := f.put(s, f.offset)
-	if faults := checkRules(f.entries); len(faults) > 0 {
+	faults, undo := f.tryPut(s, f.offset)
+	if len(faults) > 0 {
 		undo()
 		return faults
 	}
@@ -229,31 +235,40 @@
 }
 
 // put writes the rows of s and returns the function that restores the old ones.
+// A row that does not belong under its key is a fault already and is left out.
 func (f *Fold) put(s ChangeSet, version Version) (undo func()) {
 	before := make(map[Key]Entry, len(s.Changes))
 	for _, c := range s.Changes {
+		if _, twice := before[c.Key]; twice {
+			continue
+		}
 		before[c.Key] = f.entries[c.Key]
-		f.sum.sub(c.Key, f.entries[c.Key])
 		if c.Row == nil {
-			delete(f.entries, c.Key)
+			f.set(c.Key, Entry{})
 			continue
 		}
-		f.entries[c.Key] = Entry{Row: *c.Row, Version: version}
-		f.sum.add(c.Key, f.entries[c.Key])
+		if key, ok := c.Row.Key(); ok && key == c.Key {
+			f.set(c.Key, Entry{Row: *c.Row, Version: version})
+		}
 	}
 	return func() {
 		for key, old := range before {
-			f.sum.sub(key, f.entries[key])
-			f.sum.add(key, old)
-			if old.Version == 0 {
-				delete(f.entries, key)
-				continue
-			}
-			f.entries[key] = old
+			f.set(key, old)
 		}
 	}
 }
 
+// set replaces an entry and keeps the digest; version 0 removes it.
+func (f *Fold) set(key Key, e Entry) {
+	f.sum.sub(key, f.entries[key])
+	f.sum.add(key, e)
+	if e.Version == 0 {
+		delete(f.entries, key)
+		return
+	}
+	f.entries[key] = e
+}
+
 // commit records the deletions of an accepted set.
 func (f *Fold) commit(s ChangeSet) {
 	for _, c := range s.Changes {
@@ -289,10 +304,10 @@
 
 // forget drops what was remembered at the offset that leaves the horizon.
 func (f *Fold) forget() {
-	if f.offset < Horizon {
+	if f.offset < f.horizon {
 		return
 	}
-	leaving := f.offset - Horizon
+	leaving := f.offset - f.horizon
 	delete(f.digests, leaving)
 	m, ok := f.byOffset[leaving]
 	if !ok {
--- /dev/null
+++ b/table/fuzz_test.go
@@ -0,0 +1,65 @@
+package table
+
+import (
+	"io/fs"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/examples"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Guards against a CSV file that panics the parser, or valid rows that change
+// when they are written and read again.
+func FuzzParseCSV(f *testing.F) {
+	for i, k := range kinds {
+		data, err := fs.ReadFile(examples.Demo(), FileName(k))
+		require.NoError(f, err)
+		f.Add(uint8(i), data)
+	}
+	f.Add(uint8(0), []byte("\xef\xbb\xbfname;priority;reserve;office\r\ndesk;0;0,25;a\r\n"))
+	f.Fuzz(func(t *testing.T, kind uint8, data []byte) {
+		k := kinds[int(kind)%len(kinds)]
+		rows, _ := ParseCSV(k, FileName(k), data)
+		var entries []Entry
+		for _, r := range rows {
+			require.Empty(t, r.Row.Validate())
+			entries = append(entries, Entry{Row: r.Row, Version: r.Version})
+		}
+		written, err := FormatCSV(k, entries)
+		require.NoError(t, err)
+		again, faults := ParseCSV(k, FileName(k), written)
+		require.Empty(t, faults)
+		require.Len(t, again, len(rows))
+		for i := range rows {
+			require.Equal(t, rows[i].Row, again[i].Row)
+			require.Equal(t, rows[i].Version, again[i].Version)
+		}
+	})
+}
+
+// Guards against a record that panics a reader, or a state whose snapshot can't
+// be restored.
+func FuzzRecords(f *testing.F) {
+	sheet, err := LoadDir(examples.Demo())
+	require.NoError(f, err)
+	base := foldOf(f, examples.Demo())
+	set := Diff(NewFold().View(), sheet, "sibiu", "x")
+	f.Add(record(f, 0, set).Data, []byte(`{"type":"table.change.v1","id":"y","office":"a","changes":[{"key":{"kind":"class","id":"k"},"row":{"office":"a","class":{"name":"k"}}},{"key":{"kind":"limit","id":"k"},"row":{"office":"a"}}]}`))
+	data, err := base.Snapshot()
+	require.NoError(f, err)
+	f.Add(data, []byte(`{"type":"table.snapshot.v1","offset":0,"digest":"0"}`))
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		fold := NewFold()
+		fold.Apply(platform.Record{Offset: 1, Data: first})
+		fold.Apply(platform.Record{Offset: 2, Data: second})
+		require.Equal(t, platform.Offset(2), fold.Offset())
+		snapshot, err := fold.Snapshot()
+		require.NoError(t, err)
+		restored, err := Restore(snapshot)
+		require.NoError(t, err)
+		require.Equal(t, fold.Digest(), restored.Digest())
+		_, _ = Restore(first)
+	})
+}
--- a/table/rules.go
+++ b/table/rules.go
@@ -9,9 +9,9 @@
 	"strconv"
 )
 
-// reserveUnit is the resolution of the sum of reserves. Whole units make the
-// sum independent of the order of addition.
-const reserveUnit = 1e-6
+// reserveUnits per 1 is the resolution of the sum of reserves. Whole units make
+// the sum independent of the order of addition.
+const reserveUnits = 1_000_000
 
 // checkRules returns the faults that involve more than one row. The rules hold
 // for the table as a whole, so a deletion can break the rule of another row.
@@ -36,19 +36,21 @@
 	for key := range keys {
 		r.checkRow(key, entries[key].Row)
 	}
-	if sum := float64(r.reserveSum) * reserveUnit; r.reserveSum > int64(math.Round(maxReserveSum/reserveUnit)) {
-		r.add(Key{KindClass, "*"}, "reserve", formatFloat(sum),
+	if r.reserveSum > toReserveUnits(maxReserveSum) {
+		r.add(Key{KindClass, "*"}, "reserve", formatFloat(float64(r.reserveSum)/reserveUnits),
 			"the reserves of all classes may add up to at most "+formatFloat(maxReserveSum)+" fraction of capacity")
 	}
 	return r.faults
 }
 
+func toReserveUnits(reserve float64) int64 { return int64(math.Round(reserve * reserveUnits)) }
+
 type ruleCheck struct {
 	entries    map[Key]Entry
 	keyHashes  map[string]string // key hash -> organisation
 	priorities map[int]string    // priority -> class
 	shapes     map[string]string // service, method and shape -> path
-	reserveSum int64             // in units of reserveUnit
+	reserveSum int64             // 1 is reserveUnits
 	faults     []Fault
 }
 
@@ -77,7 +79,7 @@
 }
 
 func (r *ruleCheck) checkClass(key Key, c *Class) {
-	r.reserveSum += int64(math.Round(c.Reserve / reserveUnit))
+	r.reserveSum += toReserveUnits(c.Reserve)
 	if other, taken := r.priorities[c.Priority]; taken {
 		r.add(key, "priority", strconv.Itoa(c.Priority), fmt.Sprintf("class %s has this priority already", other))
 		return
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -63,7 +63,9 @@
 
 // Restore returns the fold that a snapshot describes. It fails if the digest
 // does not match the content.
-func Restore(data []byte) (*Fold, error) {
+func Restore(data []byte) (*Fold, error) { return restore(data, Horizon) }
+
+func restore(data []byte, horizon platform.Offset) (*Fold, error) {
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
 		return nil, errkind.Wrap(errkind.InvalidTable, err, "decode snapshot")
@@ -71,7 +73,7 @@
 	if s.Type != TypeSnapshot {
 		return nil, errkind.New(errkind.InvalidTable, "record type %q is not a snapshot", s.Type)
 	}
-	f := NewFold()
+	f := newFold(horizon)
 	delete(f.digests, 0)
 	f.offset = s.Offset
 	for _, e := range s.Entries {
