Add a randomised model of claims under mixed faults

Cause: the at-most-once rule has to hold under every mix of crash, pause, replaced incarnation, lost, late and rate-limited append, slow read, outage, trimming, repeated key and other body.

Ruled out: checks that only count runs. The model also checks that a not_run answer is true for good, that no earlier send of the key had run when it was given, and that a done answer is the one that ran.

Change: a seeded discrete-event model drives three sidecars over one log. A second test switches one rule off at a time and expects violations.

--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,119 @@
+package claim_test
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/claim"
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// seedsOf returns the seeds of a randomised test: CLAIM_SEED alone, or
+// CLAIM_SEEDS of them (default n) from a random one on.
+func seedsOf(n int) []uint64 {
+	if text := os.Getenv("CLAIM_SEED"); text != "" {
+		seed, _ := strconv.ParseUint(text, 10, 64)
+		return []uint64{seed}
+	}
+	if text := os.Getenv("CLAIM_SEEDS"); text != "" {
+		n, _ = strconv.Atoi(text)
+	}
+	first := rand.Uint64()
+	seeds := make([]uint64, n)
+	for i := range seeds {
+		seeds[i] = first + uint64(i)
+	}
+	return seeds
+}
+
+// Guards against two runs of an identity, a not_run answer that is or becomes
+// untrue, and a done answer that differs from what ran, under all faults.
+func TestAtMostOnceUnderFaults(t *testing.T) {
+	answers := make(map[string]int)
+	runs := 0
+	for _, seed := range seedsOf(60) {
+		w := newWorld(seed, none)
+		w.run()
+		require.Empty(t, w.violations, "replay: CLAIM_SEED=%d go test ./claim -run TestAtMostOnceUnderFaults", seed)
+		for status, n := range w.answers {
+			answers[status] += n
+		}
+		runs += len(w.runs)
+	}
+	t.Logf("runs %d, answers %v", runs, answers)
+}
+
+// Guards against a check in the model that no fault can trip: with each rule
+// switched off the model has to find violations.
+func TestModelFindsViolations(t *testing.T) {
+	for _, off := range []rule{readOwnRecord, lostIsUnknown, gapIsUnknown, brokenIsLost, endsWhenRefuse} {
+		bad, total := 0, 0
+		seeds := seedsOf(25)
+		for _, seed := range seeds {
+			w := newWorld(seed, off)
+			w.run()
+			total += len(w.violations)
+			if len(w.violations) > 0 {
+				bad++
+			}
+		}
+		t.Logf("without %q: %d violations in %d of %d seeds", off, total, bad, len(seeds))
+		require.Positive(t, bad, "without %q, first seed %d", off, seeds[0])
+	}
+}
+
+// Guards against a key that is accepted without proof of its age.
+func TestParseKey(t *testing.T) {
+	s, now := claim.DefaultSettings(), time.UnixMilli(1_800_000_000_000)
+	at := func(d time.Duration) string { return keyAt(now.Add(d), 1).String() }
+	for _, c := range []struct {
+		text string
+		kind errkind.Kind
+	}{
+		{"", errkind.MissingIdempotencyKey},
+		{"booking-7", errkind.InvalidIdempotencyKey},
+		{uuid.NewString(), errkind.InvalidIdempotencyKey},
+		{at(s.Skew + time.Second), errkind.InvalidIdempotencyKey},
+		{at(s.Skew - s.Window - time.Second), errkind.IdempotencyKeyExpired},
+	} {
+		_, err := claim.ParseKey(c.text, now, s)
+		require.NotNil(t, err, c.text)
+		require.Equal(t, c.kind, err.Kind, c.text)
+	}
+	for _, d := range []time.Duration{0, s.Skew, s.Skew - s.Window} {
+		_, err := claim.ParseKey(at(d), now, s)
+		require.Nil(t, err, "%s", d)
+	}
+}
+
+// Guards against an outcome accepted from another incarnation or for another
+// claim, and against a reader that stops at a record of a later version.
+func TestBookSkipsForeignRecords(t *testing.T) {
+	s, now := claim.DefaultSettings(), time.UnixMilli(1_800_000_000_000)
+	b, key, offset := claim.NewBook(s), keyAt(now, 1), platform.Offset(0)
+	put := func(incarnation string, e claim.Entry) {
+		offset++
+		e.Seq, e.Organisation, e.Service, e.Key = 1, "org", "svc", key
+		data, err := claim.Encode("r", incarnation, []claim.Entry{e})
+		require.NoError(t, err)
+		b.Apply(platform.Record{Offset: offset, Time: now, Data: data})
+	}
+	put("a", claim.Entry{Type: claim.EntryClaim})
+	put("b", claim.Entry{Type: claim.EntryAbandoned, ClaimOffset: 1})
+	put("a", claim.Entry{Type: claim.EntryAbandoned, ClaimOffset: 9})
+	put("a", claim.Entry{Type: "transfer", ClaimOffset: 1})
+	offset++
+	b.Apply(platform.Record{Offset: offset, Time: now, Data: []byte(`{"type":"later"}`)})
+	id := claim.Identity{Organisation: "org", Service: "svc", Key: key}
+	require.Equal(t, claim.Open, b.View(id, "").Status)
+	require.EqualValues(t, 2, b.Skipped())
+	put("a", claim.Entry{Type: claim.EntryAbandoned, ClaimOffset: 1})
+	require.Equal(t, claim.Free, b.View(id, "").Status)
+}
