Add the expert planner and its benchmark

Cause: expert popularity drifts, and in a lock-step group the rank with the most load delays all others.

Change: package experts plans replicas and placement from exponentially weighted counts, starting from the map in force, and decides by the two table weights whether a plan is worth its moves. Slow and stalled ranks are told apart from overloaded ones by measured against predicted step time. Bad input is an error, and the map in force stays. LowerBound states the skew that the replica slots allow at best.

--- /dev/null
+++ b/bench/experts/cmd.go
@@ -0,0 +1,92 @@
+// Package experts measures the expert planner against simpler policies.
+package experts
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	planner "github.com/filbertmux/filbertmux/experts"
+)
+
+// Cmd is the kong command of the benchmark.
+type Cmd struct {
+	Seed     uint64   `help:"Seed of the workload." default:"1"`
+	JSON     bool     `help:"Print the results as JSON." name:"json"`
+	Plot     string   `help:"Directory for PNG plots." type:"path" placeholder:"DIR"`
+	Parallel int      `help:"Number of runs at the same time. Planner times are only meaningful at 1." default:"4"`
+	Size     []string `help:"Only these sizes." enum:"today,design" default:"today,design"`
+}
+
+// Run executes all policies in all scenarios and prints the results.
+func (c *Cmd) Run() error {
+	results, err := c.measure()
+	if err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		if err := plotAll(c.Plot, results); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(results)
+	}
+	return c.print(os.Stdout, results)
+}
+
+func (c *Cmd) measure() ([]Result, error) {
+	settings := planner.DefaultSettings()
+	var jobs []func() (Result, error)
+	for _, sz := range c.sizes() {
+		for _, sc := range scenarios {
+			for _, p := range policies(settings) {
+				jobs = append(jobs, func() (Result, error) { return simulate(sz, sc, c.Seed, settings, p) })
+			}
+		}
+	}
+	results := make([]Result, len(jobs))
+	var group errgroup.Group
+	group.SetLimit(max(1, c.Parallel))
+	for i, job := range jobs {
+		group.Go(func() error {
+			var err error
+			results[i], err = job()
+			return err
+		})
+	}
+	return results, group.Wait()
+}
+
+func (c *Cmd) sizes() []size {
+	var chosen []size
+	for _, sz := range sizes {
+		for _, name := range c.Size {
+			if sz.Name == name {
+				chosen = append(chosen, sz)
+			}
+		}
+	}
+	return chosen
+}
+
+func (c *Cmd) print(out io.Writer, results []Result) error {
+	for _, sz := range c.sizes() {
+		fmt.Fprintf(out, "size %s: %d ranks, %d experts, %d slots per rank, %d layers\n", //nolint:errcheck // reported by Flush
+			sz.Name, sz.Ranks, sz.Experts, sz.SlotsPerRank, sz.Layers)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "size\tscenario\tpolicy\tskew p50\tskew p99\tbound p99\tratio p99\tlost s\tmoves\tplans\tGB\tstalled steps\twaiting\tplan ms p50\tp99\t") //nolint:errcheck // reported by Flush
+	for _, r := range results {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.4f\t%.4f\t%.4f\t%.4f\t%.0f\t%d\t%d\t%.0f\t%d\t%d\t%.2f\t%.2f\t\n", //nolint:errcheck // reported by Flush
+			r.Size, r.Scenario, r.Policy, r.SkewP50, r.SkewP99, r.BoundP99, r.RatioP99,
+			r.LostSeconds, r.Moves, r.Plans, r.Gigabytes, r.StalledSteps, r.WaitingSteps, r.PlanP50, r.PlanP99)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/bench/experts/run.go
@@ -0,0 +1,237 @@
+package experts
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	planner "github.com/filbertmux/filbertmux/experts"
+)
+
+const (
+	// expertBytes is the size of one expert of one layer.
+	expertBytes = 44 << 20
+	// countLag is the number of intervals after which counts arrive.
+	countLag = 1
+	// halfLife of the tracked counts.
+	halfLife = time.Minute
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Result holds the figures of one policy in one scenario. Skew samples are
+// taken for each interval and layer from the true popularity.
+type Result struct {
+	Size     string `json:"size"`
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	// SkewP50 and SkewP99 are maximum over mean rank load.
+	SkewP50 float64 `json:"skew_p50"`
+	SkewP99 float64 `json:"skew_p99"`
+	// BoundP99 is the lower bound on skew, RatioP99 the skew over the lower
+	// bound of the same interval and layer.
+	BoundP99 float64 `json:"bound_p99"`
+	RatioP99 float64 `json:"ratio_p99"`
+	// LostSeconds is the step time lost to skew, slow ranks and stalls.
+	LostSeconds float64 `json:"lost_s"`
+	Moves       int     `json:"moves"`
+	Plans       int     `json:"plans"`
+	Gigabytes   float64 `json:"gigabytes"`
+	// StalledSteps is the number of steps that the group did not make,
+	// because a rank was stalled or weights were not fetched yet.
+	StalledSteps int `json:"stalled_steps"`
+	// WaitingSteps is the part of StalledSteps that waited for weights.
+	WaitingSteps int `json:"waiting_steps"`
+	// PlanP50 and PlanP99 are the planner's time per layer.
+	PlanP50 float64 `json:"plan_ms_p50"`
+	PlanP99 float64 `json:"plan_ms_p99"`
+
+	series []float64
+}
+
+// run is the state of one policy in one scenario.
+type run struct {
+	settings planner.Settings
+	policy   policy
+	topology *planner.Topology
+	tracker  *planner.Tracker
+	inForce  planner.Map
+	next     *planner.Map
+	due      int
+	inFlight int
+	lastPlan time.Time
+	skews    []float64
+	bounds   []float64
+	ratios   []float64
+	planMS   []float64
+	result   Result
+}
+
+// simulate runs one policy through one scenario.
+func simulate(sz size, sc scenario, seed uint64, s planner.Settings, p policy) (Result, error) {
+	w := newWorkload(sz, sc, seed)
+	r := &run{settings: s, policy: p, topology: sz.topology()}
+	r.tracker = planner.NewTracker(sz.Layers, sz.Experts, halfLife)
+	r.result = Result{Size: sz.Name, Scenario: string(sc), Policy: p.name}
+	load := w.next(0)
+	if err := r.start(sz, load); err != nil {
+		return Result{}, err
+	}
+	var pending [][][]float64
+	for at := range intervals {
+		if at > 0 {
+			load = w.next(at)
+		}
+		factor, stalled := w.slowdown(at)
+		r.activate(at)
+		rankLoad := r.measure(load, factor, stalled)
+		pending = append(pending, w.counts(load))
+		if at < countLag {
+			continue
+		}
+		if err := r.observe(at, pending[at-countLag]); err != nil {
+			return Result{}, err
+		}
+		if err := r.plan(at, r.stepTimes(rankLoad, factor, stalled)); err != nil {
+			return Result{}, err
+		}
+	}
+	return r.finish(), nil
+}
+
+// start places the experts for the load of the first interval, so that no
+// policy is charged for the first placement.
+func (r *run) start(sz size, load [][]float64) error {
+	m, err := planner.Uniform(r.topology, sz.Layers)
+	if err != nil {
+		return err
+	}
+	for l := range m.Layers {
+		m.Layers[l] = planner.ReplanLayer(r.topology, m.Layers[l], load[l], 0)
+	}
+	r.inForce = m
+	return nil
+}
+
+// activate puts a staged map in force.
+func (r *run) activate(at int) {
+	if r.next == nil || at < r.due {
+		return
+	}
+	r.inForce = *r.next
+	r.next = nil
+	r.inFlight = 0
+}
+
+// measure records the skew of one interval and returns the rank loads.
+func (r *run) measure(load [][]float64, factor []float64, stalled int) []float64 {
+	steps := interval.Seconds() / r.settings.StepTime.Seconds()
+	total := make([]float64, r.topology.Ranks())
+	if stalled >= 0 {
+		r.result.StalledSteps += int(steps)
+		r.result.LostSeconds += interval.Seconds()
+		return total
+	}
+	layers := float64(len(load))
+	relative, mean := 0.0, 0.0
+	for l := range load {
+		rankLoad := r.inForce.Layers[l].RankLoads(r.topology, load[l])
+		skew, bound := planner.Skew(rankLoad), planner.LowerBound(r.topology, load[l])
+		r.skews = append(r.skews, skew)
+		r.bounds = append(r.bounds, bound)
+		r.ratios = append(r.ratios, skew/bound)
+		mean += skew / layers
+		slowest := 0.0
+		for rank, x := range rankLoad {
+			total[rank] += x
+			slowest = math.Max(slowest, x*factor[rank])
+		}
+		relative += slowest * float64(r.topology.Ranks()) / layers
+	}
+	share := r.settings.ExpertShare
+	step := (1-share)*slices.Max(factor) + share*relative
+	r.result.LostSeconds += (step - 1) * interval.Seconds()
+	r.result.series = append(r.result.series, mean)
+	return total
+}
+
+// stepTimes returns the measured step time of each rank, zero if stalled.
+func (r *run) stepTimes(rankLoad, factor []float64, stalled int) []time.Duration {
+	times := make([]time.Duration, len(rankLoad))
+	layers := float64(len(r.inForce.Layers))
+	share := r.settings.ExpertShare
+	for rank, x := range rankLoad {
+		relative := x * float64(len(rankLoad)) / layers
+		times[rank] = time.Duration(float64(r.settings.StepTime) * factor[rank] * (1 - share + share*relative))
+	}
+	if stalled >= 0 {
+		times[stalled] = 0
+	}
+	return times
+}
+
+func (r *run) observe(at int, counts [][]float64) error {
+	return r.tracker.Observe(&planner.Counts{At: timeOf(at - countLag), Layers: counts})
+}
+
+func timeOf(at int) time.Time { return epoch.Add(time.Duration(at+1) * interval) }
+
+// plan asks the policy for the next map, unless one is being staged.
+func (r *run) plan(at int, stepTimes []time.Duration) error {
+	if r.next != nil {
+		return nil
+	}
+	loads, err := r.tracker.Loads(timeOf(at), r.settings.MaxCountAge)
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	next, err := r.policy.propose(view{
+		now: timeOf(at), topology: r.topology, inForce: &r.inForce, loads: loads,
+		stepTimes: stepTimes, inFlight: r.inFlight, lastPlan: r.lastPlan,
+	})
+	perLayer := time.Since(began).Seconds() * 1e3 / float64(len(r.inForce.Layers))
+	r.planMS = append(r.planMS, perLayer)
+	if err != nil || next == nil {
+		return err
+	}
+	r.stage(at, next)
+	return nil
+}
+
+// stage charges the fetches of a plan and sets the interval of activation.
+func (r *run) stage(at int, next *planner.Map) {
+	moves := len(planner.Moves(r.topology, &r.inForce, next))
+	staging := float64(moves) / r.settings.StoreRate
+	r.result.Moves += moves
+	r.result.Plans++
+	r.next, r.due, r.inFlight, r.lastPlan = next, at+2, moves, timeOf(at)
+	if r.policy.staged {
+		r.due = at + 1 + int(math.Ceil(staging/interval.Seconds()))
+		return
+	}
+	if late := staging - interval.Seconds(); late > 0 {
+		waiting := int(late / r.settings.StepTime.Seconds())
+		r.result.WaitingSteps += waiting
+		r.result.StalledSteps += waiting
+		r.result.LostSeconds += late
+	}
+}
+
+func (r *run) finish() Result {
+	r.result.SkewP50 = quantile(r.skews, 0.5)
+	r.result.SkewP99 = quantile(r.skews, 0.99)
+	r.result.BoundP99 = quantile(r.bounds, 0.99)
+	r.result.RatioP99 = quantile(r.ratios, 0.99)
+	r.result.Gigabytes = float64(r.result.Moves) * expertBytes / 1e9
+	r.result.PlanP50 = quantile(r.planMS, 0.5)
+	r.result.PlanP99 = quantile(r.planMS, 0.99)
+	return r.result
+}
+
+// quantile returns the smallest sample that is not exceeded by a share q.
+func quantile(samples []float64, q float64) float64 {
+	sorted := slices.Clone(samples)
+	slices.Sort(sorted)
+	return sorted[int(math.Ceil(q*float64(len(sorted))))-1]
+}
--- /dev/null
+++ b/experts/bound.go
@@ -0,0 +1,64 @@
+package experts
+
+// Skew returns the maximum over the mean rank load, or 1 without load.
+func Skew(rankLoad []float64) float64 {
+	total := sum(rankLoad)
+	if total == 0 {
+		return 1
+	}
+	return maxOf(rankLoad) * float64(len(rankLoad)) / total
+}
+
+// LowerBound returns a skew that no placement of the experts in the slots of
+// the topology can go below.
+//
+// Two facts hold for every placement: the maximum rank load is at least the
+// mean rank load, and at least the load of the largest single replica. The
+// latter is smallest when each spare slot goes to the expert with the largest
+// load per replica. The bound ignores how replicas pack into ranks, so it may
+// not be attainable.
+func LowerBound(t *Topology, load []float64) float64 {
+	total := sum(load)
+	if total == 0 {
+		return 1
+	}
+	counts := replicaCounts(load, t.Slots(), t.Ranks())
+	largest := 0.0
+	for e, n := range counts {
+		largest = max(largest, load[e]/float64(n))
+	}
+	return max(1, largest*float64(t.Ranks())/total)
+}
+
+// replicaCounts gives each expert one replica and each further slot to the
+// expert with the largest load per replica, with at most limit replicas each.
+func replicaCounts(load []float64, slots, limit int) []int {
+	counts := make([]int, len(load))
+	for e := range counts {
+		counts[e] = 1
+	}
+	for spare := slots - len(load); spare > 0; spare-- {
+		best := -1
+		for e, n := range counts {
+			if n >= limit {
+				continue
+			}
+			if best < 0 || load[e]*float64(counts[best]) > load[best]*float64(n) {
+				best = e
+			}
+		}
+		if best < 0 {
+			break
+		}
+		counts[best]++
+	}
+	return counts
+}
+
+func maxOf(values []float64) float64 {
+	m := values[0]
+	for _, v := range values[1:] {
+		m = max(m, v)
+	}
+	return m
+}
--- /dev/null
+++ b/experts/decide.go
@@ -0,0 +1,217 @@
+package experts
+
+import (
+	"math"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/invariant"
+)
+
+// Weights are the two weights of a service in the table.
+type Weights struct {
+	// Skew multiplies the step time that a plan saves.
+	Skew float64
+	// Cost multiplies the cost of the moves of a plan.
+	Cost float64
+}
+
+// Settings of Decide.
+type Settings struct {
+	// StepTime is the time of one step at skew 1.
+	StepTime time.Duration
+	// ExpertShare is the part of StepTime spent in experts, over all layers.
+	ExpertShare float64
+	// Horizon is the time over which a plan has to pay off.
+	Horizon time.Duration
+	// MoveCost is the step time that one fetch costs the group, through
+	// memory traffic and cold weights.
+	MoveCost time.Duration
+	// Hysteresis is the factor by which the weighted saving must exceed the
+	// weighted cost of a plan.
+	Hysteresis float64
+	// MinInterval is the shortest time between two plans.
+	MinInterval time.Duration
+	// MaxInFlight bounds the experts being fetched at any time.
+	MaxInFlight int
+	// StoreRate is the number of experts that the weight store serves to the
+	// group per second.
+	StoreRate float64
+	// MaxStaging bounds the time that the fetches of one plan take.
+	MaxStaging time.Duration
+	// MaxCountAge is the age from which loads are stale.
+	MaxCountAge time.Duration
+	// Health holds the thresholds for slow and stalled ranks.
+	Health HealthSettings
+}
+
+// DefaultSettings returns settings for a step of 45 ms (the design size) and
+// experts of 44 MB.
+func DefaultSettings() Settings {
+	return Settings{
+		StepTime:    45 * time.Millisecond,
+		ExpertShare: 0.5,
+		Horizon:     10 * time.Minute,
+		MoveCost:    100 * time.Millisecond,
+		Hysteresis:  1.5,
+		MinInterval: 2 * time.Minute,
+		MaxInFlight: 256,
+		StoreRate:   8,
+		MaxStaging:  time.Minute,
+		MaxCountAge: 5 * time.Minute,
+		Health:      DefaultHealth(),
+	}
+}
+
+// Input is what Decide looks at.
+type Input struct {
+	Now      time.Time
+	Topology *Topology
+	InForce  *Map
+	Loads    Loads
+	// StepTimes holds the measured step time of each rank; see Classify.
+	StepTimes []time.Duration
+	Weights   Weights
+	// InFlight is the number of experts being fetched.
+	InFlight int
+	// LastPlan is the time of the last plan, or zero.
+	LastPlan time.Time
+}
+
+// Reason tells why Decide did or did not rebalance.
+type Reason uint8
+
+// Reasons.
+const (
+	WorthIt Reason = iota
+	NotWorthIt
+	Balanced
+	TooSoon
+	NoBudget
+	RankStalled
+)
+
+// String returns the name of r.
+func (r Reason) String() string {
+	return [...]string{"worth_it", "not_worth_it", "balanced", "too_soon", "no_budget", "rank_stalled"}[r]
+}
+
+// Decision is the result of Decide. Target equals the map in force if
+// Rebalance is false.
+type Decision struct {
+	Rebalance bool
+	Reason    Reason
+	Target    Map
+	Moves     []Move
+	// Ranks holds the state of each rank. Slow ranks receive no expert.
+	Ranks []RankState
+	// Saved is the step time that the plan saves over the horizon.
+	Saved time.Duration
+	// Cost is the step time that the moves cost.
+	Cost time.Duration
+	// Staging is the time that the store needs to serve the moves.
+	Staging time.Duration
+}
+
+// Decide returns whether to leave the map in force, and for which map. After
+// an error the map in force stays.
+func Decide(s Settings, in Input) (Decision, error) {
+	states, err := check(s, in)
+	if err != nil {
+		return Decision{}, err
+	}
+	keep := Decision{Target: in.InForce.Clone(), Ranks: states}
+	budget := s.budget(in.InFlight)
+	keep.Reason = s.blocked(in, states, budget)
+	if keep.Reason != WorthIt {
+		return keep, nil
+	}
+	p := newPlanner(s, in, frozenRanks(states), budget)
+	p.run()
+	if len(p.chosen) == 0 {
+		keep.Reason = p.refusal()
+		return keep, nil
+	}
+	return p.decision(states), nil
+}
+
+func check(s Settings, in Input) ([]RankState, error) {
+	if err := in.InForce.Validate(in.Topology); err != nil {
+		return nil, err
+	}
+	counts := Counts(in.Loads)
+	if err := counts.validate(len(in.InForce.Layers), in.Topology.Experts); err != nil {
+		return nil, err
+	}
+	if age := in.Now.Sub(in.Loads.At); age > s.MaxCountAge {
+		return nil, errkind.New(errkind.StaleCounts, "loads are %s old, allowed are %s", age, s.MaxCountAge)
+	}
+	if !validWeight(in.Weights.Skew) || !validWeight(in.Weights.Cost) {
+		return nil, errkind.New(errkind.InvalidTable, "weights for skew %v and cost %v", in.Weights.Skew, in.Weights.Cost)
+	}
+	return Classify(s.Health, totalRankLoad(in), in.StepTimes)
+}
+
+func validWeight(w float64) bool { return w >= 0 && !math.IsInf(w, 0) }
+
+func totalRankLoad(in Input) []float64 {
+	total := make([]float64, in.Topology.Ranks())
+	for i, layer := range in.InForce.Layers {
+		for rank, load := range layer.RankLoads(in.Topology, in.Loads.Layers[i]) {
+			total[rank] += load
+		}
+	}
+	return total
+}
+
+// budget returns the number of experts that may be fetched now.
+func (s Settings) budget(inFlight int) int {
+	return max(0, min(s.MaxInFlight-inFlight, int(s.StoreRate*s.MaxStaging.Seconds())))
+}
+
+func (s Settings) blocked(in Input, states []RankState, budget int) Reason {
+	for _, state := range states {
+		if state == Stalled {
+			return RankStalled
+		}
+	}
+	switch {
+	case !in.LastPlan.IsZero() && in.Now.Sub(in.LastPlan) < s.MinInterval:
+		return TooSoon
+	case budget == 0:
+		return NoBudget
+	default:
+		return WorthIt
+	}
+}
+
+func frozenRanks(states []RankState) uint64 {
+	var set uint64
+	for rank, state := range states {
+		if state == Slow {
+			set |= 1 << rank
+		}
+	}
+	return set
+}
+
+// decision assembles the chosen layers into a map.
+func (p *planner) decision(states []RankState) Decision {
+	d := Decision{Rebalance: true, Reason: WorthIt, Target: p.in.InForce.Clone(), Ranks: states}
+	d.Target.Epoch++
+	var saved float64
+	for _, o := range p.chosen {
+		d.Target.Layers[o.layer] = o.slots
+		saved += o.saved
+	}
+	d.Moves = Moves(p.in.Topology, p.in.InForce, &d.Target)
+	d.Saved = seconds(saved)
+	d.Cost = time.Duration(len(d.Moves)) * p.s.MoveCost
+	d.Staging = seconds(float64(len(d.Moves)) / p.s.StoreRate)
+	err := d.Target.Validate(p.in.Topology)
+	invariant.Check(err == nil, "planned map: %v", err)
+	invariant.Check(len(d.Moves) <= p.budget, "plan has %d moves, budget is %d", len(d.Moves), p.budget)
+	return d
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/experts/experts_test.go
@@ -0,0 +1,217 @@
+package experts_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/experts"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func topology(ranks, count, slots int) *experts.Topology {
+	t := &experts.Topology{Experts: count, SlotsPerRank: slots}
+	for r := range ranks {
+		t.Domains = append(t.Domains, fmt.Sprintf("d%d", r*3/ranks))
+	}
+	return t
+}
+
+func zipf(rng *rand.Rand, n int, exponent float64) []float64 {
+	load := make([]float64, n)
+	for rank, e := range rng.Perm(n) {
+		load[e] = math.Pow(float64(rank+1), -exponent)
+	}
+	return load
+}
+
+func input(t *testing.T, topo *experts.Topology, layers ...[]float64) experts.Input {
+	m, err := experts.Uniform(topo, len(layers))
+	require.NoError(t, err)
+	in := experts.Input{
+		Now: start, Topology: topo, InForce: &m,
+		Loads:     experts.Loads{At: start, Layers: layers},
+		StepTimes: make([]time.Duration, topo.Ranks()),
+		Weights:   experts.Weights{Skew: 4, Cost: 1},
+	}
+	for i := range in.StepTimes {
+		in.StepTimes[i] = time.Millisecond
+	}
+	return in
+}
+
+// Guards against plans that lose an expert, put one twice on a rank, touch a
+// frozen rank, or beat the stated lower bound (which would prove it wrong).
+func TestPlansAreValid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ranks := rapid.IntRange(2, 12).Draw(rt, "ranks")
+		slots := rapid.IntRange(1, 6).Draw(rt, "slots")
+		count := rapid.IntRange(1, ranks*slots).Draw(rt, "experts")
+		topo := topology(ranks, count, slots)
+		m, err := experts.Uniform(topo, 1)
+		require.NoError(rt, err)
+		frozen := rapid.Uint64Range(0, 1<<ranks-1).Draw(rt, "frozen")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
+		load := zipf(rng, count, rng.Float64()*2)
+		for _, plan := range []func(*experts.Topology, experts.Layer, []float64, uint64) experts.Layer{experts.PlanLayer, experts.ReplanLayer} {
+			next := experts.Map{Layers: []experts.Layer{plan(topo, m.Layers[0], load, frozen)}}
+			require.NoError(rt, next.Validate(topo))
+			for slot, e := range next.Layers[0] {
+				if frozen>>topo.RankOf(slot)&1 == 1 {
+					require.Equal(rt, m.Layers[0][slot], e)
+				}
+			}
+			skew := experts.Skew(next.Layers[0].RankLoads(topo, load))
+			require.GreaterOrEqual(rt, skew, experts.LowerBound(topo, load)-1e-9)
+		}
+	})
+}
+
+// Guards against a planner that misses the 5% target on the design size.
+func TestPlanNearsTheLowerBound(t *testing.T) {
+	topo := topology(32, 256, 9)
+	m, err := experts.Uniform(topo, 1)
+	require.NoError(t, err)
+	for seed := range uint64(20) {
+		load := zipf(rand.New(rand.NewPCG(seed, 0)), 256, 0.8)
+		next := experts.PlanLayer(topo, m.Layers[0], load, 0)
+		ratio := experts.Skew(next.RankLoads(topo, load)) / experts.LowerBound(topo, load)
+		require.Less(t, ratio, 1.05, "seed %d", seed)
+	}
+}
+
+// Guards against plans that ignore the table's weights, the limits on moves
+// or the spacing of plans.
+func TestDecideFollowsWeightsAndLimits(t *testing.T) {
+	topo := topology(8, 64, 9)
+	in := input(t, topo, zipf(rand.New(rand.NewPCG(1, 0)), 64, 0.6))
+	s := experts.DefaultSettings()
+	s.Horizon = 10 * time.Second
+	skewWeighted, err := experts.Decide(s, in)
+	require.NoError(t, err)
+	require.True(t, skewWeighted.Rebalance)
+	in.Weights = experts.Weights{Skew: 1, Cost: 20}
+	costWeighted, err := experts.Decide(s, in)
+	require.NoError(t, err)
+	require.Less(t, len(costWeighted.Moves), len(skewWeighted.Moves))
+
+	in.Weights = experts.Weights{Skew: 4, Cost: 1}
+	in.InFlight = s.MaxInFlight - 3
+	limited, err := experts.Decide(s, in)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(limited.Moves), 3)
+	in.LastPlan = start.Add(-s.MinInterval / 2)
+	soon, err := experts.Decide(s, in)
+	require.NoError(t, err)
+	require.Equal(t, experts.TooSoon, soon.Reason)
+	require.Equal(t, *in.InForce, soon.Target)
+}
+
+// Guards against rebalancing around a faulty rank as if it were overloaded.
+func TestFaultyRankIsNotOverloaded(t *testing.T) {
+	topo := topology(8, 64, 9)
+	in := input(t, topo, zipf(rand.New(rand.NewPCG(1, 0)), 64, 0.6))
+	in.StepTimes[5] = 2 * time.Millisecond
+	d, err := experts.Decide(experts.DefaultSettings(), in)
+	require.NoError(t, err)
+	require.Equal(t, experts.Slow, d.Ranks[5])
+	for _, m := range d.Moves {
+		require.NotEqual(t, 5, m.Rank)
+	}
+	in.StepTimes[5] = 0
+	d, err = experts.Decide(experts.DefaultSettings(), in)
+	require.NoError(t, err)
+	require.Equal(t, experts.RankStalled, d.Reason)
+
+	states, err := experts.Classify(experts.DefaultHealth(), []float64{1, 1, 2}, []time.Duration{8, 8, 14})
+	require.NoError(t, err)
+	require.Equal(t, experts.Overloaded, states[2])
+}
+
+// Guards against a plan from counts or maps that cannot be trusted.
+func TestBadInputIsRefused(t *testing.T) {
+	topo := topology(8, 64, 9)
+	load := zipf(rand.New(rand.NewPCG(1, 0)), 64, 0.6)
+	cases := []struct {
+		name string
+		kind errkind.Kind
+		harm func(*experts.Input)
+	}{
+		{"stale", errkind.StaleCounts, func(in *experts.Input) { in.Now = in.Now.Add(time.Hour) }},
+		{"missing", errkind.InvalidCounts, func(in *experts.Input) { in.Loads.Layers = nil }},
+		{"short", errkind.InvalidCounts, func(in *experts.Input) { in.Loads.Layers[0] = load[:3] }},
+		{"nan", errkind.InvalidCounts, func(in *experts.Input) { in.Loads.Layers[0][2] = math.NaN() }},
+		{"negative", errkind.InvalidCounts, func(in *experts.Input) { in.Loads.Layers[0][2] = -1 }},
+		{"slot", errkind.InvalidMap, func(in *experts.Input) { in.InForce.Layers[0][3] = 64 }},
+		{"twice", errkind.InvalidMap, func(in *experts.Input) { in.InForce.Layers[0][1] = in.InForce.Layers[0][0] }},
+		{"rank gone", errkind.InvalidMap, func(in *experts.Input) { in.Topology = topology(7, 64, 10) }},
+		{"times gone", errkind.InvalidMap, func(in *experts.Input) { in.StepTimes = in.StepTimes[1:] }},
+		{"weight", errkind.InvalidTable, func(in *experts.Input) { in.Weights.Skew = math.NaN() }},
+	}
+	for _, c := range cases {
+		in := input(t, topo, append([]float64(nil), load...))
+		c.harm(&in)
+		d, err := experts.Decide(experts.DefaultSettings(), in)
+		require.True(t, errkind.Is(err, c.kind), "%s: %v", c.name, err)
+		require.False(t, d.Rebalance, c.name)
+	}
+}
+
+// Guards against a tracker that learns from invalid or repeated counts.
+func TestTrackerKeepsItsStateOnBadCounts(t *testing.T) {
+	tr := experts.NewTracker(1, 2, time.Minute)
+	_, err := tr.Loads(start, time.Minute)
+	require.True(t, errkind.Is(err, errkind.StaleCounts))
+	require.NoError(t, tr.Observe(&experts.Counts{At: start, Layers: [][]float64{{3, 1}}}))
+	require.True(t, errkind.Is(tr.Observe(&experts.Counts{At: start, Layers: [][]float64{{0, 9}}}), errkind.StaleCounts))
+	bad := &experts.Counts{At: start.Add(time.Second), Layers: [][]float64{{math.Inf(1), 0}}}
+	require.True(t, errkind.Is(tr.Observe(bad), errkind.InvalidCounts))
+	require.NoError(t, tr.Observe(&experts.Counts{At: start.Add(time.Minute), Layers: [][]float64{{0, 4}}}))
+	loads, err := tr.Loads(start.Add(time.Minute), time.Minute)
+	require.NoError(t, err)
+	require.InDeltaSlice(t, []float64{0.375, 0.625}, loads.Layers[0], 1e-9)
+}
+
+// Guards against a panic or a plan on input that the checks let through.
+func FuzzDecide(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 255}, 1.0, -1.0, int64(1))
+	f.Add([]byte{}, math.NaN(), math.Inf(1), int64(-1))
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 0, 1}, 5e-324, math.MaxFloat64, int64(0))
+	f.Fuzz(func(t *testing.T, slots []byte, a, b float64, step int64) {
+		topo := topology(4, 6, 2)
+		layer := make(experts.Layer, 0, len(slots))
+		for _, s := range slots {
+			layer = append(layer, experts.Expert(int8(s)))
+		}
+		m := experts.Map{Layers: []experts.Layer{layer}}
+		in := experts.Input{
+			Now: start, Topology: topo, InForce: &m,
+			Loads:     experts.Loads{At: start, Layers: [][]float64{{a, b, 1, 0, a, b}}},
+			StepTimes: []time.Duration{1, 1, 1, time.Duration(step)},
+			Weights:   experts.Weights{Skew: 4, Cost: 1},
+		}
+		d, err := experts.Decide(experts.DefaultSettings(), in)
+		if err != nil {
+			require.False(t, d.Rebalance)
+			return
+		}
+		require.NoError(t, d.Target.Validate(topo))
+	})
+}
+
+func BenchmarkPlanLayer(b *testing.B) {
+	topo := topology(32, 256, 9)
+	m, err := experts.Uniform(topo, 1)
+	require.NoError(b, err)
+	load := zipf(rand.New(rand.NewPCG(1, 0)), 256, 0.8)
+	for b.Loop() {
+		experts.PlanLayer(topo, m.Layers[0], load, 0)
+	}
+}
--- /dev/null
+++ b/experts/layout.go
@@ -0,0 +1,108 @@
+package experts
+
+import (
+	"math/bits"
+	"slices"
+)
+
+// layout is a layer under construction, with its derived loads.
+type layout struct {
+	topo     *Topology
+	load     []float64
+	slots    Layer
+	hosts    []uint64
+	origin   []uint64
+	rankLoad []float64
+	// frozen is the set of ranks whose slots may not change.
+	frozen uint64
+	// domainOf maps a rank to the set of ranks in its failure domain.
+	domainOf []uint64
+}
+
+func newLayout(t *Topology, slots Layer, load []float64, frozen uint64) *layout {
+	w := &layout{topo: t, load: load, slots: slices.Clone(slots), frozen: frozen}
+	w.hosts = hostSets(t, slots)
+	w.origin = slices.Clone(w.hosts)
+	w.rankLoad = make([]float64, t.Ranks())
+	w.domainOf = domainSets(t)
+	w.recompute()
+	return w
+}
+
+func domainSets(t *Topology) []uint64 {
+	byName := make(map[string]uint64)
+	for rank, d := range t.Domains {
+		byName[d] |= 1 << rank
+	}
+	sets := make([]uint64, t.Ranks())
+	for rank, d := range t.Domains {
+		sets[rank] = byName[d]
+	}
+	return sets
+}
+
+// recompute derives hosts and rank loads from the slots. It also removes the
+// rounding that incremental updates accumulate.
+func (w *layout) recompute() {
+	w.hosts = hostSets(w.topo, w.slots)
+	clear(w.rankLoad)
+	for slot, e := range w.slots {
+		if e != Empty {
+			w.rankLoad[w.topo.RankOf(slot)] += w.share(e)
+		}
+	}
+}
+
+func (w *layout) replicas(e Expert) int { return bits.OnesCount64(w.hosts[e]) }
+
+// share returns the load of one replica of e.
+func (w *layout) share(e Expert) float64 { return w.load[e] / float64(w.replicas(e)) }
+
+func (w *layout) hosted(e Expert, rank int) bool { return w.hosts[e]>>rank&1 == 1 }
+
+func (w *layout) isFrozen(rank int) bool { return w.frozen>>rank&1 == 1 }
+
+// fetches returns 1 if e on rank must be fetched, and 0 otherwise.
+func (w *layout) fetches(e Expert, rank int) int {
+	if e == Empty || w.origin[e]>>rank&1 == 1 {
+		return 0
+	}
+	return 1
+}
+
+// hottest returns the rank with the most load among those that may change.
+func (w *layout) hottest() int {
+	best := -1
+	for rank, l := range w.rankLoad {
+		if w.isFrozen(rank) {
+			continue
+		}
+		if best < 0 || l > w.rankLoad[best] {
+			best = rank
+		}
+	}
+	return best
+}
+
+// maxLoad returns the largest load among the ranks that may change, so that a
+// frozen rank does not hide an improvement among the others.
+func (w *layout) maxLoad() float64 {
+	if rank := w.hottest(); rank >= 0 {
+		return w.rankLoad[rank]
+	}
+	return 0
+}
+
+// slotsOf returns the first slot of the rank and the one after the last.
+func (w *layout) slotsOf(rank int) (first, end int) {
+	first = rank * w.topo.SlotsPerRank
+	return first, first + w.topo.SlotsPerRank
+}
+
+// oneDomain reports whether e has several replicas in one failure domain only.
+func (w *layout) oneDomain(hosts uint64) bool {
+	if bits.OnesCount64(hosts) < 2 {
+		return false
+	}
+	return hosts&^w.domainOf[bits.TrailingZeros64(hosts)] == 0
+}
--- /dev/null
+++ b/experts/match.go
@@ -0,0 +1,172 @@
+package experts
+
+import (
+	"math"
+	"math/bits"
+)
+
+// matchRanks renumbers the ranks of a layer so that most experts stay where
+// the layer in force has them. Frozen ranks keep their number.
+func matchRanks(t *Topology, inForce, planned Layer, frozen uint64) Layer {
+	hosts := hostSets(t, inForce)
+	n := t.Ranks()
+	cost := make([][]float64, n)
+	for from := range cost {
+		cost[from] = make([]float64, n)
+		for to := range cost[from] {
+			cost[from][to] = matchCost(t, hosts, planned, from, to, frozen)
+		}
+	}
+	out := make(Layer, len(planned))
+	for from, to := range assign(cost) {
+		copy(out[to*t.SlotsPerRank:(to+1)*t.SlotsPerRank], planned[from*t.SlotsPerRank:])
+	}
+	return out
+}
+
+// matchCost is the number of experts to fetch if planned rank from becomes
+// rank to.
+func matchCost(t *Topology, hosts []uint64, planned Layer, from, to int, frozen uint64) float64 {
+	if from != to && (frozen>>from|frozen>>to)&1 == 1 {
+		return float64(t.Slots())
+	}
+	cost := 0
+	for _, e := range planned[from*t.SlotsPerRank : (from+1)*t.SlotsPerRank] {
+		if e != Empty && hosts[e]>>to&1 == 0 {
+			cost++
+		}
+	}
+	return float64(cost)
+}
+
+// assign solves the assignment problem by the Hungarian method and returns
+// the column of each row. It takes O(n³) steps.
+func assign(cost [][]float64) []int {
+	n := len(cost)
+	rowPotential := make([]float64, n+1)
+	columnPotential := make([]float64, n+1)
+	rowOf := make([]int, n+1)
+	for row := 1; row <= n; row++ {
+		rowOf[0] = row
+		augment(cost, rowPotential, columnPotential, rowOf)
+	}
+	columns := make([]int, n)
+	for c := 1; c <= n; c++ {
+		columns[rowOf[c]-1] = c - 1
+	}
+	return columns
+}
+
+// augment adds the row in rowOf[0] to the matching along a shortest path.
+// Rows and columns are numbered from 1.
+func augment(cost [][]float64, rowPotential, columnPotential []float64, rowOf []int) {
+	n := len(cost)
+	slack := make([]float64, n+1)
+	previous := make([]int, n+1)
+	used := make([]bool, n+1)
+	for c := range slack {
+		slack[c] = math.Inf(1)
+	}
+	column := 0
+	for rowOf[column] != 0 {
+		used[column] = true
+		row, next, delta := rowOf[column], 0, math.Inf(1)
+		for c := 1; c <= n; c++ {
+			if used[c] {
+				continue
+			}
+			if reduced := cost[row-1][c-1] - rowPotential[row] - columnPotential[c]; reduced < slack[c] {
+				slack[c], previous[c] = reduced, column
+			}
+			if slack[c] < delta {
+				delta, next = slack[c], c
+			}
+		}
+		for c := 0; c <= n; c++ {
+			if used[c] {
+				rowPotential[rowOf[c]] += delta
+				columnPotential[c] -= delta
+			} else {
+				slack[c] -= delta
+			}
+		}
+		column = next
+	}
+	for column != 0 {
+		rowOf[column] = rowOf[previous[column]]
+		column = previous[column]
+	}
+}
+
+// alignSlots keeps each expert that stays on its rank in its slot and fills
+// the other slots of the rank in order.
+func alignSlots(t *Topology, inForce, planned Layer) Layer {
+	out := make(Layer, len(planned))
+	for rank := range t.Ranks() {
+		first := rank * t.SlotsPerRank
+		end := first + t.SlotsPerRank
+		alignRank(out[first:end], inForce[first:end], planned[first:end])
+	}
+	return out
+}
+
+func alignRank(out, old, planned Layer) {
+	pending := make(map[Expert]bool, len(planned))
+	for _, e := range planned {
+		pending[e] = e != Empty
+	}
+	for i, e := range old {
+		out[i] = Empty
+		if pending[e] {
+			out[i] = e
+			pending[e] = false
+		}
+	}
+	next := 0
+	for _, e := range planned {
+		if !pending[e] {
+			continue
+		}
+		for out[next] != Empty {
+			next++
+		}
+		out[next] = e
+	}
+}
+
+// spread exchanges experts that are fetched anyway, so that the replicas of an
+// expert reach a second failure domain. It never raises the maximum load or
+// the number of moves.
+func (w *layout) spread() {
+	for slot, e := range w.slots {
+		rank := w.topo.RankOf(slot)
+		if e == Empty || w.fetches(e, rank) == 0 || !w.oneDomain(w.hosts[e]) {
+			continue
+		}
+		w.spreadSlot(slot, rank, e)
+	}
+}
+
+func (w *layout) spreadSlot(slot, rank int, e Expert) {
+	limit := maxOf(w.rankLoad)
+	for other, f := range w.slots {
+		target := w.topo.RankOf(other)
+		if f == Empty || f == e || w.domainOf[rank]>>target&1 == 1 || w.fetches(f, target) == 0 {
+			continue
+		}
+		if w.hosted(e, target) || w.hosted(f, rank) {
+			continue
+		}
+		d := w.share(e) - w.share(f)
+		if w.rankLoad[rank]-d > limit || w.rankLoad[target]+d > limit {
+			continue
+		}
+		moved := w.hosts[f]&^(1<<target) | 1<<rank
+		if bits.OnesCount64(moved) > 1 && w.oneDomain(moved) {
+			continue
+		}
+		w.slots[slot], w.slots[other] = f, e
+		w.recompute()
+		return
+	}
+}
--- /dev/null
+++ b/experts/planner.go
@@ -0,0 +1,131 @@
+package experts
+
+import "sort"
+
+// option is a new placement of one layer, with its effect in seconds of step
+// time over the horizon.
+type option struct {
+	layer int
+	slots Layer
+	moves int
+	saved float64
+	value float64
+}
+
+// planner picks the options of a plan.
+type planner struct {
+	s       Settings
+	in      Input
+	frozen  uint64
+	budget  int
+	left    int
+	options []option
+	chosen  []option
+	skewed  bool
+}
+
+func newPlanner(s Settings, in Input, frozen uint64, budget int) *planner {
+	return &planner{s: s, in: in, frozen: frozen, budget: budget, left: budget}
+}
+
+// run chooses the best option of each layer, best value first, until the
+// budget is used up. A plan whose weighted saving does not exceed its weighted
+// cost by the hysteresis factor is dropped.
+func (p *planner) run() {
+	for layer := range p.in.InForce.Layers {
+		if o, ok := p.bestOption(layer, p.budget); ok {
+			p.options = append(p.options, o)
+		}
+	}
+	sort.SliceStable(p.options, func(i, j int) bool { return p.options[i].value > p.options[j].value })
+	saved, moves := 0.0, 0
+	for _, o := range p.options {
+		if o.moves > p.left {
+			var ok bool
+			if o, ok = p.bestOption(o.layer, p.left); !ok {
+				continue
+			}
+		}
+		p.left -= o.moves
+		saved += o.saved
+		moves += o.moves
+		p.chosen = append(p.chosen, o)
+	}
+	if saved*p.in.Weights.Skew <= p.s.Hysteresis*p.cost(moves) {
+		p.chosen = nil
+	}
+}
+
+// refusal tells why run chose nothing.
+func (p *planner) refusal() Reason {
+	if p.skewed {
+		return NotWorthIt
+	}
+	return Balanced
+}
+
+// cost returns the weighted cost of moves.
+func (p *planner) cost(moves int) float64 {
+	return float64(moves) * p.s.MoveCost.Seconds() * p.in.Weights.Cost
+}
+
+// savedBy returns the step time saved if the maximum load of a layer falls
+// from one share of the layer to another.
+func (p *planner) savedBy(from, to float64) float64 {
+	steps := p.s.Horizon.Seconds() / p.s.StepTime.Seconds()
+	layerTime := p.s.StepTime.Seconds() * p.s.ExpertShare / float64(len(p.in.InForce.Layers))
+	return (from - to) * float64(p.in.Topology.Ranks()) * layerTime * steps
+}
+
+// bestOption returns the prefix of the refinement, or the full replan, with
+// the highest value within a number of moves.
+func (p *planner) bestOption(layer, limit int) (option, bool) {
+	t, inForce, load := p.in.Topology, p.in.InForce.Layers[layer], p.in.Loads.Layers[layer]
+	if sum(load) == 0 {
+		return option{}, false
+	}
+	target := packTarget(t, load)
+	w := newLayout(t, inForce, load, p.frozen)
+	before := w.maxLoad()
+	if before <= target {
+		return option{}, false
+	}
+	p.skewed = true
+	steps := refine(w, target)
+	best := option{layer: layer}
+	bestSteps := 0
+	for i, st := range steps {
+		if o, ok := p.value(layer, before, st.max, st.moves, limit); ok && o.value > best.value {
+			best, bestSteps = o, i+1
+		}
+	}
+	if bestSteps > 0 {
+		w = newLayout(t, inForce, load, p.frozen)
+		w.slots = replay(inForce, steps[:bestSteps])
+		w.recompute()
+		best.slots = w.finish(inForce)
+	}
+	if w.maxLoad() > target {
+		p.tryReplan(&best, before, limit)
+	}
+	return best, best.slots != nil
+}
+
+// tryReplan replaces best by a full replan of its layer if that is worth more.
+func (p *planner) tryReplan(best *option, before float64, limit int) {
+	t, load := p.in.Topology, p.in.Loads.Layers[best.layer]
+	inForce := p.in.InForce.Layers[best.layer]
+	full := ReplanLayer(t, inForce, load, p.frozen)
+	after := newLayout(t, full, load, p.frozen).maxLoad()
+	moves := len(layerMoves(t, best.layer, inForce, full))
+	if o, ok := p.value(best.layer, before, after, moves, limit); ok && o.value > best.value {
+		*best = o
+		best.slots = full
+	}
+}
+
+func (p *planner) value(layer int, before, after float64, moves, limit int) (option, bool) {
+	o := option{layer: layer, moves: moves, saved: p.savedBy(before, after)}
+	o.value = o.saved*p.in.Weights.Skew - p.cost(moves)
+	return o, moves <= limit && o.value > 0
+}
--- /dev/null
+++ b/experts/types.go
@@ -0,0 +1,212 @@
+// Package experts plans which ranks of a group host which experts.
+//
+// It turns lagging expert counts into an expert map with replicas and decides
+// whether a move to that map is worth its cost. All functions are pure and
+// deterministic. Values are not safe for concurrent modification.
+package experts
+
+import (
+	"math/bits"
+	"slices"
+
+	"github.com/filbertmux/filbertmux/errkind"
+)
+
+// Limits of the planner.
+const (
+	// MaxRanks is the number of ranks that fit the bit set of one expert.
+	MaxRanks = 64
+	// MaxExperts bounds the experts of one layer.
+	MaxExperts = 1024
+	// MaxSlotsPerRank bounds the expert slots of one rank and layer.
+	MaxSlotsPerRank = 256
+)
+
+// Expert is the index of an expert inside its layer.
+type Expert int32
+
+// Empty marks a slot that hosts no expert.
+const Empty Expert = -1
+
+// Topology describes the ranks of a group.
+type Topology struct {
+	// Experts is the number of experts in each layer.
+	Experts int
+	// SlotsPerRank is the number of experts that a rank hosts in each layer.
+	// Slots beyond Experts/len(Domains) are the spare replica slots.
+	SlotsPerRank int
+	// Domains holds the failure domain of each rank.
+	Domains []string
+}
+
+// Ranks returns the number of ranks.
+func (t *Topology) Ranks() int { return len(t.Domains) }
+
+// Slots returns the number of slots in each layer.
+func (t *Topology) Slots() int { return t.Ranks() * t.SlotsPerRank }
+
+// RankOf returns the rank that owns a slot.
+func (t *Topology) RankOf(slot int) int { return slot / t.SlotsPerRank }
+
+// Validate checks that the topology can host each expert once.
+func (t *Topology) Validate() error {
+	switch {
+	case t.Ranks() < 1 || t.Ranks() > MaxRanks:
+		return errkind.New(errkind.InvalidMap, "%d ranks, allowed are 1 to %d", t.Ranks(), MaxRanks)
+	case t.Experts < 1 || t.Experts > MaxExperts:
+		return errkind.New(errkind.InvalidMap, "%d experts, allowed are 1 to %d", t.Experts, MaxExperts)
+	case t.SlotsPerRank < 1 || t.SlotsPerRank > MaxSlotsPerRank:
+		return errkind.New(errkind.InvalidMap, "%d slots per rank, allowed are 1 to %d", t.SlotsPerRank, MaxSlotsPerRank)
+	case t.Slots() < t.Experts:
+		return errkind.New(errkind.InvalidMap, "%d slots cannot host %d experts", t.Slots(), t.Experts)
+	}
+	return nil
+}
+
+// Layer holds the expert of each slot. Slot s belongs to rank s/SlotsPerRank.
+type Layer []Expert
+
+// Map is the expert map of a group: one Layer for each layer of the model.
+type Map struct {
+	Epoch  uint64
+	Layers []Layer
+}
+
+// Clone returns a deep copy.
+func (m *Map) Clone() Map {
+	c := Map{Epoch: m.Epoch, Layers: make([]Layer, len(m.Layers))}
+	for i, l := range m.Layers {
+		c.Layers[i] = slices.Clone(l)
+	}
+	return c
+}
+
+// Validate checks the map against the topology. Each layer must host every
+// expert, and no rank may host an expert twice in a layer.
+func (m *Map) Validate(t *Topology) error {
+	if err := t.Validate(); err != nil {
+		return err
+	}
+	if len(m.Layers) == 0 {
+		return errkind.New(errkind.InvalidMap, "map has no layers")
+	}
+	for i, l := range m.Layers {
+		if err := l.validate(t, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l Layer) validate(t *Topology, index int) error {
+	if len(l) != t.Slots() {
+		return errkind.New(errkind.InvalidMap, "layer %d has %d slots, the group has %d", index, len(l), t.Slots())
+	}
+	hosts := make([]uint64, t.Experts)
+	for slot, e := range l {
+		if e == Empty {
+			continue
+		}
+		if e < 0 || int(e) >= t.Experts {
+			return errkind.New(errkind.InvalidMap, "layer %d slot %d hosts expert %d of %d", index, slot, e, t.Experts)
+		}
+		bit := uint64(1) << t.RankOf(slot)
+		if hosts[e]&bit != 0 {
+			return errkind.New(errkind.InvalidMap, "layer %d rank %d hosts expert %d twice", index, t.RankOf(slot), e)
+		}
+		hosts[e] |= bit
+	}
+	for e, h := range hosts {
+		if h == 0 {
+			return errkind.New(errkind.InvalidMap, "layer %d hosts expert %d nowhere", index, e)
+		}
+	}
+	return nil
+}
+
+// RankLoads returns the load of each rank of a valid layer. The load of an
+// expert is split evenly over its replicas.
+func (l Layer) RankLoads(t *Topology, load []float64) []float64 {
+	return newLayout(t, l, load, 0).rankLoad
+}
+
+// Uniform returns the map that places experts in order and leaves spare slots
+// to the lowest-numbered experts. It is the map before the first counts.
+func Uniform(t *Topology, layers int) (Map, error) {
+	if err := t.Validate(); err != nil {
+		return Map{}, err
+	}
+	m := Map{Layers: make([]Layer, layers)}
+	for i := range m.Layers {
+		m.Layers[i] = uniformLayer(t)
+	}
+	return m, m.Validate(t)
+}
+
+func uniformLayer(t *Topology) Layer {
+	l := make(Layer, t.Slots())
+	for slot := range l {
+		rank, column := t.RankOf(slot), slot%t.SlotsPerRank
+		n := column*t.Ranks() + rank
+		switch {
+		case n < t.Experts:
+			l[slot] = Expert(n)
+		case n < 2*t.Experts && t.Experts%t.Ranks() == 0 && t.Ranks() > 1:
+			// The second copy is shifted by one rank, so that no rank
+			// hosts both.
+			row := (n - t.Experts) / t.Ranks()
+			l[slot] = Expert(row*t.Ranks() + (rank+1)%t.Ranks())
+		default:
+			l[slot] = Empty
+		}
+	}
+	return l
+}
+
+// Move is one expert that a rank must fetch before a map can be activated.
+type Move struct {
+	Layer  int
+	Slot   int
+	Rank   int
+	Expert Expert
+}
+
+// Moves lists the experts that ranks must fetch to go from one valid map to
+// another. A change of slot inside a rank needs no fetch.
+func Moves(t *Topology, from, to *Map) []Move {
+	var moves []Move
+	for i := range to.Layers {
+		moves = append(moves, layerMoves(t, i, from.Layers[i], to.Layers[i])...)
+	}
+	return moves
+}
+
+func layerMoves(t *Topology, index int, from, to Layer) []Move {
+	hosts := hostSets(t, from)
+	var moves []Move
+	for slot, e := range to {
+		if e == Empty || hosts[e]>>t.RankOf(slot)&1 == 1 {
+			continue
+		}
+		moves = append(moves, Move{Layer: index, Slot: slot, Rank: t.RankOf(slot), Expert: e})
+	}
+	return moves
+}
+
+// hostSets returns the set of ranks that host each expert.
+func hostSets(t *Topology, l Layer) []uint64 {
+	hosts := make([]uint64, t.Experts)
+	for slot, e := range l {
+		if e != Empty {
+			hosts[e] |= 1 << t.RankOf(slot)
+		}
+	}
+	return hosts
+}
+
+// eachRank calls f for each rank in the set, in ascending order.
+func eachRank(set uint64, f func(rank int)) {
+	for ; set != 0; set &= set - 1 {
+		f(bits.TrailingZeros64(set))
+	}
+}
