Add the protocol that switches a group to the next expert map

Cause: all ranks of a lock-step group must use one map in each step, although messages are lost, sidecars restart, holders act after their lease, and some backend servers ignore fencing tokens.

Change: package mapswitch with a holder, members and the contract of a rank as state machines. Members vote; the switch commits if and only if all promised, so that members resolve an interrupted attempt without the holder, the log or an operator. Votes are derived from the ranks, so a restarted sidecar gives the same vote. A ledger asserts one map per step.

Ruled out: a holder that decides (undecided members would depend on it), and promises in the log (an outage would stall the group).

--- /dev/null
+++ b/mapswitch/holder.go
@@ -0,0 +1,353 @@
+package mapswitch
+
+import (
+	"math"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// HolderSettings are the timers and limits of a holder.
+type HolderSettings struct {
+	// StepTime is the usual time of a step.
+	StepTime time.Duration
+	// Lead is the time between a proposal and the promised step. A step that
+	// is too near stalls the group, and one too far only delays the switch.
+	Lead time.Duration
+	// Retransmit is the time after which unanswered messages are repeated.
+	Retransmit time.Duration
+	// Poll is the time between polls of an idle holder.
+	Poll time.Duration
+	// StagingTimeout bounds the wait for weights. The plan is undone after it.
+	StagingTimeout time.Duration
+	// Attempts bounds the tries to activate a plan.
+	Attempts int
+}
+
+// DefaultHolderSettings returns settings for steps of 45 ms and message delays
+// of about 2 ms. Lead covers three message delays with one loss each.
+func DefaultHolderSettings() HolderSettings {
+	return HolderSettings{
+		StepTime:       45 * time.Millisecond,
+		Lead:           135 * time.Millisecond,
+		Retransmit:     20 * time.Millisecond,
+		Poll:           time.Second,
+		StagingTimeout: 2 * time.Minute,
+		Attempts:       5,
+	}
+}
+
+// Phase is the phase of a holder.
+type Phase uint8
+
+// Phases of a holder.
+const (
+	// TakingOver lasts until all members have answered and no earlier
+	// attempt is undecided.
+	TakingOver Phase = iota
+	Idle
+	Staging
+	Proposing
+	// Settling lasts until all members have left an attempt that was refused.
+	Settling
+	// Stopped is final: the lease ended or a later holder exists.
+	Stopped
+)
+
+// Outcome tells what became of a submitted plan.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Pending Outcome = iota
+	Finished
+	Undone
+)
+
+// Holder is the state machine of the sidecar that holds the lease of a group.
+type Holder struct {
+	settings HolderSettings
+	token    platform.Offset
+	leaseEnd time.Time
+	members  int
+	phase    Phase
+	status   []*Status
+	seenAt   []time.Time
+	sentAt   time.Time
+	began    time.Time
+	seq      uint64
+	tries    int
+	plan     Plan
+	step     uint64
+	proposed []uint64
+	outcome  Outcome
+	ledger   *Ledger
+}
+
+// NewHolder returns a holder with a token. It stops at leaseEnd by its own
+// clock; safety does not depend on that.
+func NewHolder(s HolderSettings, token platform.Offset, leaseEnd time.Time, members int) *Holder {
+	return &Holder{
+		settings: s, token: token, leaseEnd: leaseEnd, members: members, ledger: NewLedger(),
+		status: make([]*Status, members), seenAt: make([]time.Time, members),
+	}
+}
+
+// Phase returns the phase.
+func (h *Holder) Phase() Phase { return h.phase }
+
+// Outcome returns what became of the last submitted plan.
+func (h *Holder) Outcome() Outcome { return h.outcome }
+
+// Extend moves the end of the lease after a renewal.
+func (h *Holder) Extend(leaseEnd time.Time) { h.leaseEnd = leaseEnd }
+
+// Submit starts a switch to a map. The holder must be Idle.
+func (h *Holder) Submit(now time.Time, target *experts.Map) ([]Output, error) {
+	if h.phase != Idle {
+		return nil, errkind.New(errkind.InProgress, "holder cannot start a plan in phase %d", h.phase)
+	}
+	base := h.status[0].Ranks[0]
+	if target.Epoch <= base.Epoch {
+		return nil, errkind.New(errkind.InvalidMap, "epoch %d does not follow %d", target.Epoch, base.Epoch)
+	}
+	h.tries = 0
+	h.outcome = Pending
+	h.plan = Plan{Base: base.Installed, Epoch: target.Epoch, Target: target}
+	return h.prepare(now), nil
+}
+
+// prepare starts an attempt.
+func (h *Holder) prepare(now time.Time) []Output {
+	h.seq++
+	h.tries++
+	h.plan.Attempt = Attempt{Token: h.token, Seq: h.seq}
+	h.phase = Staging
+	h.began = now
+	return h.send(now)
+}
+
+// Handle processes a message from a member.
+func (h *Holder) Handle(now time.Time, msg Message) []Output {
+	switch msg := msg.(type) {
+	case Rejected:
+		if msg.Token > h.token {
+			h.phase = Stopped
+		}
+	case Status:
+		if h.note(now, msg) {
+			return h.advance(now)
+		}
+	}
+	return nil
+}
+
+// note keeps a status. Reports of an earlier incarnation, and those that were
+// overtaken by a newer one, are dropped.
+func (h *Holder) note(now time.Time, s Status) bool {
+	if h.phase == Stopped || s.From < 0 || int(s.From) >= h.members || len(s.Ranks) == 0 {
+		return false
+	}
+	if s.Token > h.token {
+		h.phase = Stopped
+		return false
+	}
+	if old := h.status[s.From]; old != nil && s.before(old) {
+		return false
+	}
+	for i := range s.Ranks {
+		h.ledger.RecordState(&s.Ranks[i])
+	}
+	h.status[s.From] = &s
+	h.seenAt[s.From] = now
+	return true
+}
+
+// before reports whether s was sent before t by the same member.
+func (s *Status) before(t *Status) bool {
+	if s.Incarnation != t.Incarnation {
+		return s.Incarnation < t.Incarnation
+	}
+	for i := range min(len(s.Ranks), len(t.Ranks)) {
+		if s.Ranks[i].Version < t.Ranks[i].Version {
+			return true
+		}
+	}
+	return t.Floor.After(s.Floor)
+}
+
+// Tick repeats messages and checks the lease and the time-outs.
+func (h *Holder) Tick(now time.Time) []Output {
+	if h.phase == Stopped {
+		return nil
+	}
+	if !now.Before(h.leaseEnd) {
+		h.phase = Stopped
+		return nil
+	}
+	if h.phase == Staging && now.Sub(h.began) > h.settings.StagingTimeout {
+		h.finish(Undone)
+	}
+	wait := h.settings.Retransmit
+	if h.phase == Idle {
+		wait = h.settings.Poll
+	}
+	if now.Sub(h.sentAt) < wait {
+		return nil
+	}
+	return append(h.advance(now), h.send(now)...)
+}
+
+// advance moves on when the members' states allow it.
+func (h *Holder) advance(now time.Time) []Output {
+	switch h.phase {
+	case TakingOver:
+		if h.settled() {
+			h.phase = Idle
+		}
+	case Staging:
+		if h.all(h.isStaged) {
+			return h.propose(now)
+		}
+	case Proposing:
+		h.judge()
+		if h.phase == Settling {
+			return h.advance(now)
+		}
+	case Settling:
+		return h.retry(now)
+	case Idle, Stopped:
+	}
+	return nil
+}
+
+// settled reports whether all members have answered, none is undecided and
+// all ranks have the same map.
+func (h *Holder) settled() bool {
+	var installed *Attempt
+	return h.all(func(s *Status) bool {
+		if s.Undecided {
+			return false
+		}
+		for i := range s.Ranks {
+			if installed == nil {
+				installed = &s.Ranks[i].Installed
+			}
+			if s.Ranks[i].Installed != *installed || s.Ranks[i].Step < s.Ranks[i].ActiveFrom {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (h *Holder) all(ok func(*Status) bool) bool {
+	for _, s := range h.status {
+		if s == nil || !ok(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Holder) isStaged(s *Status) bool {
+	for i := range s.Ranks {
+		if s.Ranks[i].Staged != h.plan.Attempt {
+			return false
+		}
+	}
+	return true
+}
+
+// propose chooses the step to promise.
+func (h *Holder) propose(now time.Time) []Output {
+	h.phase = Proposing
+	h.proposed = make([]uint64, h.members)
+	newest := uint64(0)
+	for i, s := range h.status {
+		h.proposed[i] = s.Incarnation
+		for j := range s.Ranks {
+			newest = max(newest, s.Ranks[j].Step+h.stepsIn(now.Sub(h.seenAt[i])))
+		}
+	}
+	// Each further try leaves more time, in case the delays have grown.
+	h.step = newest + 1 + h.stepsIn(h.settings.Lead)*uint64(h.tries)
+	return h.send(now)
+}
+
+func (h *Holder) stepsIn(d time.Duration) uint64 {
+	return uint64(math.Ceil(float64(d) / float64(h.settings.StepTime)))
+}
+
+// judge looks for the outcome of the proposal.
+func (h *Holder) judge() {
+	if h.all(h.isInstalled) {
+		h.finish(Finished)
+		return
+	}
+	for i, s := range h.status {
+		if h.left(s, h.proposed[i]) {
+			h.phase = Settling
+			return
+		}
+	}
+}
+
+func (h *Holder) isInstalled(s *Status) bool {
+	for i := range s.Ranks {
+		if s.Ranks[i].Installed != h.plan.Attempt {
+			return false
+		}
+	}
+	return true
+}
+
+// left reports whether a member is done with the attempt without installing
+// it, which proves that it was refused.
+func (h *Holder) left(s *Status, incarnation uint64) bool {
+	if s.Undecided || s.Ranks[0].Installed == h.plan.Attempt {
+		return false
+	}
+	return s.Incarnation != incarnation || !h.plan.Attempt.After(s.Floor)
+}
+
+// retry starts the next attempt once all members have left the last one.
+func (h *Holder) retry(now time.Time) []Output {
+	if !h.settled() {
+		return nil
+	}
+	if h.tries >= h.settings.Attempts || h.status[0].Ranks[0].Installed != h.plan.Base {
+		h.finish(Undone)
+		return nil
+	}
+	return h.prepare(now)
+}
+
+func (h *Holder) finish(o Outcome) {
+	h.outcome = o
+	h.phase = Idle
+	if o == Finished {
+		// The next plan may start when the map is in use everywhere.
+		h.phase = TakingOver
+	}
+}
+
+// send sends each member what its phase needs. TakeOver doubles as a poll.
+func (h *Holder) send(now time.Time) []Output {
+	h.sentAt = now
+	var out []Output
+	for id := range h.members {
+		var msg Message = TakeOver{Token: h.token}
+		switch h.phase {
+		case Staging:
+			msg = Prepare{Plan: h.plan}
+		case Proposing:
+			msg = Propose{Attempt: h.plan.Attempt, Step: h.step, Incarnations: h.proposed}
+		case TakingOver, Idle, Settling, Stopped:
+		}
+		out = append(out, Output{To: ToMember, Member: MemberID(id), Message: msg})
+	}
+	return out
+}
--- /dev/null
+++ b/mapswitch/mapswitch_test.go
@@ -0,0 +1,116 @@
+package mapswitch
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// seeds returns the seeds to run: FILBERTMUX_SEED alone, or the first n.
+func seeds(t *testing.T, n uint64) []uint64 {
+	if v := os.Getenv("FILBERTMUX_SEED"); v != "" {
+		seed, err := strconv.ParseUint(v, 10, 64)
+		require.NoError(t, err)
+		return []uint64{seed}
+	}
+	if v := os.Getenv("FILBERTMUX_SEEDS"); v != "" {
+		var err error
+		n, err = strconv.ParseUint(v, 10, 64)
+		require.NoError(t, err)
+	}
+	list := make([]uint64, n)
+	for i := range list {
+		list[i] = uint64(i + 1)
+	}
+	return list
+}
+
+// runFaults runs one seed and returns the violation, if any.
+func runFaults(seed uint64, r rules, enterUndecided bool) (violation string) {
+	defer func() {
+		if p := recover(); p != nil {
+			violation = fmt.Sprint(p)
+		}
+	}()
+	s := newSim(seed, true, r, enterUndecided)
+	s.runUntil(faultPeriod)
+	s.heal()
+	s.runUntil(faultPeriod + longestFault)
+	step, finished := s.ranks[0].State().Step, s.finished
+	s.runUntil(faultPeriod + longestFault + recoveryBound)
+	if s.violation == "" && s.ranks[0].State().Step < step+livenessSteps {
+		s.fail("group made %d steps in %s after the faults", s.ranks[0].State().Step-step, recoveryBound)
+	}
+	if s.finished == finished {
+		s.fail("no plan finished within %s after the faults", recoveryBound)
+	}
+	return s.violation
+}
+
+// Guards against a step on two maps, a stale holder that still switches, and a
+// group that does not recover by itself.
+func TestOneMapInEveryStep(t *testing.T) {
+	for _, seed := range seeds(t, 30) {
+		if v := runFaults(seed, rules{}, false); v != "" {
+			t.Fatalf("seed %d: %s\nreplay: FILBERTMUX_SEED=%d go test ./mapswitch -run TestOneMapInEveryStep", seed, v, seed)
+		}
+	}
+}
+
+// Guards against a test that cannot see the faults the rules prevent.
+func TestRulesAreNeeded(t *testing.T) {
+	cases := []struct {
+		name           string
+		rules          rules
+		enterUndecided bool
+	}{
+		{"enter the promised step undecided", rules{}, true},
+		{"no token check", rules{ignoreTokens: true}, false},
+		{"forget refusals", rules{forgetRefusals: true, ignoreIncarnations: true}, false},
+	}
+	for _, c := range cases {
+		violations, runs := 0, 0
+		example := ""
+		for _, seed := range seeds(t, 200) {
+			runs++
+			if v := runFaults(seed, c.rules, c.enterUndecided); v != "" {
+				violations++
+				example = fmt.Sprintf("seed %d: %s", seed, v)
+			}
+			// One violation is enough; FILBERTMUX_SEEDS asks for the rate.
+			if violations > 0 && os.Getenv("FILBERTMUX_SEEDS") == "" {
+				break
+			}
+		}
+		t.Logf("%s: violations in %d of %d seeds; %s", c.name, violations, runs, example)
+		require.NotZero(t, violations, c.name)
+	}
+}
+
+// Guards against an activation step so near that ranks wait for the outcome.
+func TestNoStepWaitsWithoutFaults(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(seed, false, rules{}, false)
+		s.runUntil(4 * time.Second)
+		require.Empty(t, s.violation)
+		require.NotZero(t, s.finished)
+		require.Zero(t, s.waits, "seed %d", seed)
+	}
+}
+
+// Guards against a restarted sidecar that obeys a holder before it has read
+// the current token.
+func TestRestartedMemberNeedsTheToken(t *testing.T) {
+	m := NewMember(DefaultMemberSettings(), 0, 1, 1, []RankID{0})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m.Start(now)
+	m.Handle(now, NewRank(0, 1, false).State())
+	require.Empty(t, m.Handle(now, TakeOver{Token: 3}))
+	m.Handle(now, TokenRead{Token: 4})
+	out := m.Handle(now, TakeOver{Token: 3})
+	require.Equal(t, Rejected{From: 0, Token: 4}, out[0].Message)
+}
--- /dev/null
+++ b/mapswitch/rank.go
@@ -0,0 +1,154 @@
+package mapswitch
+
+import (
+	"slices"
+
+	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Rank is the part of a rank that takes part in a switch. It states what
+// filbertmux requires of a backend server; the stand-in engines run it.
+type Rank struct {
+	state RankState
+	plan  Plan
+	// checksTokens says that the backend server rejects stale tokens.
+	checksTokens bool
+	// enterUndecided switches off the rule that a rank does not enter a
+	// promised step whose outcome it does not know. Tests only.
+	enterUndecided bool
+}
+
+// NewRank returns a rank that uses the map of the given epoch.
+func NewRank(id RankID, epoch uint64, checksTokens bool) *Rank {
+	return &Rank{
+		state:        RankState{Rank: id, Epoch: epoch, PreviousEpoch: epoch},
+		checksTokens: checksTokens,
+	}
+}
+
+// State returns the state of the rank.
+func (r *Rank) State() RankState {
+	s := r.state
+	if s.Hold != nil {
+		hold := *s.Hold
+		s.Hold = &hold
+	}
+	return s
+}
+
+// MayEnter reports whether the rank may enter the next step.
+func (r *Rank) MayEnter() bool {
+	h := r.state.Hold
+	return r.enterUndecided || h == nil || r.state.Step+1 < h.Step
+}
+
+// Enter enters the next step and returns its number and the epoch in use. The
+// caller has checked MayEnter and the barrier of the group.
+func (r *Rank) Enter() (step, epoch uint64) {
+	r.state.Step++
+	r.state.Version++
+	return r.state.Step, r.state.EpochAt(r.state.Step)
+}
+
+// Staging returns the plan to be staged, if its weights are not complete.
+func (r *Rank) Staging() (Plan, bool) {
+	return r.plan, r.plan.Attempt != r.state.Staged
+}
+
+// StagingDone records that all weights of the plan are complete. A plan that
+// was replaced in the meantime is ignored.
+func (r *Rank) StagingDone(a Attempt) {
+	if a == r.plan.Attempt {
+		r.state.Staged = a
+		r.state.Version++
+	}
+}
+
+// Handle performs a command and returns the state to report.
+func (r *Rank) Handle(m Message) RankState {
+	if !r.stale(m) {
+		r.state.Version++
+		r.perform(m)
+	}
+	return r.State()
+}
+
+func (r *Rank) stale(m Message) bool {
+	var token platform.Offset
+	switch m := m.(type) {
+	case StageRank:
+		token = m.Token
+	case HoldRank:
+		token = m.Token
+	case ReleaseRank:
+		token = m.Token
+	default:
+		return false
+	}
+	if r.checksTokens && token < r.state.Token {
+		return true
+	}
+	r.state.Token = max(r.state.Token, token)
+	return false
+}
+
+func (r *Rank) perform(m Message) {
+	switch m := m.(type) {
+	case StageRank:
+		r.stage(m.Plan)
+	case HoldRank:
+		r.hold(m.Hold)
+	case ReleaseRank:
+		r.release(m)
+	}
+}
+
+// stage replaces the plan. While the rank holds, the staged weights are part
+// of its promise and stay.
+func (r *Rank) stage(p Plan) {
+	if r.state.Hold != nil || p.Attempt == r.plan.Attempt {
+		return
+	}
+	if sameMap(r.plan.Target, p.Target) && r.plan.Attempt == r.state.Staged {
+		// The same map again, after an attempt that was undone.
+		r.state.Staged = p.Attempt
+	}
+	r.plan = p
+}
+
+// hold refuses a step that the rank has entered, an attempt without complete
+// weights or with a known outcome, and any attempt before the map of the
+// previous one is in use.
+func (r *Rank) hold(h Hold) {
+	s := &r.state
+	if s.Hold != nil || s.Step >= h.Step || s.Staged != h.Attempt || s.Step < s.ActiveFrom {
+		return
+	}
+	if !h.Attempt.After(s.Released) {
+		return
+	}
+	s.Hold = &h
+}
+
+func (r *Rank) release(m ReleaseRank) {
+	s := &r.state
+	if m.Attempt.After(s.Released) {
+		s.Released = m.Attempt
+	}
+	if s.Hold == nil || s.Hold.Attempt != m.Attempt {
+		return
+	}
+	if m.Commit {
+		s.Previous, s.PreviousEpoch = s.Installed, s.Epoch
+		s.Installed, s.Epoch, s.ActiveFrom = m.Attempt, r.plan.Epoch, s.Hold.Step
+	}
+	s.Hold = nil
+}
+
+func sameMap(a, b *experts.Map) bool {
+	if a == nil || b == nil || a.Epoch != b.Epoch {
+		return false
+	}
+	return slices.EqualFunc(a.Layers, b.Layers, slices.Equal[experts.Layer])
+}
