Add membership, routing, fairqueue, limits and retry

Cause: the entry needs its decisions as deterministic packages: which backend servers exist, which one gets a request, in which order requests wait, what an organisation may use, and whether a failed attempt may be repeated.

Ruled out: - limits by each entry's own reading of the demand of all entries: with lost reports every entry can see itself as the only one, up to n times the limit.

Change: five packages with their tests. Domain suspicion off: 10 of 12 servers left as candidates instead of 8.

Before: nothing.

--- /dev/null
+++ b/fairqueue/fairqueue_test.go
@@ -0,0 +1,185 @@
+package fairqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/fairqueue"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	classes = []fairqueue.Class{{Name: "desk"}, {Name: "accounts", Reserve: 0.05}, {Name: "admin", Reserve: 0.05}}
+)
+
+type (
+	queue = fairqueue.Queue[int]
+	item  = fairqueue.Item[int]
+)
+
+// refill keeps a class backlogged with work of two organisations.
+func refill(t require.TestingT, q *queue, class string) {
+	for _, organisation := range []string{"large", "small"} {
+		for q.Backlog(class) < 4000 {
+			_, _, err := q.Push(start, item{Class: class, Organisation: organisation, Cost: 100})
+			require.NoError(t, err)
+			_, _, err = q.Push(start, item{Class: class, Organisation: "other", Cost: 300})
+			require.NoError(t, err)
+		}
+	}
+}
+
+// servedByClass returns the fraction of the service that each class gets while
+// all are backlogged.
+func servedByClass(t require.TestingT, classes []fairqueue.Class) map[string]float64 {
+	q := fairqueue.New[int](1000, classes)
+	served, total := map[string]float64{}, 0.0
+	for range 20000 {
+		for _, c := range classes {
+			refill(t, q, c.Name)
+		}
+		p := q.Pop()
+		served[p.Class] += p.Cost
+		total += p.Cost
+	}
+	for name := range served {
+		served[name] /= total
+	}
+	return served
+}
+
+// Guards against starvation of the lower classes, and against a reserve that
+// takes more than its fraction from the first class. Without the reserve the
+// lower classes get nothing.
+func TestReservePreventsStarvation(t *testing.T) {
+	served := servedByClass(t, classes)
+	require.InDelta(t, 0.90, served["desk"], 0.005)
+	require.InDelta(t, 0.05, served["accounts"], 0.005)
+	require.InDelta(t, 0.05, served["admin"], 0.005)
+	off := servedByClass(t, []fairqueue.Class{{Name: "desk"}, {Name: "accounts"}, {Name: "admin"}})
+	require.Zero(t, off["accounts"]+off["admin"])
+}
+
+// Guards against shares that depend on the size or the number of requests
+// instead of the weight.
+func TestSharesFollowWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := fairqueue.New[int](1000, classes)
+		weights := rapid.SliceOfN(rapid.Float64Range(0.5, 8), 2, 6).Draw(t, "weights")
+		costs := rapid.SliceOfN(rapid.Float64Range(1, 50), len(weights), len(weights)).Draw(t, "costs")
+		sum := 0.0
+		push := func(i int) {
+			_, _, err := q.Push(start, item{Class: "desk", Organisation: fmt.Sprint(i), Cost: costs[i], Value: i})
+			require.NoError(t, err)
+		}
+		for i, w := range weights {
+			q.SetWeight(fmt.Sprint(i), w)
+			sum += w
+			push(i)
+			push(i)
+		}
+		served, total := make([]float64, len(weights)), 0.0
+		for total < 50000 {
+			p := q.Pop()
+			served[p.Value] += p.Cost
+			total += p.Cost
+			push(p.Value)
+		}
+		for i, w := range weights {
+			require.InEpsilon(t, w/sum, served[i]/total, 0.1)
+		}
+	})
+}
+
+// Guards against work that is queued although it can't meet its deadline.
+func TestDeadlines(t *testing.T) {
+	q := fairqueue.New[int](1000, classes)
+	q.SetRate(100)
+	push := func(ahead time.Duration) error {
+		_, _, err := q.Push(start, item{
+			Class: "desk", Organisation: "mill", Cost: 100, Deadline: start.Add(ahead), Service: time.Second,
+		})
+		return err
+	}
+	require.NoError(t, push(3*time.Second))
+	require.NoError(t, push(3*time.Second))
+	require.True(t, errkind.Is(push(2500*time.Millisecond), errkind.DeadlineUnreachable))
+	require.Empty(t, q.Expire(start.Add(2*time.Second)))
+	require.Len(t, q.Expire(start.Add(2001*time.Millisecond)), 2)
+	require.Zero(t, q.Len())
+}
+
+// Guards against a full queue of low-class work that refuses urgent work, and
+// against one organisation that fills the queue.
+func TestFullQueueDisplaces(t *testing.T) {
+	q := fairqueue.New[int](4, classes)
+	for i := range 4 {
+		_, _, err := q.Push(start, item{Class: "admin", Organisation: "batch", Cost: 10, Value: i})
+		require.NoError(t, err)
+	}
+	_, _, err := q.Push(start, item{Class: "admin", Organisation: "batch", Cost: 10})
+	require.True(t, errkind.Is(err, errkind.QueueFull))
+	_, displaced, err := q.Push(start, item{Class: "admin", Organisation: "other", Cost: 10})
+	require.NoError(t, err)
+	require.Equal(t, 3, displaced.Value)
+	_, displaced, err = q.Push(start, item{Class: "desk", Organisation: "batch", Cost: 10, Value: 9})
+	require.NoError(t, err)
+	require.Equal(t, 2, displaced.Value)
+	require.False(t, q.Cancel(displaced))
+	require.Equal(t, 9, q.Pop().Value)
+}
+
+// Guards against lost or doubled items over random operations.
+func TestEveryItemLeavesOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := fairqueue.New[int](20, classes)
+		waiting := map[int]*fairqueue.Ticket[int]{}
+		leave := func(x *fairqueue.Ticket[int]) {
+			require.Contains(t, waiting, x.Value)
+			delete(waiting, x.Value)
+		}
+		now := start
+		for k := range 200 {
+			switch rapid.IntRange(0, 5).Draw(t, "operation") {
+			case 0, 1, 2:
+				ticket, displaced, err := q.Push(now, item{
+					Class:        rapid.SampledFrom([]string{"desk", "accounts", "admin", "unknown"}).Draw(t, "class"),
+					Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation"),
+					Cost:         rapid.Float64Range(0, 100).Draw(t, "cost"),
+					Deadline:     now.Add(time.Duration(rapid.IntRange(1, 50).Draw(t, "ahead"))),
+					Value:        k,
+				})
+				if displaced != nil {
+					leave(displaced)
+				}
+				if err == nil {
+					waiting[k] = ticket
+				}
+			case 3:
+				if p := q.Pop(); p != nil {
+					leave(p)
+				}
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "step")))
+				for _, x := range q.Expire(now) {
+					leave(x)
+				}
+			case 5:
+				for i := range k {
+					if x, ok := waiting[i]; ok {
+						require.True(t, q.Cancel(x))
+						leave(x)
+						break
+					}
+				}
+				q.SetClasses(classes)
+			}
+			require.Equal(t, len(waiting), q.Len())
+		}
+	})
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,174 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmux/filbertmux/membership"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const tick = 50 * time.Millisecond
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func row(id, domain string) platform.Instance {
+	return platform.Instance{
+		ID: id, Role: platform.RoleBackend, Service: "text-desk", Address: id + ":1",
+		FailureDomain: domain, State: platform.Live,
+	}
+}
+
+func leavingRow(id string) platform.Instance {
+	r := row(id, "a")
+	r.State = platform.Departing
+	return r
+}
+
+func state(v *membership.View, id string) membership.State {
+	s, _ := v.Get(id)
+	return s.State
+}
+
+func oneUsable() *membership.View {
+	v := membership.New(membership.DefaultConfig())
+	v.ApplyList(at(0), []platform.Instance{row("s1", "a")})
+	v.ApplySuccess(at(10), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(5)})
+	return v
+}
+
+// Guards against the lagging list bringing back a server, and against a late
+// answer doing so.
+func TestListOnlyWithdraws(t *testing.T) {
+	v := oneUsable()
+	require.Equal(t, membership.Usable, state(v, "s1"))
+	v.ApplyList(at(1000), []platform.Instance{leavingRow("s1")})
+	require.Equal(t, membership.Leaving, state(v, "s1"))
+	v.ApplyList(at(2000), []platform.Instance{row("s1", "a")})
+	require.Equal(t, membership.Leaving, state(v, "s1"), "the list alone brings nothing back")
+	v.ApplySuccess(at(2010), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(900)})
+	require.Equal(t, membership.Leaving, state(v, "s1"), "the answer is older than the list")
+	v.ApplySuccess(at(2020), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(2015)})
+	require.Equal(t, membership.Usable, state(v, "s1"))
+	v.ApplyList(at(3000), nil)
+	require.Empty(t, v.Candidates("text-desk"))
+}
+
+// Guards against a server that said it is leaving getting work again in the
+// same incarnation, and against a late signal of an earlier incarnation.
+func TestLeavingIsFinalForAnIncarnation(t *testing.T) {
+	v := oneUsable()
+	v.ApplySuccess(at(100), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(90), Leaving: true})
+	v.ApplySuccess(at(200), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(190)})
+	require.Equal(t, membership.Leaving, state(v, "s1"))
+	v.ApplySuccess(at(300), membership.Success{ID: "s1", Incarnation: "i2", Sent: at(290)})
+	require.Equal(t, membership.Usable, state(v, "s1"))
+	v.ApplySuccess(at(310), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(80), Leaving: true})
+	require.Equal(t, membership.Usable, state(v, "s1"))
+}
+
+// Guards against a timeout of an old call, or a late answer, that contradicts
+// fresher evidence.
+func TestFresherSignalWins(t *testing.T) {
+	v := oneUsable()
+	v.ApplyFailure(at(500), membership.Failure{ID: "s1", Sent: at(1), Timeout: true})
+	require.Equal(t, membership.Usable, state(v, "s1"), "it answered after the call was sent")
+	v.ApplyFailure(at(600), membership.Failure{ID: "s1", Sent: at(550)})
+	require.Equal(t, membership.Suspect, state(v, "s1"))
+	require.Equal(t, []string{"s1"}, v.Due(at(600)))
+	v.ApplySuccess(at(610), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(555)})
+	require.Equal(t, membership.Suspect, state(v, "s1"), "the answer is older than the failure")
+}
+
+func fleet(config membership.Config) *membership.View {
+	v := membership.New(config)
+	var rows []platform.Instance
+	for i := range 12 {
+		rows = append(rows, row(fmt.Sprintf("s%02d", i), string(rune('a'+i%3))))
+	}
+	v.ApplyList(start, rows)
+	for _, r := range rows {
+		v.ApplySuccess(start, membership.Success{ID: r.ID, Incarnation: "i1", Sent: start})
+	}
+	return v
+}
+
+// Guards against losing one request for each server of a lost failure domain.
+func TestDomainLossSuspectsTheRest(t *testing.T) {
+	off := membership.DefaultConfig()
+	off.DomainFailures = 0
+	for _, c := range []struct {
+		config membership.Config
+		left   int
+	}{{membership.DefaultConfig(), 8}, {off, 10}} {
+		v := fleet(c.config)
+		v.ApplyFailure(at(100), membership.Failure{ID: "s00", Sent: at(90)})
+		require.Len(t, v.Candidates("text-desk"), 11)
+		v.ApplyFailure(at(101), membership.Failure{ID: "s03", Sent: at(90)})
+		require.Len(t, v.Candidates("text-desk"), c.left)
+		require.Len(t, v.Due(at(101)), 12-c.left, "the suspects are probed at once")
+	}
+}
+
+// Guards against dead servers that keep healthy neighbours suspect.
+func TestNeighboursRecover(t *testing.T) {
+	v := fleet(membership.DefaultConfig())
+	v.ApplyFailure(at(100), membership.Failure{ID: "s00", Sent: at(90)})
+	v.ApplyFailure(at(101), membership.Failure{ID: "s03", Sent: at(90)})
+	v.Due(at(101))
+	for _, id := range []string{"s06", "s09"} {
+		v.ApplySuccess(at(110), membership.Success{ID: id, Incarnation: "i1", Sent: at(101)})
+	}
+	for ms := 150; ms < 1500; ms += 50 {
+		v.Due(at(ms))
+		require.Equal(t, membership.Usable, state(v, "s06"))
+	}
+}
+
+// Guards against work sent to a silent server for longer than the bound of the
+// package comment, whatever the time and the number of servers.
+func TestSilentServerBound(t *testing.T) {
+	config := membership.DefaultConfig()
+	bound := config.SilentAfter + config.ProbeTimeout + 2*tick
+	rapid.Check(t, func(t *rapid.T) {
+		v := fleet(config)
+		silent := fmt.Sprintf("s%02d", rapid.IntRange(0, 11).Draw(t, "silent"))
+		died := at(rapid.IntRange(0, 3000).Draw(t, "died_ms"))
+		every := rapid.IntRange(1, 20).Draw(t, "ticks_between_calls")
+		var first, last time.Time
+		for k := range 200 {
+			now := start.Add(time.Duration(k) * tick)
+			for _, id := range v.Due(now) {
+				if id != silent || now.Before(died) {
+					v.ApplySuccess(now, membership.Success{ID: id, Incarnation: "i1", Sent: now})
+				}
+			}
+			if k%every != 0 {
+				continue
+			}
+			for _, s := range v.Candidates("text-desk") {
+				v.MarkSent(now, s.ID)
+				if s.ID != silent || now.Before(died) {
+					v.ApplySuccess(now, membership.Success{ID: s.ID, Incarnation: "i1", Sent: now})
+					continue
+				}
+				if first.IsZero() {
+					first = now
+				}
+				last = now
+			}
+		}
+		if got := last.Sub(first); got > bound {
+			t.Fatalf("work was sent for %s after the first unanswered call, bound %s", got, bound)
+		}
+		if state(v, silent) != membership.Dead {
+			t.Fatalf("silent server is %s", state(v, silent))
+		}
+	})
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,77 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/retry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a repetition without the proof that a non-idempotent request
+// did not run, whatever the kind.
+func TestNonIdempotentNeedsProof(t *testing.T) {
+	for _, k := range errkind.Kinds() {
+		e := errkind.New(k, "test")
+		if retry.MayRepeat(retry.Attempt{Err: e}) {
+			require.Equal(t, errkind.NotRun, e.Execution, k.String())
+		}
+		e.Execution = errkind.Done
+		require.False(t, retry.MayRepeat(retry.Attempt{Err: e, Idempotent: true}), k.String())
+		e.Execution = errkind.Unknown
+		require.False(t, retry.MayRepeat(retry.Attempt{Err: e}), k.String())
+	}
+	require.True(t, retry.MayRepeat(retry.Attempt{Err: errkind.New(errkind.Leaving, "test")}))
+	failed := errkind.New(errkind.BackendFailed, "test")
+	require.True(t, retry.MayRepeat(retry.Attempt{Err: failed, Idempotent: true}))
+	require.False(t, retry.MayRepeat(retry.Attempt{Err: failed, Idempotent: true, AnswerStarted: true}))
+	require.False(t, retry.MayRepeat(retry.Attempt{Err: errkind.New(errkind.LimitExceeded, "test"), Idempotent: true}))
+}
+
+func failAll(config retry.Config, requests int) (attempts int) {
+	b := retry.NewBudget(config)
+	rng := rand.New(rand.NewPCG(1, 1))
+	err := errkind.New(errkind.BackendUnavailable, "test")
+	for range requests {
+		b.FirstAttempt()
+		attempts++
+		a := retry.Attempt{Err: err, Number: 1, Idempotent: true}
+		for b.Decide(start, a, rng).Repeat {
+			a.Number++
+			attempts++
+		}
+	}
+	return attempts
+}
+
+// Guards against a retry storm when all servers fail. Without the budget the
+// attempts reach MaxAttempts a request.
+func TestBudgetBoundsAttempts(t *testing.T) {
+	config := retry.DefaultConfig()
+	require.LessOrEqual(t, float64(failAll(config, 10000)), 1.1*10000+config.Burst)
+	config.Ratio = float64(config.MaxAttempts)
+	config.Burst = float64(config.MaxAttempts)
+	require.Equal(t, 10000*config.MaxAttempts, failAll(config, 10000))
+}
+
+// Guards against retries that feed an overload, and against retries that can't
+// meet the deadline.
+func TestNoRetryWhileOverloadedOrLate(t *testing.T) {
+	config := retry.DefaultConfig()
+	b := retry.NewBudget(config)
+	rng := rand.New(rand.NewPCG(1, 1))
+	a := retry.Attempt{Err: errkind.New(errkind.Leaving, "test"), Number: 1}
+	b.Overloaded(start)
+	require.Equal(t, retry.ServiceOverload, b.Decide(start.Add(time.Second), a, rng).Reason)
+	late := start.Add(config.OverloadHold)
+	d := b.Decide(late, a, rng)
+	require.True(t, d.Repeat)
+	require.Less(t, d.Delay, config.BaseDelay)
+	a.Deadline = late
+	require.Equal(t, retry.DeadlineTooClose, b.Decide(late, a, rng).Reason)
+}
