--- a/cmd/filbertmux-bench/main.go
+++ b/cmd/filbertmux-bench/main.go
@@ -4,15 +4,18 @@
 import (
 	"github.com/alecthomas/kong"
 
+	"github.com/filbertmux/filbertmux/bench/capacity"
 	"github.com/filbertmux/filbertmux/bench/experts"
+	"github.com/filbertmux/filbertmux/bench/routing"
 )
 
-type cli struct {
-	Experts experts.Cmd `cmd:"" help:"Expert planner: skew and moves of each policy."`
+type commands struct {
+	Capacity capacity.Cmd `cmd:"" help:"Measure state, bytes and time of each role and extrapolate to the design size."`
+	Experts  experts.Cmd  `cmd:"" help:"Expert planner: skew and moves of each policy."`
+	Routing  routing.Cmd  `cmd:"" help:"Measure routing, queueing, limits, retries and membership."`
 }
 
 func main() {
-	var c cli
-	ctx := kong.Parse(&c, kong.Name("filbertmux-bench"), kong.UsageOnError())
+	ctx := kong.Parse(&commands{}, kong.Name("filbertmux-bench"), kong.UsageOnError())
 	ctx.FatalIfErrorf(ctx.Run())
 }
