Bound prefix affinity by requests in flight

Cause: affinity sent popular prefixes to a server until its latency rose. The latency to the first token rises only when all stream slots are taken, and then stays high for the length of a stream; servers without a report were taken too. Ruled out: more choices per prefix, which moves the limit but doesn't set one. Change: a choice is taken only if a recent report shows at most 1.25 times the mean requests in flight of the known servers.

--- a/routing/loads.go
+++ b/routing/loads.go
@@ -68,3 +68,19 @@
 	load.InFlight += k.sentSince
 	return load, true
 }
+
+// MeanInFlight returns the mean of the requests in flight in the reports
+// younger than MaxAge, and whether there is any.
+func (l *Loads) MeanInFlight(now time.Time) (float64, bool) {
+	sum, reports := 0, 0
+	for id := range l.servers {
+		if load, ok := l.Report(now, id); ok {
+			sum += load.InFlight
+			reports++
+		}
+	}
+	if reports == 0 {
+		return 0, false
+	}
+	return float64(sum) / float64(reports), true
+}
--- a/routing/wrappers.go
+++ b/routing/wrappers.go
@@ -9,23 +9,22 @@
 type AffinityConfig struct {
 	// Choices is the number of rendezvous choices per prefix.
 	Choices int
-	// Bound is the load of a choice, relative to the inner policy's pick, up
-	// to which the choice is taken.
+	// Bound is the number of requests in flight, relative to the mean of the
+	// known servers, up to which a choice is taken.
 	Bound float64
-	// Slack is the latency that a cache hit saves: a choice may also be this
-	// much slower than the inner policy's pick.
-	Slack time.Duration
 }
 
-// DefaultAffinityConfig allows a choice 25% more load than the average pick.
+// DefaultAffinityConfig allows a choice 25% more load than the mean.
 func DefaultAffinityConfig() AffinityConfig {
-	return AffinityConfig{Choices: 2, Bound: 1.25, Slack: 100 * time.Millisecond}
+	return AffinityConfig{Choices: 2, Bound: 1.25}
 }
 
 // PrefixAffinity sends requests with the same prompt prefix to the same few
-// servers, by bounded-load rendezvous hashing: a choice is taken only while
-// its load is within a bound of what the inner policy would pick. Cache events
-// of the engines are not needed; they come late and with gaps.
+// servers, by bounded-load rendezvous hashing: a choice is taken only if a
+// recent report shows that its load is within the bound. The bound is on the
+// requests in flight, because the latency to the first token rises only when a
+// server is already full, and then stays high for the length of a stream.
+// Cache events of the engines are not needed; they come late and with gaps.
 type PrefixAffinity struct {
 	Config AffinityConfig
 	Inner  Policy
@@ -56,37 +55,17 @@
 
 // Pick implements Policy.
 func (p *PrefixAffinity) Pick(r Request) int {
-	inner := p.Inner.Pick(r)
-	if r.Prefix == 0 || inner < 0 {
-		return inner
+	mean, known := p.Loads.MeanInFlight(r.Now)
+	if r.Prefix == 0 || !known {
+		return p.Inner.Pick(r)
 	}
-	limit, known := p.Loads.Report(r.Now, r.Candidates[inner].ID)
 	for _, i := range firstChoices(r.Prefix, r.Candidates, p.Config.Choices) {
-		if p.within(r, i, limit, known) {
+		load, ok := p.Loads.Report(r.Now, r.Candidates[i].ID)
+		if ok && float64(load.InFlight) <= p.Config.Bound*mean {
 			return i
 		}
 	}
-	return inner
-}
-
-// within reports whether candidate i is within the bound. Without reports the
-// bound applies to this entry's own counts.
-func (p *PrefixAffinity) within(r Request, i int, limit Load, known bool) bool {
-	load, ok := p.Loads.Report(r.Now, r.Candidates[i].ID)
-	if !ok || !known {
-		return p.withinOwn(r, i)
-	}
-	bound := time.Duration(p.Config.Bound * float64(limit.Latency))
-	return load.Latency <= bound+p.Config.Slack
-}
-
-func (p *PrefixAffinity) withinOwn(r Request, i int) bool {
-	total := 1
-	for _, c := range r.Candidates {
-		total += p.Loads.InFlight(c.ID)
-	}
-	bound := p.Config.Bound * float64(total) / float64(len(r.Candidates))
-	return float64(p.Loads.InFlight(r.Candidates[i].ID)) < max(1, bound)
+	return p.Inner.Pick(r)
 }
 
 // DomainPreference prefers the candidates in the entry's own failure domain
