Wait for probe answers before the pick

Cause: with 300 entries an entry gets 5 requests/s and rarely has a recent report of the servers of a prefix, so affinity fell back to the inner policy. Ruled out: an older MaxAge of reports (5 s is already a quarter of a stream); more probes per request (control bytes grow in proportion). Change: the caller waits for the answers to the probes of a request, one round trip of 1 ms here, before it picks. The number of probes is unchanged.

--- a/bench/routing/policies.go
+++ b/bench/routing/policies.go
@@ -174,10 +174,19 @@
 		outputTokens: max(1, logNormal(t.rng, meanOutput, outputSigma)),
 	}
 	r := decide.Request{Now: t.clock.now, Rand: e.rng, Prefix: j.prefix * 0x9e3779b97f4a7c15, Candidates: t.all}
-	for _, id := range e.policy.Probes(r) {
+	probes := e.policy.Probes(r)
+	for _, id := range probes {
 		t.probe(e, id)
 	}
-	t.send(e, j, t.all[e.policy.Pick(r)])
+	arrived := t.clock.now
+	wait := time.Duration(0)
+	if len(probes) > 0 {
+		wait = 2 * farOneWay
+	}
+	t.clock.after(wait, func() {
+		r.Now = t.clock.now
+		t.send(e, j, t.all[e.policy.Pick(r)], arrived)
+	})
 }
 
 func (t *trial) count(bytes float64) {
@@ -205,12 +214,11 @@
 	})
 }
 
-func (t *trial) send(e *entry, j *job, to decide.Candidate) {
-	arrived := t.clock.now
+func (t *trial) send(e *entry, j *job, to decide.Candidate, arrived time.Time) {
 	measured := t.warm()
 	delay := oneWay(e.domain, to.FailureDomain)
 	r := t.replicas[t.index[to.ID]]
-	e.policy.Observe(arrived, decide.Event{Kind: decide.Sent, Server: to.ID})
+	e.policy.Observe(t.clock.now, decide.Event{Kind: decide.Sent, Server: to.ID})
 	report := func(after func()) {
 		t.count(reportBytes)
 		load := r.load()
--- a/routing/probebased.go
+++ b/routing/probebased.go
@@ -40,7 +40,7 @@
 // ProbeBased keeps a pool of recent probe results. It picks the server with
 // the lowest latency among the cold ones or, if all are hot, the one with the
 // fewest requests in flight. Each request asks for a few new probes, whose
-// answers serve later requests, and drops the worst or the oldest result in
+// answers serve this one and later ones, and drops the worst or the oldest result in
 // turn, so that the pool doesn't fill up with loaded servers.
 type ProbeBased struct {
 	config ProbeConfig
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -72,7 +72,9 @@
 	// Observe takes an event. Events of unknown servers are harmless.
 	Observe(now time.Time, e Event)
 	// Probes returns the ids of the servers to probe because of this request.
-	// The answers come back as Probed events. Pick doesn't wait for them.
+	// The answers come back as Probed events. Pick works without them, but is
+	// better after them: the caller sends the probes and waits at most a few
+	// milliseconds for the answers before it calls Pick.
 	Probes(r Request) []string
 }
 
