Measure entry and group holder for the capacity page

Cause: the capacity page needs the slopes of routing, limits, queueing and planning too. Change: series for the membership view, picks, limiter, reports, queue, planner.

--- a/bench/capacity/capacity.go
+++ b/bench/capacity/capacity.go
@@ -80,7 +80,7 @@
 
 // Measure runs all measurements.
 func Measure() ([]Slope, error) {
-	all := [][]series{tableSeries(), claimSeries()}
+	all := [][]series{tableSeries(), claimSeries(), entrySeries(), holderSeries()}
 	var slopes []Slope
 	for _, group := range all {
 		for _, s := range group {
--- /dev/null
+++ b/bench/capacity/holder.go
@@ -0,0 +1,60 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/filbertmux/filbertmux/experts"
+)
+
+const roleHolder = "holder of a group"
+
+// mapLayers is the size of the map measurement: a model with 60 layers.
+const mapLayers = 60
+
+func holderSeries() []series {
+	sizes := []int{64, 128, 256}
+	return []series{
+		{roleHolder, "time to plan one layer on 32 ranks", "experts", "s", sizes, designExperts, planTime},
+		{
+			roleHolder, "bytes of a 60-layer map in JSON", "experts", "B", sizes, designExperts,
+			func(n int) (float64, error) {
+				m, err := experts.Uniform(topology(n), mapLayers)
+				if err != nil {
+					return 0, err
+				}
+				data, err := json.Marshal(m)
+				return float64(len(data)), err
+			},
+		},
+	}
+}
+
+// topology has 32 ranks in 4 failure domains and two spare slots on each rank.
+func topology(numExperts int) *experts.Topology {
+	t := &experts.Topology{Experts: numExperts, SlotsPerRank: numExperts/designRanks + 2}
+	for rank := range designRanks {
+		t.Domains = append(t.Domains, fmt.Sprintf("domain-%d", rank%4))
+	}
+	return t
+}
+
+func planTime(n int) (float64, error) {
+	t := topology(n)
+	m, err := experts.Uniform(t, 1)
+	if err != nil {
+		return 0, err
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	load := make([]float64, n)
+	sum := 0.0
+	for i := range load {
+		load[i] = rng.ExpFloat64()
+		sum += load[i]
+	}
+	for i := range load {
+		load[i] /= sum
+	}
+	return timePerCall(func() { experts.PlanLayer(t, m.Layers[0], load, 0) }), nil
+}
