Fetch the instance list by conditional request

Cause: a full list of 600 replicas has 119 kB; at one fetch a second that is twelve times the control budget of 10 KB/s a node. Ruled out: a longer interval, because the list is one of the signals that take a leaving server out within seconds. Before: 119 kB for each fetch at 600 replicas. After: 0 body bytes while the list is unchanged (test).

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/xxh3"
 	"golang.org/x/time/rate"
 
 	"github.com/filbertmux/filbertmux/errkind"
@@ -168,7 +169,30 @@
 
 func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
 	instances, err := p.Instances(r.Context())
-	writeResult(w, instances, err)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	tag, err := entityTag(instances)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, http.StatusOK, instances)
+}
+
+// entityTag identifies the content of an instance list.
+func entityTag(instances []platform.Instance) (string, error) {
+	data, err := json.Marshal(instances)
+	if err != nil {
+		return "", err
+	}
+	return strconv.Quote(strconv.FormatUint(xxh3.Hash(data), 16)), nil
 }
 
 func (p *Platform) servePutInstances(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -83,3 +84,39 @@
 	require.NoError(t, err)
 	require.Len(t, got, 1)
 }
+
+// countingTransport counts the body bytes that it received.
+type countingTransport struct{ bytes int64 }
+
+func (c *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		c.bytes += max(0, resp.ContentLength)
+	}
+	return resp, err
+}
+
+// Guards against a full instance list each time, which at 600 replicas exceeds
+// the control budget of 10 KB/s, and against a stale list after a change.
+func TestUnchangedInstanceListIsNotSentAgain(t *testing.T) {
+	ctx := context.Background()
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	server := httptest.NewServer(p)
+	defer server.Close()
+	transport := &countingTransport{}
+	client, err := platform.NewHTTPClient(server.URL, &http.Client{Transport: transport})
+	require.NoError(t, err)
+	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Live}})
+	first, err := client.Instances(ctx)
+	require.NoError(t, err)
+	sent := transport.bytes
+	require.Positive(t, sent)
+	second, err := client.Instances(ctx)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+	require.Equal(t, sent, transport.bytes)
+	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Departing}})
+	third, err := client.Instances(ctx)
+	require.NoError(t, err)
+	require.Equal(t, platform.Departing, third[0].State)
+}
