Add log-based leases, the fencing guard and their driver

Cause: one sidecar of a rank group plans and switches maps. A holder that was paused acts late, and some backend servers ignore fencing tokens.

Ruled out: expiry alone, because a paused holder acts after it. Tokens checked only against the log, because the guard's read lags; a passed token also fences off lower ones. A guard that starts with an empty memory, because a lower token could pass after a restart.

Change: package lease folds claim, renew and release records, with the offset of the record that started a tenure as token; Holder counts a tenure from the send of its record; Guard passes nothing before it has read to the end of the stream. Package leaselog does the I/O on the stream groups.

Conclusion: fencing in the sidecar makes expiry a matter of liveness only.

--- /dev/null
+++ b/leaselog/leaselog_test.go
@@ -0,0 +1,94 @@
+package leaselog_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/leaselog"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// memLog loses the answer of every third append after its effect.
+type memLog struct {
+	mu      sync.Mutex
+	down    bool
+	records []platform.Record
+}
+
+func (m *memLog) Append(_ context.Context, _ string, data []byte) (platform.Offset, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, errkind.New(errkind.PlatformUnavailable, "outage")
+	}
+	end := platform.Offset(len(m.records) + 1)
+	m.records = append(m.records, platform.Record{Offset: end, Time: time.Now(), Data: data})
+	if end%3 == 0 {
+		return 0, errkind.New(errkind.PlatformUnavailable, "answer lost")
+	}
+	return end, nil
+}
+
+func (m *memLog) Read(_ context.Context, _ string, after platform.Offset, _ int, _ time.Duration) (platform.Batch, error) {
+	time.Sleep(50 * time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Batch{}, errkind.New(errkind.PlatformUnavailable, "outage")
+	}
+	return platform.Batch{Records: append([]platform.Record(nil), m.records[after:]...), Oldest: 1, End: platform.Offset(len(m.records))}, nil
+}
+
+func (m *memLog) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// Guards against a duty without a holder after a hand-over, two holders at
+// once, an old token that passes, and a holder that goes on in an outage.
+func TestHandOverAndOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, s := &memLog{}, leaselog.DefaultSettings()
+		open := func(name string, seed uint64) *leaselog.Client {
+			return leaselog.New(log, name, time.Now, rand.New(rand.NewPCG(seed, 0)), s)
+		}
+		a, b, bystander := open("a", 1), open("b", 2), open("c", 3)
+		a.Campaign("group-1")
+		time.Sleep(5 * time.Second)
+		b.Campaign("group-1")
+		time.Sleep(60 * time.Second)
+		first, ok := a.Token("group-1")
+		require.True(t, ok)
+		_, ok = b.Token("group-1")
+		require.False(t, ok)
+		require.NoError(t, bystander.Check("group-1", first))
+
+		a.Close(t.Context())
+		time.Sleep(10 * time.Second)
+		second, ok := b.Token("group-1")
+		require.True(t, ok)
+		require.Greater(t, second, first)
+		require.NoError(t, bystander.Check("group-1", second))
+		require.True(t, errkind.Is(bystander.Check("group-1", first), errkind.StaleFencingToken))
+
+		log.setDown(true)
+		time.Sleep(s.Lease.TTL)
+		_, ok = b.Token("group-1")
+		require.False(t, ok)
+		require.True(t, errkind.Is(bystander.Check("group-1", second), errkind.LogUnavailable))
+		log.setDown(false)
+		time.Sleep(3 * s.Lease.TTL)
+		_, ok = b.Token("group-1")
+		require.True(t, ok)
+		b.Close(t.Context())
+		bystander.Close(t.Context())
+	})
+}
