Add the quarantine of requests that crash their backend server

Cause: a caller sends a crashing request again and each attempt takes down another server, along with the requests beside it.

Ruled out: refusal after two crashes of any kind. A request that was twice beside a crashing one would be refused; a refusal therefore needs at least one crash of a run alone.

--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,266 @@
+// Package quarantine keeps a request that crashes its backend server from
+// taking down one server after another. It is deterministic and does no I/O.
+//
+// The requests in flight at a crash become suspects. A suspect runs only as the
+// sole request on its server, so that a further crash can be attributed to it.
+// After that it is refused; an answer instead clears it.
+//
+// Nothing in this package is safe for concurrent use.
+package quarantine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/filbertmux/filbertmux/errkind"
+)
+
+// Stream is the log stream of suspects.
+const Stream = "suspects"
+
+// recordType is the type field of a suspect record.
+const recordType = "suspect"
+
+// Fingerprint identifies requests that act alike on a backend server.
+type Fingerprint struct {
+	Service      string `json:"service"`
+	Organisation string `json:"org"`
+	BodyHash     string `json:"body_hash"`
+}
+
+// Op is what a report says about a fingerprint.
+type Op string
+
+// Operations. Readers skip others.
+const (
+	// OpCrashed: in flight with other requests when a backend server crashed.
+	OpCrashed Op = "crashed"
+	// OpCrashedAlone: the only request in flight at a crash.
+	OpCrashedAlone Op = "crashed_alone"
+	// OpCleared: answered as the only request in flight.
+	OpCleared Op = "cleared"
+)
+
+// Report is one observation, as a log record or as a message between
+// processes. Crash is unique for each crash or clearance, so that a report
+// that arrives on both ways counts once. Reports about one fingerprint commute
+// except that a clearance removes only crashes observed before its run began.
+type Report struct {
+	Type  string `json:"type"`
+	Op    Op     `json:"op"`
+	Crash string `json:"crash"`
+	Fingerprint
+	Time  time.Time `json:"time"`            // of the crash or the clearance
+	Began time.Time `json:"began,omitempty"` // of the run that cleared
+}
+
+// Encode returns the bytes of r.
+func Encode(r Report) ([]byte, error) {
+	r.Type = recordType
+	data, err := json.Marshal(&r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode suspect report")
+	}
+	return data, nil
+}
+
+// Decode returns the report in data. It returns false for other records.
+func Decode(data []byte) (Report, bool) {
+	var r Report
+	if err := json.Unmarshal(data, &r); err != nil || r.Type != recordType {
+		return Report{}, false
+	}
+	return r, r.Op == OpCrashed || r.Op == OpCrashedAlone || r.Op == OpCleared
+}
+
+// Settings bound the suspects.
+type Settings struct {
+	// Keep is how long a suspect is kept after its last crash.
+	Keep time.Duration
+	// MaxSuspects bounds the fingerprints held; the oldest one goes first.
+	MaxSuspects int
+}
+
+// DefaultSettings returns the settings used by the daemons.
+func DefaultSettings() Settings {
+	return Settings{Keep: time.Hour, MaxSuspects: 10_000}
+}
+
+// Handling says how a request may run.
+type Handling uint8
+
+// Handlings.
+const (
+	Normal Handling = iota
+	// Alone: as the sole request in flight on its server.
+	Alone
+	// Refused: as SuspectRequest.
+	Refused
+)
+
+// maxCrashes is the number of servers that one fingerprint may cost.
+const maxCrashes = 2
+
+// maxReports bounds the reports kept for one fingerprint. Crashes beyond
+// maxCrashes add nothing while it is refused; runs that were in flight
+// elsewhere at the first crash may report more.
+const maxReports = 8
+
+type suspect struct {
+	crashes []Report
+	last    time.Time
+}
+
+// Register holds the suspects that a process knows.
+type Register struct {
+	settings Settings
+	suspects map[Fingerprint]*suspect
+}
+
+// NewRegister returns an empty Register.
+func NewRegister(s Settings) *Register {
+	return &Register{settings: s, suspects: make(map[Fingerprint]*suspect)}
+}
+
+// Len returns the number of suspects.
+func (g *Register) Len() int { return len(g.suspects) }
+
+// Handling returns how a request with this fingerprint may run at now.
+func (g *Register) Handling(now time.Time, f Fingerprint) Handling {
+	s := g.suspects[f]
+	switch {
+	case s == nil || now.Sub(s.last) > g.settings.Keep:
+		return Normal
+	case s.refused():
+		return Refused
+	default:
+		return Alone
+	}
+}
+
+// refused requires a crash of a run alone: a request that twice was in flight
+// beside another one that crashed its server is innocent until it ran alone.
+func (s *suspect) refused() bool {
+	for _, r := range s.crashes {
+		if r.Op == OpCrashedAlone && len(s.crashes) >= maxCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// Reports returns the crashes known for f. An entry sends them along with a
+// request, so that the sidecar knows them ahead of the log.
+func (g *Register) Reports(f Fingerprint) []Report {
+	s := g.suspects[f]
+	if s == nil {
+		return nil
+	}
+	return slices.Clone(s.crashes)
+}
+
+// Refusal returns the answer to a refused request.
+func Refusal() *errkind.Error {
+	return errkind.New(errkind.SuspectRequest, "requests like this one crashed %d backend servers", maxCrashes)
+}
+
+// Crashed returns the reports on a crash of a backend server at now with these
+// requests in flight, and applies them. id is unique for the crash.
+func (g *Register) Crashed(now time.Time, id string, inFlight []Fingerprint) []Report {
+	distinct := make(map[Fingerprint]bool, len(inFlight))
+	var reports []Report
+	op := OpCrashed
+	if len(inFlight) == 1 {
+		op = OpCrashedAlone
+	}
+	for _, f := range inFlight {
+		if distinct[f] {
+			continue
+		}
+		distinct[f] = true
+		reports = append(reports, Report{Op: op, Crash: id, Fingerprint: f, Time: now})
+	}
+	for _, r := range reports {
+		g.Apply(now, r)
+	}
+	return reports
+}
+
+// Answered returns the report on a suspect that ran alone from began on and
+// was answered, and applies it. It returns false if f is no suspect.
+func (g *Register) Answered(now, began time.Time, id string, f Fingerprint) (Report, bool) {
+	if g.Handling(now, f) != Alone {
+		return Report{}, false
+	}
+	r := Report{Op: OpCleared, Crash: id, Fingerprint: f, Time: now, Began: began}
+	g.Apply(now, r)
+	return r, true
+}
+
+// Apply takes a report from the log or from another process.
+func (g *Register) Apply(now time.Time, r Report) {
+	if now.Sub(r.Time) > g.settings.Keep {
+		return
+	}
+	s := g.suspects[r.Fingerprint]
+	if r.Op == OpCleared {
+		g.clear(r, s)
+		return
+	}
+	if s == nil {
+		g.evict(now)
+		s = &suspect{}
+		g.suspects[r.Fingerprint] = s
+	}
+	for _, known := range s.crashes {
+		if known.Crash == r.Crash {
+			return
+		}
+	}
+	if len(s.crashes) < maxReports {
+		s.crashes = append(s.crashes, r)
+	}
+	if r.Time.After(s.last) {
+		s.last = r.Time
+	}
+}
+
+// clear drops the crashes with other requests ahead of a run that was answered
+// alone. A crash alone stays: the request may crash its server only at times.
+func (g *Register) clear(r Report, s *suspect) {
+	if s == nil {
+		return
+	}
+	kept := s.crashes[:0]
+	for _, c := range s.crashes {
+		if c.Op == OpCrashedAlone || c.Time.After(r.Began) {
+			kept = append(kept, c)
+		}
+	}
+	s.crashes = kept
+	if len(kept) == 0 {
+		delete(g.suspects, r.Fingerprint)
+	}
+}
+
+// evict makes room: suspects beyond Keep go, then the oldest one.
+func (g *Register) evict(now time.Time) {
+	if len(g.suspects) < g.settings.MaxSuspects {
+		return
+	}
+	var oldest Fingerprint
+	var at time.Time
+	for f, s := range g.suspects {
+		if now.Sub(s.last) > g.settings.Keep {
+			delete(g.suspects, f)
+		} else if at.IsZero() || s.last.Before(at) || s.last.Equal(at) && f.BodyHash < oldest.BodyHash {
+			oldest, at = f, s.last
+		}
+	}
+	if len(g.suspects) >= g.settings.MaxSuspects {
+		delete(g.suspects, oldest)
+	}
+}
