Plan every 15 s from counts of 15 s

Cause: with counts and plans of one minute, a map came into force for popularity that was more than two minutes old.

Change: interval, count lag and half-life 15 s, and MinInterval 15 s.

--- a/bench/experts/cmd.go
+++ b/bench/experts/cmd.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
 
 	"golang.org/x/sync/errgroup"
@@ -20,6 +21,8 @@
 	Plot     string   `help:"Directory for PNG plots." type:"path" placeholder:"DIR"`
 	Parallel int      `help:"Number of runs at the same time. Planner times are only meaningful at 1." default:"4"`
 	Size     []string `help:"Only these sizes." enum:"today,design" default:"today,design"`
+	Policy   []string `help:"Only these policies." enum:"never,replan-each,threshold,skew-weighted,cost-weighted" default:"never,replan-each,threshold,skew-weighted,cost-weighted"`
+	Scenario []string `help:"Only these scenarios." enum:"drift,mix-change,spike,stalled-rank" default:"drift,mix-change,spike,stalled-rank"`
 }
 
 // Run executes all policies in all scenarios and prints the results.
@@ -45,8 +48,11 @@
 	settings := planner.DefaultSettings()
 	var jobs []func() (Result, error)
 	for _, sz := range c.sizes() {
-		for _, sc := range scenarios {
+		for _, sc := range c.scenarios() {
 			for _, p := range policies(settings) {
+				if !slices.Contains(c.Policy, p.name) {
+					continue
+				}
 				jobs = append(jobs, func() (Result, error) { return simulate(sz, sc, c.Seed, settings, p) })
 			}
 		}
@@ -67,10 +73,18 @@
 func (c *Cmd) sizes() []size {
 	var chosen []size
 	for _, sz := range sizes {
-		for _, name := range c.Size {
-			if sz.Name == name {
-				chosen = append(chosen, sz)
-			}
+		if slices.Contains(c.Size, sz.Name) {
+			chosen = append(chosen, sz)
+		}
+	}
+	return chosen
+}
+
+func (c *Cmd) scenarios() []scenario {
+	var chosen []scenario
+	for _, sc := range scenarios {
+		if slices.Contains(c.Scenario, string(sc)) {
+			chosen = append(chosen, sc)
 		}
 	}
 	return chosen
--- a/bench/experts/plot.go
+++ b/bench/experts/plot.go
@@ -44,7 +44,7 @@
 	for i, r := range results {
 		points := make(plotter.XYs, len(r.series))
 		for at, skew := range r.series {
-			points[at] = plotter.XY{X: float64(at), Y: skew}
+			points[at] = plotter.XY{X: float64(at) / float64(perMinute), Y: skew}
 		}
 		line, err := plotter.NewLine(points)
 		if err != nil {
--- a/bench/experts/run.go
+++ b/bench/experts/run.go
@@ -14,7 +14,7 @@
 	// countLag is the number of intervals after which counts arrive.
 	countLag = 1
 	// halfLife of the tracked counts.
-	halfLife = time.Minute
+	halfLife = 15 * time.Second
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/bench/experts/workload.go
+++ b/bench/experts/workload.go
@@ -8,13 +8,14 @@
 	planner "github.com/filbertmux/filbertmux/experts"
 )
 
-// Workload constants. One run is a day in intervals of a minute.
+// Workload constants. One run is a day.
 const (
-	interval  = time.Minute
-	intervals = 24 * 60
+	perMinute = 4
+	interval  = time.Minute / perMinute
+	intervals = 24 * 60 * perMinute
 	// tokensPerInterval is the number of expert selections of one group and
 	// layer: 720,000 tokens/s over 150 groups with 8 experts per token.
-	tokensPerInterval = 720_000 / 150 * 8 * 60
+	tokensPerInterval = 720_000 / 150 * 8 * 60 / perMinute
 	// kinds of work: drafting, translation and summaries.
 	kinds = 3
 	// profileSpread is the standard deviation of the log popularity of an
@@ -23,7 +24,7 @@
 	// driftSpread and driftTime describe the random drift of the log
 	// popularity: its standard deviation and relaxation time.
 	driftSpread = 0.25
-	driftTime   = 2 * 60.0
+	driftTime   = 2 * time.Hour
 	// A spike multiplies the popularity of spikeExperts experts per layer.
 	spikeFactor  = 8
 	spikeExperts = 2
@@ -115,7 +116,7 @@
 	if w.scenario == mixChange {
 		// The mix turns to the next kind within ten minutes, four times.
 		phase := at * 4 / intervals
-		into := float64(at-phase*intervals/4) / 10
+		into := float64(at-phase*intervals/4) / float64(10*perMinute)
 		progress := math.Min(1, into)
 		for k := range m {
 			m[k] = 0.15
@@ -134,7 +135,7 @@
 // next advances the drift and returns the true load of each layer and expert.
 func (w *workload) next(at int) [][]float64 {
 	mix := w.mix(at)
-	keep := math.Exp(-1 / driftTime)
+	keep := math.Exp(-float64(interval) / float64(driftTime))
 	noise := driftSpread * math.Sqrt(1-keep*keep)
 	load := make([][]float64, w.size.Layers)
 	for l := range load {
@@ -146,7 +147,7 @@
 			}
 			load[l][e] *= math.Exp(w.offset[l][e])
 		}
-		if w.scenario == spike && at >= intervals/2 && at < intervals/2+60 {
+		if w.scenario == spike && at >= intervals/2 && at < intervals/2+60*perMinute {
 			for _, e := range w.hot[l] {
 				load[l][e] *= spikeFactor
 			}
@@ -188,10 +189,10 @@
 	if w.scenario != stalledRank {
 		return factor, -1
 	}
-	if at >= intervals/3 && at < intervals/3+60 {
+	if at >= intervals/3 && at < intervals/3+60*perMinute {
 		factor[w.size.Ranks/2] = slowFactor
 	}
-	if at >= 2*intervals/3 && at < 2*intervals/3+5 {
+	if at >= 2*intervals/3 && at < 2*intervals/3+5*perMinute {
 		return factor, w.size.Ranks / 4
 	}
 	return factor, -1
--- a/experts/decide.go
+++ b/experts/decide.go
@@ -54,7 +54,7 @@
 		Horizon:     10 * time.Minute,
 		MoveCost:    100 * time.Millisecond,
 		Hysteresis:  1.5,
-		MinInterval: 2 * time.Minute,
+		MinInterval: 15 * time.Second,
 		MaxInFlight: 256,
 		StoreRate:   8,
 		MaxStaging:  time.Minute,
