Plan at the moment of activation in the benchmark

Cause: a map staged during an interval came into force after the planner had been skipped at the end of that interval, so that each policy planned only every second interval.

Change: the benchmark activates a staged map before it asks the policy.

--- a/bench/experts/run.go
+++ b/bench/experts/run.go
@@ -83,12 +83,13 @@
 			load = w.next(at)
 		}
 		factor, stalled := w.slowdown(at)
-		r.activate(at)
 		rankLoad := r.measure(load, factor, stalled)
 		pending = append(pending, w.counts(load))
 		if at < countLag {
 			continue
 		}
+		// The end of this interval is the start of the next one.
+		r.activate(at + 1)
 		if err := r.observe(at, pending[at-countLag]); err != nil {
 			return Result{}, err
 		}
