Weigh new counts by their noise

Cause: one half-life for all experts is too slow for popular experts, whose counts have little noise and which decide the load of a rank.

Change: the weight of new counts follows from the drift rate and the Poisson noise of each expert's count (a Kalman filter).

--- a/experts/counts.go
+++ b/experts/counts.go
@@ -46,21 +46,31 @@
 	Layers [][]float64
 }
 
-// Tracker keeps exponentially weighted expert shares.
+// DefaultDriftRate is the relative variance that the share of an expert gains
+// per second: 3.5% of drift within a minute, as in the benchmark's scenarios.
+const DefaultDriftRate = 2e-5
+
+// Tracker keeps exponentially weighted expert shares. The weight of new counts
+// is that of a Kalman filter: the count of a popular expert has little noise,
+// so it replaces the old share sooner than that of a rare expert.
 type Tracker struct {
-	halfLife time.Duration
-	layers   int
-	experts  int
-	at       time.Time
-	share    [][]float64
+	driftRate float64
+	layers    int
+	experts   int
+	at        time.Time
+	share     [][]float64
+	// variance is the relative variance of each share.
+	variance [][]float64
 }
 
-// NewTracker returns a tracker whose weights halve with each half-life.
-func NewTracker(layers, experts int, halfLife time.Duration) *Tracker {
-	t := &Tracker{halfLife: halfLife, layers: layers, experts: experts}
+// NewTracker returns a tracker for a drift rate; see DefaultDriftRate.
+func NewTracker(layers, experts int, driftRate float64) *Tracker {
+	t := &Tracker{driftRate: driftRate, layers: layers, experts: experts}
 	t.share = make([][]float64, layers)
+	t.variance = make([][]float64, layers)
 	for i := range t.share {
 		t.share[i] = make([]float64, experts)
+		t.variance[i] = make([]float64, experts)
 	}
 	return t
 }
@@ -73,29 +83,42 @@
 	if !c.At.After(t.at) {
 		return errkind.New(errkind.StaleCounts, "counts of %s are not newer than %s", c.At, t.at)
 	}
-	keep := 0.0
-	if !t.at.IsZero() && t.halfLife > 0 {
-		keep = math.Exp2(-float64(c.At.Sub(t.at)) / float64(t.halfLife))
+	drift := 0.0
+	if !t.at.IsZero() {
+		drift = t.driftRate * c.At.Sub(t.at).Seconds()
 	}
 	for i, layer := range c.Layers {
-		blend(t.share[i], layer, keep)
+		t.blend(i, layer, drift)
 	}
 	t.at = c.At
 	return nil
 }
 
-// blend mixes the shares of counts into share. A layer without tokens carries
-// no information and leaves share as it is.
-func blend(share, counts []float64, keep float64) {
-	if sum(share) == 0 {
-		keep = 0
-	}
+// blend mixes counts into the shares of a layer. A layer without tokens
+// carries no information and leaves the shares as they are.
+func (t *Tracker) blend(layer int, counts []float64, drift float64) {
+	share, variance := t.share[layer], t.variance[layer]
+	first := sum(share) == 0
 	total := sum(counts)
 	if total == 0 {
 		return
 	}
 	for e, n := range counts {
-		share[e] = keep*share[e] + (1-keep)*n/total
+		// Counts are Poisson distributed: the relative variance is 1/n. The
+		// larger of old and new count lets a sudden rise or fall take effect
+		// at once.
+		noise := 1 / max(1, n, share[e]*total)
+		prior := variance[e] + drift
+		weight := prior / (prior + noise)
+		if first {
+			weight = 1
+		}
+		share[e] += weight * (n/total - share[e])
+		variance[e] = noise * weight
+	}
+	scale := 1 / sum(share)
+	for e := range share {
+		share[e] *= scale
 	}
 }
 
