--- a/bench/experts/run.go
+++ b/bench/experts/run.go
@@ -13,8 +13,6 @@
 	expertBytes = 44 << 20
 	// countLag is the number of intervals after which counts arrive.
 	countLag = 1
-	// halfLife of the tracked counts.
-	halfLife = time.Minute
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -71,7 +69,7 @@
 func simulate(sz size, sc scenario, seed uint64, s planner.Settings, p policy) (Result, error) {
 	w := newWorkload(sz, sc, seed)
 	r := &run{settings: s, policy: p, topology: sz.topology()}
-	r.tracker = planner.NewTracker(sz.Layers, sz.Experts, halfLife)
+	r.tracker = planner.NewTracker(sz.Layers, sz.Experts, planner.DefaultDriftRate)
 	r.result = Result{Size: sz.Name, Scenario: string(sc), Policy: p.name}
 	load := w.next(0)
 	if err := r.start(sz, load); err != nil {
@@ -83,12 +81,13 @@
 			load = w.next(at)
 		}
 		factor, stalled := w.slowdown(at)
-		r.activate(at)
 		rankLoad := r.measure(load, factor, stalled)
 		pending = append(pending, w.counts(load))
 		if at < countLag {
 			continue
 		}
+		// The end of this interval is the start of the next one.
+		r.activate(at + 1)
 		if err := r.observe(at, pending[at-countLag]); err != nil {
 			return Result{}, err
 		}
