Bound the answers that a claim Book holds

Cause: 100,000 identities with answers of up to 4 KiB could take 400 MB, above the 256 MB of a node.

Ruled out: a lower bound for one answer alone, because common answers would no longer be replayed.

Change: MaxAnswersBytes (8 MiB) bounds the stored bodies of a Book; above it the oldest bodies go and their keys answer answer_not_stored. MaxEntries is 50,000. The model runs with 20 identities and 600 B of answers, so that both bounds act.

--- a/claim/book.go
+++ b/claim/book.go
@@ -84,6 +84,9 @@
 	holdings   map[Identity]*holding
 	byAge      ageHeap
 	skipped    int64
+	// answered holds the identities with a stored body, oldest outcome first.
+	answered    []*holding
+	answerBytes int
 }
 
 // NewBook returns a Book that has read nothing.
@@ -240,6 +243,7 @@
 	switch e.Type {
 	case EntryDone:
 		h.status, h.answer = Done, e.Answer
+		b.keepAnswer(h)
 	case EntryAbandoned:
 		if invariant.Check(h.status == Open, "claim at offset %d: abandoned after a run", h.offset) {
 			h.status, h.abandoned = Free, claim
@@ -249,6 +253,35 @@
 	}
 }
 
+// keepAnswer bounds the stored bodies. Above the bound the oldest one goes; its
+// identity stays done with size and digest.
+func (b *Book) keepAnswer(h *holding) {
+	if h.answer == nil || len(h.answer.Body) == 0 {
+		return
+	}
+	b.answered = append(b.answered, h)
+	b.answerBytes += len(h.answer.Body)
+	for len(b.answered) > 0 {
+		first := b.answered[0]
+		if b.answerBytes <= b.settings.MaxAnswersBytes && len(first.answer.Body) > 0 {
+			return
+		}
+		b.dropAnswer(first)
+		b.answered = b.answered[1:]
+	}
+}
+
+// dropAnswer replaces the stored answer, because a View may still hold it.
+func (b *Book) dropAnswer(h *holding) {
+	if h.answer == nil {
+		return
+	}
+	b.answerBytes -= len(h.answer.Body)
+	short := *h.answer
+	short.Body = nil
+	h.answer = &short
+}
+
 // evict drops identities by age and above the size bound. It raises the floor
 // so that a dropped identity is answered as expired and never runs.
 func (b *Book) evict() {
@@ -265,6 +298,7 @@
 		}
 		h := heap.Pop(&b.byAge).(*holding)
 		delete(b.holdings, h.identity)
+		b.dropAnswer(h)
 	}
 }
 
--- a/claim/key.go
+++ b/claim/key.go
@@ -45,6 +45,8 @@
 	RetryAfter time.Duration
 	// MaxAnswerBytes bounds the body of a stored answer.
 	MaxAnswerBytes int
+	// MaxAnswersBytes bounds the bodies that one Book holds.
+	MaxAnswersBytes int
 	// MaxEntries bounds the identities that one Book holds.
 	MaxEntries int
 }
@@ -52,14 +54,15 @@
 // DefaultSettings returns the settings used by the daemons.
 func DefaultSettings() Settings {
 	return Settings{
-		Window:         12 * time.Hour,
-		Skew:           30 * time.Second,
-		FirstSendAge:   10 * time.Second,
-		DecideWithin:   2 * time.Second,
-		InProgressFor:  5 * time.Minute,
-		RetryAfter:     time.Second,
-		MaxAnswerBytes: 4 << 10,
-		MaxEntries:     100_000,
+		Window:          12 * time.Hour,
+		Skew:            30 * time.Second,
+		FirstSendAge:    10 * time.Second,
+		DecideWithin:    2 * time.Second,
+		InProgressFor:   5 * time.Minute,
+		RetryAfter:      time.Second,
+		MaxAnswerBytes:  4 << 10,
+		MaxAnswersBytes: 8 << 20,
+		MaxEntries:      50_000,
 	}
 }
 
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -111,7 +111,7 @@
 func newWorld(seed uint64, off rule) *world {
 	s := claim.DefaultSettings()
 	s.Window, s.Skew = 10*time.Minute, 10*time.Second
-	s.MaxAnswerBytes = 64
+	s.MaxAnswerBytes, s.MaxAnswersBytes, s.MaxEntries = 100, 600, 20
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), off: off, settings: s,
 		now:  time.UnixMilli(1_800_000_000_000),
