Keep the daemons working through a log outage

Cause: with the log down a sidecar did not exit on shutdown, because the claim log waited without limit for its queued entries; and a booking refused by every sidecar was reported as no_backend_server in place of log_unavailable. Ruled out: no wait at shutdown, because outcomes written within it keep calls from being unknown for ever. Change: the claim log gets 5 s at shutdown; the dispatcher reports the reason of the last attempt when no sidecar is left; the instance list is followed by one duty shared by both daemons (--instance-interval is now a setting of both). Conclusion: during an outage lookups and model calls go on, bookings are refused as not_run, and the same key runs once afterwards.

--- /dev/null
+++ b/daemon/instances.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Instances follows the instance list. It is safe for concurrent use.
+type Instances struct {
+	list     platform.InstanceList
+	interval time.Duration
+	timeout  time.Duration
+	log      zerolog.Logger
+	view     atomic.Pointer[[]platform.Instance]
+}
+
+// NewInstances returns a view that has not been read yet. interval is the time
+// between two reads, timeout bounds one read.
+func NewInstances(list platform.InstanceList, interval, timeout time.Duration, log zerolog.Logger) *Instances {
+	return &Instances{list: list, interval: interval, timeout: timeout, log: log}
+}
+
+// Follow reads the list again and again until ctx ends. While the list can't be
+// read, the last view stays.
+func (i *Instances) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := i.Refresh(ctx); err != nil && ctx.Err() == nil {
+			i.log.Warn().Err(err).Msg("instance list")
+		}
+		pause(ctx, i.interval)
+	}
+	return nil
+}
+
+// Refresh reads the list once.
+func (i *Instances) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, i.timeout)
+	defer cancel()
+	list, err := i.list.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	i.view.Store(&list)
+	return nil
+}
+
+// View returns the last list, or nil before the first one. The list must not
+// be modified. A new list has a new address.
+func (i *Instances) View() *[]platform.Instance { return i.view.Load() }
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -40,6 +40,7 @@
 			func(c *platform.HTTPClient) platform.Log { return c },
 			func(c *platform.HTTPClient) platform.InstanceList { return c },
 			func(lc fx.Lifecycle) *telemetry.Metrics { return newMetrics(lc, s, role, log) },
+			func(lc fx.Lifecycle, l platform.InstanceList) *Instances { return startInstances(lc, l, s, log) },
 			func(lc fx.Lifecycle, l platform.Log) *Table { return startTable(lc, l, log) },
 		),
 	)
@@ -55,6 +56,12 @@
 	return m
 }
 
+func startInstances(lc fx.Lifecycle, list platform.InstanceList, s settings.Common, log zerolog.Logger) *Instances {
+	i := NewInstances(list, s.InstanceInterval, s.PlatformTimeout, log)
+	Start(lc, log, Duty{Name: "follow the instance list", Run: i.Follow})
+	return i
+}
+
 func startTable(lc fx.Lifecycle, l platform.Log, log zerolog.Logger) *Table {
 	t := NewTable(l, log)
 	Start(lc, log, Duty{Name: "follow the table", Run: t.Follow})
--- a/daemon/table.go
+++ b/daemon/table.go
@@ -29,19 +29,19 @@
 
 // NewTable returns a table without a view.
 func NewTable(log platform.Log, logger zerolog.Logger) *Table {
-	return &Table{log: log, logger: logger, fold: table.NewFold()}
+	t := &Table{log: log, logger: logger, fold: table.NewFold()}
+	t.view.Store(t.fold.View())
+	return t
 }
 
-// View returns the table in force, or nil before the first record was read.
+// View returns the table in force. It is empty until Loaded.
 func (t *Table) View() *table.View { return t.view.Load() }
 
+// Loaded reports whether a record was read.
+func (t *Table) Loaded() bool { return t.Offset() > 0 }
+
 // Offset returns the offset of the table in force.
-func (t *Table) Offset() platform.Offset {
-	if v := t.View(); v != nil {
-		return v.Offset()
-	}
-	return 0
-}
+func (t *Table) Offset() platform.Offset { return t.View().Offset() }
 
 // Follow applies records until ctx ends. During an outage of the log the table
 // in force stays.
@@ -66,12 +66,3 @@
 	t.view.Store(t.fold.View())
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -136,16 +136,15 @@
 	}
 	id := "entry-" + strconv.Itoa(n+1)
 	s := settings.Entry{
-		Common:           d.common(id, domain, peers.Addr().String()),
-		MaxPromptBytes:   1 << 20,
-		MaxStreams:       256,
-		QueueSize:        256,
-		RequestTimeout:   time.Minute,
-		HeaderTimeout:    10 * time.Second,
-		BodyTimeout:      10 * time.Second,
-		SilenceTimeout:   5 * time.Second,
-		ProgressTimeout:  30 * time.Second,
-		InstanceInterval: 100 * time.Millisecond,
+		Common:          d.common(id, domain, peers.Addr().String()),
+		MaxPromptBytes:  1 << 20,
+		MaxStreams:      256,
+		QueueSize:       256,
+		RequestTimeout:  time.Minute,
+		HeaderTimeout:   10 * time.Second,
+		BodyTimeout:     10 * time.Second,
+		SilenceTimeout:  5 * time.Second,
+		ProgressTimeout: 30 * time.Second,
 	}
 	d.entries = append(d.entries, "http://"+callers.Addr().String())
 	log := telemetry.NewLogger(d.logs, zerolog.InfoLevel, "entry", id)
@@ -154,17 +153,18 @@
 
 func (d *deployment) common(id, domain, advertise string) settings.Common {
 	return settings.Common{
-		Advertise:       advertise,
-		Region:          region,
-		FailureDomain:   domain,
-		Instance:        id,
-		PlatformURL:     d.platformURL,
-		PeerToken:       "demo",
-		MaxBodyBytes:    1 << 20,
-		MaxHeaderBytes:  64 << 10,
-		PlatformTimeout: 5 * time.Second,
-		RetentionWindow: 24 * time.Hour,
-		ClockSkew:       time.Minute,
+		Advertise:        advertise,
+		Region:           region,
+		FailureDomain:    domain,
+		Instance:         id,
+		PlatformURL:      d.platformURL,
+		PeerToken:        "demo",
+		MaxBodyBytes:     1 << 20,
+		MaxHeaderBytes:   64 << 10,
+		PlatformTimeout:  5 * time.Second,
+		InstanceInterval: 100 * time.Millisecond,
+		RetentionWindow:  24 * time.Hour,
+		ClockSkew:        time.Minute,
 	}
 }
 
--- a/entry/backends.go
+++ b/entry/backends.go
@@ -1,19 +1,18 @@
 package entry
 
 import (
-	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/dgryski/go-rendezvous"
-	"github.com/rs/zerolog"
 	"github.com/zeebo/xxh3"
 
+	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
 )
 
 const (
@@ -28,76 +27,24 @@
 // backends is the entry's view of the sidecars: the instance list, overridden
 // by direct signals. It is safe for concurrent use.
 type backends struct {
-	list          platform.InstanceList
-	interval      time.Duration
-	timeout       time.Duration
+	instances     *daemon.Instances
 	failureDomain string
-	log           zerolog.Logger
 	now           func() time.Time
 
 	mu        sync.Mutex
+	indexed   *[]platform.Instance // the list that byService was made from
 	byService map[string][]platform.Instance
 	held      map[string]time.Time // instance id -> not used before
 	next      uint64
-	loaded    bool
 }
 
-func newBackends(list platform.InstanceList, s settings.Entry, log zerolog.Logger) *backends {
+func newBackends(instances *daemon.Instances, failureDomain string) *backends {
 	return &backends{
-		list: list, interval: s.InstanceInterval, timeout: s.PlatformTimeout,
-		failureDomain: s.FailureDomain, log: log, now: time.Now,
-		byService: make(map[string][]platform.Instance), held: make(map[string]time.Time),
+		instances: instances, failureDomain: failureDomain, now: time.Now, held: make(map[string]time.Time),
 	}
 }
 
-// follow reads the instance list again and again until ctx ends. While the list
-// can't be read, the last view stays.
-func (b *backends) follow(ctx context.Context) error {
-	ticker := time.NewTicker(b.interval)
-	defer ticker.Stop()
-	for {
-		if err := b.refresh(ctx); err != nil && ctx.Err() == nil {
-			b.log.Warn().Err(err).Msg("instance list")
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-func (b *backends) refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, b.timeout)
-	defer cancel()
-	instances, err := b.list.Instances(ctx)
-	if err != nil {
-		return err
-	}
-	byService := make(map[string][]platform.Instance)
-	for _, i := range instances {
-		if i.Role == platform.RoleBackend && i.State == platform.Live {
-			byService[i.Service] = append(byService[i.Service], i)
-		}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.byService = byService
-	b.loaded = true
-	now := b.now()
-	for id, until := range b.held {
-		if !now.Before(until) {
-			delete(b.held, id)
-		}
-	}
-	return nil
-}
-
-func (b *backends) ready() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.loaded
-}
+func (b *backends) ready() bool { return b.instances.View() != nil }
 
 // hold takes a sidecar out of use for a time.
 func (b *backends) hold(id string, d time.Duration) {
@@ -129,6 +76,7 @@
 }
 
 func (b *backends) candidates(service string, tried []string) []platform.Instance {
+	b.index()
 	now := b.now()
 	var usable []platform.Instance
 	for _, i := range b.byService[service] {
@@ -140,6 +88,23 @@
 	return usable
 }
 
+// index follows the instance list. The caller holds mu.
+func (b *backends) index() {
+	view := b.instances.View()
+	if view == nil || view == b.indexed {
+		return
+	}
+	b.indexed = view
+	b.byService = make(map[string][]platform.Instance)
+	for _, i := range *view {
+		if i.Role == platform.RoleBackend && i.State == platform.Live {
+			b.byService[i.Service] = append(b.byService[i.Service], i)
+		}
+	}
+	now := b.now()
+	maps.DeleteFunc(b.held, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 func byKey(candidates []platform.Instance, key string) platform.Instance {
 	ids := make([]string, len(candidates))
 	for n, i := range candidates {
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -33,8 +33,11 @@
 	var failed *errkind.Error
 	for n := uint32(1); n <= maxAttempts; n++ {
 		instance, err := d.backends.pick(call, tried)
+		if err != nil && failed != nil {
+			return failed
+		}
 		if err != nil {
-			return worse(failed, errkind.Of(err))
+			return err
 		}
 		tried = append(tried, instance.ID)
 		err = d.attempt(ctx, call, n, instance, out)
@@ -89,8 +92,8 @@
 		receiver: stream.NewReceiver(request.Id, d.receiver, time.Now()),
 		messages: make(chan message, maxPendingChunks),
 		out:      out,
-		onLoad: func(load *pb.Load) {
-			if load.GetLeaving() {
+		onChunk: func(c *pb.Chunk) {
+			if c.GetLoad().GetLeaving() {
 				d.backends.hold(instance.ID, leavingHold)
 			}
 		},
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -186,6 +186,14 @@
 	require.Equal(t, "unknown", r.refusal(t).Execution)
 }
 
+// Guards against a reason that is lost because no other sidecar is left to try.
+func TestLastReasonIsReported(t *testing.T) {
+	a := newFakeSidecar(t, "a", failing(errkind.New(errkind.LogUnavailable, "log is down")))
+	r := newFixture(t, a).book(t)
+	require.Equal(t, "log_unavailable", r.refusal(t).Kind)
+	require.Equal(t, "not_run", r.refusal(t).Execution)
+}
+
 // Guards against "may have run" for a call that reached no sidecar.
 func TestUnreachableSidecarProvesNotRun(t *testing.T) {
 	a := newFakeSidecar(t, "a", events)
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -32,6 +33,8 @@
 
 func (d demoTable) View() *table.View { return d.view }
 
+func (demoTable) Loaded() bool { return true }
+
 func newDemoTable(t *testing.T) demoTable {
 	t.Helper()
 	sheet, err := table.LoadDir(examples.Demo())
@@ -159,13 +162,14 @@
 		}
 	}
 	cfg := settings.Entry{
-		Common:         settings.Common{MaxBodyBytes: 1000, Instance: "e1", PlatformTimeout: time.Hour},
+		Common:         settings.Common{MaxBodyBytes: 1000, Instance: "e1"},
 		MaxPromptBytes: 500, MaxStreams: 100, RequestTimeout: time.Hour, BodyTimeout: time.Hour,
-		SilenceTimeout: time.Hour, ProgressTimeout: 2 * time.Hour, InstanceInterval: time.Hour,
+		SilenceTimeout: time.Hour, ProgressTimeout: 2 * time.Hour,
 	}
 	metrics := telemetry.NewMetrics("entry", "e1", zerolog.Nop())
-	e := NewServer(cfg, "inc", newDemoTable(t), list, drain.NewGate(), zerolog.Nop(), metrics)
-	require.NoError(t, e.backends.refresh(context.Background()))
+	instances := daemon.NewInstances(list, time.Hour, time.Hour, zerolog.Nop())
+	require.NoError(t, instances.Refresh(context.Background()))
+	e := NewServer(cfg, "inc", newDemoTable(t), instances, drain.NewGate(), zerolog.Nop(), metrics)
 	front := httptest.NewServer(e.Handler())
 	t.Cleanup(front.Close)
 	return &fixture{e, front}
--- a/entry/module.go
+++ b/entry/module.go
@@ -30,18 +30,14 @@
 		daemon.Common(o.Settings.Common, platform.RoleEntry, o.Log),
 		fx.Supply(o),
 		fx.Provide(provideServer),
-		fx.Invoke(followInstances, servePeers, serveCallers),
+		fx.Invoke(servePeers, serveCallers),
 	)
 }
 
-func provideServer(o Options, incarnation daemon.Incarnation, t *daemon.Table, list platform.InstanceList,
+func provideServer(o Options, incarnation daemon.Incarnation, t *daemon.Table, instances *daemon.Instances,
 	gate *drain.Gate, metrics *telemetry.Metrics,
 ) *Server {
-	return NewServer(o.Settings, incarnation, t, list, gate, o.Log, metrics)
-}
-
-func followInstances(lc fx.Lifecycle, o Options, s *Server) {
-	daemon.Start(lc, o.Log, daemon.Duty{Name: "follow the instance list", Run: s.backends.follow})
+	return NewServer(o.Settings, incarnation, t, instances, gate, o.Log, metrics)
 }
 
 func servePeers(lc fx.Lifecycle, o Options) error {
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,17 +16,17 @@
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/stream"
 	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
-// tableSource is the part of the table follower that the entry needs.
+// tableSource is the part of daemon.Table that the entry needs.
 type tableSource interface {
-	// View returns the table in force, or nil before the first one was read.
+	// View returns the table in force. It is empty until Loaded.
 	View() *table.View
+	Loaded() bool
 }
 
 // Server serves the callers of one entry. It is safe for concurrent use.
@@ -47,10 +47,10 @@
 }
 
 // NewServer returns a server that admits requests.
-func NewServer(s settings.Entry, incarnation daemon.Incarnation, source tableSource, list platform.InstanceList,
+func NewServer(s settings.Entry, incarnation daemon.Incarnation, source tableSource, instances *daemon.Instances,
 	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
 ) *Server {
-	b := newBackends(list, s, log)
+	b := newBackends(instances, s.FailureDomain)
 	ctx, abort := context.WithCancelCause(context.Background())
 	return &Server{
 		settings: s, incarnation: incarnation, table: source, backends: b,
@@ -157,7 +157,7 @@
 // accept authenticates the caller and parses the request.
 func (s *Server) accept(c *gin.Context, parse parseFunc) (*pb.CallRequest, error) {
 	view := s.table.View()
-	if view == nil {
+	if !s.table.Loaded() {
 		return nil, errkind.New(errkind.StaleTable, "the table has not been read yet")
 	}
 	org, err := s.parser.organisation(c.Request, view)
--- a/entry/status.go
+++ b/entry/status.go
@@ -24,21 +24,18 @@
 }
 
 func (s *Server) status() Status {
-	status := Status{
+	return Status{
 		Role:          string(platform.RoleEntry),
 		Instance:      s.settings.Instance,
 		Incarnation:   string(s.incarnation),
 		Region:        s.settings.Region,
 		FailureDomain: s.settings.FailureDomain,
 		Office:        s.settings.Office,
+		TableOffset:   s.table.View().Offset(),
 		InFlight:      s.gate.InFlight(),
 		Leaving:       s.gate.IsLeaving(),
 		Violations:    invariant.Violations(),
 	}
-	if view := s.table.View(); view != nil {
-		status.TableOffset = view.Offset()
-	}
-	return status
 }
 
 func (s *Server) serveStatus(c *gin.Context) { c.JSON(http.StatusOK, s.status()) }
@@ -48,7 +45,7 @@
 	switch {
 	case s.gate.IsLeaving():
 		c.String(http.StatusServiceUnavailable, "leaving\n")
-	case s.table.View() == nil:
+	case !s.table.Loaded():
 		c.String(http.StatusServiceUnavailable, "the table has not been read yet\n")
 	case !s.backends.ready():
 		c.String(http.StatusServiceUnavailable, "the instance list has not been read yet\n")
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -37,7 +37,7 @@
 	receiver *stream.Receiver
 	messages chan message
 	out      *answer
-	onLoad   func(*pb.Load)
+	onChunk  func(*pb.Chunk)
 
 	connection int
 	disconnect context.CancelFunc
@@ -80,7 +80,7 @@
 		}
 		return t.reconnect(ctx, m.err)
 	}
-	t.onLoad(m.chunk.GetLoad())
+	t.onChunk(m.chunk)
 	before := t.receiver.NextSeq()
 	for _, chunk := range t.receiver.Receive(time.Now(), m.chunk) {
 		if err := t.out.take(chunk); err != nil {
--- a/entry/transfer_test.go
+++ b/entry/transfer_test.go
@@ -38,7 +38,7 @@
 		receiver: stream.NewReceiver(id, cfg, time.Now().Add(-age)),
 		messages: make(chan message, 8),
 		out:      newAnswer(c, "r", func() {}),
-		onLoad:   func(*pb.Load) {},
+		onChunk:  func(*pb.Chunk) {},
 	}, sidecar, w
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,10 +21,11 @@
 	MaxBodyBytes   int `name:"max-body-bytes" default:"4194304" validate:"min=1,max=1073741824" help:"Largest request body in bytes."`
 	MaxHeaderBytes int `name:"max-header-bytes" default:"65536" validate:"min=1024,max=16777216" help:"Largest total of request headers in bytes."`
 
-	PlatformTimeout time.Duration `name:"platform-timeout" default:"5s" validate:"min=1ms" help:"Longest wait for an answer of the platform, beside long polls."`
-	RetentionWindow time.Duration `name:"retention-window" default:"24h" validate:"min=1s" help:"Time for which claim records are retained in the log."`
-	ClockSkew       time.Duration `name:"clock-skew" default:"5m" validate:"min=0" help:"Largest clock difference between callers, instances and the log."`
-	DrainTimeout    time.Duration `name:"drain-timeout" default:"0s" validate:"min=0" help:"Time after which a shutdown fails the requests still in flight; 0 waits for all."`
+	InstanceInterval time.Duration `name:"instance-interval" default:"1s" validate:"min=1ms" help:"Time between reads of the instance list."`
+	PlatformTimeout  time.Duration `name:"platform-timeout" default:"5s" validate:"min=1ms" help:"Longest wait for an answer of the platform, beside long polls."`
+	RetentionWindow  time.Duration `name:"retention-window" default:"24h" validate:"min=1s" help:"Time for which claim records are retained in the log."`
+	ClockSkew        time.Duration `name:"clock-skew" default:"5m" validate:"min=0" help:"Largest clock difference between callers, instances and the log."`
+	DrainTimeout     time.Duration `name:"drain-timeout" default:"0s" validate:"min=0" help:"Time after which a shutdown fails the requests still in flight; 0 waits for all."`
 
 	PrintSettings bool `name:"print-settings" help:"Print the settings in force, with secrets masked, and exit."`
 }
@@ -40,12 +41,11 @@
 	MaxStreams     int `name:"max-streams" default:"4096" validate:"min=1,max=1000000" help:"Largest number of requests in flight."`
 	QueueSize      int `name:"queue-size" default:"1024" validate:"min=1,max=1000000" help:"Largest number of queued requests."`
 
-	RequestTimeout   time.Duration `name:"request-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a request."`
-	HeaderTimeout    time.Duration `name:"header-timeout" default:"10s" validate:"min=1ms" help:"Longest wait for the headers of a request."`
-	BodyTimeout      time.Duration `name:"body-timeout" default:"30s" validate:"min=1ms" help:"Longest wait for the body of a request."`
-	SilenceTimeout   time.Duration `name:"silence-timeout" default:"3s" validate:"min=1ms" help:"Time without any chunk after which a connection to a sidecar counts as silent."`
-	ProgressTimeout  time.Duration `name:"progress-timeout" default:"60s" validate:"min=1ms,gtfield=SilenceTimeout" help:"Time without progress after which an attempt is given up."`
-	InstanceInterval time.Duration `name:"instance-interval" default:"1s" validate:"min=1ms" help:"Time between reads of the instance list."`
+	RequestTimeout  time.Duration `name:"request-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a request."`
+	HeaderTimeout   time.Duration `name:"header-timeout" default:"10s" validate:"min=1ms" help:"Longest wait for the headers of a request."`
+	BodyTimeout     time.Duration `name:"body-timeout" default:"30s" validate:"min=1ms" help:"Longest wait for the body of a request."`
+	SilenceTimeout  time.Duration `name:"silence-timeout" default:"3s" validate:"min=1ms" help:"Time without any chunk after which a connection to a sidecar counts as silent."`
+	ProgressTimeout time.Duration `name:"progress-timeout" default:"60s" validate:"min=1ms,gtfield=SilenceTimeout" help:"Time without progress after which an attempt is given up."`
 }
 
 // Sidecar holds the settings of a sidecar.
--- a/sidecar/module.go
+++ b/sidecar/module.go
@@ -26,6 +26,9 @@
 	// messageOverheadBytes allows for the fields of a call beside its body.
 	messageOverheadBytes = 1 << 20
 	headerTimeout        = 10 * time.Second
+	// claimFlushTimeout bounds the wait for the log at shutdown. During a log
+	// outage a sidecar would otherwise never exit.
+	claimFlushTimeout = 5 * time.Second
 	// markerFraction is the part of the retention window between two markers
 	// in an idle claim stream.
 	markerFraction = 20
@@ -69,7 +72,14 @@
 			}
 			return nil
 		},
-		OnStop: client.Shutdown,
+		OnStop: func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, claimFlushTimeout)
+			defer cancel()
+			if err := client.Shutdown(ctx); err != nil {
+				o.Log.Warn().Err(err).Msg("claims without outcome stay unknown")
+			}
+			return nil
+		},
 	})
 	return client, nil
 }
