--- /dev/null
+++ b/cmd/filbertmux-bench/main.go
@@ -0,0 +1,23 @@
+// Command filbertmux-bench measures the decision packages.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"github.com/filbertmux/filbertmux/bench/capacity"
+	"github.com/filbertmux/filbertmux/bench/claims"
+	"github.com/filbertmux/filbertmux/bench/experts"
+	"github.com/filbertmux/filbertmux/bench/routing"
+)
+
+type commands struct {
+	Capacity capacity.Cmd `cmd:"" help:"Measure state, bytes and time of each role and extrapolate to the design size."`
+	Claims   claims.Cmd   `cmd:"" help:"Claims on the log against keys bound to one sidecar."`
+	Experts  experts.Cmd  `cmd:"" help:"Expert planner: skew and moves of each policy."`
+	Routing  routing.Cmd  `cmd:"" help:"Measure routing, queueing, limits, retries and membership."`
+}
+
+func main() {
+	ctx := kong.Parse(&commands{}, kong.Name("filbertmux-bench"), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/experts/counts.go
@@ -0,0 +1,147 @@
+package experts
+
+import (
+	"math"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+)
+
+// Counts holds the tokens that each expert received during one interval.
+type Counts struct {
+	// At is the end of the interval.
+	At time.Time
+	// Layers is indexed by layer and expert.
+	Layers [][]float64
+}
+
+// validate checks the shape and values. A total that overflows to infinity is
+// refused as well, because it would make every share zero.
+func (c *Counts) validate(layers, experts int) error {
+	if len(c.Layers) != layers {
+		return errkind.New(errkind.InvalidCounts, "counts for %d layers, the model has %d", len(c.Layers), layers)
+	}
+	for i, layer := range c.Layers {
+		if len(layer) != experts {
+			return errkind.New(errkind.InvalidCounts, "layer %d has %d counts for %d experts", i, len(layer), experts)
+		}
+		total := 0.0
+		for e, n := range layer {
+			if math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
+				return errkind.New(errkind.InvalidCounts, "layer %d expert %d has count %v", i, e, n)
+			}
+			total += n
+		}
+		if math.IsInf(total, 0) {
+			return errkind.New(errkind.InvalidCounts, "layer %d total overflows", i)
+		}
+	}
+	return nil
+}
+
+// Loads is the expected share of the load of each expert, by layer. The
+// shares of a layer sum to 1, or to 0 if the layer has not been counted.
+type Loads struct {
+	At     time.Time
+	Layers [][]float64
+}
+
+// DefaultDriftRate is the relative variance that the share of an expert gains
+// per second: 3.5% of drift within a minute, as in the benchmark's scenarios.
+const DefaultDriftRate = 2e-5
+
+// Tracker keeps exponentially weighted expert shares. The weight of new counts
+// is that of a Kalman filter: the count of a popular expert has little noise,
+// so it replaces the old share sooner than that of a rare expert.
+type Tracker struct {
+	driftRate float64
+	layers    int
+	experts   int
+	at        time.Time
+	share     [][]float64
+	// variance is the relative variance of each share.
+	variance [][]float64
+}
+
+// NewTracker returns a tracker for a drift rate; see DefaultDriftRate.
+func NewTracker(layers, experts int, driftRate float64) *Tracker {
+	t := &Tracker{driftRate: driftRate, layers: layers, experts: experts}
+	t.share = make([][]float64, layers)
+	t.variance = make([][]float64, layers)
+	for i := range t.share {
+		t.share[i] = make([]float64, experts)
+		t.variance[i] = make([]float64, experts)
+	}
+	return t
+}
+
+// Observe adds counts. Invalid or out-of-order counts change nothing.
+func (t *Tracker) Observe(c *Counts) error {
+	if err := c.validate(t.layers, t.experts); err != nil {
+		return err
+	}
+	if !c.At.After(t.at) {
+		return errkind.New(errkind.StaleCounts, "counts of %s are not newer than %s", c.At, t.at)
+	}
+	drift := 0.0
+	if !t.at.IsZero() {
+		drift = t.driftRate * c.At.Sub(t.at).Seconds()
+	}
+	for i, layer := range c.Layers {
+		t.blend(i, layer, drift)
+	}
+	t.at = c.At
+	return nil
+}
+
+// blend mixes counts into the shares of a layer. A layer without tokens
+// carries no information and leaves the shares as they are.
+func (t *Tracker) blend(layer int, counts []float64, drift float64) {
+	share, variance := t.share[layer], t.variance[layer]
+	first := sum(share) == 0
+	total := sum(counts)
+	if total == 0 {
+		return
+	}
+	for e, n := range counts {
+		// Counts are Poisson distributed: the relative variance is 1/n. The
+		// larger of old and new count lets a sudden rise or fall take effect
+		// at once.
+		noise := 1 / max(1, n, share[e]*total)
+		prior := variance[e] + drift
+		weight := prior / (prior + noise)
+		if first {
+			weight = 1
+		}
+		share[e] += weight * (n/total - share[e])
+		variance[e] = noise * weight
+	}
+	scale := 1 / sum(share)
+	for e := range share {
+		share[e] *= scale
+	}
+}
+
+// Loads returns the shares, or StaleCounts if the newest counts are older
+// than maxAge or there are none.
+func (t *Tracker) Loads(now time.Time, maxAge time.Duration) (Loads, error) {
+	if t.at.IsZero() {
+		return Loads{}, errkind.New(errkind.StaleCounts, "no counts yet")
+	}
+	if age := now.Sub(t.at); age > maxAge {
+		return Loads{}, errkind.New(errkind.StaleCounts, "newest counts are %s old, allowed are %s", age, maxAge)
+	}
+	loads := Loads{At: t.at, Layers: make([][]float64, t.layers)}
+	for i := range t.share {
+		loads.Layers[i] = append([]float64(nil), t.share[i]...)
+	}
+	return loads, nil
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
