--- /dev/null
+++ b/tablesync/log_test.go
@@ -0,0 +1,114 @@
+package tablesync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+// testLog is a log of one stream with retention, outages and slow answers.
+type testLog struct {
+	retention time.Duration
+
+	mu      sync.Mutex
+	records []platform.Record
+	oldest  platform.Offset
+	down    bool
+	delay   time.Duration
+	changed chan struct{}
+}
+
+func newTestLog(retention time.Duration) *testLog {
+	return &testLog{retention: retention, oldest: 1, changed: make(chan struct{})}
+}
+
+func (l *testLog) set(down bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down, l.delay = down, delay
+}
+
+// enter applies outage and delay, then locks.
+func (l *testLog) enter(ctx context.Context) error {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+	}
+	l.mu.Lock()
+	if l.down {
+		l.mu.Unlock()
+		return errkind.New(errkind.PlatformUnavailable, "log is down")
+	}
+	return nil
+}
+
+func (l *testLog) Append(ctx context.Context, _ string, data []byte) (platform.Offset, error) {
+	if err := l.enter(ctx); err != nil {
+		return 0, err
+	}
+	defer l.mu.Unlock()
+	offset := l.oldest + platform.Offset(len(l.records))
+	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return offset, nil
+}
+
+// startable reports whether a reader could start from the log alone.
+func (l *testLog) startable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire()
+	for _, r := range l.records {
+		if covered, ok := table.SnapshotOffset(r.Data); ok && covered+1 >= l.oldest {
+			return true
+		}
+	}
+	return l.oldest == 1
+}
+
+// expire drops the records that are older than the retention.
+func (l *testLog) expire() {
+	for len(l.records) > 0 && time.Since(l.records[0].Time) > l.retention {
+		l.records = l.records[1:]
+		l.oldest++
+	}
+}
+
+func (l *testLog) Read(ctx context.Context, _ string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	deadline := time.After(wait)
+	for {
+		if err := l.enter(ctx); err != nil {
+			return platform.Batch{}, err
+		}
+		l.expire()
+		end := l.oldest + platform.Offset(len(l.records)) - 1
+		changed := l.changed
+		if after+1 < l.oldest {
+			defer l.mu.Unlock()
+			return platform.Batch{}, &platform.TrimmedError{Oldest: l.oldest, End: end}
+		}
+		if after < end || wait == 0 {
+			defer l.mu.Unlock()
+			from := min(int(after+1-l.oldest), len(l.records))
+			to := min(from+limit, len(l.records))
+			return platform.Batch{Records: l.records[from:to:to], Oldest: l.oldest, End: end}, nil
+		}
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-deadline:
+			wait = 0
+		case <-ctx.Done():
+			return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+		}
+	}
+}
--- /dev/null
+++ b/tablesync/random_test.go
@@ -0,0 +1,107 @@
+package tablesync
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+var (
+	seedFlag = flag.Uint64("tablesync.seed", 0, "run only this seed of the randomised reader test")
+	runsFlag = flag.Uint64("tablesync.runs", 8, "number of seeds of the randomised reader test")
+)
+
+// TestReadersSurviveFaults runs readers through outages, slow phases, expiry
+// and restarts. It guards against an offset that decreases, readers that
+// disagree at an offset, and a reader that doesn't come back. The order of
+// goroutines is not part of the seed, so a replay may need several attempts.
+func TestReadersSurviveFaults(t *testing.T) {
+	first, last := uint64(1), *runsFlag
+	if *seedFlag != 0 {
+		first, last = *seedFlag, *seedFlag
+	}
+	var total Stats
+	for seed := first; seed <= last; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			t.Logf("seed %d; replay: go test ./tablesync -run %s -tablesync.seed=%d", seed, t.Name(), seed)
+			runFaults(t, rand.New(rand.NewPCG(seed, 1)), &total)
+		})
+		require.False(t, t.Failed())
+	}
+	t.Logf("%d seeds: %+v", last-first+1, total)
+}
+
+func runFaults(t *testing.T, rng *rand.Rand, total *Stats) {
+	const readers, steps = 6, 150
+	f := newFleet(t)
+	stops := make([]context.CancelFunc, readers)
+	fleet := make([]*Syncer, readers)
+	for i := range readers {
+		fleet[i], stops[i] = f.start(f.log)
+	}
+	f.setReaders(fleet...)
+	digests := make(map[platform.Offset]table.Digest)
+	offsets := make([]platform.Offset, readers)
+	published := 0
+	for range steps {
+		switch rng.IntN(8) {
+		case 0:
+			f.log.set(true, 0)
+		case 1:
+			f.log.set(false, time.Duration(rng.IntN(5000))*time.Millisecond)
+		case 2, 3:
+			f.log.set(false, 0)
+		case 4:
+			i := rng.IntN(readers)
+			total.add(fleet[i].Stats())
+			stops[i]()
+			fleet[i], stops[i] = f.start(f.log)
+			f.setReaders(fleet...)
+			offsets[i] = 0
+		default:
+			_, err := f.log.Append(f.ctx, DefaultStream, classSet(t, fmt.Sprintf("c%d", published)))
+			if err == nil {
+				published++
+			}
+		}
+		time.Sleep(time.Duration(rng.IntN(40)) * time.Second)
+		for i, s := range fleet {
+			offset, digest := s.Digest()
+			require.GreaterOrEqual(t, offset, offsets[i])
+			offsets[i] = offset
+			if want, ok := digests[offset]; ok {
+				require.Equal(t, want, digest, "offset %d", offset)
+			}
+			digests[offset] = digest
+		}
+	}
+	f.log.set(false, 0)
+	last := f.publish(fmt.Sprintf("c%d", published))
+	for i, s := range fleet {
+		ctx, cancel := context.WithTimeout(f.ctx, 2*time.Minute)
+		require.NoError(t, s.Wait(ctx, last), "reader %d at offset %d of %d, %+v", i, s.Offset(), last, s.Stats())
+		cancel()
+		total.add(s.Stats())
+		stops[i]()
+	}
+}
+
+func (s *Stats) add(o Stats) {
+	s.LogErrors += o.LogErrors
+	s.PeerCatchUps += o.PeerCatchUps
+	s.PeerErrors += o.PeerErrors
+	s.SnapshotStarts += o.SnapshotStarts
+	s.SnapshotsPublished += o.SnapshotsPublished
+	s.SnapshotErrors += o.SnapshotErrors
+	s.Fold.Accepted += o.Fold.Accepted
+	s.Fold.Snapshots += o.Fold.Snapshots
+}
--- /dev/null
+++ b/tablesync/recent.go
@@ -0,0 +1,51 @@
+package tablesync
+
+import "github.com/filbertmux/filbertmux/platform"
+
+// Bounds of the records that are kept for peers.
+const (
+	maxRecentRecords = 1024
+	maxRecentBytes   = 4 << 20
+)
+
+// recent holds the last applied records, without gaps.
+type recent struct {
+	records []platform.Record
+	bytes   int
+}
+
+func (r *recent) add(record platform.Record) {
+	r.records = append(r.records, record)
+	r.bytes += len(record.Data)
+	drop := 0
+	for len(r.records)-drop > maxRecentRecords || r.bytes > maxRecentBytes {
+		r.bytes -= len(r.records[drop].Data)
+		drop++
+	}
+	if drop > 0 {
+		// A copy lets the garbage collector free the dropped data.
+		r.records = append([]platform.Record(nil), r.records[drop:]...)
+	}
+}
+
+func (r *recent) reset() { *r = recent{} }
+
+// after returns the records that follow offset, or false if the next one is
+// not held. end is the offset of the last applied record.
+func (r *recent) after(offset, end platform.Offset) ([]platform.Record, bool) {
+	if offset >= end {
+		return nil, true
+	}
+	if len(r.records) == 0 || r.records[0].Offset > offset+1 {
+		return nil, false
+	}
+	return r.records[offset+1-r.records[0].Offset:], true
+}
+
+// at returns the record with the offset, if it is held.
+func (r *recent) at(offset platform.Offset) (platform.Record, bool) {
+	if len(r.records) == 0 || offset < r.records[0].Offset || offset > r.records[len(r.records)-1].Offset {
+		return platform.Record{}, false
+	}
+	return r.records[offset-r.records[0].Offset], true
+}
--- /dev/null
+++ b/tablesync/start.go
@@ -0,0 +1,91 @@
+package tablesync
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+// startFromLog adopts the newest usable snapshot of a log that no longer holds
+// the next record. It reports false if there is none.
+func (s *Syncer) startFromLog(ctx context.Context, oldest platform.Offset) bool {
+	found, err := s.scan(ctx, oldest)
+	if err != nil {
+		s.countLogError(ctx, err)
+		return false
+	}
+	if found.fold == nil || !s.adopt(found.fold) {
+		s.opts.Logger.Error().Uint64("oldest_offset", uint64(oldest)).Uint64("table_offset", uint64(s.Offset())).
+			Msg("the log has neither the next table record nor a usable snapshot")
+		return false
+	}
+	s.chain.restart(found.fold.Offset(), found.oldest)
+	s.count(func(stats *Stats) { stats.SnapshotStarts++ })
+	return true
+}
+
+type usableSnapshot struct {
+	fold   *table.Fold
+	oldest time.Time // time of the oldest record that the start needs
+}
+
+// scan reads all retained records and returns the newest snapshot that can be
+// continued: the record after the offset that it covers is still there.
+func (s *Syncer) scan(ctx context.Context, oldest platform.Offset) (usableSnapshot, error) {
+	var newest usableSnapshot
+	var times []time.Time // of the records from oldest on
+	after := max(oldest, 1) - 1
+	for {
+		batch, err := s.read(ctx, after, 0)
+		if err != nil {
+			return usableSnapshot{}, err
+		}
+		for _, r := range batch.Records {
+			if r.Offset != after+1 {
+				return usableSnapshot{}, errkind.New(errkind.PlatformUnavailable, "log skips from offset %d to %d", after, r.Offset)
+			}
+			times = append(times, r.Time)
+			after = r.Offset
+			covered, ok := table.SnapshotOffset(r.Data)
+			if !ok || covered+1 < oldest || covered+1 > r.Offset {
+				continue
+			}
+			f, err := table.Restore(r.Data)
+			if err != nil {
+				s.opts.Logger.Error().Err(err).Uint64("offset", uint64(r.Offset)).Msg("snapshot is not usable")
+				continue
+			}
+			newest = usableSnapshot{fold: f, oldest: times[covered+1-oldest]}
+		}
+		if len(batch.Records) == 0 || after >= batch.End {
+			return newest, nil
+		}
+	}
+}
+
+// publishSnapshot appends a snapshot when the chain is old. Identical
+// snapshots of two readers are harmless, and so is a lost answer.
+func (s *Syncer) publishSnapshot(ctx context.Context) {
+	now := s.clock.Now()
+	if s.Offset() == 0 || !s.chain.due(now) {
+		return
+	}
+	s.chain.attempted(now)
+	s.mu.Lock()
+	data, err := s.fold.Snapshot()
+	s.mu.Unlock()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, s.slack)
+		defer cancel()
+		_, err = s.log.Append(ctx, s.opts.Stream, data)
+	}
+	if err != nil {
+		s.count(func(stats *Stats) { stats.SnapshotErrors++ })
+		s.opts.Logger.Warn().Err(err).Msg("table snapshot was not published")
+		return
+	}
+	s.count(func(stats *Stats) { stats.SnapshotsPublished++ })
+}
--- /dev/null
+++ b/tablesync/syncer.go
@@ -0,0 +1,275 @@
+// Package tablesync keeps a table.Fold up to date from the log, or from peers
+// while the log is down, and publishes an immutable view of it.
+//
+// Run is one goroutine and the only writer. All other methods of Syncer are
+// safe for concurrent use.
+package tablesync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+// Stats counts the work of a Syncer since it started.
+type Stats struct {
+	Fold               table.Stats
+	LogErrors          uint64
+	PeerCatchUps       uint64
+	PeerErrors         uint64
+	SnapshotStarts     uint64
+	SnapshotsPublished uint64
+	SnapshotErrors     uint64
+	// LogBehind counts answers of a log whose end is below the own offset.
+	LogBehind uint64
+}
+
+// Syncer is a reader of the table.
+type Syncer struct {
+	log   platform.Log
+	peers func() []Peer
+	clock Clock
+	opts  Options
+	rng   *rand.Rand    // owned by Run
+	chain chain         // owned by Run
+	slack time.Duration // owned by Run; time that a log request may take
+
+	view   atomic.Pointer[table.View]
+	target atomic.Uint64 // highest offset that a peer has reported
+	loaded atomic.Bool
+
+	mu      sync.Mutex // guards the fields below; written by Run only
+	fold    *table.Fold
+	recent  recent
+	cached  cachedSnapshot
+	changed chan struct{} // closed when the offset rises
+	stats   Stats
+}
+
+// New returns a Syncer at offset 0. rng is owned by the Syncer afterwards.
+func New(log platform.Log, peers func() []Peer, clock Clock, rng *rand.Rand, opts Options) (*Syncer, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	s := &Syncer{
+		log: log, peers: peers, clock: clock, opts: opts, rng: rng,
+		chain:   newChain(opts.Retention, rng),
+		slack:   opts.ReadSlack,
+		fold:    table.NewFold(),
+		changed: make(chan struct{}),
+	}
+	s.view.Store(s.fold.View())
+	return s, nil
+}
+
+// View returns the table in force. It is empty until Loaded.
+func (s *Syncer) View() *table.View { return s.view.Load() }
+
+// Offset returns the offset of the view. It never decreases.
+func (s *Syncer) Offset() platform.Offset { return s.View().Offset() }
+
+// Loaded reports whether the table has been read to the end of the log once,
+// or has been taken from a peer.
+func (s *Syncer) Loaded() bool { return s.loaded.Load() }
+
+// Stats returns the counters.
+func (s *Syncer) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Fold = s.fold.Stats()
+	return stats
+}
+
+// Digest returns the offset and digest of the fold, for /statusz.
+func (s *Syncer) Digest() (platform.Offset, table.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fold.Offset(), s.fold.Digest()
+}
+
+// Learn notes the table offset of a message. If the log does not deliver up to
+// it, the next round asks a peer.
+func (s *Syncer) Learn(offset platform.Offset) {
+	for {
+		old := s.target.Load()
+		if uint64(offset) <= old || s.target.CompareAndSwap(old, uint64(offset)) {
+			return
+		}
+	}
+}
+
+// Wait returns when the view is at offset or above it, or when ctx ends.
+func (s *Syncer) Wait(ctx context.Context, offset platform.Offset) error {
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		s.mu.Unlock()
+		if s.Offset() >= offset {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errkind.Wrap(errkind.WaitTimeout, ctx.Err(), "wait for table offset")
+		}
+	}
+}
+
+// Run reads until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	backoff := s.opts.MinBackoff
+	for ctx.Err() == nil {
+		if s.round(ctx) {
+			backoff = s.opts.MinBackoff
+			continue
+		}
+		s.sleep(ctx, backoff)
+		backoff = min(2*backoff, s.opts.MaxBackoff)
+	}
+}
+
+// sleep waits between half of d and d, so that readers do not return in step.
+func (s *Syncer) sleep(ctx context.Context, d time.Duration) {
+	d = d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
+	select {
+	case <-s.clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// round reads once from the log, then from a peer if the log fails or is
+// behind. It reports whether the log answered.
+func (s *Syncer) round(ctx context.Context) bool {
+	answered := s.readLog(ctx)
+	if ctx.Err() != nil {
+		return answered
+	}
+	if !answered || uint64(s.Offset()) < s.target.Load() {
+		s.readPeer(ctx)
+	}
+	s.publishSnapshot(ctx)
+	return answered
+}
+
+func (s *Syncer) readLog(ctx context.Context) bool {
+	batch, err := s.read(ctx, s.Offset(), s.opts.ReadWait)
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		return s.startFromLog(ctx, trimmed.Oldest)
+	}
+	if err != nil {
+		s.countLogError(ctx, err)
+		return false
+	}
+	if batch.End < s.Offset() {
+		// The log lost records. Its next offsets are taken already, so they
+		// can't be applied; the table in force stays.
+		s.count(func(stats *Stats) { stats.LogBehind++ })
+		s.opts.Logger.Error().Uint64("log_end", uint64(batch.End)).Uint64("table_offset", uint64(s.Offset())).Msg("log ends below the table offset")
+		return false
+	}
+	if !s.apply(batch.Records) {
+		return false
+	}
+	if s.Offset() >= batch.End {
+		s.loaded.Store(true)
+	}
+	return true
+}
+
+func (s *Syncer) read(ctx context.Context, after platform.Offset, wait time.Duration) (platform.Batch, error) {
+	timed, cancel := context.WithTimeout(ctx, wait+s.slack)
+	defer cancel()
+	batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, wait)
+	if err == nil {
+		s.slack = max(s.slack/2, s.opts.ReadSlack)
+	} else if timed.Err() != nil {
+		s.slack = min(2*s.slack, MaxReadSlack)
+	}
+	return batch, err
+}
+
+func (s *Syncer) countLogError(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.count(func(stats *Stats) { stats.LogErrors++ })
+	s.opts.Logger.Warn().Err(err).Msg("table log read failed")
+}
+
+func (s *Syncer) count(add func(*Stats)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	add(&s.stats)
+}
+
+// apply applies records in order and publishes the view. It reports false if
+// a record was missing.
+func (s *Syncer) apply(records []platform.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.fold.Offset()
+	complete := true
+	for _, r := range records {
+		v := s.fold.Apply(r)
+		if v.Outcome == table.OutcomeReread {
+			continue
+		}
+		if v.Outcome == table.OutcomeGap {
+			complete = false
+			break
+		}
+		invariant.Check(v.Outcome != table.OutcomeMismatch, "table snapshot at offset %d disagrees with the own fold", r.Offset)
+		s.recent.add(r)
+		s.follow(r)
+	}
+	if s.fold.Offset() > before {
+		s.announce()
+	}
+	return complete
+}
+
+// follow keeps the snapshot chain up to date. s.mu is held.
+func (s *Syncer) follow(r platform.Record) {
+	s.chain.first(r.Time)
+	covered, ok := table.SnapshotOffset(r.Data)
+	if !ok {
+		return
+	}
+	if next, held := s.recent.at(covered + 1); held {
+		s.chain.restart(covered, next.Time)
+	}
+}
+
+// adopt replaces the fold by one that is further on. s.mu is not held.
+func (s *Syncer) adopt(f *table.Fold) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Offset() <= s.fold.Offset() {
+		return false
+	}
+	s.fold = f
+	s.recent.reset()
+	s.announce()
+	return true
+}
+
+// announce publishes the view and wakes the waiters. s.mu is held.
+func (s *Syncer) announce() {
+	old := s.Offset()
+	invariant.Check(s.fold.Offset() >= old, "table offset falls from %d to %d", old, s.fold.Offset())
+	s.view.Store(s.fold.View())
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
