Follow the table through tablesync

Ruled out: a fixed list of peers; the instance list names all live processes. Change: both daemons run tablesync.Syncer, serve TableSince, learn the table offset of each message, and take the table from a live peer when the log fails. daemon.Table is removed. Conclusion: the log is not needed to start a process while a peer lives.

--- a/daemon/providers.go
+++ b/daemon/providers.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
@@ -41,7 +44,9 @@
 			func(c *platform.HTTPClient) platform.InstanceList { return c },
 			func(lc fx.Lifecycle) *telemetry.Metrics { return newMetrics(lc, s, role, log) },
 			func(lc fx.Lifecycle, l platform.InstanceList) *Instances { return startInstances(lc, l, s, log) },
-			func(lc fx.Lifecycle, l platform.Log) *Table { return startTable(lc, l, log) },
+			func(lc fx.Lifecycle, l platform.Log, i *Instances) (*tablesync.Syncer, error) {
+				return startTable(lc, l, i, s, log)
+			},
 		),
 	)
 }
@@ -62,10 +67,21 @@
 	return i
 }
 
-func startTable(lc fx.Lifecycle, l platform.Log, log zerolog.Logger) *Table {
-	t := NewTable(l, log)
-	Start(lc, log, Duty{Name: "follow the table", Run: t.Follow})
-	return t
+func startTable(lc fx.Lifecycle, l platform.Log, i *Instances, s settings.Common, log zerolog.Logger) (*tablesync.Syncer, error) {
+	seed := rand.Uint64()
+	log.Info().Uint64("seed", seed).Msg("random source of the table reader")
+	p := newPeers(i, s.Instance, s.PeerToken.Reveal())
+	t, err := tablesync.New(l, p.list, tablesync.SystemClock{}, rand.New(rand.NewPCG(seed, 0)), tablesync.Options{
+		Retention: s.RetentionWindow, Logger: log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	Start(lc, log, Duty{Name: "follow the table", Run: func(ctx context.Context) error {
+		t.Run(ctx)
+		return nil
+	}})
+	return t, nil
 }
 
 // Listen returns the given listener or opens one on address.
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -15,11 +15,9 @@
 	"github.com/filbertmux/filbertmux/examples"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/tablesync"
 )
 
-// tableStream is the log stream of the table.
-const tableStream = "table"
-
 // organisation is the caller of all demo calls.
 const organisation = "mureseni-desk"
 
@@ -67,7 +65,7 @@
 		if err != nil {
 			return 0, errors.Wrap(err, "change set")
 		}
-		offset, err := log.Append(ctx, tableStream, data)
+		offset, err := log.Append(ctx, tablesync.DefaultStream, data)
 		if err != nil {
 			return 0, errors.Wrap(err, "publish")
 		}
--- a/demo/outage_test.go
+++ b/demo/outage_test.go
@@ -14,8 +14,8 @@
 	"github.com/filbertmux/filbertmux/standin"
 )
 
-// Guards against an outage of the log that stops lookups and model calls, or
-// that lets a booking run without a claim.
+// Guards against an outage of the log that stops lookups and model calls, that
+// lets a booking run without a claim, or that keeps a new entry without table.
 func TestLogOutage(t *testing.T) {
 	ctx := context.Background()
 	d, err := deploy(ctx, io.Discard)
@@ -27,14 +27,16 @@
 	require.NoError(t, c.awaitTable(ctx, offset))
 
 	d.platform.SetFaults(standin.Faults{LogDown: true})
-	last := d.entries[len(d.entries)-1]
-	completion := c.completion(ctx, last)
+	require.NoError(t, d.startEntry(ctx, len(d.entries), failureDomains[0]))
+	require.NoError(t, c.awaitTable(ctx, offset), "the new entry takes the table from a peer")
+	late := d.entries[len(d.entries)-1]
+	completion := c.completion(ctx, late)
 	require.True(t, completion.Whole, completion.Detail)
-	lookup := c.lookup(ctx, last)
+	lookup := c.lookup(ctx, late)
 	require.True(t, lookup.Whole, lookup.Detail)
 
 	key := uuid.Must(uuid.NewV7()).String()
-	a, err := c.send(ctx, http.MethodPost, last+"/"+plainService+"/orders", key, "order")
+	a, err := c.send(ctx, http.MethodPost, late+"/"+plainService+"/orders", key, "order")
 	require.NoError(t, err)
 	var refusal entry.Refusal
 	require.NoError(t, json.Unmarshal(a.body, &refusal))
@@ -44,7 +46,7 @@
 	require.Zero(t, d.runs(key))
 
 	d.platform.SetFaults(standin.Faults{})
-	booking := c.booking(ctx, "booking", last, key, "order")
+	booking := c.booking(ctx, "booking", late, key, "order")
 	require.True(t, booking.Whole, booking.Detail)
 	require.Equal(t, 1, d.runs(key))
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -23,6 +23,7 @@
 // dispatcher runs requests on sidecars. It is safe for concurrent use.
 type dispatcher struct {
 	backends *backends
+	table    tableSource
 	clients  *clients
 	receiver stream.ReceiverConfig
 }
@@ -93,6 +94,7 @@
 		messages: make(chan message, maxPendingChunks),
 		out:      out,
 		onChunk: func(c *pb.Chunk) {
+			d.table.Learn(platform.Offset(c.GetTableOffset()))
 			if c.GetLoad().GetLeaving() {
 				d.backends.hold(instance.ID, leavingHold)
 			}
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -35,6 +35,8 @@
 
 func (demoTable) Loaded() bool { return true }
 
+func (demoTable) Learn(platform.Offset) {}
+
 func newDemoTable(t *testing.T) demoTable {
 	t.Helper()
 	sheet, err := table.LoadDir(examples.Demo())
--- a/entry/module.go
+++ b/entry/module.go
@@ -1,17 +1,21 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
@@ -34,19 +38,30 @@
 	)
 }
 
-func provideServer(o Options, incarnation daemon.Incarnation, t *daemon.Table, instances *daemon.Instances,
+func provideServer(o Options, incarnation daemon.Incarnation, t *tablesync.Syncer, instances *daemon.Instances,
 	gate *drain.Gate, metrics *telemetry.Metrics,
 ) *Server {
 	return NewServer(o.Settings, incarnation, t, instances, gate, o.Log, metrics)
 }
 
-func servePeers(lc fx.Lifecycle, o Options) error {
+// peerService implements the EntryService. Report belongs to the limits.
+type peerService struct {
+	filbertmuxv1connect.UnimplementedEntryServiceHandler
+	table *tablesync.Syncer
+}
+
+// TableSince implements EntryServiceHandler.
+func (p peerService) TableSince(ctx context.Context, req *connect.Request[pb.TableSinceRequest]) (*connect.Response[pb.TableSinceResponse], error) {
+	return p.table.TableSince(ctx, req)
+}
+
+func servePeers(lc fx.Lifecycle, o Options, t *tablesync.Syncer) error {
 	listener, err := daemon.Listen(o.PeerListener, o.Settings.PeerListen)
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	path, service := filbertmuxv1connect.NewEntryServiceHandler(filbertmuxv1connect.UnimplementedEntryServiceHandler{})
+	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t})
 	mux.Handle(path, daemon.RequireToken(o.Settings.PeerToken.Reveal(), service))
 	daemon.Serve(lc, o.Log, daemon.Server{
 		Name:           "peers",
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,17 +16,20 @@
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/stream"
 	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
-// tableSource is the part of daemon.Table that the entry needs.
+// tableSource is the part of tablesync.Syncer that the entry needs.
 type tableSource interface {
 	// View returns the table in force. It is empty until Loaded.
 	View() *table.View
 	Loaded() bool
+	// Learn notes the table offset of another process.
+	Learn(offset platform.Offset)
 }
 
 // Server serves the callers of one entry. It is safe for concurrent use.
@@ -56,6 +59,7 @@
 		settings: s, incarnation: incarnation, table: source, backends: b,
 		dispatcher: &dispatcher{
 			backends: b,
+			table:    source,
 			clients:  newClients(s.PeerToken.Reveal()),
 			receiver: stream.ReceiverConfig{
 				MaxPending:      maxPendingChunks,
--- a/sidecar/module.go
+++ b/sidecar/module.go
@@ -19,6 +19,7 @@
 	"github.com/filbertmux/filbertmux/invariant"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
@@ -51,7 +52,7 @@
 	)
 }
 
-func provideServer(o Options, incarnation daemon.Incarnation, claims *claimlog.Client, t *daemon.Table,
+func provideServer(o Options, incarnation daemon.Incarnation, claims *claimlog.Client, t *tablesync.Syncer,
 	gate *drain.Gate, metrics *telemetry.Metrics,
 ) (*Server, error) {
 	return NewServer(o.Settings, incarnation, claims, t, gate, o.Log, metrics)
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -20,15 +20,19 @@
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
 // retryHint is the Retry-After of refusals that another sidecar can answer.
 const retryHint = time.Second
 
-// tableSource is the part of the table follower that the sidecar needs.
+// tableSource is the part of tablesync.Syncer that the sidecar needs.
 type tableSource interface {
+	tablesync.Peer
 	Offset() platform.Offset
+	// Learn notes the table offset of another process.
+	Learn(offset platform.Offset)
 }
 
 // claimRunner runs a non-idempotent call at most once.
@@ -38,8 +42,6 @@
 
 // Server implements the SidecarService. It is safe for concurrent use.
 type Server struct {
-	filbertmuxv1connect.UnimplementedSidecarServiceHandler
-
 	settings    settings.Sidecar
 	incarnation string
 	backend     *backend
@@ -84,6 +86,7 @@
 // Call implements SidecarServiceHandler. A refusal is a stream with an end chunk
 // only, so that every answer has the same form.
 func (s *Server) Call(ctx context.Context, req *connect.Request[pb.CallRequest], out *connect.ServerStream[pb.Chunk]) error {
+	s.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
 	a, connection, err := s.admit(req.Msg)
 	if err != nil {
 		return out.Send(s.refusal(req.Msg.GetId(), err))
@@ -117,10 +120,16 @@
 }
 
 // Probe implements SidecarServiceHandler.
-func (s *Server) Probe(context.Context, *connect.Request[pb.ProbeRequest]) (*connect.Response[pb.ProbeResponse], error) {
+func (s *Server) Probe(_ context.Context, req *connect.Request[pb.ProbeRequest]) (*connect.Response[pb.ProbeResponse], error) {
+	s.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
 	return connect.NewResponse(&pb.ProbeResponse{Load: s.load(), TableOffset: uint64(s.table.Offset())}), nil
 }
 
+// TableSince implements SidecarServiceHandler.
+func (s *Server) TableSince(ctx context.Context, req *connect.Request[pb.TableSinceRequest]) (*connect.Response[pb.TableSinceResponse], error) {
+	return s.table.TableSince(ctx, req)
+}
+
 func (s *Server) find(id *pb.AttemptId) *attempt {
 	if id.GetIncarnation() != "" && id.GetIncarnation() != s.incarnation {
 		return nil
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -23,6 +23,7 @@
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/standin"
 	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
@@ -33,10 +34,12 @@
 	return key.String()
 }
 
-type noTable struct{}
+type noTable struct{ tablesync.Peer }
 
 func (noTable) Offset() platform.Offset { return 7 }
 
+func (noTable) Learn(platform.Offset) {}
+
 type fixture struct {
 	server *Server
 	client filbertmuxv1connect.SidecarServiceClient
