--- /dev/null
+++ b/tablecli/commands.go
@@ -0,0 +1,129 @@
+// Package tablecli holds the operators' commands on the table.
+package tablecli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/tablesync"
+)
+
+// Commands is embedded into the command line. Each Run takes a
+// context.Context and an io.Writer binding.
+type Commands struct {
+	Validate ValidateCmd `cmd:"" help:"Check the CSV files of a directory."`
+	Diff     DiffCmd     `cmd:"" help:"Show what publish would change."`
+	Publish  PublishCmd  `cmd:"" help:"Publish the rows of one office."`
+	Status   StatusCmd   `cmd:"" help:"Show the table in force."`
+}
+
+// Source names the platform.
+type Source struct {
+	Platform string `required:"" env:"FILBERTMUX_PLATFORM" help:"Base URL of the platform."`
+}
+
+func (s Source) client() (*platform.HTTPClient, error) {
+	return platform.NewHTTPClient(s.Platform, &http.Client{Timeout: time.Minute})
+}
+
+// Edit names the edited rows.
+type Edit struct {
+	Dir    string `arg:"" type:"existingdir" help:"Directory of the CSV files."`
+	Office string `required:"" help:"Office that owns the rows."`
+}
+
+// changeSet returns the change set against the fold and its faults.
+func (e Edit) changeSet(f *table.Fold) (table.ChangeSet, error) {
+	sheet, err := table.LoadDir(os.DirFS(e.Dir))
+	if err != nil {
+		return table.ChangeSet{}, err
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return table.ChangeSet{}, errkind.Wrap(errkind.Internal, err, "change-set id")
+	}
+	return table.Diff(f.View(), sheet, e.Office, id.String()), nil
+}
+
+// ValidateCmd checks a directory without the platform.
+type ValidateCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"Directory of the CSV files."`
+}
+
+// Run implements the command.
+func (c *ValidateCmd) Run(_ context.Context, out io.Writer) error {
+	sheet, err := table.LoadDir(os.DirFS(c.Dir))
+	if err != nil {
+		return err
+	}
+	if _, err := table.ViewOf(sheet); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "%d rows are valid\n", len(sheet.Rows))
+	return err
+}
+
+// DiffCmd shows a change set.
+type DiffCmd struct {
+	Source
+	Edit
+}
+
+// Run implements the command.
+func (c *DiffCmd) Run(ctx context.Context, out io.Writer) error {
+	log, err := c.client()
+	if err != nil {
+		return err
+	}
+	f, err := tablesync.ReadOnce(ctx, log)
+	if err != nil {
+		return err
+	}
+	set, err := c.changeSet(f)
+	if err != nil {
+		return err
+	}
+	printChanges(out, set)
+	if len(set.Changes) == 0 {
+		return nil
+	}
+	return table.FaultsError(f.Check(set))
+}
+
+func printChanges(out io.Writer, set table.ChangeSet) {
+	_, _ = fmt.Fprintf(out, "%d change(s) of office %s at table offset %d\n", len(set.Changes), set.Office, set.ReadOffset)
+	for _, c := range set.Changes {
+		if c.Row == nil {
+			_, _ = fmt.Fprintf(out, "delete %s (version %d)\n", c.Key, c.Base)
+			continue
+		}
+		_, _ = fmt.Fprintf(out, "put %s (version %d): %s\n", c.Key, c.Base, c.Row)
+	}
+}
+
+// StatusCmd shows the table in force.
+type StatusCmd struct{ Source }
+
+// Run implements the command.
+func (c *StatusCmd) Run(ctx context.Context, out io.Writer) error {
+	log, err := c.client()
+	if err != nil {
+		return err
+	}
+	f, err := tablesync.ReadOnce(ctx, log)
+	if err != nil {
+		return err
+	}
+	digest, _ := f.Digest().MarshalText()
+	_, err = fmt.Fprintf(out, "offset %d digest %s rows %d\n", f.Offset(), digest, len(f.View().Entries()))
+	return err
+}
--- /dev/null
+++ b/tablesync/once.go
@@ -0,0 +1,30 @@
+package tablesync
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+// noSnapshots is a retention after which no command is still running.
+const noSnapshots = 100 * 365 * 24 * time.Hour
+
+// ReadOnce returns the fold at the end of the log. The caller owns it.
+func ReadOnce(ctx context.Context, log platform.Log) (*table.Fold, error) {
+	s, err := New(log, nil, SystemClock{}, rand.New(rand.NewPCG(0, 0)), Options{Retention: noSnapshots, ReadWait: time.Millisecond, Logger: zerolog.Nop()})
+	if err != nil {
+		return nil, err
+	}
+	for !s.Loaded() {
+		if !s.readLog(ctx) {
+			return nil, errkind.New(errkind.LogUnavailable, "the table could not be read from the log")
+		}
+	}
+	return s.fold, nil
+}
