Add table history and export; append again only after a read without verdict

Cause: an edit needs the version of each row, and operators need past verdicts. publish appended the same set again on each poll, which loads a slow log. Ruled out: writing versions back into the operator's files on publish; a file that is open in a spreadsheet would be overwritten unseen. Change: history, export, Fold.Verdicts; publish reads before it appends again. Conclusion: an operator can export, edit, publish and look back.

--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -38,7 +38,7 @@
 	for _, key := range sortedKeys(f.entries) {
 		s.Entries = append(s.Entries, f.entries[key])
 	}
-	s.Verdicts = slices.SortedFunc(maps.Values(f.verdicts), func(a, b Verdict) int { return cmp.Compare(a.Offset, b.Offset) })
+	s.Verdicts = f.Verdicts()
 	for _, key := range slices.SortedFunc(maps.Keys(f.deleted), compareKeys) {
 		s.Deletions = append(s.Deletions, deletion{key, f.deleted[key]})
 	}
@@ -49,6 +49,11 @@
 	return data, nil
 }
 
+// Verdicts returns the remembered verdicts by offset.
+func (f *Fold) Verdicts() []Verdict {
+	return slices.SortedFunc(maps.Values(f.verdicts), func(a, b Verdict) int { return cmp.Compare(a.Offset, b.Offset) })
+}
+
 // SnapshotOffset returns the offset that a record covers if it is a snapshot.
 func SnapshotOffset(data []byte) (platform.Offset, bool) {
 	if RecordType(data) != TypeSnapshot {
--- a/tablecli/commands.go
+++ b/tablecli/commands.go
@@ -23,6 +23,8 @@
 	Validate ValidateCmd `cmd:"" help:"Check the CSV files of a directory."`
 	Diff     DiffCmd     `cmd:"" help:"Show what publish would change."`
 	Publish  PublishCmd  `cmd:"" help:"Publish the rows of one office."`
+	History  HistoryCmd  `cmd:"" help:"List the remembered verdicts."`
+	Export   ExportCmd   `cmd:"" help:"Write the table in force as CSV files with versions."`
 	Status   StatusCmd   `cmd:"" help:"Show the table in force."`
 }
 
--- a/tablecli/publish.go
+++ b/tablecli/publish.go
@@ -66,12 +66,14 @@
 	if err != nil {
 		return table.Verdict{}, err
 	}
+	// The verdict is read back in any case, so an append error decides nothing.
+	_, _ = log.Append(ctx, tablesync.DefaultStream, data)
 	for {
-		_, _ = log.Append(ctx, tablesync.DefaultStream, data)
 		if f, err := tablesync.ReadOnce(ctx, log); err == nil {
 			if v, ok := f.VerdictOf(set.ID); ok {
 				return v, nil
 			}
+			_, _ = log.Append(ctx, tablesync.DefaultStream, data)
 		}
 		if !pause(ctx) {
 			return table.Verdict{}, errkind.New(errkind.PublishUnknown, "change set %s: the verdict could not be read back; see status", set.ID)
