Add the table commands to the command line

Cause: operators publish and inspect the table with the same program. Change: tablecli.Commands under filbertmux table.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -17,14 +17,16 @@
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/sidecar"
+	"github.com/filbertmux/filbertmux/tablecli"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
 type commands struct {
-	Entry   entryCommand   `cmd:"" help:"Run an entry, which serves callers."`
-	Sidecar sidecarCommand `cmd:"" help:"Run the sidecar of a backend server."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in for tests."`
-	Demo    demoCommand    `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
+	Entry   entryCommand      `cmd:"" help:"Run an entry, which serves callers."`
+	Sidecar sidecarCommand    `cmd:"" help:"Run the sidecar of a backend server."`
+	Table   tablecli.Commands `cmd:"" help:"Validate, publish and inspect the table."`
+	Standin standinCommand    `cmd:"" help:"Run a stand-in for tests."`
+	Demo    demoCommand       `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
 }
 
 // Streams are the outputs of a command.
@@ -44,6 +46,7 @@
 		kong.Writers(streams.Out, streams.Err),
 		kong.Exit(func(code int) { exit = code }),
 		kong.BindTo(ctx, (*context.Context)(nil)),
+		kong.BindTo(streams.Out, (*io.Writer)(nil)),
 		kong.Bind(&faults, streams),
 	)
 	parser, err := kong.New(&c, options...)
