Bound the probes of an entry and keep one of them random

Cause: at 50 requests/s an entry (600 replicas, 30 entries, a trial) the probes took 44 KB/s of a control budget of 10 KB/s. Bounded at 25/s, probe-based+prefix got a p99 of 20.9 s and an in-flight skew of 11: the scarce probes all went to the servers of popular prefixes, so all entries picked these. Ruled out: a maximum age of 0.5 s for the reports that affinity uses: p99 32 s in the same trial, and 71 in place of 76% hits at 12 replicas; reverted. Change: MaxPerSecond in ProbeConfig, and one probe a request stays random. Tried and reverted: three choices a prefix (600: hits 67 -> 71%; 12: p99 up to 33 ms higher), two probes a request (600: p99 of prefix affinity 381 -> 426 ms). Switched off: the bound on probes, the reuse limit: TestProbeLimits fails.

--- a/bench/routing/cmd.go
+++ b/bench/routing/cmd.go
@@ -18,9 +18,10 @@
 
 // Cmd is the routing command of filbertmux-bench.
 type Cmd struct {
-	Seed uint64   `default:"1" help:"Seed of all random numbers."`
-	JSON bool     `help:"Print one JSON document in place of tables."`
-	Only []string `help:"Experiments to run (default: all)." enum:"policies,priority,limits,retry,membership"`
+	Seed     uint64   `default:"1" help:"Seed of all random numbers."`
+	JSON     bool     `help:"Print one JSON document in place of tables."`
+	Replicas []int    `default:"12,600" help:"Numbers of replicas for the policies."`
+	Only     []string `help:"Experiments to run (default: all)." enum:"policies,priority,limits,retry,membership"`
 }
 
 // Results holds the figures of one run.
@@ -58,7 +59,7 @@
 			return nil
 		})
 	}
-	results.Policies = runPolicies(c.Seed, run)
+	results.Policies = runPolicies(c.Seed, c.Replicas, run)
 	run("priority", func() { results.Priority = runPriority(c.Seed) })
 	run("limits", func() { results.Limits = runLimits(c.Seed) })
 	run("retry", func() { results.Retry = runRetry(c.Seed) })
--- a/bench/routing/policies.go
+++ b/bench/routing/policies.go
@@ -38,7 +38,13 @@
 // scale is a number of replicas and of entries in front of them.
 type scale struct{ replicas, entries int }
 
-var scales = []scale{{12, 4}, {600, 300}}
+// scaleOf returns 4 entries for 12 replicas and 300 for 600.
+func scaleOf(replicas int) scale {
+	if replicas <= 12 {
+		return scale{replicas, 4}
+	}
+	return scale{replicas, replicas / 2}
+}
 
 // PolicyResult holds the figures of one policy at one scale.
 type PolicyResult struct {
@@ -80,11 +86,13 @@
 	func(l *decide.Loads, _ string) decide.Policy { return withPrefix(l, probeBased(l)) },
 	func(l *decide.Loads, d string) decide.Policy { return withDomain(l, d, probeBased(l)) },
 	func(l *decide.Loads, d string) decide.Policy { return withDomain(l, d, withPrefix(l, probeBased(l))) },
+	func(l *decide.Loads, d string) decide.Policy { return withPrefix(l, withDomain(l, d, probeBased(l))) },
 }
 
-func runPolicies(seed uint64, run func(string, func())) []PolicyResult {
-	results := make([]PolicyResult, len(scales)*len(variants))
-	for s, size := range scales {
+func runPolicies(seed uint64, replicas []int, run func(string, func())) []PolicyResult {
+	results := make([]PolicyResult, len(replicas)*len(variants))
+	for s, n := range replicas {
+		size := scaleOf(n)
 		for v, build := range variants {
 			at := s*len(variants) + v
 			run("policies", func() { results[at] = newTrial(seed, size, build).run() })
--- a/routing/probebased.go
+++ b/routing/probebased.go
@@ -4,12 +4,17 @@
 	"math"
 	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // ProbeConfig holds the parameters of ProbeBased.
 type ProbeConfig struct {
 	// PerRequest is the number of servers probed per request.
 	PerRequest float64
+	// MaxPerSecond bounds the probes of this entry; 0 means no bound. At 280
+	// bytes a probe, 25/s are 7 KB/s of the control budget of 10 KB/s.
+	MaxPerSecond float64
 	// PoolSize bounds the pool of probe results.
 	PoolSize int
 	// MaxAge is the age from which a result is dropped.
@@ -28,12 +33,13 @@
 // rounded.
 func DefaultProbeConfig() ProbeConfig {
 	return ProbeConfig{
-		PerRequest:  3,
-		PoolSize:    16,
-		MaxAge:      time.Second,
-		MaxUses:     2,
-		HotQuantile: 0.84,
-		MinPool:     2,
+		PerRequest:   3,
+		MaxPerSecond: 25,
+		PoolSize:     16,
+		MaxAge:       time.Second,
+		MaxUses:      2,
+		HotQuantile:  0.84,
+		MinPool:      2,
 	}
 }
 
@@ -48,6 +54,7 @@
 	// pool is ordered by age, the oldest first.
 	pool     []result
 	owed     float64
+	limiter  *rate.Limiter
 	dropTurn bool
 }
 
@@ -60,7 +67,12 @@
 
 // NewProbeBased returns a policy with an empty pool.
 func NewProbeBased(config ProbeConfig, loads *Loads) *ProbeBased {
-	return &ProbeBased{config: config, loads: loads}
+	limit := rate.Inf
+	if config.MaxPerSecond > 0 {
+		limit = rate.Limit(config.MaxPerSecond)
+	}
+	burst := max(1, int(config.MaxPerSecond))
+	return &ProbeBased{config: config, loads: loads, limiter: rate.NewLimiter(limit, burst)}
 }
 
 // Name implements Policy.
@@ -95,6 +107,9 @@
 	p.owed -= count
 	var ids []string
 	for _, i := range sample(r, int(count)) {
+		if !p.limiter.AllowN(r.Now, 1) {
+			break
+		}
 		ids = append(ids, r.Candidates[i].ID)
 	}
 	return ids
@@ -120,6 +135,12 @@
 	return best.candidate
 }
 
+// PoolLen returns the number of usable probe results, for metrics.
+func (p *ProbeBased) PoolLen(now time.Time) int {
+	p.expire(now)
+	return len(p.pool)
+}
+
 // usableResult joins a pool result with its candidate.
 type usableResult struct{ pool, candidate int }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -139,3 +139,25 @@
 	probed(domain, "s000", 3, 40*time.Millisecond)
 	require.Equal(t, "a", r.Candidates[domain.Pick(r)].FailureDomain)
 }
+
+// Guards against probes beyond the control budget, and against a probe result
+// that is used more often than the reuse limit allows.
+func TestProbeLimits(t *testing.T) {
+	config := routing.DefaultProbeConfig()
+	p := routing.NewProbeBased(config, routing.NewLoads(time.Second))
+	r := request(1, 30)
+	probes := 0
+	for k := range 1000 {
+		r.Now = start.Add(time.Duration(k) * 10 * time.Millisecond)
+		probes += len(p.Probes(r))
+	}
+	require.LessOrEqual(t, float64(probes), config.MaxPerSecond*(10+1))
+	config.MinPool = 1
+	p = routing.NewProbeBased(config, routing.NewLoads(time.Second))
+	r = request(1, 1)
+	probed(p, "s000", 1, time.Millisecond)
+	for k := range config.MaxUses + 1 {
+		require.Equal(t, min(1, config.MaxUses-k), p.PoolLen(start))
+		p.Observe(start, routing.Event{Kind: routing.Sent, Server: "s000"})
+	}
+}
--- a/routing/wrappers.go
+++ b/routing/wrappers.go
@@ -38,7 +38,9 @@
 func (p *PrefixAffinity) Observe(now time.Time, e Event) { p.Inner.Observe(now, e) }
 
 // Probes implements Policy. The first choices are probed in place of some of
-// the random servers, so the number of probes stays the same.
+// the random servers, so the number of probes stays the same. One probe always
+// goes to a random server: otherwise, where probes are scarce, all entries know
+// only the servers of popular prefixes and send everything there.
 func (p *PrefixAffinity) Probes(r Request) []string {
 	ids := p.Inner.Probes(r)
 	if r.Prefix == 0 {
@@ -46,7 +48,7 @@
 	}
 	for k, i := range firstChoices(r.Prefix, r.Candidates, p.Config.Choices) {
 		id := r.Candidates[i].ID
-		if k < len(ids) && !slices.Contains(ids, id) {
+		if k < len(ids)-1 && !slices.Contains(ids, id) {
 			ids[k] = id
 		}
 	}
