--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOFUMPT := go run mvdan.cc/gofumpt@v0.9.2
 BIN := $(CURDIR)/bin
 
-.PHONY: check fmt fmt-check lint vet build test demo generate
+.PHONY: check fmt fmt-check lint vet build test demo generate soak fuzz
 
 check: fmt-check vet lint build test demo
 
@@ -29,6 +29,21 @@
 demo:
 	go run ./cmd/filbertmux demo
 
+# Randomised tests with more seeds: make soak SEEDS=1000. A failing run prints
+# the command that replays its seed.
+SEEDS ?= 200
+RANDOMISED := ./claim ./claimlog ./lease ./mapswitch ./quarantine ./table ./tablesync
+soak:
+	FILBERTMUX_SEEDS=$(SEEDS) go test -count=1 -timeout 120m $(RANDOMISED)
+	go test -count=1 ./routing ./fairqueue ./membership ./experts ./stream -rapid.checks=$$((100 * $(SEEDS)))
+
+# Each fuzz test for a bounded time.
+FUZZTIME ?= 20s
+fuzz:
+	go test ./table -run '^$$' -fuzz FuzzParseCSV -fuzztime $(FUZZTIME)
+	go test ./table -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
+	go test ./experts -run '^$$' -fuzz FuzzDecide -fuzztime $(FUZZTIME)
+
 # Needs protoc; the generated code is committed, so a build does not.
 generate:
 	mkdir -p $(BIN)
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -1,8 +1,6 @@
 package claim_test
 
 import (
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -11,36 +9,19 @@
 
 	"github.com/filbertmux/filbertmux/claim"
 	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/internal/seeds"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
-// seedsOf returns the seeds of a randomised test: CLAIM_SEED alone, or
-// CLAIM_SEEDS of them (default n) from 1 on.
-func seedsOf(n int) []uint64 {
-	if text := os.Getenv("CLAIM_SEED"); text != "" {
-		seed, _ := strconv.ParseUint(text, 10, 64)
-		return []uint64{seed}
-	}
-	if text := os.Getenv("CLAIM_SEEDS"); text != "" {
-		n, _ = strconv.Atoi(text)
-	}
-	first := uint64(1)
-	seeds := make([]uint64, n)
-	for i := range seeds {
-		seeds[i] = first + uint64(i)
-	}
-	return seeds
-}
-
 // Guards against two runs of an identity, a not_run answer that is or becomes
 // untrue, and a done answer that differs from what ran, under all faults.
 func TestAtMostOnceUnderFaults(t *testing.T) {
 	answers := make(map[string]int)
 	runs := 0
-	for _, seed := range seedsOf(60) {
+	for _, seed := range seeds.Of(t, 60) {
 		w := newWorld(seed, none)
 		w.run()
-		require.Empty(t, w.violations, "replay: CLAIM_SEED=%d go test ./claim -run TestAtMostOnceUnderFaults", seed)
+		require.Empty(t, w.violations, seeds.Replay(t, "claim", seed))
 		for status, n := range w.answers {
 			answers[status] += n
 		}
@@ -54,8 +35,8 @@
 func TestModelFindsViolations(t *testing.T) {
 	for _, off := range []rule{readOwnRecord, lostIsUnknown, gapIsUnknown, brokenIsLost, endsWhenRefuse} {
 		bad, total := 0, 0
-		seeds := seedsOf(25)
-		for _, seed := range seeds {
+		list := seeds.Of(t, 25)
+		for _, seed := range list {
 			w := newWorld(seed, off)
 			w.run()
 			total += len(w.violations)
@@ -63,8 +44,8 @@
 				bad++
 			}
 		}
-		t.Logf("without %q: %d violations in %d of %d seeds", off, total, bad, len(seeds))
-		require.Positive(t, bad, "without %q, first seed %d", off, seeds[0])
+		t.Logf("without %q: %d violations in %d of %d seeds", off, total, bad, len(list))
+		require.Positive(t, bad, "without %q, first seed %d", off, list[0])
 	}
 }
 
--- a/claimlog/client_test.go
+++ b/claimlog/client_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,6 +17,7 @@
 	"github.com/filbertmux/filbertmux/claim"
 	"github.com/filbertmux/filbertmux/claimlog"
 	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/internal/seeds"
 )
 
 func newClient(t *testing.T, log *memLog, change func(*claimlog.Settings)) *claimlog.Client {
@@ -151,11 +150,8 @@
 func TestFaultyLog(t *testing.T) { synctest.Test(t, checkFaultyLog) }
 
 func checkFaultyLog(t *testing.T) {
-	seed := uint64(1)
-	if text := os.Getenv("CLAIMLOG_SEED"); text != "" {
-		seed, _ = strconv.ParseUint(text, 10, 64)
-	}
-	t.Logf("replay: CLAIMLOG_SEED=%d go test ./claimlog -run TestFaultyLog", seed)
+	seed := seeds.Of(t, 1)[0]
+	t.Log(seeds.Replay(t, "claimlog", seed))
 	log := newMemLog(seed)
 	log.set(faults{
 		lostAfter: 0.15, lostBefore: 0.1, late: 0.1, rateLimited: 0.15,
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -3,13 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/internal/seeds"
 	"github.com/filbertmux/filbertmux/lease"
 	"github.com/filbertmux/filbertmux/platform"
 )
@@ -255,31 +254,16 @@
 	return w.now
 }
 
-func seedsOf(n int) []uint64 {
-	if text := os.Getenv("LEASE_SEED"); text != "" {
-		seed, _ := strconv.ParseUint(text, 10, 64)
-		return []uint64{seed}
-	}
-	if text := os.Getenv("LEASE_SEEDS"); text != "" {
-		n, _ = strconv.Atoi(text)
-	}
-	first, seeds := uint64(1), make([]uint64, n)
-	for i := range seeds {
-		seeds[i] = first + uint64(i)
-	}
-	return seeds
-}
-
 const steps = 10 * 60 * 40 // 40 minutes
 
 // Guards against two holders at once by their own clocks, and against a late
 // command with an old token that reaches a backend server after a newer one.
 func TestFencingUnderFaults(t *testing.T) {
 	tenures, passed := 0, 0
-	for _, seed := range seedsOf(8) {
+	for _, seed := range seeds.Of(t, 8) {
 		w := newWorld(seed, none)
 		w.run(steps)
-		require.Empty(t, w.violations, "replay: LEASE_SEED=%d go test ./lease -run TestFencingUnderFaults", seed)
+		require.Empty(t, w.violations, seeds.Replay(t, "lease", seed))
 		require.Greater(t, len(w.tenures), 1, "seed %d", seed)
 		tenures += len(w.tenures)
 		passed += w.passed
@@ -291,8 +275,8 @@
 func TestModelFindsViolations(t *testing.T) {
 	for _, off := range []rule{guardChecks, guardReads, holderStops} {
 		bad, total := 0, 0
-		seeds := seedsOf(8)
-		for _, seed := range seeds {
+		list := seeds.Of(t, 8)
+		for _, seed := range list {
 			w := newWorld(seed, off)
 			w.run(steps)
 			total += len(w.violations)
@@ -300,7 +284,7 @@
 				bad++
 			}
 		}
-		t.Logf("without %q: %d violations in %d of %d seeds", off, total, bad, len(seeds))
-		require.Positive(t, bad, "without %q, first seed %d", off, seeds[0])
+		t.Logf("without %q: %d violations in %d of %d seeds", off, total, bad, len(list))
+		require.Positive(t, bad, "without %q, first seed %d", off, list[0])
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -3,13 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/internal/seeds"
 	"github.com/filbertmux/filbertmux/quarantine"
 )
 
@@ -177,28 +177,13 @@
 	return innocents
 }
 
-func seedsOf(n int) []uint64 {
-	if text := os.Getenv("QUARANTINE_SEED"); text != "" {
-		seed, _ := strconv.ParseUint(text, 10, 64)
-		return []uint64{seed}
-	}
-	if text := os.Getenv("QUARANTINE_SEEDS"); text != "" {
-		n, _ = strconv.Atoi(text)
-	}
-	first, seeds := uint64(1), make([]uint64, n)
-	for i := range seeds {
-		seeds[i] = first + uint64(i)
-	}
-	return seeds
-}
-
 // Guards against a request that costs more than two servers and against an
 // innocent one that is refused or left unanswered because it was near.
 func TestCrashingRequestIsContained(t *testing.T) {
-	for _, seed := range seedsOf(10) {
+	for _, seed := range seeds.Of(t, 10) {
 		f := newFleet(seed, false)
 		innocents := f.run()
-		replay := fmt.Sprintf("replay: QUARANTINE_SEED=%d go test ./quarantine", seed)
+		replay := seeds.Replay(t, "quarantine", seed)
 		for p := range 3 {
 			body := fmt.Sprintf("poison-%d", p)
 			require.LessOrEqual(t, f.byPoison[body], 2, replay)
@@ -215,7 +200,7 @@
 
 // Guards against a model in which no request could cost more than two servers.
 func TestModelLosesServers(t *testing.T) {
-	f := newFleet(seedsOf(1)[0], true)
+	f := newFleet(1, true)
 	f.run()
 	t.Logf("without suspects: %d crashes by 3 requests sent 100 times", f.crashes)
 	require.Greater(t, f.crashes, 100)
--- a/table/random_test.go
+++ b/table/random_test.go
@@ -1,21 +1,16 @@
 package table
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/internal/seeds"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
-var (
-	seedFlag = flag.Uint64("table.seed", 0, "run only this seed of the randomised table test")
-	runsFlag = flag.Uint64("table.runs", 12, "number of seeds of the randomised table test")
-)
-
 const (
 	randomSteps = 400
 	// randomHorizon is short, so that each run forgets verdicts many times.
@@ -27,27 +22,24 @@
 // against readers that disagree at an offset, a second verdict for an ID and
 // an accepted change that is undone by someone who has not seen it.
 func TestReadersAgreeAndNothingReverts(t *testing.T) {
-	first, last := uint64(1), *runsFlag
-	if *seedFlag != 0 {
-		first, last = *seedFlag, *seedFlag
-	}
+	list := seeds.Of(t, 12)
 	var total Stats
-	for seed := first; seed <= last; seed++ {
+	for _, seed := range list {
 		w, problem := runWorld(t, seed, ruleSwitches{})
-		require.Empty(t, problem, "replay: go test ./table -run %s -table.seed=%d", t.Name(), seed)
+		require.Empty(t, problem, seeds.Replay(t, "table", seed))
 		s := w.readers[0].Stats()
 		total.Accepted += s.Accepted
 		total.Refused += s.Refused
 		total.Duplicates += s.Duplicates
 		total.Snapshots += s.Snapshots
 	}
-	t.Logf("%d seeds x %d steps: %+v", last-first+1, randomSteps, total)
+	t.Logf("%d seeds x %d steps: %+v", len(list), randomSteps, total)
 }
 
 // Guards against a randomised test that detects nothing: with a rule switched
 // off, most seeds must show a problem.
 func TestRandomisedRunDetectsMissingRules(t *testing.T) {
-	const seeds = 8
+	const seedCount = 8
 	for name, rules := range map[string]ruleSwitches{
 		"base version": {noBaseCheck: true},
 		"duplicate ID": {noDuplicates: true},
@@ -55,14 +47,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			detected, example := 0, ""
-			for seed := uint64(1); seed <= seeds; seed++ {
+			for seed := uint64(1); seed <= seedCount; seed++ {
 				if _, problem := runWorld(t, seed, rules); problem != "" {
 					detected++
 					example = problem
 				}
 			}
-			t.Logf("%d of %d seeds detect it, for example: %s", detected, seeds, example)
-			require.Greater(t, detected, seeds/2)
+			t.Logf("%d of %d seeds detect it, for example: %s", detected, seedCount, example)
+			require.Greater(t, detected, seedCount/2)
 		})
 	}
 }
--- a/tablesync/random_test.go
+++ b/tablesync/random_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -11,33 +10,26 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/internal/seeds"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/table"
 )
 
-var (
-	seedFlag = flag.Uint64("tablesync.seed", 0, "run only this seed of the randomised reader test")
-	runsFlag = flag.Uint64("tablesync.runs", 8, "number of seeds of the randomised reader test")
-)
-
 // TestReadersSurviveFaults runs readers through outages, slow phases, expiry
 // and restarts. It guards against an offset that decreases, readers that
 // disagree at an offset, and a reader that doesn't come back. The order of
 // goroutines is not part of the seed, so a replay may need several attempts.
 func TestReadersSurviveFaults(t *testing.T) {
-	first, last := uint64(1), *runsFlag
-	if *seedFlag != 0 {
-		first, last = *seedFlag, *seedFlag
-	}
+	list := seeds.Of(t, 8)
 	var total Stats
-	for seed := first; seed <= last; seed++ {
+	for _, seed := range list {
 		synctest.Test(t, func(t *testing.T) {
-			t.Logf("seed %d; replay: go test ./tablesync -run %s -tablesync.seed=%d", seed, t.Name(), seed)
+			t.Logf("seed %d; %s", seed, seeds.Replay(t, "tablesync", seed))
 			runFaults(t, rand.New(rand.NewPCG(seed, 1)), &total)
 		})
 		require.False(t, t.Failed())
 	}
-	t.Logf("%d seeds: %+v", last-first+1, total)
+	t.Logf("%d seeds: %+v", len(list), total)
 }
 
 func runFaults(t *testing.T, rng *rand.Rand, total *Stats) {
