--- a/mapswitch/mapswitch_test.go
+++ b/mapswitch/mapswitch_test.go
@@ -3,31 +3,13 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-)
 
-// seeds returns the seeds to run: FILBERTMUX_SEED alone, or the first n.
-func seeds(t *testing.T, n uint64) []uint64 {
-	if v := os.Getenv("FILBERTMUX_SEED"); v != "" {
-		seed, err := strconv.ParseUint(v, 10, 64)
-		require.NoError(t, err)
-		return []uint64{seed}
-	}
-	if v := os.Getenv("FILBERTMUX_SEEDS"); v != "" {
-		var err error
-		n, err = strconv.ParseUint(v, 10, 64)
-		require.NoError(t, err)
-	}
-	list := make([]uint64, n)
-	for i := range list {
-		list[i] = uint64(i + 1)
-	}
-	return list
-}
+	"github.com/filbertmux/filbertmux/internal/seeds"
+)
 
 // runFaults runs one seed and returns the violation, if any.
 func runFaults(seed uint64, r rules, enterUndecided bool) (violation string) {
@@ -54,9 +36,9 @@
 // Guards against a step on two maps, a stale holder that still switches, and a
 // group that does not recover by itself.
 func TestOneMapInEveryStep(t *testing.T) {
-	for _, seed := range seeds(t, 30) {
+	for _, seed := range seeds.Of(t, 30) {
 		if v := runFaults(seed, rules{}, false); v != "" {
-			t.Fatalf("seed %d: %s\nreplay: FILBERTMUX_SEED=%d go test ./mapswitch -run TestOneMapInEveryStep", seed, v, seed)
+			t.Fatalf("seed %d: %s\n%s", seed, v, seeds.Replay(t, "mapswitch", seed))
 		}
 	}
 }
@@ -75,7 +57,7 @@
 	for _, c := range cases {
 		violations, runs := 0, 0
 		example := ""
-		for _, seed := range seeds(t, 200) {
+		for _, seed := range seeds.Of(t, 200) {
 			runs++
 			if v := runFaults(seed, c.rules, c.enterUndecided); v != "" {
 				violations++
