Interpret the life of a claimed call from a state chart

Cause: the house style asks for state charts in files that the code interprets; the call's states stood in nested switches. Ruled out: one generic pending state for claiming, unresolved and appended, because logs and the model tell them apart. Change: chart/charts/claim.yaml; claim.Call fires events and maps actions to effects, guards are computed in one place.

--- a/claim/call.go
+++ b/claim/call.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/filbertmux/filbertmux/chart"
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/invariant"
 )
@@ -21,7 +22,8 @@
 // State is the state of a Call.
 type State uint8
 
-// States of a Call. Received is the initial state, Finished the final one.
+// States of a Call, as chart/charts/claim.yaml names them. Received is the
+// initial state, Finished the final one.
 const (
 	Received State = iota
 	Claiming
@@ -103,9 +105,10 @@
 	request  Request
 	id       ID
 	key      uuid.UUID
-	state    State
+	machine  *chart.Machine
 	received time.Time
 	claimed  Verdict
+	badKey   *errkind.Error
 	refusal  *errkind.Error
 	// abandonBy bounds the wait for the abandoned outcome.
 	abandonBy time.Time
@@ -115,11 +118,11 @@
 // NewCall returns the state machine of a request received at now. id must be
 // unique for ever.
 func NewCall(s Settings, id ID, r Request, now time.Time) *Call {
-	return &Call{settings: s, request: r, id: id, received: now}
+	return &Call{settings: s, request: r, id: id, machine: callChart.New(), received: now}
 }
 
 // State returns the present state.
-func (c *Call) State() State { return c.state }
+func (c *Call) State() State { return statesByName[c.machine.State()] }
 
 // ID returns the name of the call's claim.
 func (c *Call) ID() ID { return c.id }
@@ -141,7 +144,7 @@
 // NextDeadline returns when the driver sends DeadlinePassed in the present
 // state, or the zero time if no deadline applies.
 func (c *Call) NextDeadline() time.Time {
-	switch c.state {
+	switch c.State() {
 	case Running:
 		if c.replied {
 			return time.Time{}
@@ -157,191 +160,15 @@
 // Step takes one event at time now and returns what the driver has to do.
 // Events that don't apply to the present state have no effect.
 func (c *Call) Step(now time.Time, e Event) []Effect {
-	switch c.state {
-	case Received:
-		return c.stepReceived(now, e)
-	case Claiming, Unresolved, Appended:
-		return c.stepClaiming(now, e)
-	case Running:
-		return c.stepRunning(now, e)
-	case Abandoning:
-		return c.stepAbandoning(e)
-	default:
-		return nil
-	}
-}
-
-func (c *Call) stepReceived(now time.Time, e Event) []Effect {
-	key, bad := ParseKey(c.request.Key, now, c.settings)
-	if bad != nil {
-		return c.finish(bad)
-	}
-	c.key = key
-	switch {
-	case e.Kind == LogUnavailable:
-		return c.refuse(e.View, c.logUnavailable())
-	case e.Kind == Canceled:
-		return c.refuse(e.View, canceled())
-	case e.Kind == DeadlinePassed, !now.Before(c.DecideBy()):
-		return c.refuse(e.View, c.tooLate())
-	case e.Kind != Start:
-		return nil
-	case e.View.Status == Free:
-		// The Book may lag. The view ahead of the call's own claim decides.
-		c.state = Claiming
-		return []Effect{{Kind: AppendClaim, Entry: c.entry(EntryClaim)}}
-	default:
-		return c.replyView(now, e.View)
-	}
-}
-
-func (c *Call) stepClaiming(now time.Time, e Event) []Effect {
-	switch e.Kind {
-	case ClaimAppended:
-		c.state = Appended
-	case AppendLost:
-		c.state = Unresolved
-	case AppendRefused:
-		return c.refuse(e.View, errkind.New(errkind.QueueFull, "claim queue is full").WithRetryAfter(c.settings.RetryAfter))
-	case ClaimRead:
-		return c.decide(now, e.Verdict)
-	case DeadlinePassed:
-		return c.refuse(e.View, c.logUnavailable())
-	case Canceled:
-		return c.refuse(e.View, canceled())
-	}
-	// LogUnavailable doesn't end a call whose claim was sent: reading may
-	// resume before DecideBy. AppendRateLimited leaves the claim queued.
-	return nil
-}
-
-// decide is the only place that lets a call run: the fold has reached the
-// call's own claim, and no earlier claim holds the identity.
-func (c *Call) decide(now time.Time, v Verdict) []Effect {
-	if v.Claim != c.id || v.Repeat {
+	if c.machine.Final() {
 		return nil
 	}
-	if !v.Won {
-		return c.replyView(now, v.Before)
-	}
-	c.claimed = v
-	if v.Before.Status != Free {
-		return c.abandon(now, c.viewError(now, v.Before))
-	}
-	if !now.Before(c.DecideBy()) {
-		return c.abandon(now, c.tooLate())
-	}
-	c.state = Running
-	return []Effect{{Kind: Run}}
-}
-
-func (c *Call) stepRunning(now time.Time, e Event) []Effect {
-	switch e.Kind {
-	case BackendAnswered:
-		c.state = Finished
-		entry := c.outcome(EntryDone)
-		entry.Answer = Store(&e.Answer, c.settings.MaxAnswerBytes)
-		return append(c.reply(e.Answer, nil), Effect{Kind: AppendOutcome, Entry: entry})
-	case BackendRefused:
-		if c.replied {
-			// The reply was "unknown"; the outcome still frees the key.
-			c.state = Finished
-			return []Effect{{Kind: AppendOutcome, Entry: c.outcome(EntryAbandoned)}}
-		}
-		return c.abandon(now, notRunError(e.Err))
-	case BackendLost:
-		c.state = Finished
-		effects := c.reply(Answer{}, errkind.Wrap(errkind.BackendFailed, e.Err, "the call may have run"))
-		return append(effects, Effect{Kind: AppendOutcome, Entry: c.outcome(EntryLost)})
-	case DeadlinePassed:
-		if c.request.Deadline.IsZero() || now.Before(c.request.Deadline) {
-			return nil
-		}
-		return c.reply(Answer{}, errkind.New(errkind.OutcomeUnknown, "the call still runs after its deadline").
-			WithRetryAfter(c.settings.RetryAfter))
-	case Canceled:
-		return c.reply(Answer{}, errkind.New(errkind.Canceled, "the caller has gone; the call still runs"))
-	}
-	return nil
-}
-
-// stepAbandoning replies once the outcome is written, so that an attempt on
-// another sidecar doesn't find the identity held. The reply is true without
-// the outcome as well.
-func (c *Call) stepAbandoning(e Event) []Effect {
-	switch e.Kind {
-	case OutcomeWritten, DeadlinePassed, Canceled, LogUnavailable, AppendRefused:
-		return c.finish(c.refusal)
-	}
-	return nil
-}
-
-func (c *Call) abandon(now time.Time, refusal *errkind.Error) []Effect {
-	c.state = Abandoning
-	c.abandonBy = now.Add(c.settings.DecideWithin)
-	c.refusal = refusal
-	return []Effect{{Kind: AppendOutcome, Entry: c.outcome(EntryAbandoned)}}
-}
-
-// refuse ends a call whose own claim was not read. The call never runs from
-// here on, and no other process runs this claim: the owner abandons it if it
-// turns up. An earlier send of the key may have a claim that the Book has not
-// read, and a caller takes not_run to be about its key. So the answer is
-// unknown unless the log shows that this call's own claim holds the key.
-func (c *Call) refuse(view View, refusal *errkind.Error) []Effect {
-	if view.Status == Open && view.Claim == c.id {
-		return c.finish(refusal)
-	}
-	if view.Status != Free {
-		return c.replyView(c.received, view)
-	}
-	unknown := errkind.Wrap(errkind.OutcomeUnknown, refusal, "this request did not run; an earlier one with this key may have run")
-	return c.finish(unknown.WithRetryAfter(c.settings.RetryAfter))
-}
-
-// replyView ends the call with what the log says about its identity.
-func (c *Call) replyView(now time.Time, v View) []Effect {
-	if v.Status == Done && v.Answer != nil && v.Answer.complete() {
-		c.state = Finished
-		a := v.Answer
-		return c.reply(Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, Replayed: true}, nil)
+	if c.State() == Received {
+		c.key, c.badKey = ParseKey(c.request.Key, now, c.settings)
 	}
-	return c.finish(c.viewError(now, v))
-}
-
-func (c *Call) finish(err *errkind.Error) []Effect {
-	c.state = Finished
-	return c.reply(Answer{}, err)
-}
-
-func (c *Call) reply(a Answer, err *errkind.Error) []Effect {
-	if c.replied {
+	action, err := c.machine.Fire(eventNames[e.Kind], c.guards(now, e))
+	if !invariant.Check(err == nil, "claim: %v", err) || action == "" {
 		return nil
 	}
-	c.replied = true
-	return []Effect{{Kind: Reply, Answer: a, Err: err}}
-}
-
-func (c *Call) entry(t EntryType) Entry {
-	e := Entry{Type: t, Seq: c.id.Seq, Organisation: c.request.Organisation, Service: c.request.Service, Key: c.key}
-	if t == EntryClaim {
-		e.BodyHash = c.request.BodyHash
-	}
-	return e
-}
-
-func (c *Call) outcome(t EntryType) Entry {
-	invariant.Check(c.claimed.Won, "outcome %s of a claim that doesn't hold its identity", t)
-	e := c.entry(t)
-	e.ClaimOffset = c.claimed.Offset
-	return e
-}
-
-// Abandon returns the outcome of a claim that won after its call had ended
-// without a run.
-func Abandon(v Verdict) Entry {
-	return Entry{
-		Type: EntryAbandoned, Seq: v.Claim.Seq, ClaimOffset: v.Offset,
-		Organisation: v.Identity.Organisation, Service: v.Identity.Service, Key: v.Identity.Key,
-	}
+	return actions[action](c, now, e)
 }
