Pick backend servers by membership and the routing policies

Cause: the entry held back leaving and failed sidecars by fixed times and picked by round robin. A leaving server was found only by a call, and a silent one not at all while the instance list was frozen. Ruled out: an owner goroutine for view and policies (each decision is shorter than a hand-over between goroutines, and Pick has to answer at once). Change: package entry/servers joins membership.View and a routing policy per service under one mutex; a goroutine sends the probes that Due asks for, each 50 ms. A server whose sidecar can't reach the backend server is avoided for 1 s, because its sidecar still answers probes. Before: no probe; a leaving server got work until its first call. After, under an injected clock with a frozen list: no pick of a leaving or dead server 2 s after the change, in 50 picks for each of two policies. Conclusion: the bound of package membership holds at the entry.

--- a/entry/call.go
+++ b/entry/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/routing"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/telemetry"
@@ -21,6 +22,24 @@
 
 const completionsPath = "/v1/chat/completions"
 
+// prefixBytes is the part of a prompt by which requests are kept together: about
+// 256 tokens, the size of a shared system prompt.
+const prefixBytes = 1024
+
+// request is a call with what routing and admission need to know about it.
+type request struct {
+	call   *pb.CallRequest
+	prefix uint64 // hash of the prompt prefix, 0 without one
+}
+
+// callOrNil serves a request that was refused before it was parsed.
+func (r *request) callOrNil() *pb.CallRequest {
+	if r == nil {
+		return nil
+	}
+	return r.call
+}
+
 // parser turns HTTP requests into calls. It refuses whatever must not be
 // forwarded, so an error proves that nothing ran.
 type parser struct {
@@ -36,6 +55,15 @@
 	} `json:"messages"`
 }
 
+// prompt returns the contents of all messages.
+func (c completionRequest) prompt() []byte {
+	var prompt []byte
+	for _, m := range c.Messages {
+		prompt = append(prompt, m.Content...)
+	}
+	return prompt
+}
+
 // organisation authenticates the caller by the hash of its bearer key.
 func (p *parser) organisation(r *http.Request, view *table.View) (table.Organisation, error) {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
@@ -50,38 +78,38 @@
 }
 
 // completion parses a model call; the model name is the service name.
-func (p *parser) completion(c *gin.Context, view *table.View, org table.Organisation) (*pb.CallRequest, error) {
+func (p *parser) completion(c *gin.Context, view *table.View, org table.Organisation) (*request, error) {
 	body, err := p.body(c)
 	if err != nil {
 		return nil, err
 	}
-	var request completionRequest
-	if err := json.Unmarshal(body, &request); err != nil {
+	var completion completionRequest
+	if err := json.Unmarshal(body, &completion); err != nil {
 		return nil, errkind.Wrap(errkind.InvalidRequest, err, "the body is not a chat-completions request in JSON")
 	}
-	if request.Model == "" || len(request.Messages) == 0 {
+	if completion.Model == "" || len(completion.Messages) == 0 {
 		return nil, errkind.New(errkind.InvalidRequest, "model and messages are required")
 	}
-	prompt := 0
-	for _, m := range request.Messages {
-		prompt += len(m.Content)
-	}
-	if prompt > p.settings.MaxPromptBytes {
+	prompt := completion.prompt()
+	if len(prompt) > p.settings.MaxPromptBytes {
 		return nil, errkind.New(errkind.RequestTooLarge, "prompt above %d bytes", p.settings.MaxPromptBytes)
 	}
-	service, ok := view.Service(request.Model)
+	service, ok := view.Service(completion.Model)
 	if !ok || service.Kind != table.ModelService {
-		return nil, errkind.New(errkind.UnknownService, "no model service %q", request.Model)
+		return nil, errkind.New(errkind.UnknownService, "no model service %q", completion.Model)
 	}
 	call := p.call(c.Request, view, org, service.Name, body)
 	call.Path = completionsPath
 	call.Idempotent = true
-	call.Stream = request.Stream
-	return call, nil
+	call.Stream = completion.Stream
+	return &request{
+		call:   call,
+		prefix: routing.HashPrefix(org.Name, prompt, prefixBytes),
+	}, nil
 }
 
 // plain parses a call to a plain service: /<service>/<path…>.
-func (p *parser) plain(c *gin.Context, view *table.View, org table.Organisation) (*pb.CallRequest, error) {
+func (p *parser) plain(c *gin.Context, view *table.View, org table.Organisation) (*request, error) {
 	name, rest, err := splitService(c.Request)
 	if err != nil {
 		return nil, err
@@ -111,7 +139,7 @@
 	if !route.Idempotent {
 		call.IdempotencyKey = key
 	}
-	return call, nil
+	return &request{call: call}, nil
 }
 
 // splitService refuses paths that a backend server may read differently from
@@ -200,7 +228,8 @@
 	return h.Sum64()
 }
 
-func labels(call *pb.CallRequest) telemetry.Request {
+func labels(r *request) telemetry.Request {
+	call := r.callOrNil()
 	return telemetry.Request{
 		Organisation: call.GetOrganisation(), Class: call.GetClass(), Service: call.GetService(),
 	}
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -9,7 +10,10 @@
 	"connectrpc.com/connect"
 
 	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/entry/servers"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
@@ -66,3 +70,17 @@
 	c.byAddr[address] = s
 	return s
 }
+
+// probeFunc returns a probe of a sidecar by this entry.
+func probeFunc(c *clients, source tableSource, sender string) servers.ProbeFunc {
+	return func(ctx context.Context, server platform.Instance) (*pb.ProbeResponse, error) {
+		answer, err := c.of(server.Address).calls.Probe(ctx, connect.NewRequest(&pb.ProbeRequest{
+			Sender: sender, TableOffset: uint64(source.View().Offset()),
+		}))
+		if err != nil {
+			return nil, err
+		}
+		source.Learn(platform.Offset(answer.Msg.GetTableOffset()))
+		return answer.Msg, nil
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/filbertmux/filbertmux/entry/servers"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
@@ -22,32 +23,34 @@
 
 // dispatcher runs requests on sidecars. It is safe for concurrent use.
 type dispatcher struct {
-	backends *backends
+	servers  *servers.Servers
+	prober   *servers.Prober
 	table    tableSource
 	clients  *clients
 	receiver stream.ReceiverConfig
 }
 
 // run makes attempts until one delivers the whole answer.
-func (d *dispatcher) run(ctx context.Context, call *pb.CallRequest, out *answer) error {
-	var tried []string
+func (d *dispatcher) run(ctx context.Context, r *request, out *answer) error {
+	route := servers.Request{Service: r.call.GetService(), Key: r.call.GetIdempotencyKey(), Prefix: r.prefix}
 	var failed *errkind.Error
 	for n := uint32(1); n <= maxAttempts; n++ {
-		instance, err := d.backends.pick(call, tried)
+		d.prober.BeforePick(ctx, route)
+		instance, err := d.servers.Pick(route)
 		if err != nil && failed != nil {
 			return failed
 		}
 		if err != nil {
 			return err
 		}
-		tried = append(tried, instance.ID)
-		err = d.attempt(ctx, call, n, instance, out)
+		route.Tried = append(route.Tried, instance.ID)
+		err = d.attempt(ctx, r.call, n, instance, out)
 		if err == nil {
 			return nil
 		}
 		failed = worse(failed, errkind.Of(err))
 		telemetry.Log(ctx).Warn().Err(err).Uint32("attempt", n).Str("sidecar", instance.ID).Msg("attempt failed")
-		if out.committed || ctx.Err() != nil || !repeatable(call, errkind.Of(err)) {
+		if out.committed || ctx.Err() != nil || !repeatable(r.call, errkind.Of(err)) {
 			break
 		}
 		out.reset()
@@ -87,22 +90,19 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.DeadlineMs = uint64(max(time.Until(deadline).Milliseconds(), 1))
 	}
+	defer d.servers.Finished(instance)
+	w := &watch{servers: d.servers, table: d.table, instance: instance, sent: time.Now()}
 	t := &transfer{
 		client:   d.clients.of(instance.Address),
 		request:  request,
-		receiver: stream.NewReceiver(request.Id, d.receiver, time.Now()),
+		receiver: stream.NewReceiver(request.Id, d.receiver, w.sent),
 		messages: make(chan message, maxPendingChunks),
 		out:      out,
-		onChunk: func(c *pb.Chunk) {
-			d.table.Learn(platform.Offset(c.GetTableOffset()))
-			if c.GetLoad().GetLeaving() {
-				d.backends.hold(instance.ID, leavingHold)
-			}
-		},
+		signals:  w,
 	}
 	err := t.run(ctx)
 	if errkind.Is(err, errkind.BackendUnavailable) {
-		d.backends.hold(instance.ID, failureHold)
+		d.servers.Unavailable(instance)
 	}
 	return err
 }
--- a/entry/module.go
+++ b/entry/module.go
@@ -34,7 +34,7 @@
 		daemon.Common(o.Settings.Common, platform.RoleEntry, o.Log),
 		fx.Supply(o),
 		fx.Provide(provideServer),
-		fx.Invoke(servePeers, serveCallers),
+		fx.Invoke(startDuties, servePeers, serveCallers),
 	)
 }
 
@@ -44,6 +44,12 @@
 	return NewServer(o.Settings, incarnation, t, instances, gate, o.Log, metrics)
 }
 
+func startDuties(lc fx.Lifecycle, o Options, s *Server) {
+	for _, d := range s.Duties() {
+		daemon.Start(lc, o.Log, d)
+	}
+}
+
 // peerService implements the EntryService. Report belongs to the limits.
 type peerService struct {
 	filbertmuxv1connect.UnimplementedEntryServiceHandler
--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,10 @@
 
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/entry/servers"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/membership"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/stream"
@@ -37,7 +40,8 @@
 	settings    settings.Entry
 	incarnation daemon.Incarnation
 	table       tableSource
-	backends    *backends
+	servers     *servers.Servers
+	prober      *servers.Prober
 	dispatcher  *dispatcher
 	parser      parser
 	gate        *drain.Gate
@@ -53,14 +57,20 @@
 func NewServer(s settings.Entry, incarnation daemon.Incarnation, source tableSource, instances *daemon.Instances,
 	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
 ) *Server {
-	b := newBackends(instances, s.FailureDomain)
 	ctx, abort := context.WithCancelCause(context.Background())
+	c := newClients(s.PeerToken.Reveal())
+	found := servers.New(servers.Config{
+		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
+		Rand: newRand(s.Seed, log), Now: time.Now, List: instances.View,
+	})
+	prober := servers.NewProber(found, probeFunc(c, source, string(incarnation)))
 	return &Server{
-		settings: s, incarnation: incarnation, table: source, backends: b,
+		settings: s, incarnation: incarnation, table: source, servers: found, prober: prober,
 		dispatcher: &dispatcher{
-			backends: b,
-			table:    source,
-			clients:  newClients(s.PeerToken.Reveal()),
+			servers: found,
+			prober:  prober,
+			table:   source,
+			clients: c,
 			receiver: stream.ReceiverConfig{
 				MaxPending:      maxPendingChunks,
 				SilenceTimeout:  s.SilenceTimeout,
@@ -71,6 +81,20 @@
 	}
 }
 
+// Duties returns the goroutines that the server needs beside its handlers.
+func (s *Server) Duties() []daemon.Duty {
+	return []daemon.Duty{{Name: "probe the backend servers", Run: s.prober.Run}}
+}
+
+// newRand returns a random source and logs its seed. Seed 0 means any.
+func newRand(seed int, log zerolog.Logger) *rand.Rand {
+	if seed == 0 {
+		seed = rand.Int()
+	}
+	log.Info().Int("seed", seed).Msg("random source of routing and retries")
+	return rand.New(rand.NewPCG(uint64(seed), 0))
+}
+
 // Abort fails all requests in flight.
 func (s *Server) Abort() {
 	s.abort(errkind.New(errkind.Leaving, "drain timeout"))
@@ -92,7 +116,7 @@
 	return engine
 }
 
-type parseFunc func(*gin.Context, *table.View, table.Organisation) (*pb.CallRequest, error)
+type parseFunc func(*gin.Context, *table.View, table.Organisation) (*request, error)
 
 // serve handles one request of a caller.
 func (s *Server) serve(c *gin.Context, parse parseFunc) {
@@ -108,18 +132,18 @@
 		return
 	}
 	defer release()
-	call, err := s.accept(c, parse)
+	r, err := s.accept(c, parse)
 	if err != nil {
-		s.finish(ctx, start, call, err)
+		s.finish(ctx, start, r, err)
 		refuse(c, requestID, err)
 		return
 	}
-	call.Id = &pb.AttemptId{RequestId: requestID}
+	r.call.Id = &pb.AttemptId{RequestId: requestID}
 	out := newAnswer(c, requestID, func() {
-		s.metrics.FirstByte(labels(call), time.Since(start))
+		s.metrics.FirstByte(labels(r), time.Since(start))
 	})
-	err = s.dispatcher.run(ctx, call, out)
-	s.finish(ctx, start, call, err)
+	err = s.dispatcher.run(ctx, r, out)
+	s.finish(ctx, start, r, err)
 	if err != nil {
 		out.fail(err)
 	}
@@ -159,7 +183,7 @@
 }
 
 // accept authenticates the caller and parses the request.
-func (s *Server) accept(c *gin.Context, parse parseFunc) (*pb.CallRequest, error) {
+func (s *Server) accept(c *gin.Context, parse parseFunc) (*request, error) {
 	view := s.table.View()
 	if !s.table.Loaded() {
 		return nil, errkind.New(errkind.StaleTable, "the table has not been read yet")
@@ -172,15 +196,15 @@
 }
 
 // finish records the outcome of a request.
-func (s *Server) finish(ctx context.Context, start time.Time, call *pb.CallRequest, err error) {
+func (s *Server) finish(ctx context.Context, start time.Time, r *request, err error) {
 	duration := time.Since(start)
-	s.metrics.Answered(labels(call), outcome(err), duration)
+	s.metrics.Answered(labels(r), outcome(err), duration)
 	line := telemetry.Log(ctx).Info()
 	if err != nil {
 		line = telemetry.Log(ctx).Warn().Err(err).Str("execution", errkind.Of(err).Execution.String())
 	}
-	line.Str("organisation", call.GetOrganisation()).
-		Str("service", call.GetService()).
+	line.Str("organisation", r.callOrNil().GetOrganisation()).
+		Str("service", r.callOrNil().GetService()).
 		Str("outcome", outcome(err)).
 		Dur("duration_ms", duration).
 		Msg("request")
--- /dev/null
+++ b/entry/servers/servers.go
@@ -0,0 +1,238 @@
+// Package servers keeps an entry's backend servers: their membership view, the
+// routing policy of each service, and the probes that both ask for.
+//
+// Servers is safe for concurrent use: one mutex guards the view, the policies
+// and the random source. It is held for one decision at a time and never
+// during I/O.
+package servers
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/membership"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/routing"
+)
+
+// unavailableHold is the time for which a server is avoided after its sidecar
+// refused a call because the backend server can't be reached. The sidecar still
+// answers probes, so membership alone would send it work again at once.
+const unavailableHold = time.Second
+
+// Config sets up Servers.
+type Config struct {
+	// Policy is a name from Policies; an empty name means DefaultPolicy.
+	Policy string
+	// FailureDomain is that of the entry.
+	FailureDomain string
+	Membership    membership.Config
+	Rand          *rand.Rand
+	Now           func() time.Time
+	// List returns the last instance list, or nil before the first one. A new
+	// list has a new address.
+	List func() *[]platform.Instance
+}
+
+// Servers picks the backend server of each attempt.
+type Servers struct {
+	config Config
+
+	mu       sync.Mutex
+	view     *membership.View
+	list     *[]platform.Instance // the list that was applied last
+	services map[string]*service
+	held     map[string]time.Time // instance id -> avoided before
+}
+
+// service is the routing state of one service.
+type service struct {
+	policy     routing.Policy
+	generation uint64 // of the view that known was made from
+	known      map[string]bool
+}
+
+// Request is what routing needs to know about a request.
+type Request struct {
+	Service string
+	// Key is the idempotency key of a booking, empty otherwise.
+	Key string
+	// Prefix is the hash of the prompt prefix, 0 without one.
+	Prefix uint64
+	// Tried holds the ids of servers that failed this request.
+	Tried []string
+}
+
+// New returns an empty set.
+func New(config Config) *Servers {
+	return &Servers{
+		config:   config,
+		view:     membership.New(config.Membership),
+		services: make(map[string]*service),
+		held:     make(map[string]time.Time),
+	}
+}
+
+// Ready reports whether an instance list was read.
+func (s *Servers) Ready() bool { return s.config.List() != nil }
+
+// Usable returns the number of servers of a service that get new work.
+func (s *Servers) Usable(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyList()
+	return len(s.view.Candidates(name))
+}
+
+// Pick returns the server for one attempt and counts the attempt as sent. The
+// caller calls Finished when the attempt has ended.
+func (s *Servers) Pick(r Request) (platform.Instance, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyList()
+	found := s.candidates(r)
+	if len(found) == 0 {
+		return platform.Instance{}, errkind.New(errkind.NoBackendServer, "no backend server of %s is available", r.Service)
+	}
+	now := s.config.Now()
+	chosen := found[s.choose(now, r, found)].Instance
+	s.service(r.Service).policy.Observe(now, routing.Event{Kind: routing.Sent, Server: chosen.ID})
+	s.view.MarkSent(now, chosen.ID)
+	return chosen, nil
+}
+
+// choose returns the index of the chosen candidate. Bookings follow the
+// rendezvous order of their key, so that a sidecar reads few claim partitions.
+func (s *Servers) choose(now time.Time, r Request, found []membership.Server) int {
+	candidates := routingCandidates(found)
+	if r.Key != "" {
+		return routing.PreferredOrder(r.Key, candidates)[0]
+	}
+	picked := s.service(r.Service).policy.Pick(s.routingRequest(now, r, candidates))
+	return max(picked, 0)
+}
+
+func (s *Servers) routingRequest(now time.Time, r Request, candidates []routing.Candidate) routing.Request {
+	return routing.Request{Now: now, Rand: s.config.Rand, Prefix: r.Prefix, Candidates: candidates}
+}
+
+// candidates returns the best servers that were not tried: usable ones, then
+// suspect ones, then those that are avoided for a while.
+func (s *Servers) candidates(r Request) []membership.Server {
+	tried := func(m membership.Server) bool { return slices.Contains(r.Tried, m.ID) }
+	found := slices.DeleteFunc(s.view.Candidates(r.Service), tried)
+	if len(found) == 0 && len(r.Tried) > 0 {
+		found = slices.DeleteFunc(s.view.Servers(), func(m membership.Server) bool {
+			return m.Service != r.Service || m.State != membership.Suspect || tried(m)
+		})
+	}
+	free := slices.DeleteFunc(slices.Clone(found), s.isHeld)
+	if len(free) > 0 {
+		return free
+	}
+	return found
+}
+
+func (s *Servers) isHeld(m membership.Server) bool {
+	until, ok := s.held[m.ID]
+	return ok && s.config.Now().Before(until)
+}
+
+func routingCandidates(found []membership.Server) []routing.Candidate {
+	candidates := make([]routing.Candidate, len(found))
+	for i, m := range found {
+		candidates[i] = routing.Candidate{ID: m.ID, FailureDomain: m.FailureDomain}
+	}
+	return candidates
+}
+
+// Finished ends an attempt that Pick counted.
+func (s *Servers) Finished(server platform.Instance) {
+	s.observe(server, routing.Event{Kind: routing.Finished, Server: server.ID})
+}
+
+// Answered takes the load that came with a chunk or an answer to a probe. sent
+// is when the call was sent; for a heartbeat, when it arrived.
+func (s *Servers) Answered(server platform.Instance, sent time.Time, load *pb.Load, kind routing.EventKind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.config.Now()
+	s.view.ApplySuccess(now, membership.Success{
+		ID: server.ID, Incarnation: load.GetIncarnation(), Sent: sent, Leaving: load.GetLeaving(),
+	})
+	s.service(server.Service).policy.Observe(now, routing.Event{Kind: kind, Server: server.ID, Load: routing.Load{
+		InFlight: int(load.GetInFlight()),
+		Queued:   int(load.GetQueued()),
+		Latency:  time.Duration(load.GetLatencyUs()) * time.Microsecond,
+	}})
+}
+
+// Failed takes a broken connection, or with timeout an answer that did not
+// come in time.
+func (s *Servers) Failed(server platform.Instance, sent time.Time, timeout bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.ApplyFailure(s.config.Now(), membership.Failure{ID: server.ID, Sent: sent, Timeout: timeout})
+}
+
+// Unavailable notes that a sidecar can't reach its backend server.
+func (s *Servers) Unavailable(server platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[server.ID] = s.config.Now().Add(unavailableHold)
+}
+
+func (s *Servers) observe(server platform.Instance, e routing.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service(server.Service).policy.Observe(s.config.Now(), e)
+}
+
+// applyList takes a new instance list. The caller holds mu.
+func (s *Servers) applyList() {
+	list := s.config.List()
+	if list == nil || list == s.list {
+		return
+	}
+	s.list = list
+	s.view.ApplyList(s.config.Now(), *list)
+	for id := range s.held {
+		if _, ok := s.view.Get(id); !ok {
+			delete(s.held, id)
+		}
+	}
+}
+
+// service returns the routing state of a service and drops what it knows about
+// servers that are gone. The caller holds mu.
+func (s *Servers) service(name string) *service {
+	found, ok := s.services[name]
+	if !ok {
+		found = &service{policy: newPolicy(s.config.Policy, s.config.FailureDomain)}
+		s.services[name] = found
+	}
+	if found.known == nil || found.generation != s.view.Generation() {
+		s.dropRemoved(name, found)
+	}
+	return found
+}
+
+func (s *Servers) dropRemoved(name string, of *service) {
+	known := make(map[string]bool)
+	for _, m := range s.view.Servers() {
+		if m.Service == name && (m.State == membership.Usable || m.State == membership.Suspect) {
+			known[m.ID] = true
+		}
+	}
+	for id := range of.known {
+		if !known[id] {
+			of.policy.Observe(s.config.Now(), routing.Event{Kind: routing.Removed, Server: id})
+		}
+	}
+	of.known = known
+	of.generation = s.view.Generation()
+}
--- /dev/null
+++ b/entry/servers/servers_test.go
@@ -0,0 +1,167 @@
+package servers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/membership"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// fleet is a set of sidecars under an injected clock, with one instance list
+// that never changes.
+type fleet struct {
+	now     time.Time
+	leaving map[string]bool
+	dead    map[string]bool
+	load    map[string]uint32
+	servers *Servers
+	prober  *Prober
+}
+
+func newFleet(policy string, seed uint64, count int) *fleet {
+	f := &fleet{
+		now: time.Unix(1000, 0), leaving: map[string]bool{}, dead: map[string]bool{}, load: map[string]uint32{},
+	}
+	var list []platform.Instance
+	for i := range count {
+		list = append(list, platform.Instance{
+			ID: "s" + strconv.Itoa(i), Role: platform.RoleBackend, Service: "desk",
+			FailureDomain: "d" + strconv.Itoa(i%2), State: platform.Live,
+		})
+	}
+	f.servers = New(Config{
+		Policy: policy, FailureDomain: "d0", Membership: membership.DefaultConfig(),
+		Rand: rand.New(rand.NewPCG(seed, 0)),
+		Now:  func() time.Time { return f.now },
+		List: func() *[]platform.Instance { return &list },
+	})
+	f.prober = NewProber(f.servers, f.probe)
+	return f
+}
+
+func (f *fleet) probe(_ context.Context, server platform.Instance) (*pb.ProbeResponse, error) {
+	if f.dead[server.ID] {
+		return nil, errors.New("connection refused")
+	}
+	return &pb.ProbeResponse{Load: &pb.Load{
+		Incarnation: server.ID, Leaving: f.leaving[server.ID], InFlight: f.load[server.ID],
+		LatencyUs: uint64(f.load[server.ID]) * 1000,
+	}}, nil
+}
+
+// pass runs the prober over a time in steps of its tick.
+func (f *fleet) pass(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(probeTick) {
+		<-f.prober.start(context.Background(), f.servers.due())
+	}
+}
+
+// pick makes n picks that each end at once, and counts them by server.
+func (f *fleet) pick(t *testing.T, n int, r Request) map[string]int {
+	t.Helper()
+	r.Service = "desk"
+	counts := make(map[string]int)
+	for range n {
+		<-f.prober.start(context.Background(), f.servers.probesFor(r))
+		server, err := f.servers.Pick(r)
+		require.NoError(t, err)
+		f.servers.Finished(server)
+		counts[server.ID]++
+	}
+	return counts
+}
+
+// Guards against new work for a server that leaves or is dead while the
+// instance list is frozen and still shows it as live.
+func TestFrozenListKeepsNoLeavingOrDeadServer(t *testing.T) {
+	for _, policy := range []string{DefaultPolicy, "round_robin"} {
+		f := newFleet(policy, 1, 4)
+		f.pass(time.Second)
+		f.leaving["s0"], f.dead["s2"] = true, true
+		f.pass(2 * time.Second)
+		counts := f.pick(t, 50, Request{})
+		require.Zero(t, counts["s0"], policy)
+		require.Zero(t, counts["s2"], policy)
+		delete(f.dead, "s2")
+		f.pass(3 * time.Second)
+		require.NotZero(t, f.pick(t, 50, Request{})["s2"], "a server that came back gets work again")
+	}
+}
+
+// Guards against a request that fails because the only usable server failed it,
+// although a suspect one is left.
+func TestSuspectServerIsTheLastResort(t *testing.T) {
+	f := newFleet(DefaultPolicy, 1, 2)
+	f.pass(time.Second)
+	first, err := f.servers.Pick(Request{Service: "desk"})
+	require.NoError(t, err)
+	other := map[string]string{"s0": "s1", "s1": "s0"}[first.ID]
+	f.servers.Failed(platform.Instance{ID: other, Service: "desk"}, f.now, false)
+	server, err := f.servers.Pick(Request{Service: "desk", Tried: []string{first.ID}})
+	require.NoError(t, err)
+	require.Equal(t, other, server.ID)
+	_, err = f.servers.Pick(Request{Service: "desk", Tried: []string{"s0", "s1"}})
+	require.True(t, errkind.Is(err, errkind.NoBackendServer))
+}
+
+// Guards against a dead backend server beside a live sidecar that attracts all
+// requests because it fails them quickly.
+func TestServerWithoutBackendIsAvoidedForAWhile(t *testing.T) {
+	f := newFleet("round_robin", 1, 2)
+	f.pass(time.Second)
+	f.servers.Unavailable(platform.Instance{ID: "s0", Service: "desk"})
+	f.pass(unavailableHold / 2)
+	require.Zero(t, f.pick(t, 10, Request{})["s0"])
+	f.pass(unavailableHold)
+	require.NotZero(t, f.pick(t, 10, Request{})["s0"])
+}
+
+// Guards against entries that send one booking key to different sidecars, which
+// would make each sidecar read every claim partition.
+func TestBookingsFollowTheKeyAtEveryEntry(t *testing.T) {
+	a, b := newFleet(DefaultPolicy, 1, 6), newFleet(DefaultPolicy, 2, 6)
+	a.pass(time.Second)
+	b.pass(time.Second)
+	used := make(map[string]bool)
+	for i := range 40 {
+		r := Request{Service: "desk", Key: strconv.Itoa(i)}
+		first, err := a.servers.Pick(r)
+		require.NoError(t, err)
+		second, err := b.servers.Pick(r)
+		require.NoError(t, err)
+		require.Equal(t, first.ID, second.ID)
+		used[first.ID] = true
+	}
+	require.Len(t, used, 6)
+}
+
+// Guards against a policy stack without one of its parts: prefix affinity, the
+// preference for the own failure domain, or the load from probes.
+func TestPolicyStack(t *testing.T) {
+	f := newFleet(DefaultPolicy, 1, 8)
+	for i := range 8 {
+		f.load["s"+strconv.Itoa(i)] = 10 // room below the bound of the affinity
+	}
+	f.pass(time.Second)
+	require.Len(t, f.pick(t, 40, Request{Prefix: 7}), 1, "one prefix stays at one server")
+
+	local := newFleet("probe_based+domain", 1, 8)
+	local.pass(time.Second)
+	for id := range local.pick(t, 40, Request{}) {
+		require.Contains(t, []string{"s0", "s2", "s4", "s6"}, id)
+	}
+
+	loaded := newFleet(DefaultPolicy, 1, 4)
+	loaded.load["s0"] = 100
+	loaded.pass(time.Second)
+	require.Less(t, loaded.pick(t, 100, Request{})["s0"], 10)
+}
--- a/entry/status.go
+++ b/entry/status.go
@@ -47,7 +47,7 @@
 		c.String(http.StatusServiceUnavailable, "leaving\n")
 	case !s.table.Loaded():
 		c.String(http.StatusServiceUnavailable, "the table has not been read yet\n")
-	case !s.backends.ready():
+	case !s.servers.Ready():
 		c.String(http.StatusServiceUnavailable, "the instance list has not been read yet\n")
 	default:
 		c.String(http.StatusOK, "ready\n")
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -37,7 +37,7 @@
 	receiver *stream.Receiver
 	messages chan message
 	out      *answer
-	onChunk  func(*pb.Chunk)
+	signals  signals
 
 	connection int
 	disconnect context.CancelFunc
@@ -78,9 +78,10 @@
 		if m.connection != t.connection {
 			return nil
 		}
+		t.signals.broken(ctx, m.err)
 		return t.reconnect(ctx, m.err)
 	}
-	t.onChunk(m.chunk)
+	t.signals.chunk(m.chunk)
 	before := t.receiver.NextSeq()
 	for _, chunk := range t.receiver.Receive(time.Now(), m.chunk) {
 		if err := t.out.take(chunk); err != nil {
@@ -101,6 +102,7 @@
 	case stream.Stalled:
 		return errkind.New(errkind.StreamIncomplete, "the answer made no progress")
 	case stream.Silent:
+		t.signals.silent()
 		return t.reconnect(ctx, errkind.New(errkind.StreamIncomplete, "the connection to the sidecar went silent"))
 	default:
 		return nil
--- /dev/null
+++ b/entry/watch.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/filbertmux/filbertmux/entry/servers"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/routing"
+)
+
+// signals takes what a transfer sees of its sidecar.
+type signals interface {
+	chunk(c *pb.Chunk)
+	broken(ctx context.Context, cause error)
+	silent()
+}
+
+// watch passes the signals of one attempt to the view of the backend servers.
+type watch struct {
+	servers  *servers.Servers
+	table    tableSource
+	instance platform.Instance
+	sent     time.Time
+}
+
+// chunk takes a sign of life. Data may have waited in a buffer since the
+// sidecar died, so it counts from the time of the call.
+func (w *watch) chunk(c *pb.Chunk) {
+	w.table.Learn(platform.Offset(c.GetTableOffset()))
+	if c.GetLoad() == nil {
+		return
+	}
+	sent := w.sent
+	if c.GetHeartbeat() != nil {
+		sent = time.Now()
+	}
+	w.servers.Answered(w.instance, sent, c.GetLoad(), routing.Reported)
+}
+
+// broken takes the end of a connection ahead of the end of the answer. An error
+// that the sidecar sent shows that it lives.
+func (w *watch) broken(ctx context.Context, cause error) {
+	if cause == nil || ctx.Err() != nil || connect.IsWireError(cause) {
+		return
+	}
+	w.servers.Failed(w.instance, w.sent, false)
+}
+
+// silent takes a connection on which neither chunks nor heartbeats arrive.
+func (w *watch) silent() { w.servers.Failed(w.instance, w.sent, true) }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,9 @@
 	MaxStreams     int `name:"max-streams" default:"4096" validate:"min=1,max=1000000" help:"Largest number of requests in flight."`
 	QueueSize      int `name:"queue-size" default:"1024" validate:"min=1,max=1000000" help:"Largest number of queued requests."`
 
+	RoutingPolicy string `name:"routing-policy" default:"probe_based+prefix+domain" validate:"oneof=probe_based+prefix+domain probe_based+domain power_of_two+domain least_reported+domain round_robin" help:"Policy that picks the backend server of a request."`
+	Seed          int    `name:"seed" default:"0" validate:"min=0" help:"Seed of routing and retry delays; 0 takes any and logs it."`
+
 	RequestTimeout  time.Duration `name:"request-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a request."`
 	HeaderTimeout   time.Duration `name:"header-timeout" default:"10s" validate:"min=1ms" help:"Longest wait for the headers of a request."`
 	BodyTimeout     time.Duration `name:"body-timeout" default:"30s" validate:"min=1ms" help:"Longest wait for the body of a request."`
