Add a load tool that checks each streamed answer

Cause: the latency targets and the cost of the data path need a load through real processes. Ruled out: a general load tool, which does not know whether an answer is whole.

--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,26 @@
+package load
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a load tool that counts a cut stream as whole.
+func TestReadStreamNeedsTheWholeAnswer(t *testing.T) {
+	const token = `data: {"choices":[{"delta":{"content":"a0 "}}]}` + "\n\n"
+	whole := readStream(strings.NewReader(token+"data: [DONE]\n\n"), time.Now(), "a0 ")
+	require.NoError(t, whole.err)
+	require.Error(t, readStream(strings.NewReader(token), time.Now(), "a0 ").err)
+	require.Error(t, readStream(strings.NewReader(token+"data: [DONE]\n\n"), time.Now(), "a0 a1 ").err)
+}
+
+// Guards against load on an address that is not this machine.
+func TestOnlyLoopbackIsAccepted(t *testing.T) {
+	require.NoError(t, checkLoopback("http://127.0.0.1:8080"))
+	for _, bad := range []string{"http://10.0.0.1:80", "http://example.com", "://"} {
+		require.Error(t, checkLoopback(bad), bad)
+	}
+}
