Queue requests at the entry by class and weight

Ruled out: one queue for all services (a slow service would hold up the bookings of another), and refusing at once without usable servers in the queue (routing does that). The cost is prompt bytes/4 + max_tokens, 480 if absent. X-Request-Timeout-Ms gives the caller's deadline. Histogram queue_wait_seconds by organisation and class. The demo lists its entries in the instance list. Conclusion: order and refusals follow the table; the derived bound was not measured under load.

--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -136,16 +136,22 @@
 	}
 	id := "entry-" + strconv.Itoa(n+1)
 	s := settings.Entry{
-		Common:          d.common(id, domain, peers.Addr().String()),
-		MaxPromptBytes:  1 << 20,
-		MaxStreams:      256,
-		QueueSize:       256,
-		RequestTimeout:  time.Minute,
-		HeaderTimeout:   10 * time.Second,
-		BodyTimeout:     10 * time.Second,
-		SilenceTimeout:  5 * time.Second,
-		ProgressTimeout: 30 * time.Second,
+		Common:            d.common(id, domain, peers.Addr().String()),
+		MaxPromptBytes:    1 << 20,
+		MaxStreams:        256,
+		QueueSize:         256,
+		ServerConcurrency: 64,
+		RequestTimeout:    time.Minute,
+		HeaderTimeout:     10 * time.Second,
+		BodyTimeout:       10 * time.Second,
+		SilenceTimeout:    5 * time.Second,
+		ProgressTimeout:   30 * time.Second,
 	}
+	d.instances = append(d.instances, platform.Instance{
+		ID: id, Role: platform.RoleEntry, Address: s.Advertise,
+		FailureDomain: domain, Region: region, State: platform.Live,
+	})
+	d.platform.SetInstances(d.instances)
 	d.entries = append(d.entries, "http://"+callers.Addr().String())
 	log := telemetry.NewLogger(d.logs, zerolog.InfoLevel, "entry", id)
 	return d.start(ctx, entry.Module(entry.Options{Settings: s, Listener: callers, PeerListener: peers, Log: log}))
--- /dev/null
+++ b/entry/admit.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/filbertmux/filbertmux/entry/admission"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// refreshInterval is the time between two looks at a changed table and at the
+// number of usable servers.
+const refreshInterval = 100 * time.Millisecond
+
+// run waits for admission, then runs the request.
+func (s *Server) run(ctx context.Context, r *request, out *answer) error {
+	release, err := s.enter(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer release()
+	return s.dispatcher.run(ctx, r, out)
+}
+
+// enter waits for a place toward the backend servers of the service.
+func (s *Server) enter(ctx context.Context, r *request) (release func(), err error) {
+	start := time.Now()
+	deadline, _ := ctx.Deadline()
+	release, err = s.admission.Enter(ctx, admission.Request{
+		Service:      r.call.GetService(),
+		Class:        r.call.GetClass(),
+		Organisation: r.call.GetOrganisation(),
+		Cost:         r.cost,
+		Deadline:     deadline,
+	})
+	s.metrics.QueueWait(labels(r), time.Since(start))
+	return release, err
+}
+
+// refresh follows the table and the backend servers until ctx ends.
+func (s *Server) refresh(ctx context.Context) error {
+	ticker := time.NewTicker(refreshInterval)
+	defer ticker.Stop()
+	for {
+		s.admission.Refresh()
+		s.metrics.Gauge("queued", float64(s.admission.Waiting()))
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// concurrency returns the most requests of this entry toward the backend
+// servers of a service: the fixed setting, or this entry's part of the places
+// at the usable servers. Without a usable server it still lets requests pass,
+// which routing refuses at once.
+func (s *Server) concurrency(service string) int {
+	if s.settings.MaxConcurrent > 0 {
+		return s.settings.MaxConcurrent
+	}
+	places := s.settings.ServerConcurrency * max(1, s.servers.Usable(service))
+	return max(minConcurrency, places/s.liveEntries())
+}
+
+// minConcurrency is the least bound of an entry. With many entries and few
+// servers the derived part is below one request.
+const minConcurrency = 4
+
+// liveEntries returns the number of live entries, including this one.
+func (s *Server) liveEntries() int { return 1 + len(s.otherEntries()) }
+
+// otherEntries returns the live entries without this one.
+func (s *Server) otherEntries() []platform.Instance {
+	list := s.instances()
+	if list == nil {
+		return nil
+	}
+	var others []platform.Instance
+	for _, i := range *list {
+		if i.Role == platform.RoleEntry && i.State == platform.Live && i.ID != s.settings.Instance {
+			others = append(others, i)
+		}
+	}
+	return others
+}
--- /dev/null
+++ b/entry/admit_test.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/stream"
+)
+
+// held returns a script whose calls wait, after a message on started, until
+// gate is closed.
+func held(started chan<- struct{}, gate <-chan struct{}) func(*connect.ServerStream[pb.Chunk], *stream.Sender) {
+	return func(out *connect.ServerStream[pb.Chunk], s *stream.Sender) {
+		started <- struct{}{}
+		<-gate
+		events(out, s)
+	}
+}
+
+// Guards against requests beyond the bound toward the backend servers, against
+// a queue that isn't bounded, and against a wait that no histogram shows.
+func TestQueueBoundsTheRequestsTowardServers(t *testing.T) {
+	started, gate := make(chan struct{}, 10), make(chan struct{})
+	sidecar := newFakeSidecar(t, "a", held(started, gate))
+	f := newFixtureWith(t, func(c *settings.Entry) { c.MaxConcurrent, c.QueueSize = 1, 1 }, sidecar)
+	answers := make(chan reply, 2)
+	go func() { answers <- f.complete(t) }()
+	<-started
+	go func() { answers <- f.complete(t) }()
+	require.Eventually(t, func() bool { return f.entry.admission.Waiting() == 1 }, 10*time.Second, time.Millisecond)
+	refused := f.complete(t).refusal(t)
+	require.Equal(t, "queue_full", refused.Kind)
+	require.Equal(t, "not_run", refused.Execution)
+	require.NotZero(t, refused.RetryAfterSeconds)
+	require.Equal(t, 1, sidecar.count())
+	close(gate)
+	require.Equal(t, wholeEvents, (<-answers).body)
+	require.Equal(t, wholeEvents, (<-answers).body)
+	require.NoError(t, f.entry.metrics.Close())
+	text := f.send(t, http.MethodGet, "/metrics", "", "", "").body
+	require.Contains(t, text, `filbertmux_queue_wait_seconds_count{class="desk"`)
+}
+
+// Guards against a caller's deadline that has no effect, and against a bad one
+// that is ignored.
+func TestCallerTimeout(t *testing.T) {
+	r, err := http.NewRequest(http.MethodGet, "/", http.NoBody)
+	require.NoError(t, err)
+	for text, want := range map[string]time.Duration{
+		"": time.Minute, "1500": 1500 * time.Millisecond, "99999999": time.Minute, "x": 0, "0": 0, "-1": 0,
+	} {
+		r.Header.Set(timeoutHeader, text)
+		got, err := callerTimeout(r, time.Minute)
+		require.Equal(t, want == 0, err != nil, text)
+		if err == nil {
+			require.Equal(t, want, got, text)
+		}
+	}
+}
+
+// Guards against an estimate that ignores the answer or that a caller can set
+// without bound.
+func TestEstimateOfTokens(t *testing.T) {
+	require.InDelta(t, 100+480, estimateTokens(400, completionRequest{}.answerTokens()), 0)
+	require.InDelta(t, 100+50, estimateTokens(400, completionRequest{MaxTokens: 20, MaxCompletionTokens: 50}.answerTokens()), 0)
+	require.Equal(t, maxAnswerTokens, completionRequest{MaxTokens: 1 << 40}.answerTokens())
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -29,7 +29,8 @@
 // request is a call with what routing and admission need to know about it.
 type request struct {
 	call   *pb.CallRequest
-	prefix uint64 // hash of the prompt prefix, 0 without one
+	prefix uint64  // hash of the prompt prefix, 0 without one
+	cost   float64 // estimated tokens
 }
 
 // callOrNil serves a request that was refused before it was parsed.
@@ -48,9 +49,12 @@
 
 // completionRequest is the part of a chat-completions request that is checked.
 type completionRequest struct {
-	Model    string `json:"model"`
-	Stream   bool   `json:"stream"`
-	Messages []struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+	// MaxTokens has a newer name; the larger value counts.
+	MaxTokens           int `json:"max_tokens"`
+	MaxCompletionTokens int `json:"max_completion_tokens"`
+	Messages            []struct {
 		Content json.RawMessage `json:"content"`
 	} `json:"messages"`
 }
@@ -105,6 +109,7 @@
 	return &request{
 		call:   call,
 		prefix: routing.HashPrefix(org.Name, prompt, prefixBytes),
+		cost:   estimateTokens(len(prompt), completion.answerTokens()),
 	}, nil
 }
 
@@ -139,7 +144,7 @@
 	if !route.Idempotent {
 		call.IdempotencyKey = key
 	}
-	return &request{call: call}, nil
+	return &request{call: call, cost: estimateTokens(len(body), 0)}, nil
 }
 
 // splitService refuses paths that a backend server may read differently from
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -158,6 +158,11 @@
 func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
 
 func newFixture(t *testing.T, sidecars ...*fakeSidecar) *fixture {
+	t.Helper()
+	return newFixtureWith(t, func(*settings.Entry) {}, sidecars...)
+}
+
+func newFixtureWith(t *testing.T, edit func(*settings.Entry), sidecars ...*fakeSidecar) *fixture {
 	t.Helper()
 	var list fixedList
 	for _, s := range sidecars {
@@ -171,8 +176,9 @@
 	cfg := settings.Entry{
 		Common:         settings.Common{MaxBodyBytes: 1000, Instance: "e1"},
 		MaxPromptBytes: 500, MaxStreams: 100, RequestTimeout: time.Hour, BodyTimeout: time.Hour,
-		SilenceTimeout: time.Hour, ProgressTimeout: 2 * time.Hour, Seed: 1,
+		SilenceTimeout: time.Hour, ProgressTimeout: 2 * time.Hour, Seed: 1, QueueSize: 10, ServerConcurrency: 100,
 	}
+	edit(&cfg)
 	metrics := telemetry.NewMetrics("entry", "e1", zerolog.Nop())
 	instances := daemon.NewInstances(list, time.Hour, time.Hour, zerolog.Nop())
 	require.NoError(t, instances.Refresh(context.Background()))
--- a/entry/server.go
+++ b/entry/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/entry/admission"
 	"github.com/filbertmux/filbertmux/entry/servers"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -42,6 +43,8 @@
 	table       tableSource
 	servers     *servers.Servers
 	prober      *servers.Prober
+	admission   *admission.Admission
+	instances   func() *[]platform.Instance
 	dispatcher  *dispatcher
 	parser      parser
 	gate        *drain.Gate
@@ -64,8 +67,8 @@
 		Rand: newRand(s.Seed, log), Now: time.Now, List: instances.View,
 	})
 	prober := servers.NewProber(found, probeFunc(c, source, string(incarnation)))
-	return &Server{
-		settings: s, incarnation: incarnation, table: source, servers: found, prober: prober,
+	server := &Server{
+		settings: s, incarnation: incarnation, table: source, servers: found, prober: prober, instances: instances.View,
 		dispatcher: &dispatcher{
 			servers: found,
 			prober:  prober,
@@ -79,11 +82,18 @@
 		},
 		parser: parser{settings: s}, gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
 	}
+	server.admission = admission.New(admission.Config{
+		QueueSize: s.QueueSize, Concurrency: server.concurrency, View: source.View, Now: time.Now,
+	})
+	return server
 }
 
 // Duties returns the goroutines that the server needs beside its handlers.
 func (s *Server) Duties() []daemon.Duty {
-	return []daemon.Duty{{Name: "probe the backend servers", Run: s.prober.Run}}
+	return []daemon.Duty{
+		{Name: "probe the backend servers", Run: s.prober.Run},
+		{Name: "refresh the admission", Run: s.refresh},
+	}
 }
 
 // newRand returns a random source and logs its seed. Seed 0 means any.
@@ -142,7 +152,7 @@
 	out := newAnswer(c, requestID, func() {
 		s.metrics.FirstByte(labels(r), time.Since(start))
 	})
-	err = s.dispatcher.run(ctx, r, out)
+	err = s.run(ctx, r, out)
 	s.finish(ctx, start, r, err)
 	if err != nil {
 		out.fail(err)
@@ -156,7 +166,8 @@
 // requestContext ends when the caller leaves, at the request timeout, or when
 // the entry gives up its drain.
 func (s *Server) requestContext(r *http.Request, requestID string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(r.Context(), s.settings.RequestTimeout)
+	timeout, _ := callerTimeout(r, s.settings.RequestTimeout) // accept refuses a bad value
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	stop := context.AfterFunc(s.ctx, cancel)
 	ctx = telemetry.WithRequest(ctx, s.log, requestID)
 	return ctx, func() {
@@ -165,8 +176,8 @@
 	}
 }
 
-// admit bounds the requests in flight. The queues and the limits of the
-// organisations take its place between accept and dispatch.
+// admit bounds the requests that the entry holds in memory, whatever their
+// organisation and service.
 func (s *Server) admit() (release func(), err error) {
 	if err := s.gate.Enter(); err != nil {
 		return nil, err
@@ -192,6 +203,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := callerTimeout(c.Request, s.settings.RequestTimeout); err != nil {
+		return nil, err
+	}
 	return parse(c, view, org)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,7 +39,11 @@
 
 	MaxPromptBytes int `name:"max-prompt-bytes" default:"1048576" validate:"min=1" help:"Largest total of the message contents of a completion in bytes."`
 	MaxStreams     int `name:"max-streams" default:"4096" validate:"min=1,max=1000000" help:"Largest number of requests in flight."`
-	QueueSize      int `name:"queue-size" default:"1024" validate:"min=1,max=1000000" help:"Largest number of queued requests."`
+	QueueSize      int `name:"queue-size" default:"1024" validate:"min=1,max=1000000" help:"Largest number of queued requests of each service."`
+	MaxConcurrent  int `name:"max-concurrent" default:"0" validate:"min=0,max=1000000" help:"Largest number of requests toward the backend servers of a service; 0 derives it from the usable servers and the live entries."`
+	// At design size a server holds 54 requests at peak (1,500 requests/s of
+	// 21 s each at 600 servers); 80 leave half as much again.
+	ServerConcurrency int `name:"server-concurrency" default:"80" validate:"min=1,max=100000" help:"Requests in flight at each backend server, by all entries together, from which the bound of each entry is derived."`
 
 	RoutingPolicy string `name:"routing-policy" default:"probe_based+prefix+domain" validate:"oneof=probe_based+prefix+domain probe_based+domain power_of_two+domain least_reported+domain round_robin" help:"Policy that picks the backend server of a request."`
 	Seed          int    `name:"seed" default:"0" validate:"min=0" help:"Seed of routing and retry delays; 0 takes any and logs it."`
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -93,6 +93,11 @@
 	m.tagged(r).Histogram("first_byte_seconds", latencyBuckets).RecordDuration(duration)
 }
 
+// QueueWait records the time that a request waited for admission.
+func (m *Metrics) QueueWait(r Request, duration time.Duration) {
+	m.tagged(r).Histogram("queue_wait_seconds", latencyBuckets).RecordDuration(duration)
+}
+
 // Gauge sets a gauge of the daemon.
 func (m *Metrics) Gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
