--- a/table/row.go
+++ b/table/row.go
@@ -35,7 +35,7 @@
 	Reserve  float64 `json:"reserve"`
 }
 
-// Organisation is a customer. KeySHA256 is the hexadecimal SHA-256 hash of its
+// Organisation is who requests are limited and billed by. KeySHA256 is the hexadecimal SHA-256 hash of its
 // API key. An empty Class means the default class of the called service.
 type Organisation struct {
 	Name      string `json:"name"`
