Interpret the phases of a map switch from a state chart

Cause: the phases of mapswitch.Holder stood in switches; the house style asks for charts in files that the code interprets. Ruled out: a chart of the member as well, because its state is derived from the ranks and not kept.

--- a/mapswitch/holder.go
+++ b/mapswitch/holder.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/filbertmux/filbertmux/chart"
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/experts"
 	"github.com/filbertmux/filbertmux/platform"
@@ -39,23 +40,6 @@
 	}
 }
 
-// Phase is the phase of a holder.
-type Phase uint8
-
-// Phases of a holder.
-const (
-	// TakingOver lasts until all members have answered and no earlier
-	// attempt is undecided.
-	TakingOver Phase = iota
-	Idle
-	Staging
-	Proposing
-	// Settling lasts until all members have left an attempt that was refused.
-	Settling
-	// Stopped is final: the lease ended or a later holder exists.
-	Stopped
-)
-
 // Outcome tells what became of a submitted plan.
 type Outcome uint8
 
@@ -72,7 +56,7 @@
 	token    platform.Offset
 	leaseEnd time.Time
 	members  int
-	phase    Phase
+	machine  *chart.Machine
 	status   []*Status
 	seenAt   []time.Time
 	sentAt   time.Time
@@ -90,13 +74,14 @@
 // clock; safety does not depend on that.
 func NewHolder(s HolderSettings, token platform.Offset, leaseEnd time.Time, members int) *Holder {
 	return &Holder{
-		settings: s, token: token, leaseEnd: leaseEnd, members: members, ledger: NewLedger(),
+		settings: s, token: token, leaseEnd: leaseEnd, members: members,
+		machine: holderChart.New(), ledger: NewLedger(),
 		status: make([]*Status, members), seenAt: make([]time.Time, members),
 	}
 }
 
 // Phase returns the phase.
-func (h *Holder) Phase() Phase { return h.phase }
+func (h *Holder) Phase() Phase { return Phase(h.machine.State()) }
 
 // Outcome returns what became of the last submitted plan.
 func (h *Holder) Outcome() Outcome { return h.outcome }
@@ -106,8 +91,8 @@
 
 // Submit starts a switch to a map. The holder must be Idle.
 func (h *Holder) Submit(now time.Time, target *experts.Map) ([]Output, error) {
-	if h.phase != Idle {
-		return nil, errkind.New(errkind.InProgress, "holder cannot start a plan in phase %d", h.phase)
+	if h.Phase() != Idle {
+		return nil, errkind.New(errkind.InProgress, "holder cannot start a plan while %s", h.Phase())
 	}
 	base := h.status[0].Ranks[0]
 	if target.Epoch <= base.Epoch {
@@ -116,7 +101,7 @@
 	h.tries = 0
 	h.outcome = Pending
 	h.plan = Plan{Base: base.Installed, Epoch: target.Epoch, Target: target}
-	return h.prepare(now), nil
+	return h.fire(now, eventSubmit), nil
 }
 
 // prepare starts an attempt.
@@ -124,7 +109,6 @@
 	h.seq++
 	h.tries++
 	h.plan.Attempt = Attempt{Token: h.token, Seq: h.seq}
-	h.phase = Staging
 	h.began = now
 	return h.send(now)
 }
@@ -134,11 +118,11 @@
 	switch msg := msg.(type) {
 	case Rejected:
 		if msg.Token > h.token {
-			h.phase = Stopped
+			h.fire(now, eventSuperseded)
 		}
 	case Status:
 		if h.note(now, msg) {
-			return h.advance(now)
+			return h.fire(now, eventStatus)
 		}
 	}
 	return nil
@@ -147,11 +131,11 @@
 // note keeps a status. Reports of an earlier incarnation, and those that were
 // overtaken by a newer one, are dropped.
 func (h *Holder) note(now time.Time, s Status) bool {
-	if h.phase == Stopped || s.From < 0 || int(s.From) >= h.members || len(s.Ranks) == 0 {
+	if h.Phase() == Stopped || s.From < 0 || int(s.From) >= h.members || len(s.Ranks) == 0 {
 		return false
 	}
 	if s.Token > h.token {
-		h.phase = Stopped
+		h.fire(now, eventSuperseded)
 		return false
 	}
 	if old := h.status[s.From]; old != nil && s.before(old) {
@@ -180,47 +164,23 @@
 
 // Tick repeats messages and checks the lease and the time-outs.
 func (h *Holder) Tick(now time.Time) []Output {
-	if h.phase == Stopped {
+	if h.Phase() == Stopped {
 		return nil
 	}
 	if !now.Before(h.leaseEnd) {
-		h.phase = Stopped
-		return nil
+		return h.fire(now, eventLeaseEnded)
 	}
-	if h.phase == Staging && now.Sub(h.began) > h.settings.StagingTimeout {
-		h.finish(Undone)
+	if h.Phase() == Staging && now.Sub(h.began) > h.settings.StagingTimeout {
+		h.fire(now, eventStagingTimeout)
 	}
 	wait := h.settings.Retransmit
-	if h.phase == Idle {
+	if h.Phase() == Idle {
 		wait = h.settings.Poll
 	}
 	if now.Sub(h.sentAt) < wait {
 		return nil
 	}
-	return append(h.advance(now), h.send(now)...)
-}
-
-// advance moves on when the members' states allow it.
-func (h *Holder) advance(now time.Time) []Output {
-	switch h.phase {
-	case TakingOver:
-		if h.settled() {
-			h.phase = Idle
-		}
-	case Staging:
-		if h.all(h.isStaged) {
-			return h.propose(now)
-		}
-	case Proposing:
-		h.judge()
-		if h.phase == Settling {
-			return h.advance(now)
-		}
-	case Settling:
-		return h.retry(now)
-	case Idle, Stopped:
-	}
-	return nil
+	return append(h.fire(now, eventStatus), h.send(now)...)
 }
 
 // settled reports whether all members have answered, none is undecided and
@@ -263,7 +223,6 @@
 
 // propose chooses the step to promise.
 func (h *Holder) propose(now time.Time) []Output {
-	h.phase = Proposing
 	h.proposed = make([]uint64, h.members)
 	newest := uint64(0)
 	for i, s := range h.status {
@@ -281,20 +240,6 @@
 	return uint64(math.Ceil(float64(d) / float64(h.settings.StepTime)))
 }
 
-// judge looks for the outcome of the proposal.
-func (h *Holder) judge() {
-	if h.all(h.isInstalled) {
-		h.finish(Finished)
-		return
-	}
-	for i, s := range h.status {
-		if h.left(s, h.proposed[i]) {
-			h.phase = Settling
-			return
-		}
-	}
-}
-
 func (h *Holder) isInstalled(s *Status) bool {
 	for i := range s.Ranks {
 		if s.Ranks[i].Installed != h.plan.Attempt {
@@ -313,34 +258,13 @@
 	return s.Incarnation != incarnation || !h.plan.Attempt.After(s.Floor)
 }
 
-// retry starts the next attempt once all members have left the last one.
-func (h *Holder) retry(now time.Time) []Output {
-	if !h.settled() {
-		return nil
-	}
-	if h.tries >= h.settings.Attempts || h.status[0].Ranks[0].Installed != h.plan.Base {
-		h.finish(Undone)
-		return nil
-	}
-	return h.prepare(now)
-}
-
-func (h *Holder) finish(o Outcome) {
-	h.outcome = o
-	h.phase = Idle
-	if o == Finished {
-		// The next plan may start when the map is in use everywhere.
-		h.phase = TakingOver
-	}
-}
-
 // send sends each member what its phase needs. TakeOver doubles as a poll.
 func (h *Holder) send(now time.Time) []Output {
 	h.sentAt = now
 	var out []Output
 	for id := range h.members {
 		var msg Message = TakeOver{Token: h.token}
-		switch h.phase {
+		switch h.Phase() {
 		case Staging:
 			msg = Prepare{Plan: h.plan}
 		case Proposing:
