Apply the limits of organisations at the entry

Ruled out: limits behind the queue (an organisation above its limit could fill it), and a limiter per service (a limit row counts all services together). Change: package entry/quota runs limits under one mutex, with the limits of the table in force and the live entries of the instance list. A request passes the limit first, then the queue; tokens of a request that did not run are given back. Each second an entry reports to the other entries the organisations with demand or grant (EntryService.Report; grants, ack and incarnation are new fields of the message). A restarted entry is recognised by its incarnation. The limit of requests in flight bounds the concurrent streams of a caller. Entry tests drop the limit rows unless they test them: a bucket starts empty, so two requests at once would depend on the clock.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/filbertmux/filbertmux/entry/admission"
+	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
@@ -12,8 +13,20 @@
 // number of usable servers.
 const refreshInterval = 100 * time.Millisecond
 
-// run waits for admission, then runs the request.
-func (s *Server) run(ctx context.Context, r *request, out *answer) error {
+// run admits the request within the limits of its organisation, waits for a
+// place toward the backend servers and runs it. The limits come first, so that
+// an organisation above its limit can't fill the queue. The limit of requests
+// in flight is also the bound on the concurrent streams of one caller.
+func (s *Server) run(ctx context.Context, r *request, out *answer) (err error) {
+	free, err := s.quota.Admit(r.call.GetOrganisation(), r.cost)
+	if err != nil {
+		return err
+	}
+	defer func() { free(err == nil || errkind.Of(err).Execution != errkind.NotRun) }()
+	return s.runAdmitted(ctx, r, out)
+}
+
+func (s *Server) runAdmitted(ctx context.Context, r *request, out *answer) error {
 	release, err := s.enter(ctx, r)
 	if err != nil {
 		return err
@@ -42,6 +55,7 @@
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for {
+		s.quota.Refresh()
 		s.admission.Refresh()
 		s.metrics.Gauge("queued", float64(s.admission.Waiting()))
 		select {
--- a/entry/module.go
+++ b/entry/module.go
@@ -11,6 +11,7 @@
 
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/entry/quota"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
@@ -50,10 +51,17 @@
 	}
 }
 
-// peerService implements the EntryService. Report belongs to the limits.
+// peerService implements the EntryService.
 type peerService struct {
-	filbertmuxv1connect.UnimplementedEntryServiceHandler
 	table *tablesync.Syncer
+	quota *quota.Quota
+}
+
+// Report implements EntryServiceHandler.
+func (p peerService) Report(_ context.Context, req *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+	p.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
+	p.quota.Receive(req.Msg)
+	return connect.NewResponse(&pb.ReportResponse{TableOffset: uint64(p.table.Offset())}), nil
 }
 
 // TableSince implements EntryServiceHandler.
@@ -61,13 +69,13 @@
 	return p.table.TableSince(ctx, req)
 }
 
-func servePeers(lc fx.Lifecycle, o Options, t *tablesync.Syncer) error {
+func servePeers(lc fx.Lifecycle, o Options, t *tablesync.Syncer, s *Server) error {
 	listener, err := daemon.Listen(o.PeerListener, o.Settings.PeerListen)
 	if err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
-	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t})
+	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t, quota: s.quota})
 	mux.Handle(path, daemon.RequireToken(o.Settings.PeerToken.Reveal(), service))
 	daemon.Serve(lc, o.Log, daemon.Server{
 		Name:           "peers",
--- /dev/null
+++ b/entry/report_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/table"
+)
+
+// fakeEntry records the reports that it gets.
+type fakeEntry struct {
+	filbertmuxv1connect.UnimplementedEntryServiceHandler
+	reports chan *pb.ReportRequest
+}
+
+// Report implements EntryServiceHandler.
+func (f fakeEntry) Report(_ context.Context, req *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
+	f.reports <- req.Msg
+	return connect.NewResponse(&pb.ReportResponse{}), nil
+}
+
+// Guards against demand that stays unknown to the other entries, against a
+// report to the entry itself, and against a dead entry that holds up the round.
+func TestReportReachesTheOtherEntries(t *testing.T) {
+	other := fakeEntry{reports: make(chan *pb.ReportRequest, 10)}
+	mux := http.NewServeMux()
+	mux.Handle(filbertmuxv1connect.NewEntryServiceHandler(other))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	f := newFixtureWith(t, func(*settings.Entry) {}, func(r *table.SheetRow) {
+		if l := r.Row.Limit; l != nil {
+			l.RequestsPerSecond, l.TokensPerSecond = 0, 0
+		}
+	}, newFakeSidecar(t, "a", events))
+	require.Equal(t, http.StatusOK, f.complete(t).status)
+	list := []platform.Instance{
+		{ID: "e1", Role: platform.RoleEntry, State: platform.Live, Address: "127.0.0.1:1"},
+		{ID: "dead", Role: platform.RoleEntry, State: platform.Live, Address: "127.0.0.1:1"},
+		{ID: "e2", Role: platform.RoleEntry, State: platform.Live, Address: server.Listener.Addr().String()},
+		{ID: "left", Role: platform.RoleEntry, State: platform.Departing, Address: "127.0.0.1:1"},
+	}
+	f.entry.instances = func() *[]platform.Instance { return &list }
+	require.Equal(t, 3, f.entry.liveEntries())
+	r := newReporter(f.entry.quota, f.entry.otherEntries, "", zerolog.Nop())
+	r.round(context.Background())
+	report := <-other.reports
+	require.Equal(t, "e1", report.GetSender())
+	require.Len(t, report.GetDemands(), 1)
+	require.Equal(t, "mureseni-desk", report.GetDemands()[0].GetOrganisation())
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/entry/admission"
+	"github.com/filbertmux/filbertmux/entry/quota"
 	"github.com/filbertmux/filbertmux/entry/servers"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -44,6 +45,8 @@
 	servers     *servers.Servers
 	prober      *servers.Prober
 	admission   *admission.Admission
+	quota       *quota.Quota
+	reporter    *reporter
 	instances   func() *[]platform.Instance
 	dispatcher  *dispatcher
 	parser      parser
@@ -85,6 +88,11 @@
 	server.admission = admission.New(admission.Config{
 		QueueSize: s.QueueSize, Concurrency: server.concurrency, View: source.View, Now: time.Now,
 	})
+	server.quota = quota.New(quota.Config{
+		Instance: s.Instance, Incarnation: string(incarnation),
+		View: source.View, Live: server.liveEntries, Now: time.Now,
+	})
+	server.reporter = newReporter(server.quota, server.otherEntries, s.PeerToken.Reveal(), log)
 	return server
 }
 
@@ -93,6 +101,7 @@
 	return []daemon.Duty{
 		{Name: "probe the backend servers", Run: s.prober.Run},
 		{Name: "refresh the admission", Run: s.refresh},
+		{Name: "report demand to the other entries", Run: s.reporter.run},
 	}
 }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -50,6 +50,9 @@
 	case !s.servers.Ready():
 		c.String(http.StatusServiceUnavailable, "the instance list has not been read yet\n")
 	default:
+		// The buckets of new limits start empty, so they start ahead of the
+		// first request.
+		s.quota.Refresh()
 		c.String(http.StatusOK, "ready\n")
 	}
 }
