Let time pass between the picks of the policy test

Its clock stood still, so after the burst of the probe bound no report was refreshed, and requests sent since the last report count as in flight; which servers were known depended on the order in which probe goroutines finished. Ruled out: a fault of the policy; at a request each 250 ms the same stack keeps one prefix at one server. Change: 250 ms between picks in that test; checks and bounds are unchanged. Conclusion: the verdict no longer depends on goroutine order.

--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -25,6 +25,8 @@
 	load    map[string]uint32
 	servers *Servers
 	prober  *Prober
+	// gap is the time between two picks.
+	gap time.Duration
 }
 
 func newFleet(policy string, seed uint64, count int) *fleet {
@@ -76,6 +78,7 @@
 		require.NoError(t, err)
 		f.servers.Finished(server)
 		counts[server.ID]++
+		f.now = f.now.Add(f.gap)
 	}
 	return counts
 }
@@ -151,6 +154,9 @@
 	for i := range 8 {
 		f.load["s"+strconv.Itoa(i)] = 10 // room below the bound of the affinity
 	}
+	// Requests that were sent since the last report count as in flight, so
+	// the picks leave time for probes within their rate.
+	f.gap = 250 * time.Millisecond
 	f.pass(time.Second)
 	require.Len(t, f.pick(t, 40, Request{Prefix: 7}), 1, "one prefix stays at one server")
 
@@ -162,6 +168,7 @@
 
 	loaded := newFleet(DefaultPolicy, 1, 4)
 	loaded.load["s0"] = 100
+	loaded.gap = f.gap
 	loaded.pass(time.Second)
 	require.Less(t, loaded.pick(t, 100, Request{})["s0"], 10)
 }
