Bound retries by a budget and answer unknown for refused bookings

Cause: each request got up to three attempts, also while its service was overloaded, and without delay. A booking that the entry refused by itself was answered not_run, although an earlier send of its key may have run. Ruled out: outcome_unknown as kind of such a refusal (429 or 503 and the kind tell the caller when to send again; the execution status is a separate field), and a parse of refused requests (a body would be read while the entry leaves; the route of the table in force is enough). Change: a retry budget per service (1.1 attempts a request, burst 10, jittered delay). An overload flag, a full queue or a missed deadline stops retries for 2 s. A retry without a server left no longer uses up the budget. Bookings that were refused without the log get status unknown, the kind as before and a message that this request did not run; the kinds that a sidecar answers only after it read its claim stay not_run. TestUnreachableSidecarProvesNotRun asked for not_run on a booking that no sidecar had seen; TestUnreachableSidecar asks for unknown on the booking and not_run on a model call. Before: 3 attempts at most for each request. After: 60 failing requests make 71 to 76 attempts (asserted). Conclusion: retries multiply load by at most 1.1 after the burst.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -17,22 +17,22 @@
 // place toward the backend servers and runs it. The limits come first, so that
 // an organisation above its limit can't fill the queue. The limit of requests
 // in flight is also the bound on the concurrent streams of one caller.
-func (s *Server) run(ctx context.Context, r *request, out *answer) (err error) {
+func (s *Server) run(ctx context.Context, r *request, out *answer) error {
 	free, err := s.quota.Admit(r.call.GetOrganisation(), r.cost)
 	if err != nil {
-		return err
+		return unproved(r, err)
 	}
-	defer func() { free(err == nil || errkind.Of(err).Execution != errkind.NotRun) }()
-	return s.runAdmitted(ctx, r, out)
-}
-
-func (s *Server) runAdmitted(ctx context.Context, r *request, out *answer) error {
+	ran := false
+	defer func() { free(ran) }()
 	release, err := s.enter(ctx, r)
 	if err != nil {
-		return err
+		s.dispatcher.noteRefusal(r, err)
+		return unproved(r, err)
 	}
 	defer release()
-	return s.dispatcher.run(ctx, r, out)
+	err = s.dispatcher.run(ctx, r, out)
+	ran = err == nil || errkind.Of(err).Execution != errkind.NotRun
+	return err
 }
 
 // enter waits for a place toward the backend servers of the service.
--- a/entry/server.go
+++ b/entry/server.go
@@ -64,10 +64,11 @@
 	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
 ) *Server {
 	ctx, abort := context.WithCancelCause(context.Background())
+	seed := newSeed(s.Seed, log)
 	c := newClients(s.PeerToken.Reveal())
 	found := servers.New(servers.Config{
 		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
-		Rand: newRand(s.Seed, log), Now: time.Now, List: instances.View,
+		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, List: instances.View,
 	})
 	prober := servers.NewProber(found, probeFunc(c, source, string(incarnation)))
 	server := &Server{
@@ -77,6 +78,7 @@
 			prober:  prober,
 			table:   source,
 			clients: c,
+			retries: newRetries(rand.New(rand.NewPCG(seed, 1)), time.Now),
 			receiver: stream.ReceiverConfig{
 				MaxPending:      maxPendingChunks,
 				SilenceTimeout:  s.SilenceTimeout,
@@ -105,13 +107,14 @@
 	}
 }
 
-// newRand returns a random source and logs its seed. Seed 0 means any.
-func newRand(seed int, log zerolog.Logger) *rand.Rand {
-	if seed == 0 {
-		seed = rand.Int()
+// newSeed returns the seed of the random sources and logs it. 0 means any.
+func newSeed(chosen int, log zerolog.Logger) uint64 {
+	seed := uint64(chosen)
+	if chosen == 0 {
+		seed = rand.Uint64() >> 1 // a flag takes no larger number
 	}
-	log.Info().Int("seed", seed).Msg("random source of routing and retries")
-	return rand.New(rand.NewPCG(uint64(seed), 0))
+	log.Info().Uint64("seed", seed).Msg("random sources of routing and retries")
+	return seed
 }
 
 // Abort fails all requests in flight.
@@ -146,6 +149,7 @@
 	defer cancel()
 	release, err := s.admit()
 	if err != nil {
+		err = ofUnread(c.Request, s.table.View(), err)
 		s.finish(ctx, start, nil, err)
 		refuse(c, requestID, err)
 		return
@@ -153,6 +157,7 @@
 	defer release()
 	r, err := s.accept(c, parse)
 	if err != nil {
+		err = ofUnread(c.Request, s.table.View(), err)
 		s.finish(ctx, start, r, err)
 		refuse(c, requestID, err)
 		return
--- a/entry/servers/servers.go
+++ b/entry/servers/servers.go
@@ -88,6 +88,14 @@
 	return len(s.view.Candidates(name))
 }
 
+// Available reports whether a server is left that r was not tried on.
+func (s *Servers) Available(r Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyList()
+	return len(s.candidates(r)) > 0
+}
+
 // Pick returns the server for one attempt and counts the attempt as sent. The
 // caller calls Finished when the attempt has ended.
 func (s *Servers) Pick(r Request) (platform.Instance, error) {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -23,6 +23,7 @@
 type watch struct {
 	servers  *servers.Servers
 	table    tableSource
+	retries  *retries
 	instance platform.Instance
 	sent     time.Time
 }
@@ -34,6 +35,9 @@
 	if c.GetLoad() == nil {
 		return
 	}
+	if c.GetLoad().GetOverloaded() {
+		w.retries.overloaded(w.instance.Service)
+	}
 	sent := w.sent
 	if c.GetHeartbeat() != nil {
 		sent = time.Now()
