Forecast expert shares along a steady change of mix

Cause: a map comes into force about 45 s after the middle of the counts that it was planned from. While the mix changes, shares move in one direction for ten minutes, and the plan is late by that time.

Ruled out: a trend without a margin; with a random drift it would extrapolate noise.

Change: Tracker.Forecast extrapolates a smoothed rate of change. The rates of a layer are used in proportion to the part of their variance that a random walk of the drift rate does not explain. Tracker.Loads is as before. The benchmark gives the forecast to Decide and the unchanged loads to the baselines.

--- a/bench/experts/policy.go
+++ b/bench/experts/policy.go
@@ -15,6 +15,7 @@
 	topology  *planner.Topology
 	inForce   *planner.Map
 	loads     planner.Loads
+	forecast  planner.Loads
 	stepTimes []time.Duration
 	inFlight  int
 	lastPlan  time.Time
@@ -62,7 +63,7 @@
 func decide(s planner.Settings, weights planner.Weights) func(view) (*planner.Map, error) {
 	return func(v view) (*planner.Map, error) {
 		d, err := planner.Decide(s, planner.Input{
-			Now: v.now, Topology: v.topology, InForce: v.inForce, Loads: v.loads,
+			Now: v.now, Topology: v.topology, InForce: v.inForce, Loads: v.forecast,
 			StepTimes: v.stepTimes, Weights: weights, InFlight: v.inFlight, LastPlan: v.lastPlan,
 		})
 		if err != nil || !d.Rebalance {
--- a/bench/experts/run.go
+++ b/bench/experts/run.go
@@ -13,6 +13,9 @@
 	expertBytes = 44 << 20
 	// countLag is the number of intervals after which counts arrive.
 	countLag = 1
+	// forecastAhead is the time from a plan to the middle of the interval
+	// after its activation.
+	forecastAhead = interval * 3 / 2
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -184,9 +187,13 @@
 	if err != nil {
 		return err
 	}
+	forecast, err := r.tracker.Forecast(timeOf(at), r.settings.MaxCountAge, forecastAhead)
+	if err != nil {
+		return err
+	}
 	began := time.Now()
 	next, err := r.policy.propose(view{
-		now: timeOf(at), topology: r.topology, inForce: &r.inForce, loads: loads,
+		now: timeOf(at), topology: r.topology, inForce: &r.inForce, loads: loads, forecast: forecast,
 		stepTimes: stepTimes, inFlight: r.inFlight, lastPlan: r.lastPlan,
 	})
 	perLayer := time.Since(began).Seconds() * 1e3 / float64(len(r.inForce.Layers))
--- a/experts/counts.go
+++ b/experts/counts.go
@@ -61,6 +61,7 @@
 	share     [][]float64
 	// variance is the relative variance of each share.
 	variance [][]float64
+	trend    []trend
 }
 
 // NewTracker returns a tracker for a drift rate; see DefaultDriftRate.
@@ -68,9 +69,11 @@
 	t := &Tracker{driftRate: driftRate, layers: layers, experts: experts}
 	t.share = make([][]float64, layers)
 	t.variance = make([][]float64, layers)
+	t.trend = make([]trend, layers)
 	for i := range t.share {
 		t.share[i] = make([]float64, experts)
 		t.variance[i] = make([]float64, experts)
+		t.trend[i] = newTrend(experts)
 	}
 	return t
 }
@@ -83,12 +86,12 @@
 	if !c.At.After(t.at) {
 		return errkind.New(errkind.StaleCounts, "counts of %s are not newer than %s", c.At, t.at)
 	}
-	drift := 0.0
+	seconds := 0.0
 	if !t.at.IsZero() {
-		drift = t.driftRate * c.At.Sub(t.at).Seconds()
+		seconds = c.At.Sub(t.at).Seconds()
 	}
 	for i, layer := range c.Layers {
-		t.blend(i, layer, drift)
+		t.blend(i, layer, seconds)
 	}
 	t.at = c.At
 	return nil
@@ -96,8 +99,9 @@
 
 // blend mixes counts into the shares of a layer. A layer without tokens
 // carries no information and leaves the shares as they are.
-func (t *Tracker) blend(layer int, counts []float64, drift float64) {
-	share, variance := t.share[layer], t.variance[layer]
+func (t *Tracker) blend(layer int, counts []float64, seconds float64) {
+	share, variance, slope := t.share[layer], t.variance[layer], &t.trend[layer]
+	drift := t.driftRate * seconds
 	first := sum(share) == 0
 	total := sum(counts)
 	if total == 0 {
@@ -113,9 +117,16 @@
 		if first {
 			weight = 1
 		}
-		share[e] += weight * (n/total - share[e])
+		change := weight * (n/total - share[e])
+		if !first && share[e] > 0 {
+			slope.observe(e, change/share[e], weight, seconds)
+		}
+		share[e] += change
 		variance[e] = noise * weight
 	}
+	if !first {
+		slope.expect(t.driftRate, seconds)
+	}
 	scale := 1 / sum(share)
 	for e := range share {
 		share[e] *= scale
