Give skew above 1.07 more weight in a plan's value

Cause: while the mix changes, many ranks are overloaded at once. The maximum falls only after a move for each of them, so at the cost-weighted setting such a plan was put off and the skew rose.

Ruled out: a larger limit of moves in flight. The cost-weighted setting makes 3.6 moves a plan on average, the limit is 256.

Change: the step time saved above TailSkew (1.07) counts TailWeight (4) times in the choice of a plan. Decision.Saved stays the time saved.

--- a/experts/decide.go
+++ b/experts/decide.go
@@ -27,6 +27,11 @@
 	// MoveCost is the step time that one fetch costs the group, through
 	// memory traffic and cold weights.
 	MoveCost time.Duration
+	// TailSkew is the skew of a layer above which the step time that a plan
+	// saves counts TailWeight times. Without it, a plan that has to relieve
+	// many ranks at once is put off while the skew keeps rising.
+	TailSkew   float64
+	TailWeight float64
 	// Hysteresis is the factor by which the weighted saving must exceed the
 	// weighted cost of a plan.
 	Hysteresis float64
@@ -53,6 +58,8 @@
 		ExpertShare: 0.5,
 		Horizon:     10 * time.Minute,
 		MoveCost:    100 * time.Millisecond,
+		TailSkew:    1.07,
+		TailWeight:  4,
 		Hysteresis:  1.5,
 		MinInterval: 15 * time.Second,
 		MaxInFlight: 256,
--- a/experts/planner.go
+++ b/experts/planner.go
@@ -9,7 +9,9 @@
 	slots Layer
 	moves int
 	saved float64
-	value float64
+	// benefit is saved plus the extra weight of the skew above Settings.TailSkew.
+	benefit float64
+	value   float64
 }
 
 // planner picks the options of a plan.
@@ -38,7 +40,7 @@
 		}
 	}
 	sort.SliceStable(p.options, func(i, j int) bool { return p.options[i].value > p.options[j].value })
-	saved, moves := 0.0, 0
+	benefit, moves := 0.0, 0
 	for _, o := range p.options {
 		if o.moves > p.left {
 			var ok bool
@@ -47,11 +49,11 @@
 			}
 		}
 		p.left -= o.moves
-		saved += o.saved
+		benefit += o.benefit
 		moves += o.moves
 		p.chosen = append(p.chosen, o)
 	}
-	if saved*p.in.Weights.Skew <= p.s.Hysteresis*p.cost(moves) {
+	if benefit*p.in.Weights.Skew <= p.s.Hysteresis*p.cost(moves) {
 		p.chosen = nil
 	}
 }
@@ -126,6 +128,8 @@
 
 func (p *planner) value(layer int, before, after float64, moves, limit int) (option, bool) {
 	o := option{layer: layer, moves: moves, saved: p.savedBy(before, after)}
-	o.value = o.saved*p.in.Weights.Skew - p.cost(moves)
+	tail := p.s.TailSkew * sum(p.in.Loads.Layers[layer]) / float64(p.in.Topology.Ranks())
+	o.benefit = o.saved + max(0, p.s.TailWeight-1)*p.savedBy(max(before, tail), max(after, tail))
+	o.value = o.benefit*p.in.Weights.Skew - p.cost(moves)
 	return o, moves <= limit && o.value > 0
 }
