Halve the pack tolerance to 0.5%

Cause: the p99 skew of the skew-weighted setting in mix-change was 0.05 points above the target.

Change: PackTolerance from 1% to 0.5%.

Conclusion: kept; the firm that uses this setting weighs skew over moves.

--- a/experts/replan.go
+++ b/experts/replan.go
@@ -5,7 +5,7 @@
 // PackTolerance is how far above the lower bound the planner accepts the
 // maximum rank load. A smaller value costs moves without visible effect,
 // because the noise of the counts is of the same size.
-const PackTolerance = 0.01
+const PackTolerance = 0.005
 
 // PlanLayer returns a layer for the given loads that minimises the maximum
 // rank load and, among the placements found, needs few moves from the layer
