Take only the sidecar's word from the log as not_run on a booking

Cause: a sidecar that refuses a booking as unknown_service, because its address went to another service, was passed on as not_run, like a fault of the request. Ruled out: the same exemption for refusals by the entry and by sidecars. Change: of a sidecar's refusals only the kinds that it answers after it read its claim, and an invalid key, stay not_run.

--- a/entry/booking.go
+++ b/entry/booking.go
@@ -20,12 +20,20 @@
 	return unknownForKey(err)
 }
 
-// unknownForKey keeps the kind, by which the caller decides when to send again.
+// unknownForKey is asUnknown but for faults of the request itself.
 func unknownForKey(err error) error {
 	e := errkind.Of(err)
-	if e == nil || e.Execution != errkind.NotRun || isFaultOfRequest(e.Kind) {
+	if e == nil || isFaultOfRequest(e.Kind) {
 		return err
 	}
+	return asUnknown(e)
+}
+
+// asUnknown keeps the kind, by which the caller decides when to send again.
+func asUnknown(e *errkind.Error) error {
+	if e.Execution != errkind.NotRun {
+		return e
+	}
 	unknown := *e
 	unknown.Execution = errkind.Unknown
 	unknown.Message = e.Message + "; " + notRunForKey
@@ -44,13 +52,14 @@
 	}
 }
 
-// provedByLog lists the kinds that a sidecar answers to a booking as not_run
-// only after it read the call's own claim. It refuses others, such as leaving
-// or queue_full, without the log.
-func provedByLog(k errkind.Kind) bool {
+// provedBySidecar lists the kinds that a sidecar answers to a booking as not_run
+// only after it read the call's own claim, and the one that no key with this
+// text can escape. It refuses others without the log, such as leaving,
+// queue_full, or unknown_service after its address went to another service.
+func provedBySidecar(k errkind.Kind) bool {
 	switch k {
 	case errkind.IdempotencyKeyReused, errkind.BackendUnavailable, errkind.DeadlineUnreachable,
-		errkind.LogUnavailable, errkind.Canceled:
+		errkind.LogUnavailable, errkind.Canceled, errkind.InvalidIdempotencyKey:
 		return true
 	default:
 		return false
--- a/entry/booking_test.go
+++ b/entry/booking_test.go
@@ -81,7 +81,7 @@
 // log, and against a lost proof of one that did read it.
 func TestSidecarRefusalsOfBookings(t *testing.T) {
 	for kind, proved := range map[errkind.Kind]bool{
-		errkind.Leaving: false, errkind.QueueFull: false, errkind.SuspectRequest: false,
+		errkind.Leaving: false, errkind.QueueFull: false, errkind.SuspectRequest: false, errkind.UnknownService: false,
 		errkind.BackendUnavailable: true, errkind.IdempotencyKeyReused: true, errkind.InvalidIdempotencyKey: true,
 	} {
 		f := newFixture(t, newFakeSidecar(t, "a", failing(errkind.New(kind, "refused"))))
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -96,10 +96,14 @@
 
 // ofKey returns the error as it holds for the key of a booking.
 func (f *failure) ofKey(r *request) error {
-	if f.bySidecar && provedByLog(f.err.Kind) {
+	switch {
+	case r.call.GetIdempotent(), f.bySidecar && provedBySidecar(f.err.Kind):
 		return f.err
+	case f.bySidecar:
+		return asUnknown(f.err)
+	default:
+		return unproved(r, f.err)
 	}
-	return unproved(r, f.err)
 }
 
 // worse returns the newer failure, but never claims that nothing ran if an
