Test the names and the check of the routing policies

Ruled out: a second list of names in package servers (the settings would still need their own). Change: two tests, of the check in settings and of the names of the policies. Conclusion: an unknown policy stops the start with the other faults.

--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -172,3 +172,12 @@
 	loaded.pass(time.Second)
 	require.Less(t, loaded.pick(t, 100, Request{})["s0"], 10)
 }
+
+// Guards against a setting that selects another policy than it names.
+func TestSettingNamesThePolicy(t *testing.T) {
+	for _, name := range []string{
+		DefaultPolicy, "probe_based+domain", "power_of_two+domain", "least_reported+domain", "round_robin",
+	} {
+		require.Equal(t, name, newPolicy(name, "d0").Name())
+	}
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,22 @@
 	require.Equal(t, 1, strings.Count(err.Error(), "--max-in-flight"))
 }
 
+// Guards against an unknown policy that silently becomes the default one, and
+// against a default that the check refuses.
+func TestRoutingPolicyIsChecked(t *testing.T) {
+	common := valid[:5]
+	var s settings.Entry
+	require.NoError(t, parse(t, &s, common...))
+	require.NotEmpty(t, s.RoutingPolicy)
+	err := parse(t, &settings.Entry{}, append(common[:5:5], "--routing-policy=best", "--queue-size=0", "--max-concurrent=-1")...)
+	require.True(t, errkind.Is(err, errkind.InvalidSettings))
+	for _, want := range []string{
+		`--routing-policy "best": want one of`, "--queue-size: must be at least 1", "--max-concurrent: must be at least 0",
+	} {
+		require.Contains(t, err.Error(), want)
+	}
+}
+
 // Guards against environment variables that are ignored, and against a flag
 // that loses against one.
 func TestFlagsOverrideTheEnvironment(t *testing.T) {
