Keep suspect requests alone and refuse them after two crashes

Cause: one request that crashes its backend server took down one server after another, because package quarantine was not used by the daemons.

Ruled out: taking each broken connection for a crash. A handler that aborts one connection would make innocent requests suspects. The sidecar asks the backend server for its health on a new connection; only a failed health check makes a crash. Also ruled out: passing the health check's error on to the requests that it ends.

Change: guard in the sidecar admits each request to the backend server, records those in flight at a crash, runs a suspect alone, refuses it after two crashes, and refuses work until a health check is answered. Reports travel in stream suspects (package suspectlog), on end chunks and with the entry's next attempt. A clearance is remembered, so that a crash report that arrives late does not bring the suspect back. http.Transport no longer repeats a lookup on its own, which hid a crash.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -35,6 +35,8 @@
 
 	mu     sync.Mutex
 	byAddr map[string]*sidecarClient
+
+	suspects connect.Option
 }
 
 func newClients(token string) *clients {
@@ -48,7 +50,10 @@
 			IdleConnTimeout:     idleConnTimeout,
 		}}}
 	}
-	return &clients{reusing: client(false), fresh: client(true), byAddr: make(map[string]*sidecarClient)}
+	return &clients{
+		reusing: client(false), fresh: client(true), byAddr: make(map[string]*sidecarClient),
+		suspects: connect.WithInterceptors(newSuspectCarrier(time.Now)),
+	}
 }
 
 func (c *clients) of(address string) *sidecarClient {
@@ -60,8 +65,8 @@
 	url := "http://" + address
 	limit := connect.WithReadMaxBytes(maxChunkBytes)
 	s := &sidecarClient{
-		calls:   filbertmuxv1connect.NewSidecarServiceClient(c.reusing, url, limit),
-		resumes: filbertmuxv1connect.NewSidecarServiceClient(c.fresh, url, limit),
+		calls:   filbertmuxv1connect.NewSidecarServiceClient(c.reusing, url, limit, c.suspects),
+		resumes: filbertmuxv1connect.NewSidecarServiceClient(c.fresh, url, limit, c.suspects),
 	}
 	c.byAddr[address] = s
 	return s
--- /dev/null
+++ b/entry/suspects.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/quarantine"
+)
+
+// suspectCarrier is an interceptor of the calls to sidecars. It remembers the
+// suspect reports on answers and sends them along with later attempts of the
+// same request, so that the next sidecar knows them ahead of the log. It is
+// safe for concurrent use.
+type suspectCarrier struct {
+	mu       sync.Mutex
+	register *quarantine.Register
+	now      func() time.Time
+}
+
+var _ connect.Interceptor = (*suspectCarrier)(nil)
+
+func newSuspectCarrier(now func() time.Time) *suspectCarrier {
+	return &suspectCarrier{register: quarantine.NewRegister(quarantine.DefaultSettings()), now: now}
+}
+
+// WrapUnary implements connect.Interceptor.
+func (s *suspectCarrier) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc { return next }
+
+// WrapStreamingHandler implements connect.Interceptor.
+func (s *suspectCarrier) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
+
+// WrapStreamingClient implements connect.Interceptor.
+func (s *suspectCarrier) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return func(ctx context.Context, spec connect.Spec) connect.StreamingClientConn {
+		return suspectConn{StreamingClientConn: next(ctx, spec), carrier: s}
+	}
+}
+
+// attach adds what is known of the request to it.
+func (s *suspectCarrier) attach(call *pb.CallRequest) {
+	f := quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.SuspectReports = quarantine.Messages(s.register.Reports(f))
+}
+
+func (s *suspectCarrier) learn(end *pb.End) {
+	if len(end.GetSuspectReports()) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range quarantine.FromMessages(end.GetSuspectReports()) {
+		s.register.Apply(s.now(), r)
+	}
+}
+
+type suspectConn struct {
+	connect.StreamingClientConn
+	carrier *suspectCarrier
+}
+
+// Send implements connect.StreamingClientConn.
+func (c suspectConn) Send(message any) error {
+	if call, ok := message.(*pb.CallRequest); ok {
+		c.carrier.attach(call)
+	}
+	return c.StreamingClientConn.Send(message)
+}
+
+// Receive implements connect.StreamingClientConn.
+func (c suspectConn) Receive(message any) error {
+	err := c.StreamingClientConn.Receive(message)
+	if chunk, ok := message.(*pb.Chunk); ok && err == nil {
+		c.carrier.learn(chunk.GetEnd())
+	}
+	return err
+}
--- /dev/null
+++ b/entry/suspects_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/stream"
+)
+
+// Guards against a request that crashes a server, is sent again and reaches the
+// next sidecar ahead of the report about it.
+func TestSuspectReportsTravelWithTheNextAttempt(t *testing.T) {
+	var s *fakeSidecar
+	s = newFakeSidecar(t, "s1", func(out *connect.ServerStream[pb.Chunk], sender *stream.Sender) {
+		call := s.last()
+		sender.End(errkind.New(errkind.BackendFailed, "died"))
+		end := sender.Next()
+		end.GetEnd().SuspectReports = quarantine.Messages([]quarantine.Report{{
+			Op: quarantine.OpCrashedAlone, Crash: "c1", Time: time.Now(),
+			Fingerprint: quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody()),
+		}})
+		_ = out.Send(end)
+	})
+	f := newFixture(t, s)
+	f.complete(t)
+	require.Empty(t, s.last().GetSuspectReports())
+	f.complete(t)
+	require.Len(t, s.last().GetSuspectReports(), 1)
+	require.Equal(t, "c1", s.last().GetSuspectReports()[0].GetCrash())
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,11 +9,13 @@
 package quarantine
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/zeebo/xxh3"
 
 	"github.com/filbertmux/filbertmux/errkind"
 )
@@ -21,16 +23,27 @@
 // Stream is the log stream of suspects.
 const Stream = "suspects"
 
-// recordType is the type field of a suspect record.
-const recordType = "suspect"
+// recordType is the type field of a log record.
+const recordType = "suspects"
 
-// Fingerprint identifies requests that act alike on a backend server.
+// Fingerprint identifies requests that act alike on a backend server. BodyHash
+// covers method and path as well, because calls without a body differ in them.
 type Fingerprint struct {
 	Service      string `json:"service"`
 	Organisation string `json:"org"`
 	BodyHash     string `json:"body_hash"`
 }
 
+// NewFingerprint returns the fingerprint of a call.
+func NewFingerprint(service, organisation, method, path string, body []byte) Fingerprint {
+	h := xxh3.New()
+	// The separators keep two different calls from having the same input.
+	_, _ = h.WriteString(method + "\x00" + path + "\x00")
+	_, _ = h.Write(body)
+	sum := h.Sum128().Bytes()
+	return Fingerprint{Service: service, Organisation: organisation, BodyHash: hex.EncodeToString(sum[:])}
+}
+
 // Op is what a report says about a fingerprint.
 type Op string
 
@@ -44,12 +57,12 @@
 	OpCleared Op = "cleared"
 )
 
-// Report is one observation, as a log record or as a message between
-// processes. Crash is unique for each crash or clearance, so that a report
+func (o Op) known() bool { return o == OpCrashed || o == OpCrashedAlone || o == OpCleared }
+
+// Report is one observation, in a log record or in a message between processes. Crash is unique for each crash or clearance, so that a report
 // that arrives on both ways counts once. Reports about one fingerprint commute
 // except that a clearance removes only crashes observed before its run began.
 type Report struct {
-	Type  string `json:"type"`
 	Op    Op     `json:"op"`
 	Crash string `json:"crash"`
 	Fingerprint
@@ -57,23 +70,29 @@
 	Began time.Time `json:"began,omitempty"` // of the run that cleared
 }
 
-// Encode returns the bytes of r.
-func Encode(r Report) ([]byte, error) {
-	r.Type = recordType
-	data, err := json.Marshal(&r)
+// record is one log record.
+type record struct {
+	Type    string   `json:"type"`
+	Reports []Report `json:"reports"`
+}
+
+// Encode returns the bytes of a log record with reports.
+func Encode(reports []Report) ([]byte, error) {
+	data, err := json.Marshal(record{Type: recordType, Reports: reports})
 	if err != nil {
-		return nil, errors.Wrap(err, "encode suspect report")
+		return nil, errors.Wrap(err, "encode suspect reports")
 	}
 	return data, nil
 }
 
-// Decode returns the report in data. It returns false for other records.
-func Decode(data []byte) (Report, bool) {
-	var r Report
+// Decode returns the reports in data. It returns false for records of another
+// type; reports of unknown operation are left out.
+func Decode(data []byte) ([]Report, bool) {
+	var r record
 	if err := json.Unmarshal(data, &r); err != nil || r.Type != recordType {
-		return Report{}, false
+		return nil, false
 	}
-	return r, r.Op == OpCrashed || r.Op == OpCrashedAlone || r.Op == OpCleared
+	return slices.DeleteFunc(r.Reports, func(r Report) bool { return !r.Op.known() }), true
 }
 
 // Settings bound the suspects.
@@ -109,8 +128,11 @@
 // elsewhere at the first crash may report more.
 const maxReports = 8
 
+// suspect without crashes remembers its clearance, because a crash report that
+// arrives late must not bring it back.
 type suspect struct {
 	crashes []Report
+	cleared *Report
 	last    time.Time
 }
 
@@ -132,7 +154,7 @@
 func (g *Register) Handling(now time.Time, f Fingerprint) Handling {
 	s := g.suspects[f]
 	switch {
-	case s == nil || now.Sub(s.last) > g.settings.Keep:
+	case s == nil || len(s.crashes) == 0 || now.Sub(s.last) > g.settings.Keep:
 		return Normal
 	case s.refused():
 		return Refused
@@ -152,14 +174,18 @@
 	return false
 }
 
-// Reports returns the crashes known for f. An entry sends them along with a
-// request, so that the sidecar knows them ahead of the log.
+// Reports returns what is known of f. An entry sends it along with a request,
+// so that the sidecar knows it ahead of the log.
 func (g *Register) Reports(f Fingerprint) []Report {
 	s := g.suspects[f]
 	if s == nil {
 		return nil
 	}
-	return slices.Clone(s.crashes)
+	reports := slices.Clone(s.crashes)
+	if s.cleared != nil {
+		reports = append(reports, *s.cleared)
+	}
+	return reports
 }
 
 // Refusal returns the answer to a refused request.
@@ -206,15 +232,21 @@
 		return
 	}
 	s := g.suspects[r.Fingerprint]
-	if r.Op == OpCleared {
-		g.clear(r, s)
-		return
-	}
 	if s == nil {
 		g.evict(now)
 		s = &suspect{}
 		g.suspects[r.Fingerprint] = s
 	}
+	if r.Time.After(s.last) {
+		s.last = r.Time
+	}
+	if r.Op == OpCleared {
+		s.clear(r)
+		return
+	}
+	if s.cleared != nil && clears(*s.cleared, r) {
+		return
+	}
 	for _, known := range s.crashes {
 		if known.Crash == r.Crash {
 			return
@@ -223,27 +255,20 @@
 	if len(s.crashes) < maxReports {
 		s.crashes = append(s.crashes, r)
 	}
-	if r.Time.After(s.last) {
-		s.last = r.Time
-	}
 }
 
-// clear drops the crashes with other requests ahead of a run that was answered
-// alone. A crash alone stays: the request may crash its server only at times.
-func (g *Register) clear(r Report, s *suspect) {
-	if s == nil {
-		return
-	}
-	kept := s.crashes[:0]
-	for _, c := range s.crashes {
-		if c.Op == OpCrashedAlone || c.Time.After(r.Began) {
-			kept = append(kept, c)
-		}
-	}
-	s.crashes = kept
-	if len(kept) == 0 {
-		delete(g.suspects, r.Fingerprint)
+// clears reports whether a clearance outweighs a crash: one with other requests
+// ahead of the run that was answered alone. A crash alone stays: the request
+// may crash its server only at times.
+func clears(clearance, crash Report) bool {
+	return crash.Op != OpCrashedAlone && !crash.Time.After(clearance.Began)
+}
+
+func (s *suspect) clear(r Report) {
+	if s.cleared == nil || r.Began.After(s.cleared.Began) {
+		s.cleared = &r
 	}
+	s.crashes = slices.DeleteFunc(s.crashes, func(c Report) bool { return clears(*s.cleared, c) })
 }
 
 // evict makes room: suspects beyond Keep go, then the oldest one.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -232,3 +232,22 @@
 	require.Equal(t, quarantine.Alone, g.Handling(now, fingerprint("49")))
 	require.Equal(t, quarantine.Normal, g.Handling(now.Add(2*time.Minute), fingerprint("49")))
 }
+
+// Guards against a crash report that arrives after the clearance and makes an
+// innocent request a suspect again.
+func TestLateCrashReportStaysCleared(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	a, b := quarantine.NewRegister(quarantine.DefaultSettings()), quarantine.NewRegister(quarantine.DefaultSettings())
+	f := fingerprint("innocent")
+	crash := a.Crashed(now, "c1", []quarantine.Fingerprint{f, fingerprint("poison")})[0]
+	cleared, ok := a.Answered(now.Add(2*time.Second), now.Add(time.Second), "a1", f)
+	require.True(t, ok)
+	b.Apply(now, cleared)
+	b.Apply(now, crash)
+	a.Apply(now, crash)
+	require.Equal(t, quarantine.Normal, a.Handling(now, f))
+	require.Equal(t, quarantine.Normal, b.Handling(now, f))
+	again := b.Crashed(now.Add(time.Minute), "c2", []quarantine.Fingerprint{f, fingerprint("other")})
+	require.Len(t, again, 2)
+	require.Equal(t, quarantine.Alone, b.Handling(now.Add(time.Minute), f))
+}
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/quarantine"
 	"github.com/filbertmux/filbertmux/stream"
 )
 
@@ -22,8 +23,9 @@
 // attempt is one attempt in flight or held for replay. One goroutine runs the
 // call and appends chunks; the connection that attached last sends them.
 type attempt struct {
-	id     *pb.AttemptId
-	cancel context.CancelFunc
+	id          *pb.AttemptId
+	fingerprint quarantine.Fingerprint
+	cancel      context.CancelFunc
 
 	mu         sync.Mutex
 	sender     *stream.Sender
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -5,13 +5,10 @@
 	"context"
 	"io"
 	"mime"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
 
-	"github.com/go-faster/errors"
-
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
@@ -83,6 +80,10 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidRequest, err, "request")
 	}
+	// Without GetBody and http.NoBody, http.Transport doesn't repeat the request
+	// on its own. A repeated lookup would hide that it crashed the backend server.
+	req.GetBody = nil
+	req.Body = io.NopCloser(bytes.NewReader(call.GetBody()))
 	for _, h := range call.GetHeaders() {
 		req.Header[http.CanonicalHeaderKey(h.GetName())] = h.GetValues()
 	}
@@ -95,9 +96,8 @@
 // backendError classifies a failed call. Only a failed dial proves that the
 // backend server did not receive the call.
 func backendError(ctx context.Context, err error) *errkind.Error {
-	var op *net.OpError
 	switch {
-	case errors.As(err, &op) && op.Op == "dial":
+	case isDialError(err):
 		return errkind.Wrap(errkind.BackendUnavailable, err, "connect to the backend server")
 	case ctx.Err() != nil:
 		return errkind.Wrap(errkind.Canceled, context.Cause(ctx), "call")
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -6,10 +6,12 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertmux/filbertmux/claim"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/quarantine"
 	"github.com/filbertmux/filbertmux/stream"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
@@ -28,6 +30,8 @@
 		RequestId: call.GetId().GetRequestId(), Attempt: call.GetId().GetAttempt(), Incarnation: s.incarnation,
 	}
 	a := newAttempt(id, s.settings.ReplayBytes, cancel)
+	a.fingerprint = fingerprintOf(call)
+	s.guard.apply(quarantine.FromMessages(call.GetSuspectReports()))
 	if err := s.register(a); err != nil {
 		cancel()
 		s.gate.Exit()
@@ -98,14 +102,45 @@
 	if !call.GetIdempotent() {
 		return s.runOnce(ctx, a, call)
 	}
-	start := time.Now()
-	resp, err := s.backend.do(ctx, call)
+	return s.guarded(ctx, a, func(ctx context.Context) error {
+		start := time.Now()
+		resp, err := s.backend.do(ctx, call)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		s.latency.add(time.Since(start))
+		return relay(ctx, a, resp, s.settings.ChunkBytes)
+	})
+}
+
+// guarded sends a request to the backend server in its turn. If the backend
+// server dies meanwhile, the requests in flight become suspects.
+func (s *Server) guarded(ctx context.Context, a *attempt, send func(context.Context) error) error {
+	runContext, r, err := s.guard.enter(ctx, a.fingerprint)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	s.latency.add(time.Since(start))
-	return relay(ctx, a, resp, s.settings.ChunkBytes)
+	err = send(runContext)
+	if isDialError(err) {
+		// This request did not reach the backend server, so it is no suspect.
+		s.guard.exit(r, false)
+		s.guard.died(r)
+		return err
+	}
+	defer func() { s.guard.exit(r, err == nil) }()
+	if err == nil || ctx.Err() != nil && !s.guard.crashedSince(r) {
+		return err
+	}
+	if isBroken(err) && s.guard.died(r) {
+		return errkind.Wrap(errkind.BackendFailed, err, "the backend server died")
+	}
+	return err
+}
+
+// isBroken reports whether err may come from the death of the backend server.
+func isBroken(err error) bool {
+	return errkind.Is(err, errkind.BackendFailed) || errkind.Is(err, errkind.StreamIncomplete) || errkind.Is(err, errkind.Canceled)
 }
 
 // runOnce runs a non-idempotent call under a claim.
@@ -117,7 +152,13 @@
 		Key:          call.GetIdempotencyKey(),
 		BodyHash:     claim.HashBody(call.GetMethod(), call.GetPath(), call.GetBody()),
 		Deadline:     deadline,
-	}, func(ctx context.Context) (claim.Answer, error) { return s.collect(ctx, call) })
+	}, func(ctx context.Context) (answer claim.Answer, err error) {
+		err = s.guarded(ctx, a, func(ctx context.Context) (err error) {
+			answer, err = s.collect(ctx, call)
+			return err
+		})
+		return answer, err
+	})
 	if err != nil {
 		return err
 	}
@@ -219,7 +260,7 @@
 			}
 			chunk = &pb.Chunk{Id: a.id, Kind: &pb.Chunk_Heartbeat{Heartbeat: &pb.Heartbeat{}}}
 		}
-		if err := out.Send(s.stamp(chunk)); err != nil {
+		if err := out.Send(s.stamp(s.withReports(chunk, a.fingerprint))); err != nil {
 			return err
 		}
 	}
@@ -243,6 +284,22 @@
 	return &pb.Chunk{Id: c.GetId(), Seq: c.GetSeq(), Kind: c.GetKind(), Load: s.load(), TableOffset: uint64(s.table.Offset())}
 }
 
+// withReports adds to an end chunk what is known of the request's fingerprint,
+// so that the entry knows it ahead of the log.
+func (s *Server) withReports(c *pb.Chunk, f quarantine.Fingerprint) *pb.Chunk {
+	if c.GetEnd() == nil {
+		return c
+	}
+	reports := quarantine.Messages(s.guard.reports(f))
+	end := proto.CloneOf(c.GetEnd())
+	end.SuspectReports = reports
+	return &pb.Chunk{Id: c.GetId(), Seq: c.GetSeq(), Kind: &pb.Chunk_End{End: end}}
+}
+
+func fingerprintOf(call *pb.CallRequest) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+}
+
 func (s *Server) refusal(id *pb.AttemptId, err error) *pb.Chunk {
 	own := &pb.AttemptId{RequestId: id.GetRequestId(), Attempt: id.GetAttempt(), Incarnation: s.incarnation}
 	sender := stream.NewSender(own, s.settings.ReplayBytes)
--- a/sidecar/module.go
+++ b/sidecar/module.go
@@ -19,6 +19,7 @@
 	"github.com/filbertmux/filbertmux/invariant"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/suspectlog"
 	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
@@ -48,7 +49,7 @@
 		daemon.Common(o.Settings.Common, platform.RoleBackend, o.Log),
 		fx.Supply(o),
 		fx.Provide(newClaims, provideServer),
-		fx.Invoke(serve),
+		fx.Invoke(shareSuspects, watchBackend, serve),
 	)
 }
 
@@ -117,6 +118,23 @@
 	return nil
 }
 
+// shareSuspects exchanges suspect reports with other sidecars through the log.
+func shareSuspects(lc fx.Lifecycle, o Options, log platform.Log, s *Server) {
+	suspects := suspectlog.New(log, suspectlog.DefaultSettings(), o.Log)
+	s.guard.publish = suspects.Publish
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "append suspect reports", Run: suspects.Append})
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "follow suspect reports", Run: func(ctx context.Context) error {
+		return suspects.Follow(ctx, s.guard.apply)
+	}})
+}
+
+func watchBackend(lc fx.Lifecycle, o Options, s *Server) {
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "watch the backend server", Run: func(ctx context.Context) error {
+		s.guard.watch(ctx, healthInterval)
+		return nil
+	}})
+}
+
 // Handler returns the HTTP interface of the sidecar. Only the SidecarService
 // needs the peer token.
 func (s *Server) Handler() http.Handler {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -45,6 +45,7 @@
 	settings    settings.Sidecar
 	incarnation string
 	backend     *backend
+	guard       *guard
 	claims      claimRunner
 	table       tableSource
 	gate        *drain.Gate
@@ -72,7 +73,8 @@
 	}
 	ctx, abort := context.WithCancelCause(context.Background())
 	return &Server{
-		settings: s, incarnation: string(incarnation), backend: b, claims: claims, table: table,
+		settings: s, incarnation: string(incarnation), backend: b,
+		guard: newGuard(b, string(incarnation), time.Now, log), claims: claims, table: table,
 		gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
 		attempts: make(map[attemptKey]*attempt),
 	}, nil
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/claimlog"
+	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -49,15 +50,21 @@
 	t.Helper()
 	b := httptest.NewServer(backend)
 	t.Cleanup(b.Close)
+	return newFixtureAt(t, b.URL)
+}
+
+func newFixtureAt(t *testing.T, backendURL string) *fixture {
+	t.Helper()
 	s := settings.Sidecar{
 		Common:     settings.Common{MaxBodyBytes: 1 << 20},
-		BackendURL: b.URL, Service: "svc", MaxInFlight: 4, ReplayBytes: 1 << 16, ChunkBytes: 1 << 10,
+		BackendURL: backendURL, Service: "svc", MaxInFlight: 4, ReplayBytes: 1 << 16, ChunkBytes: 1 << 10,
 		HeartbeatInterval: time.Hour, ResumeWindow: time.Hour, BackendTimeout: time.Hour,
 	}
-	claims := claimlog.New(standin.NewPlatform(standin.PlatformConfig{}), "inc", time.Now, claimlog.DefaultSettings())
+	incarnation := uuid.NewString()
+	claims := claimlog.New(standin.NewPlatform(standin.PlatformConfig{}), incarnation, time.Now, claimlog.DefaultSettings())
 	t.Cleanup(func() { _ = claims.Shutdown(context.Background()) })
 	metrics := telemetry.NewMetrics("sidecar", "s1", zerolog.Nop())
-	server, err := NewServer(s, "inc", claims, noTable{}, drain.NewGate(), zerolog.Nop(), metrics)
+	server, err := NewServer(s, daemon.Incarnation(incarnation), claims, noTable{}, drain.NewGate(), zerolog.Nop(), metrics)
 	require.NoError(t, err)
 	mux := http.NewServeMux()
 	mux.Handle(filbertmuxv1connect.NewSidecarServiceHandler(server))
@@ -189,7 +196,7 @@
 	dead.Close()
 	b, err := newBackend(dead.URL)
 	require.NoError(t, err)
-	f.server.backend = b
+	f.server.backend, f.server.guard.backend = b, b
 	booking := call("r2", false)
 	booking.IdempotencyKey = newKey(t)
 	for _, request := range []*pb.CallRequest{call("r1", true), booking} {
