--- a/entry/server.go
+++ b/entry/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,12 @@
 
 	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/entry/admission"
+	"github.com/filbertmux/filbertmux/entry/quota"
+	"github.com/filbertmux/filbertmux/entry/servers"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/membership"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/stream"
@@ -37,7 +42,12 @@
 	settings    settings.Entry
 	incarnation daemon.Incarnation
 	table       tableSource
-	backends    *backends
+	servers     *servers.Servers
+	prober      *servers.Prober
+	admission   *admission.Admission
+	quota       *quota.Quota
+	reporter    *reporter
+	instances   func() *[]platform.Instance
 	dispatcher  *dispatcher
 	parser      parser
 	gate        *drain.Gate
@@ -53,14 +63,22 @@
 func NewServer(s settings.Entry, incarnation daemon.Incarnation, source tableSource, instances *daemon.Instances,
 	gate *drain.Gate, log zerolog.Logger, metrics *telemetry.Metrics,
 ) *Server {
-	b := newBackends(instances, s.FailureDomain)
 	ctx, abort := context.WithCancelCause(context.Background())
-	return &Server{
-		settings: s, incarnation: incarnation, table: source, backends: b,
+	seed := newSeed(s.Seed, log)
+	c := newClients(s.PeerToken.Reveal())
+	found := servers.New(servers.Config{
+		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
+		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, List: instances.View,
+	})
+	prober := servers.NewProber(found, probeFunc(c, source, string(incarnation)))
+	server := &Server{
+		settings: s, incarnation: incarnation, table: source, servers: found, prober: prober, instances: instances.View,
 		dispatcher: &dispatcher{
-			backends: b,
-			table:    source,
-			clients:  newClients(s.PeerToken.Reveal()),
+			servers: found,
+			prober:  prober,
+			table:   source,
+			clients: c,
+			retries: newRetries(rand.New(rand.NewPCG(seed, 1)), time.Now),
 			receiver: stream.ReceiverConfig{
 				MaxPending:      maxPendingChunks,
 				SilenceTimeout:  s.SilenceTimeout,
@@ -69,6 +87,34 @@
 		},
 		parser: parser{settings: s}, gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
 	}
+	server.admission = admission.New(admission.Config{
+		QueueSize: s.QueueSize, Concurrency: server.concurrency, View: source.View, Now: time.Now,
+	})
+	server.quota = quota.New(quota.Config{
+		Instance: s.Instance, Incarnation: string(incarnation),
+		View: source.View, Live: server.liveEntries, Now: time.Now,
+	})
+	server.reporter = newReporter(server.quota, server.otherEntries, s.PeerToken.Reveal(), log)
+	return server
+}
+
+// Duties returns the goroutines that the server needs beside its handlers.
+func (s *Server) Duties() []daemon.Duty {
+	return []daemon.Duty{
+		{Name: "probe the backend servers", Run: s.prober.Run},
+		{Name: "refresh the admission", Run: s.refresh},
+		{Name: "report demand to the other entries", Run: s.reporter.run},
+	}
+}
+
+// newSeed returns the seed of the random sources and logs it. 0 means any.
+func newSeed(chosen int, log zerolog.Logger) uint64 {
+	seed := uint64(chosen)
+	if chosen == 0 {
+		seed = rand.Uint64() >> 1 // a flag takes no larger number
+	}
+	log.Info().Uint64("seed", seed).Msg("random sources of routing and retries")
+	return seed
 }
 
 // Abort fails all requests in flight.
@@ -92,7 +138,7 @@
 	return engine
 }
 
-type parseFunc func(*gin.Context, *table.View, table.Organisation) (*pb.CallRequest, error)
+type parseFunc func(*gin.Context, *table.View, table.Organisation) (*request, error)
 
 // serve handles one request of a caller.
 func (s *Server) serve(c *gin.Context, parse parseFunc) {
@@ -103,23 +149,25 @@
 	defer cancel()
 	release, err := s.admit()
 	if err != nil {
+		err = ofUnread(c.Request, s.table.View(), err)
 		s.finish(ctx, start, nil, err)
 		refuse(c, requestID, err)
 		return
 	}
 	defer release()
-	call, err := s.accept(c, parse)
+	r, err := s.accept(c, parse)
 	if err != nil {
-		s.finish(ctx, start, call, err)
+		err = ofUnread(c.Request, s.table.View(), err)
+		s.finish(ctx, start, r, err)
 		refuse(c, requestID, err)
 		return
 	}
-	call.Id = &pb.AttemptId{RequestId: requestID}
+	r.call.Id = &pb.AttemptId{RequestId: requestID}
 	out := newAnswer(c, requestID, func() {
-		s.metrics.FirstByte(labels(call), time.Since(start))
+		s.metrics.FirstByte(labels(r), time.Since(start))
 	})
-	err = s.dispatcher.run(ctx, call, out)
-	s.finish(ctx, start, call, err)
+	err = s.run(ctx, r, out)
+	s.finish(ctx, start, r, err)
 	if err != nil {
 		out.fail(err)
 	}
@@ -132,7 +180,8 @@
 // requestContext ends when the caller leaves, at the request timeout, or when
 // the entry gives up its drain.
 func (s *Server) requestContext(r *http.Request, requestID string) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(r.Context(), s.settings.RequestTimeout)
+	timeout, _ := callerTimeout(r, s.settings.RequestTimeout) // accept refuses a bad value
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	stop := context.AfterFunc(s.ctx, cancel)
 	ctx = telemetry.WithRequest(ctx, s.log, requestID)
 	return ctx, func() {
@@ -141,8 +190,8 @@
 	}
 }
 
-// admit bounds the requests in flight. The queues and the limits of the
-// organisations take its place between accept and dispatch.
+// admit bounds the requests that the entry holds in memory, whatever their
+// organisation and service.
 func (s *Server) admit() (release func(), err error) {
 	if err := s.gate.Enter(); err != nil {
 		return nil, err
@@ -159,7 +208,7 @@
 }
 
 // accept authenticates the caller and parses the request.
-func (s *Server) accept(c *gin.Context, parse parseFunc) (*pb.CallRequest, error) {
+func (s *Server) accept(c *gin.Context, parse parseFunc) (*request, error) {
 	view := s.table.View()
 	if !s.table.Loaded() {
 		return nil, errkind.New(errkind.StaleTable, "the table has not been read yet")
@@ -168,19 +217,22 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := callerTimeout(c.Request, s.settings.RequestTimeout); err != nil {
+		return nil, err
+	}
 	return parse(c, view, org)
 }
 
 // finish records the outcome of a request.
-func (s *Server) finish(ctx context.Context, start time.Time, call *pb.CallRequest, err error) {
+func (s *Server) finish(ctx context.Context, start time.Time, r *request, err error) {
 	duration := time.Since(start)
-	s.metrics.Answered(labels(call), outcome(err), duration)
+	s.metrics.Answered(labels(r), outcome(err), duration)
 	line := telemetry.Log(ctx).Info()
 	if err != nil {
 		line = telemetry.Log(ctx).Warn().Err(err).Str("execution", errkind.Of(err).Execution.String())
 	}
-	line.Str("organisation", call.GetOrganisation()).
-		Str("service", call.GetService()).
+	line.Str("organisation", r.callOrNil().GetOrganisation()).
+		Str("service", r.callOrNil().GetService()).
 		Str("outcome", outcome(err)).
 		Dur("duration_ms", duration).
 		Msg("request")
--- a/entry/status.go
+++ b/entry/status.go
@@ -47,9 +47,12 @@
 		c.String(http.StatusServiceUnavailable, "leaving\n")
 	case !s.table.Loaded():
 		c.String(http.StatusServiceUnavailable, "the table has not been read yet\n")
-	case !s.backends.ready():
+	case !s.servers.Ready():
 		c.String(http.StatusServiceUnavailable, "the instance list has not been read yet\n")
 	default:
+		// The buckets of new limits start empty, so they start ahead of the
+		// first request.
+		s.quota.Refresh()
 		c.String(http.StatusOK, "ready\n")
 	}
 }
