State how claims scale

Cause: comments said that a sidecar reads few claim partitions, but each sidecar of a plain service tails all four.

--- a/entry/servers/servers.go
+++ b/entry/servers/servers.go
@@ -114,7 +114,8 @@
 }
 
 // choose returns the index of the chosen candidate. Bookings follow the
-// rendezvous order of their key, so that a sidecar reads few claim partitions.
+// rendezvous order of their key, so that a key that is sent again meets the
+// sidecar that knows its outcome, unless that one has gone.
 func (s *Servers) choose(now time.Time, r Request, found []membership.Server) int {
 	candidates := routingCandidates(found)
 	if r.Key != "" {
--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -128,8 +128,8 @@
 	require.NotZero(t, f.pick(t, 10, Request{})["s0"])
 }
 
-// Guards against entries that send one booking key to different sidecars, which
-// would make each sidecar read every claim partition.
+// Guards against entries that send one booking key to different sidecars, so
+// that the second send meets an outcome that was not read yet.
 func TestBookingsFollowTheKeyAtEveryEntry(t *testing.T) {
 	a, b := newFleet(DefaultPolicy, 1, 6), newFleet(DefaultPolicy, 2, 6)
 	a.pass(time.Second)
