Resume, cancel and prioritise model calls at the engine

Cause: a broken connection between sidecar and engine failed an answer that the engine was still generating, an answer that nobody wanted went on at the engine, and the engine did not know the class priority.

Ruled out: sending the call again on the same engine, because a model may answer differently. Ruled out: taking an engine that has forgotten the answer for one that crashed, because it keeps a bounded number of answers.

Change: the sidecar names each model call at the engine (X-Request-Id), continues the same generation by token number after a broken connection, up to 3 times without progress, and deletes it when the call fails or is canceled. An event that was relayed in part, or an engine that does not know the answer, ends the answer with an error. The priority field of the JSON body is set from the class in the table; other values keep their bytes, the order of the fields does not.

Conclusion: an answer is lost only if the engine itself lost it.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	if isEventStream(resp.Header) {
-		return relayEvents(ctx, a, resp.Body, chunkBytes)
+		return relayEvents(ctx, a, resp.Body, chunkBytes, &eventProgress{})
 	}
 	return relayBytes(ctx, a, resp.Body, chunkBytes)
 }
@@ -133,17 +133,19 @@
 	}
 }
 
-func relayEvents(ctx context.Context, a *attempt, body io.Reader, chunkBytes int) error {
+// relayEvents does not relay an event that was cut at the end of the stream.
+func relayEvents(ctx context.Context, a *attempt, body io.Reader, chunkBytes int, progress *eventProgress) error {
 	events := newEventReader(body, chunkBytes)
 	for {
 		event, err := events.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // a wrapped io.EOF is a failure
 			return backendError(ctx, err)
 		}
-		if len(event) > 0 {
+		if len(event) > 0 && (err == nil || events.done) {
 			if err := a.data(ctx, event); err != nil {
 				return err
 			}
+			progress.add(events)
 		}
 		if err != nil {
 			break
--- a/sidecar/events.go
+++ b/sidecar/events.go
@@ -16,6 +16,22 @@
 	in       *bufio.Reader
 	maxBytes int
 	done     bool
+	whole    bool // the last part returned closed its event
+	data     bool // that event has a data line
+}
+
+// eventProgress counts what was relayed of a stream that may be resumed. An
+// event with data is one token.
+type eventProgress struct {
+	tokens  int
+	inEvent bool // a part of an event was relayed, so no token number fits
+}
+
+func (p *eventProgress) add(r *eventReader) {
+	p.inEvent = !r.whole
+	if r.whole && r.data && !r.done {
+		p.tokens++
+	}
 }
 
 func newEventReader(in io.Reader, maxBytes int) *eventReader {
@@ -26,6 +42,10 @@
 // stream it returns what is left with io.EOF.
 func (r *eventReader) next() ([]byte, error) {
 	var event []byte
+	if r.whole {
+		r.data = false
+	}
+	r.whole = false
 	for {
 		line, err := r.in.ReadSlice('\n')
 		if err == bufio.ErrBufferFull { //nolint:errorlint // bufio returns this value unwrapped
@@ -36,7 +56,8 @@
 			return event, err
 		}
 		r.note(line)
-		if isEmptyLine(line) || len(event) >= r.maxBytes {
+		r.whole = isEmptyLine(line)
+		if r.whole || len(event) >= r.maxBytes {
 			return event, nil
 		}
 	}
@@ -45,6 +66,7 @@
 // note remembers whether the event that ends the stream was seen.
 func (r *eventReader) note(line []byte) {
 	if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+		r.data = true
 		r.done = bytes.Equal(bytes.TrimSpace(data), doneEvent)
 	}
 }
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -103,6 +103,9 @@
 		return s.runOnce(ctx, a, call)
 	}
 	return s.guarded(ctx, a, func(ctx context.Context) error {
+		if s.isModel(call) {
+			return s.runModel(ctx, a, call)
+		}
 		start := time.Now()
 		resp, err := s.backend.do(ctx, call)
 		if err != nil {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -20,6 +20,7 @@
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
@@ -30,6 +31,7 @@
 // tableSource is the part of tablesync.Syncer that the sidecar needs.
 type tableSource interface {
 	tablesync.Peer
+	View() *table.View
 	Offset() platform.Offset
 	// Learn notes the table offset of another process.
 	Learn(offset platform.Offset)
--- a/sidecar/server_test.go
+++ b/sidecar/server_test.go
@@ -24,6 +24,7 @@
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/standin"
 	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/tablesync"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
@@ -39,6 +40,8 @@
 
 func (noTable) Offset() platform.Offset { return 7 }
 
+func (noTable) View() *table.View { return table.NewFold().View() }
+
 func (noTable) Learn(platform.Offset) {}
 
 type fixture struct {
