Control rank groups from their sidecars

Cause: lease, experts and mapswitch were state machines that no process ran.

Ruled out: the map in force as a log record. At the design size it has about 37 KB, and each sidecar reads the whole stream. The ranks know their map, and the holder reads it from its own backend server. Also ruled out: one call to the backend server for each rank command; a batch sends a plan once for all ranks and answers with the state of all.

Change: groupcontrol runs one core goroutine with both state machines, and one goroutine each for rank commands, weights, planner, ticks and each peer. The sidecar checks tokens against the log ahead of each command of a holder. rankapi is the HTTP protocol of rank commands: sessions and sequence numbers keep commands of an earlier sidecar from taking effect late. The stand-in's rank group now runs mapswitch.Rank; its guard tests are replaced by tests of the same failures with the new commands, and one for late batches. lease.Guard.Current returns the token that a restarted member has to read.

With a rule off: late commands reach ranks without the token check and without the read of the token; steps are mixed if ranks ignore a hold.

Conclusion: a group switches maps over real connections without an operator.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
 	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/standin"
 	"github.com/filbertmux/filbertmux/telemetry"
 
@@ -24,6 +26,7 @@
 	Platform standinPlatform `cmd:"" help:"Run the log, the instance list and the weight store."`
 	Engine   standinEngine   `cmd:"" help:"Run a model engine."`
 	Plain    standinPlain    `cmd:"" help:"Run a plain service."`
+	Ranks    standinRanks    `cmd:"" help:"Run the ranks of a group."`
 }
 
 type standinPlatform struct {
@@ -64,6 +67,44 @@
 	return serveStandin(ctx, streams, "plain", c.Listen, standin.NewPlain(standin.PlainConfig{Name: c.Name, Delay: c.Delay}))
 }
 
+type standinRanks struct {
+	Listen       string        `name:"listen" default:"127.0.0.1:9300" help:"Address to listen on. The commands of backend server n are below /<n>."`
+	Replicas     int           `name:"replicas" default:"4" help:"Backend servers of the group."`
+	PerReplica   int           `name:"ranks-per-replica" default:"8" help:"Ranks of each backend server."`
+	Layers       int           `name:"layers" default:"4" help:"Layers of the model."`
+	Experts      int           `name:"experts" default:"64" help:"Experts of each layer."`
+	SlotsPerRank int           `name:"slots-per-rank" default:"4" help:"Experts that a rank hosts in each layer."`
+	StepTime     time.Duration `name:"step-time" default:"45ms" help:"Time of a step."`
+	DriftSteps   uint64        `name:"drift-steps" default:"2000" help:"Steps after which the popularity moves on by one expert."`
+	CheckFencing bool          `name:"check-fencing" help:"Refuse commands with a stale fencing token."`
+	Seed         uint64        `name:"seed" default:"1" help:"Seed of the expert counts."`
+}
+
+// Run implements the command.
+func (c *standinRanks) Run(ctx context.Context, streams Streams) error {
+	if c.DriftSteps == 0 || c.StepTime <= 0 || c.Replicas < 1 || c.PerReplica < 1 {
+		return errkind.New(errkind.InvalidSettings, "ranks: counts and times must be positive")
+	}
+	g, err := standin.NewRankGroup(standin.RankGroupConfig{
+		Replicas: c.Replicas, RanksPerReplica: c.PerReplica, Layers: c.Layers, Experts: c.Experts,
+		SlotsPerRank: c.SlotsPerRank, StepTime: c.StepTime, Seed: c.Seed,
+		ChecksFencing: func(int) bool { return c.CheckFencing },
+		Popularity:    standin.DriftingPopularity(c.Experts, 1, c.DriftSteps),
+	})
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	for n := range c.Replicas {
+		prefix := "/" + strconv.Itoa(n)
+		mux.Handle(prefix+"/", http.StripPrefix(prefix, g.Handler(n)))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() { _ = g.Run(ctx) }()
+	return serveStandin(ctx, streams, "ranks", c.Listen, mux)
+}
+
 func serveStandin(ctx context.Context, streams Streams, name, address string, h http.Handler) error {
 	listener, err := daemon.Listen(nil, address)
 	if err != nil {
--- /dev/null
+++ b/groupcontrol/cost_test.go
@@ -0,0 +1,65 @@
+package groupcontrol_test
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/groupcontrol"
+	"github.com/filbertmux/filbertmux/leaselog"
+	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/standin"
+)
+
+// TestControlCost measures the control traffic of a group of the design size
+// with the settings of the daemons. It asserts nothing and takes four minutes,
+// so it runs only if FILBERTMUX_MEASURE is set.
+func TestControlCost(t *testing.T) {
+	if os.Getenv("FILBERTMUX_MEASURE") == "" {
+		t.Skip("FILBERTMUX_MEASURE is not set")
+	}
+	const period = time.Minute
+	f := newFixture(t, func(c *standin.RankGroupConfig) {
+		c.RanksPerReplica, c.Layers, c.Experts, c.SlotsPerRank = 8, 58, 256, 10
+		c.StepTime, c.Popularity, c.CountEvery = 45*time.Millisecond, nil, 20
+	})
+	f.lease = leaselog.DefaultSettings()
+	f.adjust = func(o groupcontrol.Options) groupcontrol.Options {
+		o = o.WithDefaults()
+		o.Ranks = nil
+		for i := range 8 {
+			o.Ranks = append(o.Ranks, mapswitch.RankID(8*int(o.Member)+i))
+		}
+		o.Weights = func() (experts.Weights, bool) { return experts.Weights{Skew: 1, Cost: 1}, true }
+		return o
+	}
+	f.startAll()
+	f.awaitHolder(nil)
+	for _, name := range []string{"idle", "first counts", "switch"} {
+		if name == "first counts" {
+			f.ranks.SetPopularity(standin.DriftingPopularity(256, 0.8, 1<<40))
+		}
+		appends, before := f.platform.Appends(), f.traffic()
+		time.Sleep(period)
+		t.Logf("%s: %.2f appends/s, bytes/s by sidecar %v, held steps %d, mixed %d, %+v", name,
+			float64(f.platform.Appends()-appends)/period.Seconds(), perSecond(before, f.traffic(), period),
+			f.ranks.HeldSteps(), f.ranks.MixedSteps(), f.stats())
+	}
+}
+
+func (f *fixture) traffic() []int64 {
+	var all []int64
+	for _, n := range f.nodes {
+		all = append(all, n.gate.counted())
+	}
+	return all
+}
+
+func perSecond(before, after []int64, period time.Duration) []int {
+	var rates []int
+	for i := range before {
+		rates = append(rates, int(float64(after[i]-before[i])/period.Seconds()))
+	}
+	return rates
+}
--- /dev/null
+++ b/groupcontrol/export_test.go
@@ -0,0 +1,46 @@
+package groupcontrol
+
+import (
+	"context"
+
+	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// WithoutTokenCheck returns o for a sidecar that passes the weights of every
+// plan to its ranks, whatever its token.
+func (o Options) WithoutTokenCheck() Options {
+	o.adjust = func(k *core) {
+		k.admit = func(from mapswitch.MemberID, token platform.Offset, m mapswitch.Message) bool {
+			if p, ok := m.(mapswitch.Prepare); ok && token < k.newestHolder() {
+				for _, r := range k.c.opts.Ranks {
+					stage := mapswitch.StageRank{Token: token, Plan: p.Plan}
+					out := mapswitch.Output{To: mapswitch.ToRank, Rank: r, Message: stage}
+					_ = k.c.commands.Push(context.Background(), out)
+				}
+				return false
+			}
+			k.learnHolder(token, from)
+			return true
+		}
+	}
+	return o
+}
+
+func (k *core) newestHolder() platform.Offset {
+	var newest platform.Offset
+	for token := range k.holders {
+		newest = max(newest, token)
+	}
+	return newest
+}
+
+// WithoutTokenRead returns o for a sidecar that accepts commands before it has
+// read the current token.
+func (o Options) WithoutTokenRead() Options {
+	o.adjust = func(k *core) {
+		k.readToken = func() (platform.Offset, bool) { return 0, true }
+		k.admit = func(mapswitch.MemberID, platform.Offset, mapswitch.Message) bool { return true }
+	}
+	return o
+}
--- /dev/null
+++ b/groupcontrol/options.go
@@ -0,0 +1,140 @@
+package groupcontrol
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Lease is the part of leaselog.Client that a Control uses.
+type Lease interface {
+	Campaign(duty string)
+	Token(duty string) (platform.Offset, bool)
+	Check(duty string, token platform.Offset) error
+	Current(duty string) (platform.Offset, bool)
+}
+
+// Table is the part of tablesync.Syncer that a Control uses.
+type Table interface {
+	Offset() platform.Offset
+	Learn(platform.Offset)
+}
+
+// Timing holds the intervals of a Control.
+type Timing struct {
+	// Tick is the interval at which the state machines check their timers.
+	Tick time.Duration
+	// Plan is the interval of the planner, and of the polls of expert counts.
+	Plan time.Duration
+	// ReadIdle and ReadBusy are the intervals at which the state of the ranks
+	// is read, without and during a switch. The choice of the promised step
+	// is late by up to ReadBusy.
+	ReadIdle time.Duration
+	ReadBusy time.Duration
+	// Call bounds a call to another member or to the backend server.
+	Call time.Duration
+	// Retry is the pause after a failed call.
+	Retry time.Duration
+}
+
+// DefaultTiming returns the intervals that the daemons use. A report has about
+// 50 KB at the design size (58 layers of 256 experts), so a poll of three
+// members each minute costs the holder 2.5 KB/s.
+func DefaultTiming() Timing {
+	return Timing{
+		Tick: 20 * time.Millisecond, Plan: time.Minute,
+		ReadIdle: time.Second, ReadBusy: 20 * time.Millisecond,
+		Call: 2 * time.Second, Retry: 100 * time.Millisecond,
+	}
+}
+
+// DefaultMemberSettings returns timers for messages that are connect calls:
+// nothing is lost while a connection works, so repeating early only costs.
+func DefaultMemberSettings() mapswitch.MemberSettings {
+	return mapswitch.MemberSettings{Retransmit: 50 * time.Millisecond, ResolveAfter: 150 * time.Millisecond}
+}
+
+// DefaultHolderSettings leaves time for a retransmission to each member and
+// polls idle members each 5 s.
+func DefaultHolderSettings() mapswitch.HolderSettings {
+	s := mapswitch.DefaultHolderSettings()
+	s.Lead = 270 * time.Millisecond
+	s.Retransmit = 50 * time.Millisecond
+	s.Poll = 5 * time.Second
+	return s
+}
+
+// Options set up a Control. All fields but the settings are required.
+type Options struct {
+	Group string
+	// Member is the number of this sidecar in the group, Members that of all.
+	Member  mapswitch.MemberID
+	Members int
+	Ranks   []mapswitch.RankID
+	// Incarnation grows with each process start; see StartIncarnation.
+	Incarnation   uint64
+	FailureDomain string
+	// Model is the name under which the weight store has the experts.
+	Model string
+	// RankURL is the address of the rank commands of the backend server.
+	RankURL string
+	// Addresses returns the host:port of the sidecars in a member's place.
+	// While an instance is replaced there may be several.
+	Addresses func(mapswitch.MemberID) []string
+	// Peers is the client for calls to other members, Backend that for calls
+	// to the backend server.
+	Peers   *http.Client
+	Backend *http.Client
+	Lease   Lease
+	Store   platform.WeightStore
+	// Weights returns the weights of the service's row in the table.
+	Weights func() (experts.Weights, bool)
+	Table   Table
+	Log     zerolog.Logger
+
+	Timing  Timing
+	Switch  mapswitch.MemberSettings
+	Holder  mapswitch.HolderSettings
+	Planner experts.Settings
+
+	// adjust switches rules of the core off; only tests set it.
+	adjust func(*core)
+}
+
+// WithDefaults returns o with the settings of the daemons.
+func (o Options) WithDefaults() Options {
+	o.Timing = DefaultTiming()
+	o.Switch = DefaultMemberSettings()
+	o.Holder = DefaultHolderSettings()
+	o.Planner = experts.DefaultSettings()
+	return o
+}
+
+// StartIncarnation returns the incarnation of a process that starts now. The
+// sidecar raises it above that of its predecessor in the same place, in case
+// the clock went back.
+func StartIncarnation(now time.Time) uint64 { return uint64(now.UnixNano()) }
+
+// Place derives the number of a member and of all members from the ranks that
+// its backend server hosts. All backend servers of a group host equally many,
+// in one aligned block.
+func Place(ranks []int, groupRanks int) (member mapswitch.MemberID, members int, err error) {
+	n := len(ranks)
+	if n == 0 || groupRanks%n != 0 || ranks[0]%n != 0 {
+		return 0, 0, errkind.New(errkind.InvalidSettings,
+			"ranks %v of %d: want an aligned block of equal size on each backend server", ranks, groupRanks)
+	}
+	for i, r := range ranks {
+		if r != ranks[0]+i || r >= groupRanks {
+			return 0, 0, errkind.New(errkind.InvalidSettings,
+				"ranks %v of %d: want ascending numbers without gaps below %d", ranks, groupRanks, groupRanks)
+		}
+	}
+	return mapswitch.MemberID(ranks[0] / n), groupRanks / n, nil
+}
--- /dev/null
+++ b/groupcontrol/peer.go
@@ -0,0 +1,149 @@
+package groupcontrol
+
+import (
+	"context"
+	"slices"
+
+	"connectrpc.com/connect"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/experts"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/ring"
+)
+
+// peer sends messages to another member.
+type peer struct {
+	c      *Control
+	id     mapswitch.MemberID
+	outbox *ring.Ring[mapswitch.Message]
+}
+
+func newPeer(c *Control, id mapswitch.MemberID) *peer {
+	cfg := ring.Config{Name: "group peer", Capacity: peerCapacity, Policy: ring.DropOldest}
+	return &peer{c: c, id: id, outbox: ring.New[mapswitch.Message](cfg)}
+}
+
+func (p *peer) push(m mapswitch.Message) { _ = p.outbox.Push(context.Background(), m) }
+
+func (p *peer) run(ctx context.Context) error {
+	for {
+		m, ok := p.outbox.Pop(ctx)
+		if !ok {
+			return nil
+		}
+		messages := []*pb.GroupMessage{encode(m)}
+		for more, ok := p.outbox.TryPop(); ok; more, ok = p.outbox.TryPop() {
+			messages = append(messages, encode(more))
+		}
+		if err := p.deliver(ctx, messages); err != nil && ctx.Err() == nil {
+			p.c.opts.Log.Debug().Err(err).Int("member", int(p.id)).Msg("message to a member")
+			pause(ctx, p.c.opts.Timing.Retry)
+		}
+	}
+}
+
+// deliver sends to each address. A message to a process that has been replaced
+// does no harm, because only one of them reaches the ranks.
+func (p *peer) deliver(ctx context.Context, messages []*pb.GroupMessage) error {
+	err := error(errkind.New(errkind.NoBackendServer, "no sidecar is known"))
+	for _, address := range p.c.opts.Addresses(p.id) {
+		call, cancel := context.WithTimeout(ctx, p.c.opts.Timing.Call)
+		var resp *connect.Response[pb.DeliverResponse]
+		resp, err = p.client(address).Deliver(call, connect.NewRequest(&pb.DeliverRequest{
+			Group: p.c.opts.Group, From: uint32(p.c.opts.Member), To: uint32(p.id),
+			TableOffset: uint64(p.c.opts.Table.Offset()), Messages: messages,
+		}))
+		cancel()
+		if err == nil {
+			p.c.learn(resp.Msg.GetTableOffset())
+		}
+	}
+	return err
+}
+
+func (p *peer) client(address string) filbertmuxv1connect.GroupServiceClient {
+	return filbertmuxv1connect.NewGroupServiceClient(p.c.opts.Peers, "http://"+address)
+}
+
+// report asks the member for what the planner needs.
+func (p *peer) report(ctx context.Context) (*pb.GroupReportResponse, error) {
+	err := error(errkind.New(errkind.NoBackendServer, "no sidecar of member %d is known", p.id))
+	for _, address := range slices.Backward(p.c.opts.Addresses(p.id)) {
+		call, cancel := context.WithTimeout(ctx, p.c.opts.Timing.Call)
+		var resp *connect.Response[pb.GroupReportResponse]
+		resp, err = p.client(address).Report(call, connect.NewRequest(&pb.GroupReportRequest{
+			Group: p.c.opts.Group, To: uint32(p.id), TableOffset: uint64(p.c.opts.Table.Offset()),
+		}))
+		cancel()
+		if err == nil {
+			p.c.learn(resp.Msg.GetTableOffset())
+			return resp.Msg, nil
+		}
+	}
+	return nil, err
+}
+
+// Deliver implements GroupService.
+func (c *Control) Deliver(_ context.Context, req *connect.Request[pb.DeliverRequest]) (*connect.Response[pb.DeliverResponse], error) {
+	if err := c.checkAddressee(req.Msg.GetGroup(), req.Msg.GetTo()); err != nil {
+		return nil, err
+	}
+	if int(req.Msg.GetFrom()) >= c.opts.Members {
+		return nil, connect.NewError(connect.CodeInvalidArgument,
+			errkind.New(errkind.InvalidRequest, "member %d of %d", req.Msg.GetFrom(), c.opts.Members))
+	}
+	c.learn(req.Msg.GetTableOffset())
+	from := mapswitch.MemberID(req.Msg.GetFrom())
+	for _, m := range req.Msg.GetMessages() {
+		if message := decode(from, m); message != nil {
+			c.push(event{from: from, message: message})
+		}
+	}
+	return connect.NewResponse(&pb.DeliverResponse{TableOffset: uint64(c.opts.Table.Offset())}), nil
+}
+
+// Report implements GroupService.
+func (c *Control) Report(ctx context.Context, req *connect.Request[pb.GroupReportRequest]) (*connect.Response[pb.GroupReportResponse], error) {
+	if err := c.checkAddressee(req.Msg.GetGroup(), req.Msg.GetTo()); err != nil {
+		return nil, err
+	}
+	c.learn(req.Msg.GetTableOffset())
+	r, _, err := c.ownReport(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(r), nil
+}
+
+func (c *Control) checkAddressee(group string, to uint32) error {
+	if group == c.opts.Group && mapswitch.MemberID(to) == c.opts.Member {
+		return nil
+	}
+	return connect.NewError(connect.CodeNotFound,
+		errkind.New(errkind.InvalidRequest, "member %d of group %q is not here", to, group))
+}
+
+func (c *Control) learn(offset uint64) { c.opts.Table.Learn(platform.Offset(offset)) }
+
+// ownReport reads the backend server beside this process.
+func (c *Control) ownReport(ctx context.Context) (*pb.GroupReportResponse, *experts.Map, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timing.Call)
+	defer cancel()
+	r, err := c.backend.report(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	out := &pb.GroupReportResponse{
+		TableOffset: uint64(c.opts.Table.Offset()), FailureDomain: c.opts.FailureDomain,
+		Experts: uint32(r.Experts), SlotsPerRank: uint32(r.SlotsPerRank),
+		Epoch: r.Map.Epoch, CountsAgeMs: r.CountsAgeMS, StepTimeUs: r.StepTimeUS,
+	}
+	for _, layer := range r.Counts {
+		out.Counts = append(out.Counts, &pb.ExpertCounts{Tokens: layer})
+	}
+	return out, &r.Map, nil
+}
--- a/lease/guard.go
+++ b/lease/guard.go
@@ -34,11 +34,26 @@
 	}
 }
 
+// Current returns the newest token of a duty, zero if it never had a holder.
+// It reports false if the guard's view of the log is not recent or may lack a
+// tenure.
+func (g *Guard) Current(now time.Time, duty string) (platform.Offset, bool) {
+	if !g.fresh(now) {
+		return 0, false
+	}
+	t, _ := g.fold.Tenure(duty)
+	return max(t.Token, g.passed[duty]), true
+}
+
+func (g *Guard) fresh(now time.Time) bool {
+	return !g.confirmed.IsZero() && !g.fold.Uncertain() && now.Sub(g.confirmed) <= g.settings.GuardStale
+}
+
 // Check passes or refuses a command. A token above the known one comes from a
 // holder that has read further than this guard; it passes and fences off all
 // lower ones. The result is nil or a refusal that proves that nothing ran.
 func (g *Guard) Check(now time.Time, duty string, token platform.Offset) *errkind.Error {
-	if g.confirmed.IsZero() || g.fold.Uncertain() || now.Sub(g.confirmed) > g.settings.GuardStale {
+	if !g.fresh(now) {
 		return errkind.New(errkind.LogUnavailable, "the current fencing token of %s was not read", duty).
 			WithRetryAfter(time.Second)
 	}
--- a/leaselog/leaselog.go
+++ b/leaselog/leaselog.go
@@ -122,6 +122,14 @@
 	return nil
 }
 
+// Current returns the newest token of duty that this process knows. It reports
+// false while the log was not read recently.
+func (c *Client) Current(duty string) (platform.Offset, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.Current(c.now(), duty)
+}
+
 // Close releases the duties that this process holds and stops its goroutines.
 // ctx bounds the appends of the releases.
 func (c *Client) Close(ctx context.Context) {
--- a/leaselog/leaselog_test.go
+++ b/leaselog/leaselog_test.go
@@ -70,6 +70,9 @@
 		_, ok = b.Token("group-1")
 		require.False(t, ok)
 		require.NoError(t, bystander.Check("group-1", first))
+		current, ok := bystander.Current("group-1")
+		require.True(t, ok)
+		require.Equal(t, first, current)
 
 		a.Close(t.Context())
 		time.Sleep(10 * time.Second)
@@ -84,6 +87,8 @@
 		_, ok = b.Token("group-1")
 		require.False(t, ok)
 		require.True(t, errkind.Is(bystander.Check("group-1", second), errkind.LogUnavailable))
+		_, ok = bystander.Current("group-1")
+		require.False(t, ok)
 		log.setDown(false)
 		time.Sleep(3 * s.Lease.TTL)
 		_, ok = b.Token("group-1")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,7 +56,9 @@
 	BackendURL string `name:"backend-url" validate:"required,http_url" help:"URL of the backend server beside this process."`
 	Service    string `name:"service" validate:"required,max=64" help:"Service that the backend server runs."`
 	Group      string `name:"group" validate:"max=64" help:"Rank group of the backend server, if any."`
-	Ranks      []int  `name:"ranks" validate:"max=64,dive,min=0" help:"Ranks of the group that the backend server hosts."`
+	Ranks      []int  `name:"ranks" validate:"required_with=Group,max=64,dive,min=0" help:"Ranks of the group that the backend server hosts."`
+	GroupRanks int    `name:"group-ranks" validate:"required_with=Group,min=0,max=64" help:"Number of ranks in the group."`
+	RankURL    string `name:"rank-url" validate:"required_with=Group,omitempty,http_url" help:"URL of the rank commands of the backend server."`
 
 	MaxInFlight       int           `name:"max-in-flight" default:"256" validate:"min=1,max=100000" help:"Largest number of attempts in flight."`
 	ReplayBytes       int           `name:"replay-bytes" default:"262144" validate:"min=1024" help:"Size of the replay buffer of each attempt in bytes."`
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,17 @@
 	require.Equal(t, 1, strings.Count(err.Error(), "--max-in-flight"))
 }
 
+// Guards against a sidecar of a group that cannot reach its ranks.
+func TestGroupSettingsBelongTogether(t *testing.T) {
+	var s settings.Sidecar
+	err := parse(t, &s, append(valid, "--group=g")...)
+	for _, flag := range []string{"--ranks", "--group-ranks", "--rank-url"} {
+		require.ErrorContains(t, err, flag+" is required with --group")
+	}
+	require.NoError(t, parse(t, &settings.Sidecar{}, append(valid,
+		"--group=g", "--ranks=0,1", "--group-ranks=4", "--rank-url=http://127.0.0.1:9300")...))
+}
+
 // Guards against environment variables that are ignored, and against a flag
 // that loses against one.
 func TestFlagsOverrideTheEnvironment(t *testing.T) {
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -72,6 +72,8 @@
 	switch f.Tag() {
 	case "required":
 		return flag + " is required"
+	case "required_with":
+		return flag + " is required with --group"
 	case "hostname_port":
 		return fmt.Sprintf("%s %q: want host:port", flag, f.Value())
 	case "http_url":
--- /dev/null
+++ b/sidecar/group.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/daemon"
+	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/groupcontrol"
+	"github.com/filbertmux/filbertmux/leaselog"
+	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/tablesync"
+)
+
+// leaseReleaseTimeout bounds the release of the lease at shutdown. Without the
+// release, the next holder waits until the lease expires.
+const leaseReleaseTimeout = 2 * time.Second
+
+// group is the part of a sidecar that controls its rank group. It is empty in
+// a sidecar without a group.
+type group struct{ control *groupcontrol.Control }
+
+func newGroup(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, client *platform.HTTPClient,
+	instances *daemon.Instances, t *tablesync.Syncer,
+) (*group, error) {
+	s := o.Settings
+	if s.Group == "" {
+		return &group{}, nil
+	}
+	member, members, err := groupcontrol.Place(s.Ranks, s.GroupRanks)
+	if err != nil {
+		return nil, err
+	}
+	seed := rand.Uint64()
+	o.Log.Info().Uint64("seed", seed).Msg("random source of the lease")
+	lease := leaselog.New(client, string(incarnation), time.Now, rand.New(rand.NewPCG(seed, 0)), leaselog.DefaultSettings())
+	lc.Append(fx.StopHook(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, leaseReleaseTimeout)
+		defer cancel()
+		lease.Close(ctx)
+	}))
+	control, err := groupcontrol.New(groupcontrol.Options{
+		Group: s.Group, Member: member, Members: members, Ranks: rankIDs(s.Ranks),
+		Incarnation:   groupcontrol.StartIncarnation(time.Now()),
+		FailureDomain: s.FailureDomain, Model: s.Service, RankURL: s.RankURL,
+		Peers:     &http.Client{Transport: daemon.TokenTransport{Token: s.PeerToken.Reveal(), Base: http.DefaultTransport}},
+		Backend:   &http.Client{},
+		Addresses: func(m mapswitch.MemberID) []string { return addresses(instances, s, m) },
+		Lease:     lease, Store: client, Table: t, Log: o.Log,
+		Weights: func() (experts.Weights, bool) {
+			row, ok := t.View().Service(s.Service)
+			return experts.Weights{Skew: row.SkewWeight, Cost: row.RebalanceWeight}, ok
+		},
+	}.WithDefaults())
+	if err != nil {
+		return nil, err
+	}
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "control the rank group", Run: control.Run})
+	return &group{control}, nil
+}
+
+func rankIDs(ranks []int) []mapswitch.RankID {
+	ids := make([]mapswitch.RankID, len(ranks))
+	for i, r := range ranks {
+		ids[i] = mapswitch.RankID(r)
+	}
+	return ids
+}
+
+// addresses returns the sidecars that the instance list has in the place of a
+// member.
+func addresses(instances *daemon.Instances, s settings.Sidecar, m mapswitch.MemberID) []string {
+	list := instances.View()
+	if list == nil {
+		return nil
+	}
+	var found []string
+	for _, i := range *list {
+		if i.Group == s.Group && len(i.Ranks) > 0 && i.Ranks[0] == int(m)*len(s.Ranks) {
+			found = append(found, i.Address)
+		}
+	}
+	return found
+}
+
+// handler adds the service and the status of the group to next.
+func (g *group) handler(s settings.Sidecar, next http.Handler) http.Handler {
+	if g.control == nil {
+		return next
+	}
+	mux := http.NewServeMux()
+	path, service := filbertmuxv1connect.NewGroupServiceHandler(g.control,
+		connect.WithReadMaxBytes(s.MaxBodyBytes+messageOverheadBytes))
+	mux.Handle(path, daemon.RequireToken(s.PeerToken.Reveal(), service))
+	mux.HandleFunc("GET /groupz", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(g.control.Stats())
+	})
+	mux.Handle("/", next)
+	return mux
+}
--- a/sidecar/module.go
+++ b/sidecar/module.go
@@ -47,7 +47,7 @@
 	return fx.Options(
 		daemon.Common(o.Settings.Common, platform.RoleBackend, o.Log),
 		fx.Supply(o),
-		fx.Provide(newClaims, provideServer),
+		fx.Provide(newClaims, provideServer, newGroup),
 		fx.Invoke(serve),
 	)
 }
@@ -99,7 +99,7 @@
 	return c, nil
 }
 
-func serve(lc fx.Lifecycle, o Options, s *Server) error {
+func serve(lc fx.Lifecycle, o Options, s *Server, g *group) error {
 	listener, err := daemon.Listen(o.Listener, o.Settings.Listen)
 	if err != nil {
 		return err
@@ -107,7 +107,7 @@
 	daemon.Serve(lc, o.Log, daemon.Server{
 		Name:           "sidecar",
 		Listener:       listener,
-		Handler:        s.Handler(),
+		Handler:        g.handler(o.Settings, s.Handler()),
 		MaxHeaderBytes: o.Settings.MaxHeaderBytes,
 		HeaderTimeout:  headerTimeout,
 		Gate:           s.gate,
