Count all calls of the stand-ins and let a plain service hold its calls

Cause: a scenario has to show that a refused call was not forwarded, and to kill a sidecar during a run without a sleep that guesses.

Change: GET /standin/calls and started in GET /v1/load count every call; PUT and DELETE /standin/hold hold and release the calls of a plain service after they were counted.

Conclusion: no change without these requests; go test -race ./standin passes.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -59,6 +59,7 @@
 	commands *commandState
 	mux      *http.ServeMux
 	inFlight atomic.Int64
+	started  atomic.Int64
 	served   atomic.Int64
 	crashes  atomic.Int64
 
@@ -158,6 +159,7 @@
 	if id != "" {
 		e.keep(id, g)
 	}
+	e.started.Add(1)
 	e.inFlight.Add(1)
 	go e.generate(ctx, g, req.Priority)
 	return g
@@ -232,8 +234,10 @@
 type LoadReport struct {
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
+	// Started is the number of requests that reached the engine.
+	Started int64 `json:"started"`
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, LoadReport{InFlight: e.InFlight(), Queued: e.batch.queued()})
+	writeJSON(w, http.StatusOK, LoadReport{InFlight: e.InFlight(), Queued: e.batch.queued(), Started: e.started.Load()})
 }
--- a/standin/plain.go
+++ b/standin/plain.go
@@ -22,9 +22,11 @@
 // Plain stands in for a plain service. It counts the runs of each call by its
 // Idempotency-Key, so that a test can tell whether a booking ran twice.
 type Plain struct {
-	cfg  PlainConfig
-	mu   sync.Mutex
-	runs map[string]int
+	cfg   PlainConfig
+	mu    sync.Mutex
+	runs  map[string]int
+	calls int
+	held  chan struct{} // closed when calls go on; nil while they are not held
 }
 
 var _ http.Handler = (*Plain)(nil)
@@ -52,12 +54,49 @@
 	return total
 }
 
+// Calls returns the number of calls of any kind that reached the service.
+func (p *Plain) Calls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// Hold makes calls wait after they were counted, until Release.
+func (p *Plain) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held == nil {
+		p.held = make(chan struct{})
+	}
+}
+
+// Release lets the held calls go on.
+func (p *Plain) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held != nil {
+		close(p.held)
+		p.held = nil
+	}
+}
+
 // ServeHTTP implements http.Handler. GET /standin/runs?key=K returns the
-// count of one key.
+// count of one key and GET /standin/calls that of all calls; PUT and DELETE
+// /standin/hold hold and release the calls.
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/standin/runs" {
+	switch r.Method + " " + r.URL.Path {
+	case "GET /standin/runs":
 		_, _ = fmt.Fprint(w, p.Runs(r.URL.Query().Get("key")))
 		return
+	case "GET /standin/calls":
+		_, _ = fmt.Fprint(w, p.Calls())
+		return
+	case "PUT /standin/hold":
+		p.Hold()
+		return
+	case "DELETE /standin/hold":
+		p.Release()
+		return
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -90,11 +129,12 @@
 }
 
 func (p *Plain) record(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
 	if key == "" {
 		return 0
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.runs[key]++
 	return p.runs[key]
 }
@@ -107,6 +147,16 @@
 }
 
 func (p *Plain) sleep(r *http.Request) bool {
+	p.mu.Lock()
+	held := p.held
+	p.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-r.Context().Done():
+			return false
+		}
+	}
 	if p.cfg.Delay <= 0 {
 		return true
 	}
