Run scenarios with separate processes

Cause: the whole path ran only in one process, so no check killed, froze or terminated a daemon.

Ruled out: testscript.Run in parallel tests.

--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,647 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/filbertmux/filbertmux/examples"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/standin"
+)
+
+// caller is the organisation whose key a call carries without -token.
+const caller = "mureseni-desk"
+
+// commands are described in docs/scenarios.md.
+var commands = map[string]func(*testscript.TestScript, bool, []string){
+	"start":          command(2, (*run).start),
+	"instances":      command(0, (*run).instances),
+	"live-instances": command(0, (*run).liveInstances),
+	"ready":          command(1, (*run).ready),
+	"signal":         command(2, (*run).signal),
+	"ends":           command(2, (*run).ends),
+	"faults":         command(1, (*run).faults),
+	"link":           command(2, (*run).link),
+	"link-mode":      command(2, (*run).linkMode),
+	"hold":           command(1, (*run).hold),
+	"release":        command(1, (*run).release),
+	"example":        command(1, (*run).example),
+	"accepted":       command(2, (*run).accepted),
+	"at-offset":      command(2, (*run).atOffset),
+	"race":           command(4, (*run).race),
+	"in-force":       command(2, (*run).inForce),
+	"new-key":        command(1, (*run).newKey),
+	"call":           command(4, (*run).call),
+	"completion":     command(3, (*run).completion),
+	"events":         command(2, (*run).events),
+	"answer":         command(2, (*run).answer),
+	"waiting":        command(1, (*run).waiting),
+	"runs":           command(2, (*run).runs),
+	"find":           command(3, (*run).find),
+	"until":          command(2, (*run).until),
+	"repeat":         command(2, (*run).repeat),
+	"exit-code":      command(1, (*run).exitCode),
+	"sidecar-of":     command(2, (*run).sidecarOf),
+	"one-answer":     command(3, (*run).oneAnswer),
+}
+
+// run is one execution of a command.
+type run struct {
+	*testscript.TestScript
+	*world
+}
+
+func command(least int, do func(*run, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg || len(args) < least {
+			ts.Fatalf("want at least %d arguments and no !", least)
+		}
+		ts.Check(do(&run{ts, worldOf(ts)}, args))
+	}
+}
+
+func (r *run) start(args []string) error {
+	p, err := r.world.start(args[0], kind(args[1]), r.Getenv("platform"), args[2:])
+	if err != nil {
+		return err
+	}
+	r.Setenv(p.name, p.address)
+	r.Setenv(p.name+"_peer", p.peer)
+	return nil
+}
+
+func (r *run) process(name string) (*process, error) {
+	if p := r.processes[name]; p != nil {
+		return p, nil
+	}
+	return nil, fmt.Errorf("no process %s", name)
+}
+
+func (r *run) instances(args []string) error {
+	list := []platform.Instance{}
+	for _, arg := range args {
+		row, err := r.row(arg)
+		if err != nil {
+			return err
+		}
+		list = append(list, row)
+	}
+	return r.put(platform.InstancePath, list)
+}
+
+// liveInstances lists all entries and sidecars that still run.
+func (r *run) liveInstances([]string) error {
+	var names []string
+	for name, p := range r.processes {
+		if (p.kind == kindEntry || p.kind == kindSidecar) && !p.ended() {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return r.instances(names)
+}
+
+// row reads NAME, NAME@LINK, either with =leaving behind it.
+func (r *run) row(arg string) (platform.Instance, error) {
+	arg, leaving := strings.CutSuffix(arg, "=leaving")
+	name, through, _ := strings.Cut(arg, "@")
+	p, err := r.process(name)
+	if err != nil {
+		return platform.Instance{}, err
+	}
+	row := platform.Instance{
+		ID: name, Role: platform.RoleBackend, Service: p.service, Address: p.address,
+		FailureDomain: p.domain, Region: "ro-centru", State: platform.Live,
+	}
+	if p.kind == kindEntry {
+		row.Role, row.Address = platform.RoleEntry, p.peer
+	}
+	if through != "" {
+		row.Address = r.links[through].address
+	}
+	if leaving {
+		row.State = platform.Departing
+	}
+	return row, nil
+}
+
+// put sends a value to the stand-in platform.
+func (r *run) put(path string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	p, err := r.process("platform")
+	if err != nil {
+		return err
+	}
+	return r.expect2xx(http.MethodPut, "http://"+p.address+path, string(data))
+}
+
+func (r *run) expect2xx(method, url, body string) error {
+	status, text, err := r.do(method, url, body)
+	if err == nil && status/100 != 2 {
+		err = fmt.Errorf("%s %s answered %d: %s", method, url, status, text)
+	}
+	return err
+}
+
+func (r *run) ready(args []string) error {
+	for _, name := range args {
+		p, err := r.process(name)
+		if err != nil {
+			return err
+		}
+		path := "/healthz"
+		if p.kind == kindEntry {
+			path = "/readyz"
+		}
+		if err := poll(func() error { return r.expect2xx(http.MethodGet, "http://"+p.address+path, "") }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+func (r *run) signal(args []string) error {
+	s, ok := signals[args[0]]
+	if !ok {
+		return fmt.Errorf("unknown signal %s", args[0])
+	}
+	for _, name := range args[1:] {
+		p, err := r.process(name)
+		if err != nil {
+			return err
+		}
+		if err := p.signal(s); err != nil {
+			return err
+		}
+		if s == syscall.SIGKILL {
+			<-p.done
+		}
+	}
+	return nil
+}
+
+func (r *run) ends(args []string) error {
+	p, err := r.process(args[0])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+	case <-time.After(patience):
+		return fmt.Errorf("%s still runs after %s", p.name, patience)
+	}
+	if got := strconv.Itoa(p.cmd.ProcessState.ExitCode()); got != args[1] {
+		return fmt.Errorf("exit code of %s is %s, want %s", p.name, got, args[1])
+	}
+	return nil
+}
+
+func (r *run) faults(args []string) error {
+	var f standin.Faults
+	if err := json.Unmarshal([]byte(args[0]), &f); err != nil {
+		return err
+	}
+	return r.put(standin.FaultsPath, f)
+}
+
+func (r *run) link(args []string) error {
+	l, err := newLink(args[1])
+	if err != nil {
+		return err
+	}
+	r.links[args[0]] = l
+	r.Setenv(args[0], l.address)
+	return nil
+}
+
+func (r *run) linkMode(args []string) error {
+	l := r.links[args[0]]
+	if l == nil {
+		return fmt.Errorf("no link %s", args[0])
+	}
+	return l.set(args[1])
+}
+
+func (r *run) hold(args []string) error    { return r.setHold(http.MethodPut, args) }
+func (r *run) release(args []string) error { return r.setHold(http.MethodDelete, args) }
+
+func (r *run) setHold(method string, names []string) error {
+	for _, name := range names {
+		p, err := r.process(name)
+		if err != nil {
+			return err
+		}
+		if err := r.expect2xx(method, "http://"+p.address+"/standin/hold", ""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) example(args []string) error {
+	return os.CopyFS(r.MkAbs(args[0]), examples.Demo())
+}
+
+var acceptedAt = regexp.MustCompile(`accepted: change set \S+ at offset (\d+)`)
+
+func (r *run) accepted(args []string) error {
+	m := acceptedAt.FindStringSubmatch(r.ReadFile(args[0]))
+	if m == nil {
+		return fmt.Errorf("%s shows no accepted change set", args[0])
+	}
+	offset, err := strconv.ParseUint(m[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	appended, err := r.appendTime(offset)
+	if err != nil {
+		return err
+	}
+	r.Setenv(args[1], m[1])
+	r.Setenv(args[1]+"_time", strconv.FormatInt(appended.UnixMilli(), 10))
+	return nil
+}
+
+// appendTime returns the time that the log gave a record of the table.
+func (r *run) appendTime(offset uint64) (time.Time, error) {
+	p, err := r.process("platform")
+	if err != nil {
+		return time.Time{}, err
+	}
+	_, body, err := r.get(fmt.Sprintf("http://%s%stable?after=%d&limit=1", p.address, platform.StreamPath, offset-1))
+	if err != nil {
+		return time.Time{}, err
+	}
+	var batch platform.Batch
+	if err := json.Unmarshal([]byte(body), &batch); err != nil {
+		return time.Time{}, err
+	}
+	if len(batch.Records) == 0 {
+		return time.Time{}, fmt.Errorf("the log has no record %d: %s", offset, body)
+	}
+	return batch.Records[0].Time, nil
+}
+
+// inForceBound is the time in which a change is in force everywhere.
+const inForceBound = 7 * time.Second
+
+func (r *run) inForce(args []string) error {
+	offset, err := strconv.ParseUint(r.Getenv(args[0]), 10, 64)
+	if err != nil {
+		return err
+	}
+	since, err := strconv.ParseInt(r.Getenv(args[0]+"_time"), 10, 64)
+	if err != nil {
+		return err
+	}
+	for _, name := range args[1:] {
+		p, err := r.process(name)
+		if err != nil {
+			return err
+		}
+		err = poll(func() error {
+			got, err := r.tableOffset(p)
+			if err == nil && got < offset {
+				err = fmt.Errorf("%s is at table offset %d, want %d", name, got, offset)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	took := time.Since(time.UnixMilli(since))
+	r.t.Logf("table offset %d in force on %s after %s", offset, strings.Join(args[1:], " "), took.Round(time.Millisecond))
+	if took > inForceBound {
+		return fmt.Errorf("in force after %s, want %s", took, inForceBound)
+	}
+	return nil
+}
+
+// atOffset checks that the processes report at least the offset now.
+func (r *run) atOffset(args []string) error {
+	offset, err := strconv.ParseUint(r.Getenv(args[0]), 10, 64)
+	if err != nil {
+		return err
+	}
+	for _, name := range args[1:] {
+		p, err := r.process(name)
+		if err != nil {
+			return err
+		}
+		got, err := r.tableOffset(p)
+		if err != nil {
+			return err
+		}
+		if got < offset {
+			return fmt.Errorf("%s is at table offset %d, want %d", name, got, offset)
+		}
+	}
+	return nil
+}
+
+// race publishes two directories at once and writes the exit codes and outputs
+// of both to a file.
+func (r *run) race(args []string) error {
+	program, err := exec.LookPath("filbertmux")
+	if err != nil {
+		return err
+	}
+	var outputs [2]string
+	var wait sync.WaitGroup
+	for n, dir := range args[1:3] {
+		wait.Go(func() {
+			cmd := exec.Command(program, append([]string{"table", "publish", dir}, args[3:]...)...)
+			cmd.Dir = r.dir
+			cmd.Env = append(os.Environ(), "GORACE="+raceOptions)
+			out, _ := cmd.CombinedOutput() // the exit code is written
+			outputs[n] = fmt.Sprintf("code %d\n%s", cmd.ProcessState.ExitCode(), out)
+		})
+	}
+	wait.Wait()
+	return os.WriteFile(r.MkAbs(args[0]), []byte(outputs[0]+outputs[1]), 0o600)
+}
+
+func (r *run) newKey(args []string) error {
+	for _, name := range args {
+		r.Setenv(name, uuid.Must(uuid.NewV7()).String())
+	}
+	return nil
+}
+
+func (r *run) call(args []string) error {
+	p, err := r.process(args[1])
+	if err != nil {
+		return err
+	}
+	q := request{method: args[2], url: "http://" + p.address + args[3], token: examples.DevKey(caller)}
+	for _, option := range args[4:] {
+		name, value, _ := strings.Cut(option, "=")
+		switch name {
+		case "-key":
+			q.key = value
+		case "-token":
+			q.token = value
+		case "-body":
+			q.body = value
+		case "-bytes":
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				return err
+			}
+			q.body = strings.Repeat("x", n)
+		case "-header-bytes":
+			n, err := strconv.Atoi(value)
+			if err != nil {
+				return err
+			}
+			q.token = strings.Repeat("x", n)
+		case "-again":
+			q.again = true
+		default:
+			return fmt.Errorf("unknown option %s", name)
+		}
+	}
+	r.begin(args[0], q)
+	return nil
+}
+
+func (r *run) completion(args []string) error {
+	p, err := r.process(args[1])
+	if err != nil {
+		return err
+	}
+	tokens, err := strconv.Atoi(args[2])
+	if err != nil {
+		return err
+	}
+	prompt := "draft for " + args[0]
+	body, err := json.Marshal(standin.ChatRequest{
+		Model: "text-desk", Stream: true, MaxTokens: tokens,
+		Messages: []standin.ChatMessage{{Role: "user", Content: prompt}},
+	})
+	if err != nil {
+		return err
+	}
+	r.begin(args[0], request{
+		method: http.MethodPost, url: "http://" + p.address + "/v1/chat/completions",
+		token: examples.DevKey(caller), body: string(body), prompt: prompt, tokens: tokens,
+	})
+	return nil
+}
+
+func (r *run) callOf(id string) (*call, error) {
+	if c := r.calls[id]; c != nil {
+		return c, nil
+	}
+	return nil, fmt.Errorf("no call %s", id)
+}
+
+func (r *run) events(args []string) error {
+	c, err := r.callOf(args[0])
+	if err != nil {
+		return err
+	}
+	want, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	return poll(func() error {
+		if got := c.eventCount(); got < want {
+			return fmt.Errorf("%d events", got)
+		}
+		return nil
+	})
+}
+
+func (r *run) answer(args []string) error {
+	c, err := r.callOf(args[0])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-c.done:
+	case <-time.After(patience):
+		return fmt.Errorf("call %s has no answer after %s", args[0], patience)
+	}
+	r.Logf("%s: status %d end %s after %s err %v: %.400s", args[0], c.status, c.end, c.duration.Round(time.Millisecond), c.err, c.body)
+	for _, condition := range args[1:] {
+		if err := c.check(condition); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) waiting(args []string) error {
+	for _, id := range args {
+		c, err := r.callOf(id)
+		if err != nil {
+			return err
+		}
+		if c.answered() {
+			return fmt.Errorf("call %s is answered: %d %.400s", id, c.status, c.body)
+		}
+	}
+	return nil
+}
+
+func (r *run) runs(args []string) error {
+	want := strings.Split(args[1], "|")
+	got := strconv.Itoa(r.world.runs(args[0]))
+	if !slices.Contains(want, got) {
+		return fmt.Errorf("key %s ran %s times, want %s", args[0], got, args[1])
+	}
+	return nil
+}
+
+// find waits until one of several processes answers a path with a match and
+// sets VAR to its name and VAR_other to that of the other ones.
+func (r *run) find(args []string) error {
+	variable, path := args[0], args[1]
+	pattern, err := regexp.Compile(args[2])
+	if err != nil {
+		return err
+	}
+	return poll(func() error {
+		found := ""
+		var others []string
+		for _, name := range args[3:] {
+			p, err := r.process(name)
+			if err != nil {
+				return fatalError{err}
+			}
+			_, body, err := r.get("http://" + p.address + path)
+			if err == nil && found == "" && pattern.MatchString(body) {
+				found = name
+				continue
+			}
+			others = append(others, name)
+		}
+		if found == "" {
+			return fmt.Errorf("no process answers %s with %s", path, pattern)
+		}
+		r.Setenv(variable, found)
+		r.Setenv(variable+"_other", strings.Join(others, " "))
+		return nil
+	})
+}
+
+func (r *run) until(args []string) error {
+	pattern, err := regexp.Compile(args[1])
+	if err != nil {
+		return err
+	}
+	return poll(func() error {
+		address, path, _ := strings.Cut(args[0], "/")
+		if p := r.processes[address]; p != nil {
+			address = p.address
+		}
+		status, body, err := r.get("http://" + address + "/" + path)
+		if err == nil && !pattern.MatchString(body) {
+			err = fmt.Errorf("%s answers %d %s", args[0], status, body)
+		}
+		return err
+	})
+}
+
+// repeat runs the program until it ends with exit code 0 and its output
+// matches.
+func (r *run) repeat(args []string) error {
+	pattern, err := regexp.Compile(args[0])
+	if err != nil {
+		return err
+	}
+	return poll(func() error {
+		err := r.Exec("filbertmux", args[1:]...)
+		if err == nil && !pattern.MatchString(r.ReadFile("stdout")) {
+			err = fmt.Errorf("the output does not match %s", args[0])
+		}
+		return err
+	})
+}
+
+// exitCode runs the program and checks its exit code.
+func (r *run) exitCode(args []string) error {
+	err := r.Exec("filbertmux", args[1:]...)
+	got := "0"
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		got = strconv.Itoa(exit.ExitCode())
+	} else if err != nil {
+		return err
+	}
+	if got != args[0] {
+		return fmt.Errorf("exit code %s, want %s: %s", got, args[0], r.ReadFile("stderr"))
+	}
+	return nil
+}
+
+// sidecarOf sets VAR to the sidecar of a backend server and VAR_other to the
+// other sidecars of its service.
+func (r *run) sidecarOf(args []string) error {
+	backend, err := r.process(args[1])
+	if err != nil {
+		return err
+	}
+	found := ""
+	var others []string
+	for name, p := range r.processes {
+		switch {
+		case p.kind != kindSidecar:
+		case flagValue(p.flags, "backend-url") == "http://"+backend.address:
+			found = name
+		case p.service == backend.service:
+			others = append(others, name)
+		}
+	}
+	if found == "" {
+		return fmt.Errorf("no sidecar of %s", args[1])
+	}
+	r.Setenv(args[0], found)
+	r.Setenv(args[0]+"_other", strings.Join(others, " "))
+	return nil
+}
+
+// oneAnswer waits until one of two calls is answered and checks it. With the
+// second use it is the other one's turn.
+func (r *run) oneAnswer(args []string) error {
+	return poll(func() error {
+		for _, id := range args[:2] {
+			c, err := r.callOf(id)
+			if err != nil {
+				return fatalError{err}
+			}
+			if c.taken || !c.answered() {
+				continue
+			}
+			c.taken = true
+			if err := r.answer(append([]string{id}, args[2:]...)); err != nil {
+				return fatalError{err}
+			}
+			return nil
+		}
+		return fmt.Errorf("neither %s nor %s is answered", args[0], args[1])
+	})
+}
--- /dev/null
+++ b/scenarios/link_test.go
@@ -0,0 +1,158 @@
+package scenarios
+
+import (
+	"fmt"
+	"net"
+	"sync"
+)
+
+// link forwards TCP connections to a target and can disturb them.
+type link struct {
+	address string
+	target  string
+
+	mu       sync.Mutex
+	listener net.Listener
+	silent   bool // new connections are accepted and never served
+	pairs    []*pair
+}
+
+// pair is one forwarded connection.
+type pair struct {
+	in, out net.Conn
+	mu      sync.Mutex
+	silent  bool
+}
+
+func newLink(target string) (*link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &link{address: listener.Addr().String(), target: target, listener: listener}
+	go l.accept(listener)
+	return l, nil
+}
+
+// set changes the mode: pass; refuse resets all connections and refuses new
+// ones; reset resets all connections and serves new ones; silence drops the
+// bytes of all connections and serves new ones; swallow does so for new ones
+// too.
+func (l *link) set(mode string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = mode == "swallow"
+	switch mode {
+	case "pass":
+		return l.listen()
+	case "refuse":
+		_ = l.listener.Close()
+		l.listener = nil
+		l.reset()
+	case "reset":
+		l.reset()
+	case "silence", "swallow":
+		for _, p := range l.pairs {
+			p.silence()
+		}
+	default:
+		return fmt.Errorf("unknown mode %q", mode)
+	}
+	return nil
+}
+
+// listen opens the listener again after refuse. The caller holds mu.
+func (l *link) listen() error {
+	if l.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
+// reset breaks all connections. The caller holds mu.
+func (l *link) reset() {
+	for _, p := range l.pairs {
+		p.reset()
+	}
+	l.pairs = nil
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil {
+		_ = l.listener.Close()
+	}
+	l.reset()
+}
+
+func (l *link) accept(listener net.Listener) {
+	for {
+		in, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		l.forward(in)
+	}
+}
+
+func (l *link) forward(in net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out, err := net.Dial("tcp", l.target)
+	if err != nil {
+		resetConnection(in)
+		return
+	}
+	p := &pair{in: in, out: out, silent: l.silent}
+	l.pairs = append(l.pairs, p)
+	go p.copy(in, out)
+	go p.copy(out, in)
+}
+
+// copy forwards in one direction. A silent pair stays open on both sides and
+// forwards nothing, not even the end of a connection.
+func (p *pair) copy(from, to net.Conn) {
+	b := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(b)
+		p.mu.Lock()
+		silent := p.silent
+		p.mu.Unlock()
+		if silent && err == nil {
+			continue
+		}
+		if silent {
+			return
+		}
+		if _, writeErr := to.Write(b[:n]); writeErr != nil || err != nil {
+			_ = from.Close()
+			_ = to.Close()
+			return
+		}
+	}
+}
+
+func (p *pair) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = true
+}
+
+func (p *pair) reset() {
+	resetConnection(p.in)
+	resetConnection(p.out)
+}
+
+func resetConnection(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
