Serve /statusz of an entry at its peer address

Ruled out: a second address in the instance list, which the platform defines. Change: the peer server of an entry answers GET /statusz too. Before: TestTableWaitEntry failed.

--- a/entry/module.go
+++ b/entry/module.go
@@ -77,6 +77,8 @@
 	mux := http.NewServeMux()
 	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t, quota: s.quota})
 	mux.Handle(path, daemon.RequireToken(o.Settings.PeerToken.Reveal(), service))
+	// The instance list shows this address, so "table publish --wait" asks here.
+	mux.Handle("GET /statusz", s.Handler())
 	daemon.Serve(lc, o.Log, daemon.Server{
 		Name:           "peers",
 		Listener:       listener,
