Keep edited sheets when the table is exported

Cause: export replaced files that held edits not yet published, and failed on a directory that does not exist, which the README's first edit runs into. Before: edits lost without a word. After: TestPublish checks both.

--- a/tablecli/commands_test.go
+++ b/tablecli/commands_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -96,6 +97,10 @@
 	require.NoError(t, err)
 	require.Equal(t, 2, strings.Count(out, "accepted"))
 	_, err = run("export", dir, "--platform="+server.URL)
+	require.ErrorContains(t, err, "--force", "an edited sheet must not be lost")
+	_, err = run("export", filepath.Join(dir, "new", "copy"), "--platform="+server.URL)
+	require.NoError(t, err, "the directory is created")
+	_, err = run("export", dir, "--force", "--platform="+server.URL)
 	require.NoError(t, err)
 	out, err = run(append([]string{"diff"}, common...)...)
 	require.NoError(t, err)
--- a/tablecli/history.go
+++ b/tablecli/history.go
@@ -1,11 +1,15 @@
 package tablecli
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/table"
@@ -37,7 +41,8 @@
 // ExportCmd writes the table in force with its versions, ready to be edited.
 type ExportCmd struct {
 	Source
-	Dir string `arg:"" type:"existingdir" help:"Directory for the CSV files; existing files are replaced."`
+	Dir   string `arg:"" type:"path" help:"Directory for the CSV files; it is created if needed."`
+	Force bool   `help:"Replace files that hold other rows, such as edits that were not published."`
 }
 
 // Run implements the command.
@@ -51,15 +56,41 @@
 		return err
 	}
 	entries := f.View().Entries()
+	files := make(map[string][]byte)
 	for _, k := range table.Kinds() {
 		data, err := table.FormatCSV(k, entries)
 		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(filepath.Join(c.Dir, table.FileName(k)), data, 0o600); err != nil {
-			return errkind.Wrap(errkind.Internal, err, "write table file")
-		}
+		files[filepath.Join(c.Dir, table.FileName(k))] = data
+	}
+	if err := c.write(files); err != nil {
+		return err
 	}
 	_, err = fmt.Fprintf(out, "%d rows at table offset %d\n", len(entries), f.Offset())
 	return err
 }
+
+// write writes all files, or none if one of them holds something else.
+func (c *ExportCmd) write(files map[string][]byte) error {
+	var edited []string
+	for _, path := range slices.Sorted(maps.Keys(files)) {
+		old, err := os.ReadFile(path)
+		if err == nil && !bytes.Equal(old, files[path]) {
+			edited = append(edited, path)
+		}
+	}
+	if len(edited) > 0 && !c.Force {
+		return errkind.New(errkind.InvalidSettings, "these files hold other rows; export elsewhere or use --force: %s",
+			strings.Join(edited, ", "))
+	}
+	if err := os.MkdirAll(c.Dir, 0o750); err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "directory")
+	}
+	for path, data := range files {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return errkind.Wrap(errkind.Internal, err, "write table file")
+		}
+	}
+	return nil
+}
