Let a second send of a booking wait for the outcome

Cause: a booking sent again right after its answer was told "in progress", because its outcome was written but not yet read back. The caller then waited out a Retry-After of 1 s.

Ruled out: writing the outcome before the first reply, which adds an append to every booking. Ruled out: waiting for a call that still runs.

Change: the sidecar that has replied to the call holding the key waits up to 200 ms until its outcome is folded, within the caller's context. The wait counts against MaxCalls.

Conclusion: a second send through the same sidecar needs no repeat while the log works.

--- a/claimlog/client.go
+++ b/claimlog/client.go
@@ -37,6 +37,9 @@
 	AppendTimeout time.Duration
 	ReadWait      time.Duration
 	ReadLimit     int
+	// OutcomeWait is how long a second send waits for the outcome of a call
+	// that ended here.
+	OutcomeWait time.Duration
 	// DownAfter is how long appends or reads fail before new calls are refused
 	// without a claim.
 	DownAfter time.Duration
@@ -59,6 +62,7 @@
 		AppendTimeout:   time.Second,
 		ReadWait:        time.Second,
 		ReadLimit:       512,
+		OutcomeWait:     200 * time.Millisecond,
 		DownAfter:       500 * time.Millisecond,
 		MarkerEvery:     time.Hour,
 	}
@@ -164,7 +168,8 @@
 		<-c.slots
 		return claim.Answer{}, leaving()
 	}
-	l := newLiveCall(c, p, claim.NewCall(c.settings.Claim, c.nextID(), r, now), id, r)
+	p.awaitOutcome(ctx, id, r.BodyHash)
+	l := newLiveCall(c, p, claim.NewCall(c.settings.Claim, c.nextID(), r, c.now()), id, r)
 	go l.drive(ctx, run)
 	result := <-l.result
 	if result.err != nil {
--- a/claimlog/client_test.go
+++ b/claimlog/client_test.go
@@ -210,3 +210,45 @@
 		unknown.Add(1)
 	}
 }
+
+// Guards against "in progress" for a caller that sends a booking again right
+// after its answer, and against a wait for a call that still runs.
+func TestSecondSendAwaitsTheOutcome(t *testing.T) { synctest.Test(t, checkSecondSendAwaitsTheOutcome) }
+
+func checkSecondSendAwaitsTheOutcome(t *testing.T) {
+	log := newMemLog(1)
+	log.set(faults{appendDelay: 20 * time.Millisecond})
+	c := newClient(t, log, nil)
+	var runs atomic.Int64
+	key := newKey()
+	_, err := c.Run(t.Context(), request(key), answering(&runs, "booked"))
+	require.NoError(t, err)
+	start := time.Now()
+	again, err := c.Run(t.Context(), request(key), answering(&runs, "twice"))
+	require.NoError(t, err)
+	require.True(t, again.Replayed)
+	require.Equal(t, int64(1), runs.Load())
+	t.Logf("the second send waited %s", time.Since(start))
+
+	held := newKey()
+	finish := make(chan struct{})
+	go func() {
+		_, _ = c.Run(t.Context(), request(held), func(context.Context) (claim.Answer, error) {
+			<-finish
+			return claim.Answer{Status: 201}, nil
+		})
+	}()
+	time.Sleep(time.Second)
+	start = time.Now()
+	_, err = c.Run(t.Context(), request(held), answering(&runs, "twice"))
+	require.True(t, errkind.Is(err, errkind.InProgress), "%v", err)
+	require.Zero(t, time.Since(start), "a call that runs is not waited for")
+	log.set(faults{outage: true})
+	close(finish)
+	synctest.Wait()
+	start = time.Now()
+	_, err = c.Run(t.Context(), request(held), answering(&runs, "twice"))
+	require.True(t, errkind.Is(err, errkind.InProgress), "%v", err)
+	require.Equal(t, claimlog.DefaultSettings().OutcomeWait, time.Since(start))
+	log.set(faults{})
+}
--- a/claimlog/livecall.go
+++ b/claimlog/livecall.go
@@ -13,8 +13,8 @@
 	err    *errkind.Error
 }
 
-// liveCall drives one claim.Call. The goroutine in drive owns call; decided
-// and ended belong to the partition's mutex.
+// liveCall drives one claim.Call. The goroutine in drive owns call; decided,
+// replied and ended belong to the partition's mutex.
 type liveCall struct {
 	client   *Client
 	p        *partition
@@ -31,6 +31,7 @@
 	result  chan result        // capacity 1
 
 	decided bool
+	replied bool
 	ended   bool
 }
 
@@ -108,6 +109,7 @@
 		case claim.Run:
 			go l.execute(ctx, run)
 		case claim.Reply:
+			l.p.markReplied(l)
 			l.result <- result{answer: effect.Answer, err: effect.Err}
 		}
 	}
--- a/claimlog/partition.go
+++ b/claimlog/partition.go
@@ -33,7 +33,9 @@
 	pending string
 	seen    chan struct{}
 	// unwritten counts queued and uncommitted items.
-	unwritten     int
+	unwritten int
+	// changed is closed and replaced when records are folded.
+	changed       chan struct{}
 	idle          *sync.Cond
 	appendFailing time.Time // zero while appends work
 	readFailing   time.Time // zero while reads work
@@ -44,7 +46,7 @@
 		client: c, stream: stream,
 		queue: make(chan item, c.settings.QueueLength),
 		book:  claim.NewBook(c.settings.Claim),
-		calls: make(map[uint64]*liveCall),
+		calls: make(map[uint64]*liveCall), changed: make(chan struct{}),
 	}
 	p.idle = sync.NewCond(&p.mu)
 	return p
@@ -75,6 +77,46 @@
 	}
 }
 
+// awaitOutcome waits while a call of this process holds the identity, has
+// replied and its outcome was not read back. A caller that sends a booking
+// again right after its answer then gets the answer and not "in progress".
+func (p *partition) awaitOutcome(ctx context.Context, id claim.Identity, bodyHash string) {
+	timer := time.NewTimer(p.client.settings.OutcomeWait)
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		settling := p.settling(p.book.View(id, bodyHash))
+		changed := p.changed
+		p.mu.Unlock()
+		if !settling {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// settling is called with the mutex held.
+func (p *partition) settling(v claim.View) bool {
+	if v.Status != claim.Open || v.Claim.Incarnation != p.client.incarnation {
+		return false
+	}
+	l := p.calls[v.Claim.Seq]
+	return l == nil || l.replied
+}
+
+// markReplied notes that the caller gets its reply now.
+func (p *partition) markReplied(l *liveCall) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.replied = true
+}
+
 func (p *partition) view(l *liveCall) claim.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -168,6 +210,8 @@
 			orphans = append(orphans, p.deliver(v)...)
 		}
 	}
+	close(p.changed)
+	p.changed = make(chan struct{})
 	p.mu.Unlock()
 	for _, e := range orphans {
 		p.enqueueOutcome(e)
