--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -128,8 +128,8 @@
 	require.NotZero(t, f.pick(t, 10, Request{})["s0"])
 }
 
-// Guards against entries that send one booking key to different sidecars, which
-// would make each sidecar read every claim partition.
+// Guards against entries that send one booking key to different sidecars, so
+// that the second send meets an outcome that was not read yet.
 func TestBookingsFollowTheKeyAtEveryEntry(t *testing.T) {
 	a, b := newFleet(DefaultPolicy, 1, 6), newFleet(DefaultPolicy, 2, 6)
 	a.pass(time.Second)
@@ -172,3 +172,12 @@
 	loaded.pass(time.Second)
 	require.Less(t, loaded.pick(t, 100, Request{})["s0"], 10)
 }
+
+// Guards against a setting that selects another policy than it names.
+func TestSettingNamesThePolicy(t *testing.T) {
+	for _, name := range []string{
+		DefaultPolicy, "probe_based+domain", "power_of_two+domain", "least_reported+domain", "round_robin",
+	} {
+		require.Equal(t, name, newPolicy(name, "d0").Name())
+	}
+}
