Keep an answer at drain until its connection was closed

Cause: a leaving sidecar exited once it had written the end chunk. If the connection had gone silent, the entry could not resume and the request was cut off by the shutdown.

Ruled out: waiting the whole resume window for every answer, which adds 10 s to each drain. Ruled out: an acknowledgement message; the entry closes its connection once it has the whole answer, which says the same.

Change: a leaving sidecar keeps the connection open after the end chunk. It leaves when the entry closes the connection, after the resume window, or at the drain timeout. An end chunk that was sent ahead of the signal is not covered, nor a connection that breaks instead of going silent after the end chunk.

Conclusion: a silent connection no longer loses an answer at drain.

--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -32,6 +32,9 @@
 	connection uint64        // number of the connection that may send
 	attached   bool          // that connection is open
 	changed    chan struct{} // closed and replaced on each change
+
+	closed     chan struct{} // closed when an entry closed its connection after the end chunk
+	closedOnce sync.Once
 }
 
 func newAttempt(id *pb.AttemptId, replayBytes int, cancel context.CancelFunc) *attempt {
@@ -40,6 +43,7 @@
 		cancel:  cancel,
 		sender:  stream.NewSender(id, replayBytes),
 		changed: make(chan struct{}),
+		closed:  make(chan struct{}),
 	}
 }
 
@@ -98,6 +102,17 @@
 	return a.sender.Drained(), a.changed
 }
 
+// unclosed returns the channel of the next change if the connection is the
+// current one and has sent the end chunk.
+func (a *attempt) unclosed(connection uint64) (<-chan struct{}, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.changed, a.connection == connection && a.sender.Drained()
+}
+
+// close notes that an entry closed its connection after the end chunk.
+func (a *attempt) close() { a.closedOnce.Do(func() { close(a.closed) }) }
+
 // head appends the head of the answer.
 func (a *attempt) head(ctx context.Context, head *pb.Head) error {
 	return a.push(ctx, func() bool { return a.sender.Head(head) })
--- a/sidecar/execute.go
+++ b/sidecar/execute.go
@@ -95,6 +95,7 @@
 	}
 	s.awaitSent(ctx, a)
 	a.cancel()
+	s.holdWhileLeaving(a)
 	time.AfterFunc(s.settings.ResumeWindow, func() { s.forget(a) })
 }
 
@@ -249,6 +250,7 @@
 	for {
 		chunk, changed, done := a.next(connection)
 		if done {
+			s.awaitClose(ctx, a, connection)
 			return nil
 		}
 		if chunk == nil {
--- a/sidecar/model.go
+++ b/sidecar/model.go
@@ -34,7 +34,7 @@
 }
 
 // runModel sends a call to the engine and relays its answer. An answer that
-// fails is cancelled at the engine, which otherwise goes on generating.
+// fails is canceled at the engine, which otherwise goes on generating.
 func (s *Server) runModel(ctx context.Context, a *attempt, call *pb.CallRequest) (err error) {
 	id := fmt.Sprintf("%s.%d.%s", a.id.GetRequestId(), a.id.GetAttempt(), s.incarnation)
 	defer func() {
