--- /dev/null
+++ b/sidecar/group_test.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/standin"
+)
+
+// groupStatus starts a sidecar process and returns the status code of /groupz.
+func groupStatus(t *testing.T, adjust func(*settings.Sidecar)) int {
+	t.Helper()
+	backend := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(backend.Close)
+	p := httptest.NewServer(standin.NewPlatform(standin.PlatformConfig{}))
+	t.Cleanup(p.Close)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := settings.Sidecar{
+		Common: settings.Common{
+			Advertise: l.Addr().String(), Instance: "s1", PlatformURL: p.URL, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16,
+			PlatformTimeout: 5 * time.Second, InstanceInterval: time.Second, RetentionWindow: 24 * time.Hour, ClockSkew: time.Minute,
+		},
+		BackendURL: backend.URL, Service: "svc", MaxInFlight: 4, ReplayBytes: 1 << 16, ChunkBytes: 1 << 10,
+		HeartbeatInterval: time.Second, ResumeWindow: time.Second, BackendTimeout: time.Minute,
+	}
+	adjust(&s)
+	app := fx.New(Module(Options{Settings: s, Listener: l, Log: zerolog.Nop()}))
+	require.NoError(t, app.Start(t.Context()))
+	t.Cleanup(func() { _ = app.Stop(context.Background()) })
+	resp, err := http.Get("http://" + l.Addr().String() + "/groupz")
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// Guards against a sidecar of a group that does not reach its ranks, and
+// against group control in a sidecar without a group.
+func TestGroupRunsOnlyWhereSet(t *testing.T) {
+	require.Equal(t, http.StatusNotFound, groupStatus(t, func(*settings.Sidecar) {}))
+	g, err := standin.NewRankGroup(standin.RankGroupConfig{Replicas: 1, RanksPerReplica: 2, Layers: 1, Experts: 2, SlotsPerRank: 1})
+	require.NoError(t, err)
+	ranks := httptest.NewServer(g.Handler(0))
+	t.Cleanup(ranks.Close)
+	require.Equal(t, http.StatusOK, groupStatus(t, func(s *settings.Sidecar) {
+		s.Group, s.Ranks, s.GroupRanks, s.RankURL = "g", []int{0, 1}, 2, ranks.URL
+	}))
+	require.Eventually(t, func() bool { return g.State(0).Session > 0 }, time.Minute, 5*time.Millisecond)
+}
