--- a/bench/experts/plot.go
+++ b/bench/experts/plot.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -40,13 +41,11 @@
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "minutes"
-	p.Y.Label.Text = "skew (mean of the layers)"
+	p.Y.Label.Text = "largest skew in ten minutes (log scale)"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = skewTicks
 	for i, r := range results {
-		points := make(plotter.XYs, len(r.series))
-		for at, skew := range r.series {
-			points[at] = plotter.XY{X: float64(at) / float64(perMinute), Y: skew}
-		}
-		line, err := plotter.NewLine(points)
+		line, err := plotter.NewLine(peaks(r.series))
 		if err != nil {
 			return err
 		}
@@ -58,13 +57,39 @@
 	return p.Save(plotWidth, plotHeight, file)
 }
 
+// skewTicks are denser near 1, where the planned policies are.
+var skewTicks = plot.ConstantTicks{
+	{Value: 1, Label: "1.00"},
+	{Value: 1.02, Label: "1.02"},
+	{Value: 1.05, Label: "1.05"},
+	{Value: 1.1, Label: "1.1"},
+	{Value: 1.2, Label: "1.2"},
+	{Value: 1.5, Label: "1.5"},
+	{Value: 2, Label: "2"},
+	{Value: 3, Label: "3"},
+	{Value: 5, Label: "5"},
+}
+
+// peaks returns the largest value of each ten minutes. A line through all
+// 5760 intervals of a day is a solid band that hides the other policies.
+func peaks(series []float64) plotter.XYs {
+	const window = 10 * perMinute
+	var points plotter.XYs
+	for chunk := range slices.Chunk(series, window) {
+		points = append(points, plotter.XY{X: float64(len(points) * window / perMinute), Y: slices.Max(chunk)})
+	}
+	return points
+}
+
 func plotSkewAgainstMoves(file, title string, results []Result) error {
 	p := plot.New()
 	p.Title.Text = title
-	p.X.Label.Text = "moves"
+	p.X.Label.Text = "moves (log scale, 0 drawn as 1)"
+	p.X.Scale = plot.LogScale{}
+	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
 	p.Y.Label.Text = "p99 skew"
 	for i, r := range results {
-		scatter, err := plotter.NewScatter(plotter.XYs{{X: float64(r.Moves), Y: r.SkewP99}})
+		scatter, err := plotter.NewScatter(plotter.XYs{{X: float64(max(1, r.Moves)), Y: r.SkewP99}})
 		if err != nil {
 			return err
 		}
--- a/experts/replan.go
+++ b/experts/replan.go
@@ -3,8 +3,8 @@
 import "sort"
 
 // PackTolerance is how far above the lower bound the planner accepts the
-// maximum rank load. A smaller value costs moves without visible effect,
-// because the noise of the counts is of the same size.
+// maximum rank load. At 1% the p99 skew was 0.2 points higher while the mix of
+// work changed, at 22% fewer moves.
 const PackTolerance = 0.005
 
 // PlanLayer returns a layer for the given loads that minimises the maximum
