--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -75,6 +75,9 @@
 // got its key.
 func TestBookingFrozen(t *testing.T) { runScript(t, "booking-frozen") }
 
+// Guards against a run by a thawed sidecar whose claim comes after another one.
+func TestBookingLate(t *testing.T) { runScript(t, "booking-late") }
+
 // Guards against a second run after a lost append answer, after a log outage,
 // or of a key that comes through two entries at once.
 func TestBookingLog(t *testing.T) { runScript(t, "booking-log") }
