Let a starting entry admit its first requests

Callers would meet this after each start of an entry and after each new limit row. Ruled out: a full bucket, which adds a whole burst at each start; a pause before readiness, which does not help new rows. Change: a bucket starts with a tenth of a second of its rate, at least one request. The bound in the package comment says so.

--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -38,7 +38,7 @@
 }
 
 // New returns a Quota that takes the limits from the present table. Its buckets
-// start empty, so it is made some time ahead of the first request.
+// start nearly empty, see limits.
 func New(config Config) *Quota {
 	q := &Quota{
 		config:       config,
--- a/limits/bucket.go
+++ b/limits/bucket.go
@@ -11,11 +11,23 @@
 	rate  float64
 	depth float64
 	at    time.Time
+	// starting says that the rate is not known yet.
+	starting bool
 }
 
-// start begins with an empty bucket, so that an entry that has just started
-// can't add its burst to that of the entries that were there before.
-func (b *bucket) start(now time.Time) { b.at = now }
+// startFor is the time whose rate a bucket holds at its start.
+const startFor = 100 * time.Millisecond
+
+// startLevel lets one request pass at the start, whatever the rate.
+const startLevel = 1e-9
+
+// start begins with a nearly empty bucket, so that an entry that has just
+// started adds little to the burst of the entries that were there before. An
+// empty one would refuse the first requests after a start.
+func (b *bucket) start(now time.Time) {
+	b.at = now
+	b.starting = true
+}
 
 // setRate sets the rate. The level falls to the new depth.
 func (b *bucket) setRate(rate float64, burstFor time.Duration) {
@@ -27,6 +39,10 @@
 // advance fills the bucket up to now with the lower of the rate so far and the
 // rate now, because the rate may have changed at any time in between.
 func (b *bucket) advance(now time.Time, rate float64, burstFor time.Duration) {
+	if b.starting {
+		b.starting = false
+		b.level = max(startLevel, rate*startFor.Seconds())
+	}
 	elapsed := now.Sub(b.at).Seconds()
 	if elapsed > 0 {
 		b.level = min(b.depth, b.level+elapsed*min(b.rate, rate))
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -16,7 +16,9 @@
 //
 //	limit * (w + BurstFor) + n * c
 //
-// where c is the largest cost of one request (1 for requests per second).
+// where c is the largest cost of one request (1 for requests per second). An
+// entry that starts within w counts as one more in n and adds up to a tenth of
+// a second of its rate.
 // Requests in flight stay within max(limit, n), plus what was admitted under a
 // grant that has ended. While entries disagree about n, for at most the lag of
 // the instance list, the limit in these bounds grows by the factor sum(1/n_i).
--- a/limits/limits_test.go
+++ b/limits/limits_test.go
@@ -210,3 +210,18 @@
 	receiver.Receive(late, granted)
 	require.InDelta(t, limit.Tokens/2, receiver.Share(late, "mill").Tokens, 1e-6)
 }
+
+// Guards against an entry that refuses its first requests after a start, and
+// against one that starts with a whole burst.
+func TestStartAdmitsFewRequests(t *testing.T) {
+	for _, c := range []struct{ limit, admitted int }{{2, 1}, {400, 20}} {
+		l := limits.New(limits.DefaultConfig(), "e")
+		l.SetLive(start, 2)
+		l.SetLimit(start, "org", limits.Amount{Requests: float64(c.limit)})
+		admitted := 0
+		for l.Admit(start, "org", 1) == nil {
+			admitted++
+		}
+		require.InDelta(t, c.admitted, admitted, 1, "limit %d", c.limit)
+	}
+}
