Give a fake sidecar one incarnation

The fake announced leaving under an empty incarnation and answered probes under its name, so a probe answer looked like a new process that takes work. Ruled out: a fault of membership; a leaving flag is final for an incarnation, and a sidecar has one incarnation in all its messages. Change: the fake sends the same incarnation; the check is unchanged. Conclusion: the verdict no longer depends on when a probe is answered.

--- a/entry/transfer_test.go
+++ b/entry/transfer_test.go
@@ -73,7 +73,9 @@
 		s.Data([]byte(wholeEvents))
 		s.End(nil)
 		for c := s.Next(); c != nil; c = s.Next() {
-			c.Load = &pb.Load{Leaving: true}
+			// The same incarnation as in the answers to probes: a sidecar that
+			// has announced its shutdown stays out until a new one starts.
+			c.Load = &pb.Load{Leaving: true, Incarnation: "a"}
 			_ = out.Send(c)
 		}
 	})
