Give the linter a cache in each checkout

When that checkout is gone it cannot read the nolint comments and reports the exempted lines.

Ruled out: new findings (the same commit is clean in its own checkout) and the Go build cache (a fresh linter cache alone cures it).

Change: the Makefile puts the linter's cache under bin/ of the checkout.

Conclusion: the verdict no longer depends on earlier checkouts.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,10 @@
 # Tools are pinned here and run through the Go module proxy.
+
+# The linter caches its findings with the paths of the checkout that it ran in.
+# A cache shared with a checkout that is gone reports lines that a nolint
+# comment exempts, so each checkout has its own.
+export GOLANGCI_LINT_CACHE := $(CURDIR)/bin/golangci-lint-cache
+
 GOLANGCI := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 GOFUMPT := go run mvdan.cc/gofumpt@v0.9.2
 BIN := $(CURDIR)/bin
