Clear the append failure when a lost record is read back

Cause: after a lost append answer the partition noted a failing log. When the record was then read back, the note stayed. DownAfter (500 ms) later every call of the partition was refused without a claim, so no append could clear the note until the hourly marker: one lost answer stopped the bookings of a partition at a sidecar for up to an hour.

Ruled out: connections that went silent (the refusals came at once), the tail (other partitions of the sidecar worked), the entry.

Change: reading the record back counts as an append that worked.

Before: TestLostAnswerDoesNotKeepPartitionDown fails, refused 1 s after the log was healthy. After: passes, as do the other tests of claimlog.

--- a/claimlog/client_test.go
+++ b/claimlog/client_test.go
@@ -252,3 +252,25 @@
 	require.Equal(t, claimlog.DefaultSettings().OutcomeWait, time.Since(start))
 	log.set(faults{})
 }
+
+// Guards against a partition that counts as down after a lost append answer
+// although its record was read back. Calls were then refused without a claim,
+// so no append could show that the log works, until the hourly marker.
+func TestLostAnswerDoesNotKeepPartitionDown(t *testing.T) {
+	synctest.Test(t, checkLostAnswerDoesNotKeepPartitionDown)
+}
+
+func checkLostAnswerDoesNotKeepPartitionDown(t *testing.T) {
+	log := newMemLog(1)
+	var downAfter time.Duration
+	c := newClient(t, log, func(s *claimlog.Settings) { downAfter = s.DownAfter })
+	var runs atomic.Int64
+	log.set(faults{lostAfter: 1})
+	_, err := c.Run(t.Context(), request(newKey()), answering(&runs, "x"))
+	require.NoError(t, err)
+	time.Sleep(2 * downAfter)
+	log.set(faults{})
+	_, err = c.Run(t.Context(), request(newKey()), answering(&runs, "x"))
+	require.NoError(t, err)
+	require.EqualValues(t, 2, runs.Load())
+}
--- a/claimlog/writer.go
+++ b/claimlog/writer.go
@@ -91,6 +91,8 @@
 		}
 		select {
 		case <-seen:
+			// The append took effect, so the log accepts appends.
+			p.setHealth(&p.appendFailing, true)
 			p.written(items)
 			return
 		case <-time.After(min(pause, maxBackoff)):
