Send a copy of the attempt's id when resuming

Cause: Receiver.ID returned the id that the receiver itself changes when the first chunk names the incarnation. A resume builds its request in the goroutine of the new connection. If the connection broke before the first chunk was taken from the ring, that goroutine read the id while the owner of the receiver wrote it.

Ruled out: the suspect reports that an interceptor adds to the call (another message), the retry (it clones the call).

Change: ID returns a copy, and the requests of resume and cancel are built in the goroutine that owns the receiver.

--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -121,11 +121,12 @@
 	telemetry.Log(ctx).Info().AnErr("cause", cause).Uint64("next_seq", t.receiver.NextSeq()).Msg("resume")
 	t.disconnect()
 	t.receiver.Reconnected(time.Now())
-	next := t.receiver.NextSeq()
+	// Built here, because the receiver belongs to this goroutine.
+	resume := &pb.ResumeRequest{
+		Id: t.receiver.ID(), NextSeq: t.receiver.NextSeq(), TableOffset: t.request.GetTableOffset(),
+	}
 	t.connect(ctx, func(ctx context.Context) (*connect.ServerStreamForClient[pb.Chunk], error) {
-		return t.client.resumes.Resume(ctx, connect.NewRequest(&pb.ResumeRequest{
-			Id: t.receiver.ID(), NextSeq: next, TableOffset: t.request.GetTableOffset(),
-		}))
+		return t.client.resumes.Resume(ctx, connect.NewRequest(resume))
 	})
 	return nil
 }
@@ -186,8 +187,9 @@
 // stops an attempt that no connection wants.
 func (t *transfer) cancel(ctx context.Context) {
 	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	request := &pb.CancelRequest{Id: t.receiver.ID()}
 	go func() {
 		defer stop()
-		_, _ = t.client.calls.Cancel(ctx, connect.NewRequest(&pb.CancelRequest{Id: t.receiver.ID()}))
+		_, _ = t.client.calls.Cancel(ctx, connect.NewRequest(request))
 	}()
 }
--- a/stream/receiver.go
+++ b/stream/receiver.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -96,8 +97,9 @@
 // Finished reports whether the answer ended, complete or not.
 func (r *Receiver) Finished() bool { return r.complete || r.err != nil }
 
-// ID returns the attempt; the incarnation is empty before the first chunk.
-func (r *Receiver) ID() *pb.AttemptId { return r.id }
+// ID returns a copy of the attempt, which another goroutine may send; the
+// incarnation is empty before the first chunk.
+func (r *Receiver) ID() *pb.AttemptId { return proto.CloneOf(r.id) }
 
 // NextSeq returns the first sequence number that was not delivered.
 func (r *Receiver) NextSeq() uint64 { return r.next }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -173,3 +173,15 @@
 	got := errkind.Of(stream.EndError(stream.ErrorEnd(sent)))
 	require.Equal(t, sent, got)
 }
+
+// Guards against a resume request whose id changes while another goroutine
+// sends it, because a late chunk of an earlier connection sets the incarnation.
+func TestIDIsACopy(t *testing.T) {
+	r := stream.NewReceiver(&pb.AttemptId{RequestId: "r", Attempt: 1}, cfg, start)
+	sent := r.ID()
+	s := stream.NewSender(attempt, 1<<10)
+	s.Head(&pb.Head{Status: 200})
+	r.Receive(start, s.Next())
+	require.Empty(t, sent.GetIncarnation())
+	require.Equal(t, attempt.GetIncarnation(), r.ID().GetIncarnation())
+}
