Test separate processes under random faults

Cause: the scripts bring about one fault at a time in a fixed order, and the randomised tests run single packages. Nothing ran all processes under faults of all kinds at random, several at once and again during recovery.

Change: TestRandomFaults disturbs processes, connections, engines and the platform by a seed while callers and operators are busy, ends all faults, and checks that the deployment recovers and that no invariant was violated. The log excerpt of a data race is part of the failure now.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 RANDOMISED := ./claim ./claimlog ./lease ./mapswitch ./quarantine ./table ./tablesync
 soak:
 	FILBERTMUX_SEEDS=$(SEEDS) go test -count=1 -timeout 120m $(RANDOMISED)
+	FILBERTMUX_SEEDS=$(SEEDS) go test -race -count=1 -timeout 120m -run TestRandomFaults ./scenarios
 	go test -count=1 ./routing ./fairqueue ./membership ./experts ./stream -rapid.checks=$$((100 * $(SEEDS)))
 
 # Each fuzz test for a bounded time.
--- a/scenarios/link_test.go
+++ b/scenarios/link_test.go
@@ -61,6 +61,14 @@
 	return nil
 }
 
+// retarget sends new connections to another address, that of a process that
+// was started again.
+func (l *link) retarget(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
 // listen opens the listener again after refuse. The caller holds mu.
 func (l *link) listen() error {
 	if l.listener != nil {
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -123,7 +123,9 @@
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
+	w.mu.Lock()
 	w.processes[name] = p
+	w.mu.Unlock()
 	go func() {
 		_ = p.cmd.Wait()
 		close(p.done)
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -25,7 +25,8 @@
 type worldKey struct{}
 
 // world is the state of one script. Its maps belong to the goroutine of the
-// script; mu guards what the goroutines of calls and watches add.
+// script; mu guards what the goroutines of calls and watches add, and additions
+// to processes.
 type world struct {
 	t         testing.TB
 	dir       string
@@ -39,13 +40,17 @@
 	keys   map[string]bool
 }
 
-func setup(env *testscript.Env) error {
-	w := &world{
-		t: env.T().(testing.TB), dir: env.WorkDir,
+func newWorld(t testing.TB, dir string) *world {
+	return &world{
+		t: t, dir: dir,
 		processes: make(map[string]*process), links: make(map[string]*link), calls: make(map[string]*call),
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		keys:   make(map[string]bool),
 	}
+}
+
+func setup(env *testscript.Env) error {
+	w := newWorld(env.T().(testing.TB), env.WorkDir)
 	env.Values[worldKey{}] = w
 	env.Setenv("long", strings.Repeat("x", 300))
 	env.Setenv("GORACE", raceOptions)
@@ -77,8 +82,9 @@
 	}
 	for name, p := range w.processes {
 		for _, mark := range []string{"DATA RACE", "panic:", "invariant violated"} {
-			if strings.Contains(p.log(), mark) {
-				w.fault(name + ": " + mark + " in its log")
+			if log := p.log(); strings.Contains(log, mark) {
+				_, after, _ := strings.Cut(log, mark)
+				w.fault(name + ": " + mark + " in its log: " + after[:min(len(after), tailBytes)])
 			}
 		}
 	}
@@ -95,13 +101,22 @@
 	}
 }
 
+func (w *world) plainServices() []*process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var plain []*process
+	for _, p := range w.processes {
+		if p.kind == kindPlain {
+			plain = append(plain, p)
+		}
+	}
+	return plain
+}
+
 // runs returns how often the call with key ran at all plain services.
 func (w *world) runs(key string) int {
 	total := 0
-	for _, p := range w.processes {
-		if p.kind != kindPlain {
-			continue
-		}
+	for _, p := range w.plainServices() {
 		status, body, err := w.get("http://" + p.address + "/standin/runs?key=" + key)
 		n, parseErr := strconv.Atoi(body)
 		if err != nil || status != http.StatusOK || parseErr != nil {
