Run the sidecar's view of its backend server on a chart

Cause: the house style wants life cycles in chart files. What a sidecar knew of its backend server stood in two variables of the guard.

Ruled out: keeping the rule "only a server that was up can crash by a health check" beside the chart; the chart has it as missing transitions.

Change: chart/charts/sidecar.yaml with working, suspected, down and recovering. sidecar/view.go fires it; the guard keeps the runs and the crash reports.

--- a/sidecar/guard.go
+++ b/sidecar/guard.go
@@ -46,8 +46,7 @@
 	changed  chan struct{} // closed and replaced when a request ends
 	lastID   uint64
 	crashes  uint64
-	failures int  // health checks in a row without an answer
-	down     bool // no new work until a health check is answered
+	view     *serverView
 }
 
 // guardedRun is one request on the backend server.
@@ -63,7 +62,7 @@
 		backend: backend, name: name, now: now, log: log,
 		publish:  func([]quarantine.Report) {},
 		register: register, server: quarantine.NewServer(register),
-		runs: make(map[uint64]*guardedRun), changed: make(chan struct{}),
+		runs: make(map[uint64]*guardedRun), changed: make(chan struct{}), view: newServerView(viewChart),
 	}
 }
 
@@ -99,7 +98,7 @@
 func (g *guard) admit(ctx context.Context, id uint64, f quarantine.Fingerprint) (context.Context, *guardedRun, <-chan struct{}, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.down {
+	if g.view.fire(eventRequestArrived) != actionAdmit {
 		g.server.Leave(id)
 		return nil, nil, nil, unavailable()
 	}
@@ -155,7 +154,7 @@
 	if err == nil {
 		return false
 	}
-	g.crash(r.crashes, err)
+	g.crash(eventRequestFailed, err)
 	return true
 }
 
@@ -165,16 +164,15 @@
 	return g.crashes != r.crashes
 }
 
-// crash records the death of the backend server, unless it is known already,
-// and ends all runs. crashes is the number of crashes that the caller knows.
-func (g *guard) crash(crashes uint64, cause error) {
+// crash records the death of the backend server, unless the chart knows it
+// already, and ends all runs. The caller holds probing.
+func (g *guard) crash(event string, cause error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.crashes != crashes {
+	if g.view.fire(event) != actionCrash {
 		return
 	}
 	g.crashes++
-	g.down = true
 	reports := g.server.Crashed(g.now(), fmt.Sprintf("%s/crash/%d", g.name, g.crashes))
 	g.log.Error().Err(cause).Int("in_flight", len(reports)).Msg("the backend server died")
 	for _, r := range g.runs {
@@ -190,58 +188,52 @@
 // recovered reports whether the backend server takes work. If it was down, one
 // caller asks it and the others are refused meanwhile.
 func (g *guard) recovered(ctx context.Context) bool {
-	if !g.isDown() {
+	switch g.note(eventRequestArrived) {
+	case actionAdmit:
 		return true
-	}
-	if !g.probing.TryLock() {
+	case actionCheckHealth:
+		if !g.probing.TryLock() {
+			return false
+		}
+		defer g.probing.Unlock()
+		return g.probe(ctx) == nil
+	default:
 		return false
 	}
-	defer g.probing.Unlock()
-	return g.probe(ctx) == nil
 }
 
-// check is the periodic health check. A refused or reset connection proves
-// that the backend server died; a missing answer does not.
+// check is the periodic health check.
 func (g *guard) check(ctx context.Context) {
 	g.probing.Lock()
 	defer g.probing.Unlock()
-	crashes := g.crashCount()
-	err := g.probe(ctx)
-	if err != nil && ctx.Err() == nil && isConnectionLost(err) && !g.isDown() {
-		g.crash(crashes, err)
-	}
+	_ = g.probe(ctx) // the view keeps the result
 }
 
-// probe makes a health check and notes its result.
+// probe makes a health check and notes its result. A refused or reset
+// connection proves that the backend server died; a missing answer does not.
+// The caller holds probing.
 func (g *guard) probe(ctx context.Context) error {
+	g.note(eventCheckStarted)
 	err := g.backend.health(ctx)
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
+		g.note(eventCheckCanceled)
 		return ctx.Err()
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err == nil {
-		g.failures = 0
-		g.down = false
-		return nil
-	}
-	g.failures++
-	if g.failures >= maxHealthFailures && !isConnectionLost(err) {
-		g.down = true
+	case err == nil:
+		g.note(eventHealthAnswered)
+	case isConnectionLost(err):
+		g.crash(eventConnectionLost, err)
+	default:
+		g.note(eventHealthLate)
 	}
 	return err
 }
 
-func (g *guard) isDown() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.down
-}
-
-func (g *guard) crashCount() uint64 {
+// note applies an event and returns the action of the chart.
+func (g *guard) note(event string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes
+	return g.view.fire(event)
 }
 
 // watch checks the backend server until ctx ends.
