Run the candidacy for a lease on a chart

Cause: the house style wants life cycles in chart files. lease.Holder kept its state in a token, a flag and times.

Ruled out: a state for a tenure that ended by the holder's own clock. Nothing happens at that time but that Token answers no, so it stays a question with a time.

Change: chart/charts/lease.yaml with following, campaigning, holding, releasing and left. lease/candidacy.go holds its actions. Leave returns an empty record where it returned an unused one before. Another holder's release draws one random delay instead of two.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -4,63 +4,59 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/filbertmux/filbertmux/chart"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
 // maxSent bounds the appends whose record was not read back.
 const maxSent = 16
 
-// Holder is the state machine of one process that stands for a duty.
+// Holder is the state machine of one process that stands for a duty. It runs
+// on chart/charts/lease.yaml.
 type Holder struct {
 	settings Settings
 	duty     string
 	name     string
 	rng      *rand.Rand
+	machine  *chart.Machine
 	nonce    uint64
 	sent     map[uint64]time.Time // by nonce, on the holder's monotonic clock
 	token    platform.Offset      // zero unless the fold names this holder
 	until    time.Time            // end of the tenure on the holder's clock
 	nextSend time.Time
 	freeAt   time.Time // when the other holder's tenure may have expired
-	leaving  bool
 }
 
 // NewHolder returns a Holder that stands for duty from now on. name is unique
 // for each process start. It waits one TTL plus a random part of Margin for
 // records of the present holder.
 func NewHolder(s Settings, duty, name string, rng *rand.Rand, now time.Time) *Holder {
-	h := &Holder{settings: s, duty: duty, name: name, rng: rng, sent: make(map[uint64]time.Time)}
+	h := &Holder{
+		settings: s, duty: duty, name: name, rng: rng, sent: make(map[uint64]time.Time),
+		machine: candidacyChart.New(),
+	}
 	h.freeAt = now.Add(s.TTL + h.jitter())
 	return h
 }
 
+// State returns the present state.
+func (h *Holder) State() State { return State(h.machine.State()) }
+
 // Token returns the fencing token while the holder may act. It is asked ahead
 // of each action. Correctness rests on the guards: a process that is paused
 // after the question still acts late.
 func (h *Holder) Token(now time.Time) (platform.Offset, bool) {
-	return h.token, h.token != 0 && now.Before(h.until) && !h.leaving
+	return h.token, h.State() == Holding && now.Before(h.until)
 }
 
 // Tick returns a record to append at now, if one is due.
 func (h *Holder) Tick(now time.Time) (Record, bool) {
-	if h.leaving || now.Before(h.nextSend) || len(h.sent) >= maxSent && !h.forget(now) {
-		return Record{}, false
-	}
-	switch {
-	case h.token != 0:
-		h.nextSend = now.Add(h.settings.RenewEvery)
-		return h.record(OpRenew, now), true
-	case !now.Before(h.freeAt):
-		h.nextSend = now.Add(h.settings.RenewEvery + h.jitter())
-		return h.record(OpClaim, now), true
-	default:
-		return Record{}, false
-	}
+	return h.fire(eventTick, now, Tenure{})
 }
 
 // NextTick returns when Tick has to be asked again.
 func (h *Holder) NextTick() time.Time {
-	if h.token == 0 && h.freeAt.After(h.nextSend) {
+	if h.State() != Holding && h.freeAt.After(h.nextSend) {
 		return h.freeAt
 	}
 	return h.nextSend
@@ -68,10 +64,7 @@
 
 // Leave ends the candidacy. It returns a release if the duty is held.
 func (h *Holder) Leave(now time.Time) (Record, bool) {
-	held := h.token != 0 && !h.leaving
-	r := h.record(OpRelease, now)
-	h.leaving = true
-	return r, held
+	return h.fire(eventLeave, now, Tenure{})
 }
 
 // RateLimited reports that an append had no effect.
@@ -82,21 +75,24 @@
 
 // Folded reports a tenure that Fold.Apply returned for this duty at now.
 func (h *Holder) Folded(now time.Time, t Tenure) {
-	if t.Holder != h.name {
-		h.token, h.until = 0, time.Time{}
-		h.freeAt = now.Add(h.settings.TTL + h.jitter())
-		if t.Released {
-			h.freeAt = now.Add(h.jitter())
-		}
-		return
-	}
-	if t.Released {
-		h.token = 0
-		return
-	}
-	if h.token != t.Token {
-		h.nextSend = now.Add(h.settings.RenewEvery)
+	event := eventWon
+	switch {
+	case t.Holder != h.name && t.Released:
+		event = eventOtherReleased
+	case t.Holder != h.name:
+		event = eventOtherHolds
+	case t.Released:
+		event = eventReleased
 	}
+	h.fire(event, now, t)
+}
+
+// Checked reports a caught-up read at now that showed no newer tenure. A
+// tenure of this holder that expired without a renewal is given up.
+func (h *Holder) Checked(now time.Time) { h.fire(eventCaughtUp, now, Tenure{}) }
+
+// extend takes the end of the tenure from a record that was read back.
+func (h *Holder) extend(now time.Time, t Tenure) {
 	h.token = t.Token
 	// The log received the record after it was sent, so that its expiry on
 	// the log's clock is later than TTL after the send.
@@ -113,13 +109,10 @@
 	delete(h.sent, t.Nonce)
 }
 
-// Checked reports a caught-up read at now that showed no newer tenure. A
-// tenure of this holder that expired without a renewal is given up.
-func (h *Holder) Checked(now time.Time) {
-	if h.token != 0 && now.After(h.until.Add(h.settings.TTL)) {
-		h.token, h.until = 0, time.Time{}
-		h.freeAt = now
-	}
+// maySend reports whether the pace and the number of unread records allow one
+// more record.
+func (h *Holder) maySend(now time.Time) bool {
+	return !now.Before(h.nextSend) && (len(h.sent) < maxSent || h.forget(now))
 }
 
 // forget drops sends whose record, should it turn up, no longer extends until.
