Run the life of a request at the entry on a chart

Cause: the house style wants life cycles in chart files. Admission, attempts, resumes and retries of a request were loops of dispatcher and transfer, so their rules could be tested only over sockets.

Ruled out: a guard for the retry budget. Guards are computed for each event, and asking the budget takes a retry from it; the chart asks in a state of its own (deciding). Ruled out too: taking the end of an answer together with the chunks before it, because whether the caller saw a part of them is known only after they were delivered.

Change: chart/charts/entry.yaml and package entry/lifecycle, whose Step takes an event and returns effects without I/O. entry/exchange.go carries the effects out; transfer.go keeps the connections of an attempt. Four invariants are asserted in Step. The two tests of silent and stalled connections drive the new code with the same assertions, and one more: a stalled attempt is not resumed.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -18,19 +18,21 @@
 // an organisation above its limit can't fill the queue. The limit of requests
 // in flight is also the bound on the concurrent streams of one caller.
 func (s *Server) run(ctx context.Context, r *request, out *answer) error {
+	x := s.dispatcher.newExchange(r, out)
 	free, err := s.quota.Admit(r.call.GetOrganisation(), r.cost)
 	if err != nil {
-		return unproved(r, err)
+		return x.refused(ctx, err)
 	}
+	x.limitPassed(ctx)
 	ran := false
 	defer func() { free(ran) }()
 	release, err := s.enter(ctx, r)
 	if err != nil {
 		s.dispatcher.noteRefusal(r, err)
-		return unproved(r, err)
+		return x.refused(ctx, err)
 	}
 	defer release()
-	err = s.dispatcher.run(ctx, r, out)
+	err = x.run(ctx)
 	ran = err == nil || errkind.Of(err).Execution != errkind.NotRun
 	return err
 }
--- a/entry/booking.go
+++ b/entry/booking.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/filbertmux/filbertmux/entry/lifecycle"
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/table"
 )
@@ -29,6 +30,18 @@
 	return asUnknown(e)
 }
 
+// ofKey returns a failure as it holds for the key of a booking.
+func ofKey(r *request, f *lifecycle.Failure) error {
+	switch {
+	case r.call.GetIdempotent(), f.BySidecar && provedBySidecar(f.Err.Kind):
+		return f.Err
+	case f.BySidecar:
+		return asUnknown(f.Err)
+	default:
+		return unproved(r, f.Err)
+	}
+}
+
 // asUnknown keeps the kind, by which the caller decides when to send again.
 func asUnknown(e *errkind.Error) error {
 	if e.Execution != errkind.NotRun {
--- a/entry/transfer_test.go
+++ b/entry/transfer_test.go
@@ -11,58 +11,56 @@
 	"github.com/gin-gonic/gin"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/entry/lifecycle"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/stream"
 )
 
-// hangingTransfer is a transfer whose first connection stays silent. The
-// receiver was created age ago, so that its deadlines need no waiting.
-type noSignals struct{}
-
-func (noSignals) chunk(*pb.Chunk)               {}
-func (noSignals) broken(context.Context, error) {}
-func (noSignals) silent()                       {}
-
-func hangingTransfer(t *testing.T, age time.Duration) (*transfer, *fakeSidecar, *httptest.ResponseRecorder) {
+// hang returns the life of a request whose first connection stays silent. It was
+// opened age ago, so that its deadlines need no waiting.
+func hang(t *testing.T, age time.Duration) (finish func() error, a *fakeSidecar, w *httptest.ResponseRecorder) {
 	t.Helper()
 	release := make(chan struct{})
 	sidecar := newFakeSidecar(t, "a", func(*connect.ServerStream[pb.Chunk], *stream.Sender) { <-release })
 	t.Cleanup(func() { close(release) })
-	id := &pb.AttemptId{RequestId: "r", Attempt: 1}
+	id := &pb.AttemptId{RequestId: "r"}
 	sidecar.replay = stream.NewSender(&pb.AttemptId{RequestId: "r", Attempt: 1, Incarnation: "a"}, 1<<20)
 	eventsHead(sidecar.replay)
 	sidecar.replay.Data([]byte("data: [DONE]\n\n"))
 	sidecar.replay.End(nil)
-	w := httptest.NewRecorder()
+	w = httptest.NewRecorder()
 	c, _ := gin.CreateTestContext(w)
 	c.Request = httptest.NewRequest(http.MethodPost, completionsPath, http.NoBody)
-	cfg := stream.ReceiverConfig{MaxPending: 8, SilenceTimeout: time.Hour, ProgressTimeout: 10 * time.Hour}
-	return &transfer{
-		client:   newClients("").of(sidecar.server.Listener.Addr().String()),
-		request:  &pb.CallRequest{Id: id},
-		receiver: stream.NewReceiver(id, cfg, time.Now().Add(-age)),
-		messages: make(chan message, 8),
-		out:      newAnswer(c, "r", func() {}),
-		signals:  noSignals{},
-	}, sidecar, w
+	d := newFixture(t, sidecar).entry.dispatcher
+	d.receiver = stream.ReceiverConfig{MaxPending: 8, SilenceTimeout: time.Hour, ProgressTimeout: 10 * time.Hour}
+	call := &pb.CallRequest{Id: id, Service: "text-desk", Idempotent: true}
+	x := d.newExchange(&request{call: call}, newAnswer(c, "r", func() {}))
+	ctx := context.Background()
+	x.limitPassed(ctx)
+	picked, _ := x.perform(ctx, lifecycle.Event{Kind: lifecycle.SlotGranted})
+	for _, effect := range x.life.Step(time.Now().Add(-age), picked) {
+		x.carryOut(ctx, effect)
+	}
+	return func() error { return x.follow(ctx, lifecycle.Event{Kind: lifecycle.DeadlinePassed}) }, sidecar, w
 }
 
 // Guards against a caller who waits for ever on a connection that went silent.
 func TestSilentConnectionIsResumed(t *testing.T) {
-	transfer, sidecar, w := hangingTransfer(t, 2*time.Hour)
-	require.NoError(t, transfer.run(context.Background()))
+	finish, sidecar, w := hang(t, 2*time.Hour)
+	require.NoError(t, finish())
 	require.Equal(t, "data: [DONE]\n\n", w.Body.String())
 	require.Equal(t, 1, sidecar.resumes)
 }
 
 // Guards against an attempt without progress that is resumed again and again.
 func TestStalledAttemptIsGivenUp(t *testing.T) {
-	transfer, _, w := hangingTransfer(t, 20*time.Hour)
-	err := transfer.run(context.Background())
+	finish, sidecar, w := hang(t, 20*time.Hour)
+	err := finish()
 	require.True(t, errkind.Is(err, errkind.StreamIncomplete))
 	require.Equal(t, errkind.Unknown, errkind.Of(err).Execution)
 	require.Empty(t, w.Body.String())
+	require.Zero(t, sidecar.resumes)
 }
 
 // Guards against new work for a sidecar that announced its shutdown while the
