Measure the life of requests under faults and overload

Cause: bench/routing measured retry and membership apart, with 30% of the servers failing. It did not show the code that combines them, nor what happens when all servers fail and return.

Ruled out: testing over sockets; the figures need 20,000 requests in virtual time. Ruled out too: entry/servers, whose probes are goroutines; the run uses membership and routing as it does.

Change: the experiment "faults" of filbertmux-bench routing drives entry/lifecycle, retry, membership and power of two choices. TestLifeCycleUnderFaults holds the bounds.

--- a/bench/routing/cmd.go
+++ b/bench/routing/cmd.go
@@ -1,5 +1,5 @@
 // Package routing measures the decision packages of the entry (routing,
-// fairqueue, limits, retry, membership) against small load models.
+// fairqueue, limits, retry, membership, lifecycle) against small load models.
 //
 // Each experiment is a discrete-event run of one goroutine in virtual time,
 // reproducible from its seed. The experiments share no state, so Run executes
@@ -21,7 +21,7 @@
 	Seed     uint64   `default:"1" help:"Seed of all random numbers."`
 	JSON     bool     `help:"Print one JSON document in place of tables."`
 	Replicas []int    `default:"12,600" help:"Numbers of replicas for the policies."`
-	Only     []string `help:"Experiments to run (default: all)." enum:"policies,priority,limits,retry,membership"`
+	Only     []string `help:"Experiments to run (default: all)." enum:"policies,priority,limits,retry,faults,membership"`
 }
 
 // Results holds the figures of one run.
@@ -31,6 +31,7 @@
 	Priority   *PriorityResult    `json:"priority,omitempty"`
 	Limits     []LimitsResult     `json:"limits,omitempty"`
 	Retry      []RetryResult      `json:"retry,omitempty"`
+	Faults     []RetryResult      `json:"faults,omitempty"`
 	Membership []MembershipResult `json:"membership,omitempty"`
 }
 
@@ -63,6 +64,7 @@
 	run("priority", func() { results.Priority = runPriority(c.Seed) })
 	run("limits", func() { results.Limits = runLimits(c.Seed) })
 	run("retry", func() { results.Retry = runRetry(c.Seed) })
+	run("faults", func() { results.Faults = runFaults(c.Seed) })
 	run("membership", func() { results.Membership = runMembership(c.Seed) })
 	_ = group.Wait()
 	if !c.wants("policies") {
@@ -96,7 +98,8 @@
 	}
 	r.Priority.print(p)
 	printLimits(p, r.Limits)
-	printRetry(p, r.Retry)
+	printRetry(p, "retry", r.Retry)
+	printRetry(p, "request life cycle", r.Faults)
 	printMembership(p, r.Membership)
 	return p.err
 }
--- a/bench/routing/retry.go
+++ b/bench/routing/retry.go
@@ -30,6 +30,7 @@
 	// AttemptsPerRequest is over the whole run, WorstAttempts the largest in
 	// any second.
 	AttemptsPerRequest float64 `json:"attempts_per_request"`
+	AttemptsInFault    float64 `json:"attempts_per_request_during_fault"`
 	WorstAttempts      float64 `json:"worst_attempts_per_request_in_one_second"`
 	// Goodput is the share of requests answered in time before, during and
 	// in the last 30 s after the fault.
@@ -50,9 +51,7 @@
 	budget   *retry.Budget
 	feedback bool
 	freeAt   [retryServers]time.Time
-	first    []float64
-	attempts []float64
-	good     []float64
+	perSecond
 }
 
 // call is one request.
@@ -63,10 +62,9 @@
 }
 
 func newRetryRun(seed uint64, config retry.Config, feedback bool) *retryRun {
-	n := int(retryFor / time.Second)
 	return &retryRun{
 		clock: newClock(), rng: newRand(seed, 1), budget: retry.NewBudget(config), feedback: feedback,
-		first: make([]float64, n+1), attempts: make([]float64, n+1), good: make([]float64, n+1),
+		perSecond: newPerSecond(),
 	}
 }
 
@@ -156,49 +154,72 @@
 	rate := retryLoad * retryServers / retryService.Seconds()
 	r.clock.arrivals(r.rng, rate, r.arrive)
 	r.clock.run(retryFor)
+	return r.figures(setting, faultEnd)
+}
+
+// perSecond counts the requests by the second of their arrival, and attempts
+// by their own.
+type perSecond struct {
+	first    []float64
+	attempts []float64
+	good     []float64
+}
+
+func newPerSecond() perSecond {
+	n := int(retryFor/time.Second) + 1
+	return perSecond{first: make([]float64, n), attempts: make([]float64, n), good: make([]float64, n)}
+}
+
+// figures summarises a run whose fault lasted from faultStart to ended.
+func (r *perSecond) figures(setting string, ended time.Duration) RetryResult {
 	// Calls of the last seconds are still under way.
 	end := retryFor - 5*time.Second
 	result := RetryResult{
 		Setting:            setting,
 		AttemptsPerRequest: ratioOf(r.attempts, r.first, 0, end),
+		AttemptsInFault:    ratioOf(r.attempts, r.first, faultStart, ended),
 		GoodputBefore:      ratioOf(r.good, r.first, 5*time.Second, faultStart),
-		GoodputFault:       ratioOf(r.good, r.first, faultStart, faultEnd),
+		GoodputFault:       ratioOf(r.good, r.first, faultStart, ended),
 		GoodputAfter:       ratioOf(r.good, r.first, end-30*time.Second, end),
 	}
 	for s := time.Duration(0); s < end; s += time.Second {
 		result.WorstAttempts = max(result.WorstAttempts, ratioOf(r.attempts, r.first, s, s+time.Second))
-		if s >= faultEnd && ratioOf(r.good, r.first, s, s+time.Second) < goodputTarget {
-			result.RecoverySeconds = (s + time.Second - faultEnd).Seconds()
+		if s >= ended && ratioOf(r.good, r.first, s, s+time.Second) < goodputTarget {
+			result.RecoverySeconds = (s + time.Second - ended).Seconds()
 		}
 	}
-	if faultEnd+seconds(result.RecoverySeconds) >= end {
+	if ended+seconds(result.RecoverySeconds) >= end {
 		result.RecoverySeconds = -1
 	}
 	return result
 }
 
+func withoutBudget() retry.Config {
+	config := retry.DefaultConfig()
+	config.Ratio = float64(config.MaxAttempts)
+	config.Burst = 1e9
+	return config
+}
+
 func runRetry(seed uint64) []RetryResult {
 	config := retry.DefaultConfig()
-	unbounded := config
-	unbounded.Ratio = float64(config.MaxAttempts)
-	unbounded.Burst = 1e9
 	none := config
 	none.MaxAttempts = 1
 	return []RetryResult{
 		newRetryRun(seed, none, true).run("no retries"),
-		newRetryRun(seed, unbounded, false).run("no budget"),
+		newRetryRun(seed, withoutBudget(), false).run("no budget"),
 		newRetryRun(seed, config, false).run("budget"),
 		newRetryRun(seed, config, true).run("budget, none in overload"),
 	}
 }
 
-func printRetry(p *printer, results []RetryResult) {
+func printRetry(p *printer, title string, results []RetryResult) {
 	if len(results) == 0 {
 		return
 	}
-	p.line("\n%-26s%10s%11s%9s%9s%9s%12s", "retry", "attempts", "worst 1 s", "before", "fault", "after", "recovery s")
+	p.line("\n%-26s%10s%10s%11s%9s%9s%9s%12s", title, "attempts", "in fault", "worst 1 s", "before", "fault", "after", "recovery s")
 	for _, x := range results {
-		p.line("%-26s%10.3f%11.3f%8.1f%%%8.1f%%%8.1f%%%12.0f", x.Setting, x.AttemptsPerRequest, x.WorstAttempts,
+		p.line("%-26s%10.3f%10.3f%11.3f%8.1f%%%8.1f%%%8.1f%%%12.0f", x.Setting, x.AttemptsPerRequest, x.AttemptsInFault, x.WorstAttempts,
 			100*x.GoodputBefore, 100*x.GoodputFault, 100*x.GoodputAfter, x.RecoverySeconds)
 	}
 }
--- a/bench/routing/routing_test.go
+++ b/bench/routing/routing_test.go
@@ -1,11 +1,13 @@
 package routing
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/membership"
+	"github.com/filbertmux/filbertmux/retry"
 )
 
 const testSeed = 1
@@ -57,6 +59,30 @@
 	}
 }
 
+// Guards against attempts above the budget and against an entry that stays down
+// after its servers have come back, with the life cycle that ships. Without the
+// budget the attempts are above it.
+func TestLifeCycleUnderFaults(t *testing.T) {
+	replay(t)
+	config := retry.DefaultConfig()
+	// Saved-up retries count once: about 1,400 requests arrive in 10 s.
+	bound := 1 + config.Ratio + config.Burst/1300
+	for _, r := range runFaults(testSeed) {
+		if r.Setting == noBudget {
+			require.Greater(t, r.AttemptsInFault, bound)
+			continue
+		}
+		require.LessOrEqual(t, r.AttemptsInFault, bound, r.Setting)
+		require.LessOrEqual(t, r.AttemptsPerRequest, 1+config.Ratio, r.Setting)
+		require.GreaterOrEqual(t, r.RecoverySeconds, 0.0, r.Setting)
+		require.LessOrEqual(t, r.RecoverySeconds, 5.0, r.Setting)
+		require.Greater(t, r.GoodputAfter, goodputTarget, r.Setting)
+		if strings.Contains(r.Setting, "overload") {
+			require.LessOrEqual(t, r.WorstAttempts, 1+config.Ratio, r.Setting)
+		}
+	}
+}
+
 // Guards against work sent to a lost or leaving server for longer than the
 // bounds of package membership.
 func TestMembershipBounds(t *testing.T) {
