Refuse a crashing request whose copies run together

Cause: copies of one request that were in flight together at a crash did not count as a crash alone, and after 8 crashes beside other requests the bounded list took no crash alone any more, so that the request was never refused.

Ruled out: a longer list, which only moves the number.

Change: a crash with one fingerprint in flight counts as alone, and a crash alone replaces another one in a full list. Both tests fail without the change.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -51,7 +51,8 @@
 const (
 	// OpCrashed: in flight with other requests when a backend server crashed.
 	OpCrashed Op = "crashed"
-	// OpCrashedAlone: the only request in flight at a crash.
+	// OpCrashedAlone: the only request in flight at a crash, or in flight only
+	// with copies of itself.
 	OpCrashedAlone Op = "crashed_alone"
 	// OpCleared: answered as the only request in flight.
 	OpCleared Op = "cleared"
@@ -196,17 +197,18 @@
 // Crashed returns the reports on a crash of a backend server at now with these
 // requests in flight, and applies them. id is unique for the crash.
 func (g *Register) Crashed(now time.Time, id string, inFlight []Fingerprint) []Report {
-	distinct := make(map[Fingerprint]bool, len(inFlight))
-	var reports []Report
+	var distinct []Fingerprint
+	for _, f := range inFlight {
+		if !slices.Contains(distinct, f) {
+			distinct = append(distinct, f)
+		}
+	}
 	op := OpCrashed
-	if len(inFlight) == 1 {
+	if len(distinct) == 1 {
 		op = OpCrashedAlone
 	}
-	for _, f := range inFlight {
-		if distinct[f] {
-			continue
-		}
-		distinct[f] = true
+	var reports []Report
+	for _, f := range distinct {
 		reports = append(reports, Report{Op: op, Crash: id, Fingerprint: f, Time: now})
 	}
 	for _, r := range reports {
@@ -252,8 +254,18 @@
 			return
 		}
 	}
+	s.add(r)
+}
+
+// add keeps a crash alone in place of another one when the list is full,
+// because without it the request would never be refused.
+func (s *suspect) add(r Report) {
 	if len(s.crashes) < maxReports {
 		s.crashes = append(s.crashes, r)
+		return
+	}
+	if r.Op == OpCrashedAlone {
+		s.crashes[maxReports-1] = r
 	}
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -236,3 +236,27 @@
 	require.Len(t, again, 2)
 	require.Equal(t, quarantine.Alone, b.Handling(now.Add(time.Minute), f))
 }
+
+// Guards against copies of one crashing request that protect one another,
+// because none of them was the only request in flight.
+func TestCrashAmongCopiesCountsAsAlone(t *testing.T) {
+	g, now := quarantine.NewRegister(quarantine.DefaultSettings()), time.UnixMilli(1_800_000_000_000)
+	poison, innocent := fingerprint("poison"), fingerprint("innocent")
+	g.Crashed(now, "c1", []quarantine.Fingerprint{poison, innocent, poison})
+	g.Crashed(now, "c2", []quarantine.Fingerprint{poison, poison, poison})
+	require.Equal(t, quarantine.Refused, g.Handling(now, poison))
+	require.Equal(t, quarantine.Alone, g.Handling(now, innocent))
+}
+
+// Guards against a request that is never refused, because the bounded list of
+// its crashes was full before it crashed a server alone.
+func TestCrashAloneCountsAfterManyCrashes(t *testing.T) {
+	g, now := quarantine.NewRegister(quarantine.DefaultSettings()), time.UnixMilli(1_800_000_000_000)
+	poison := fingerprint("poison")
+	for i := range 20 {
+		g.Crashed(now, strconv.Itoa(i), []quarantine.Fingerprint{poison, fingerprint("innocent")})
+	}
+	require.Equal(t, quarantine.Alone, g.Handling(now, poison))
+	g.Crashed(now, "alone", []quarantine.Fingerprint{poison})
+	require.Equal(t, quarantine.Refused, g.Handling(now, poison))
+}
