Ask peers while the log is silent, and poll it less

A reader that got no answer waited for the time-out of its read, which doubles up to 33 s, before it asked one peer. Each change also cost the log one read of each reader at once, so a burst of 100 changes in a minute ran into the limit of reads.

Ruled out: the log and the fold.

Change: the read runs beside the reader's loop. While its answer is overdue, or a message has shown a higher offset, two random peers are asked about each second. The long poll lasts 3 s instead of 1 s, and a read that returned the newest records is followed by a pause of 0.5 to 1 s. A poll, its slack, the pause and a question to peers sum to 6 s.

--- /dev/null
+++ b/bench/fleet/fleet_test.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"os"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/internal/seeds"
+)
+
+// TestMain runs the package on one processor. With several, Go 1.26.8 crashes
+// inside the race detector when timers of a synctest bubble fire.
+func TestMain(m *testing.M) {
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
+
+// smallDay has the failures of a day in 12 minutes, on fewer readers.
+func smallDay(seed uint64) Config {
+	const readers = 60
+	return Config{
+		Seed: seed, Readers: readers, Regions: 2, Organisations: 10, Duration: 12 * time.Minute,
+		Log: LogConfig{
+			Retention: 6 * time.Minute, Appends: 300, Reads: 2000 * readers / 930, LostAppends: 0.05, LostReads: 2e-4,
+		},
+		ChangesPerDay: 8000, BurstAt: 2 * time.Minute, BurstChanges: 50,
+		Restarts: 15, Failures: 5,
+		Outages:        []Window{{4 * time.Minute, 5 * time.Minute}},
+		Cut:            Window{6 * time.Minute, 11 * time.Minute},
+		CutShare:       0.5,
+		MessagesPerSec: 0.1,
+	}
+}
+
+// Guards against an accepted change that is not in force on each of many
+// processes within 7 s, that reverts, or on which they disagree.
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	for _, seed := range seeds.Of(t, 1) {
+		synctest.Test(t, func(t *testing.T) {
+			t.Log(seeds.Replay(t, "bench/fleet", seed))
+			r, err := Run(t.Context(), smallDay(seed))
+			require.NoError(t, err)
+			t.Logf("%+v", r)
+			require.Zero(t, r.Reverts, r.FirstViolation)
+			require.Zero(t, r.Disagreements, r.FirstViolation)
+			require.Zero(t, r.Missing)
+			require.LessOrEqual(t, r.Reachable.Worst, Bound)
+			require.LessOrEqual(t, r.Disturbed.Worst, Bound)
+		})
+	}
+}
--- a/cmd/filbertmux-bench/main.go
+++ b/cmd/filbertmux-bench/main.go
@@ -7,6 +7,7 @@
 	"github.com/filbertmux/filbertmux/bench/capacity"
 	"github.com/filbertmux/filbertmux/bench/claims"
 	"github.com/filbertmux/filbertmux/bench/experts"
+	"github.com/filbertmux/filbertmux/bench/fleet"
 	"github.com/filbertmux/filbertmux/bench/load"
 	"github.com/filbertmux/filbertmux/bench/process"
 	"github.com/filbertmux/filbertmux/bench/routing"
@@ -16,6 +17,7 @@
 	Capacity capacity.Cmd `cmd:"" help:"Measure state, bytes and time of each role and extrapolate to the design size."`
 	Claims   claims.Cmd   `cmd:"" help:"Claims on the log against keys bound to one sidecar."`
 	Experts  experts.Cmd  `cmd:"" help:"Expert planner: skew and moves of each policy."`
+	Fleet    fleet.Cmd    `cmd:"" help:"Time until a change is in force on all processes of a fleet, in virtual time."`
 	Load     load.Cmd     `cmd:"" help:"Send streamed completions to an entry and check each answer."`
 	Process  process.Cmd  `cmd:"" help:"Measure processor time, memory and bytes of running processes."`
 	Routing  routing.Cmd  `cmd:"" help:"Measure routing, queueing, limits, retries and membership."`
--- /dev/null
+++ b/tablesync/bounds_test.go
@@ -0,0 +1,132 @@
+package tablesync
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Guards against a table that is lost with all its readers in a log outage of
+// half the retention: the snapshots have to come well before the records that
+// they replace expire.
+func TestSnapshotsCoverLossOfAllReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		var stops []context.CancelFunc
+		for range 10 {
+			_, stop := f.start(f.log)
+			stops = append(stops, stop)
+		}
+		f.publish("c1")
+		last := f.publish("c2")
+		time.Sleep(retention * 6 / 10)
+		f.log.set(true, 0)
+		for _, stop := range stops {
+			stop()
+		}
+		time.Sleep(retention / 2)
+		f.log.set(false, 0)
+		fresh, stop := f.start(f.log)
+		defer stop()
+		ctx, cancel := context.WithTimeout(f.ctx, 7*time.Second)
+		defer cancel()
+		require.NoError(t, fresh.Wait(ctx, last))
+		_, ok := fresh.View().Class("c1")
+		require.True(t, ok)
+	})
+}
+
+// silentLog gives no answer while it is silent.
+type silentLog struct {
+	*testLog
+	silent atomic.Bool
+	reads  atomic.Int64
+}
+
+func (l *silentLog) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	l.reads.Add(1)
+	if l.silent.Load() {
+		<-ctx.Done()
+		return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+	}
+	batch, err := l.testLog.Read(ctx, stream, after, limit, wait)
+	if l.silent.Load() {
+		<-ctx.Done()
+		return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+	}
+	return batch, err
+}
+
+// Guards against a reader that waits for a silent log, whose time-out grows to
+// 35 s, while its peers have the change.
+func TestSilentLogAsksPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		ahead, stopAhead := f.start(f.log)
+		defer stopAhead()
+		f.setReaders(ahead)
+		cut := &silentLog{testLog: f.log}
+		cut.silent.Store(true)
+		s, stop := f.start(cut)
+		defer stop()
+		time.Sleep(10 * time.Minute)
+		for i := range 20 {
+			began := time.Now()
+			require.NoError(t, s.Wait(f.ctx, f.publish(fmt.Sprintf("c%d", i))))
+			require.Less(t, time.Since(began), 7*time.Second)
+			time.Sleep(time.Duration(i) * 1300 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a peer that is ahead and is asked only after the long poll.
+func TestLearnInterruptsPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		ahead, stopAhead := f.start(f.log)
+		defer stopAhead()
+		f.setReaders(ahead)
+		cut := &silentLog{testLog: f.log}
+		s, stop := f.start(cut)
+		defer stop()
+		require.NoError(t, s.Wait(f.ctx, f.publish("c1")))
+		time.Sleep(2 * time.Second)
+		cut.silent.Store(true)
+		last := f.publish("c2")
+		began := time.Now()
+		s.Learn(last)
+		require.NoError(t, s.Wait(f.ctx, last))
+		require.LessOrEqual(t, time.Since(began), time.Second)
+	})
+}
+
+// Guards against a reader that reads the log once for each of many changes, and
+// one that polls an idle log each second: 930 of them share the log.
+func TestReadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		log := &silentLog{testLog: f.log}
+		s, stop := f.start(log)
+		defer stop()
+		last := f.publish("c0")
+		require.NoError(t, s.Wait(f.ctx, last))
+		before := log.reads.Load()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, log.reads.Load()-before, int64(21), "idle")
+		before = log.reads.Load()
+		for i := range 600 {
+			last = f.publish(fmt.Sprintf("c%d", i+1))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, log.reads.Load()-before, int64(120), "ten changes a second for a minute")
+		require.NoError(t, s.Wait(f.ctx, last))
+	})
+}
--- a/tablesync/options.go
+++ b/tablesync/options.go
@@ -11,17 +11,20 @@
 // DefaultStream is the log stream of the table.
 const DefaultStream = "table"
 
-// Defaults of Options. A change has to be in force within 7 s: a log that does
-// not answer for ReadWait+ReadSlack is given up for a peer, and a failed round
-// is followed by at most MaxBackoff. The slack doubles with each time-out up to
-// MaxReadSlack, because a log that is slow for hours still has to be read.
+// Defaults of Options. A change has to be in force within 7 s: peers are asked
+// when a poll has no answer after ReadWait+ReadSlack, so a poll that began just
+// before the change costs 4 s, the pause before it 1 s and the question 1 s. A
+// longer poll would exceed the bound, a shorter one costs the log more reads.
+// The time-out of a poll grows with each time-out up to ReadWait+MaxReadSlack,
+// because a log that is slow for hours still has to be read.
 const (
-	DefaultReadWait    = time.Second
+	DefaultReadWait    = 3 * time.Second
 	DefaultReadSlack   = time.Second
 	MaxReadSlack       = 32 * time.Second
+	DefaultReadPause   = time.Second
 	DefaultPeerTimeout = time.Second
 	DefaultMinBackoff  = 100 * time.Millisecond
-	DefaultMaxBackoff  = 2 * time.Second
+	DefaultMaxBackoff  = time.Second
 	DefaultReadLimit   = 512
 )
 
@@ -33,11 +36,16 @@
 	Retention time.Duration
 	// ReadWait is how long a read waits for a new record, ReadSlack how much
 	// longer it may take before the log counts as slow.
-	ReadWait    time.Duration
-	ReadSlack   time.Duration
+	ReadWait  time.Duration
+	ReadSlack time.Duration
+	// ReadPause is the longest pause after a read that returned the newest
+	// records. Without it each change costs the log one read of each reader.
+	ReadPause   time.Duration
 	PeerTimeout time.Duration
-	MinBackoff  time.Duration
-	MaxBackoff  time.Duration
+	// MinBackoff and MaxBackoff space failed rounds. MaxBackoff also spaces the
+	// questions to peers while an answer of the log is overdue.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
 	// ReadLimit is the number of records per read.
 	ReadLimit int
 	Logger    zerolog.Logger
@@ -52,6 +60,7 @@
 	}
 	setDefault(&o.ReadWait, DefaultReadWait)
 	setDefault(&o.ReadSlack, DefaultReadSlack)
+	setDefault(&o.ReadPause, DefaultReadPause)
 	setDefault(&o.PeerTimeout, DefaultPeerTimeout)
 	setDefault(&o.MinBackoff, DefaultMinBackoff)
 	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
--- a/tablesync/peer.go
+++ b/tablesync/peer.go
@@ -85,29 +85,56 @@
 	return messages
 }
 
-// readPeer takes records or a snapshot from one random peer.
-func (s *Syncer) readPeer(ctx context.Context) {
+// peersAsked is the number of peers that are asked at once. With half of the
+// readers cut off from the log, the share that is behind falls from 1 to 0.25,
+// 0.004 and 0 in three rounds; with one peer it takes five.
+const peersAsked = 2
+
+// peerAnswer is the result of one question.
+type peerAnswer struct {
+	message *v1.TableSinceResponse
+	err     error
+}
+
+// readPeers takes records or snapshots from a few random peers.
+func (s *Syncer) readPeers(ctx context.Context) {
 	peers := s.peers()
-	if len(peers) == 0 {
-		return
-	}
+	asked := min(peersAsked, len(peers))
 	ctx, cancel := context.WithTimeout(ctx, s.opts.PeerTimeout)
 	defer cancel()
-	peer := peers[s.rng.IntN(len(peers))]
 	before := s.Offset()
+	answers := make(chan peerAnswer, peersAsked)
+	for n := range asked {
+		other := n + s.rng.IntN(len(peers)-n)
+		peers[n], peers[other] = peers[other], peers[n]
+		go func() { answers <- s.ask(ctx, peers[n], before) }()
+	}
+	for range asked {
+		s.takePeer(<-answers)
+	}
+	if s.Offset() > before {
+		s.count(func(stats *Stats) { stats.PeerCatchUps++ })
+	}
+}
+
+func (s *Syncer) ask(ctx context.Context, peer Peer, offset platform.Offset) peerAnswer {
 	answer, err := peer.TableSince(ctx, connect.NewRequest(&v1.TableSinceRequest{
-		Offset: uint64(before), Limit: uint32(s.opts.ReadLimit),
+		Offset: uint64(offset), Limit: uint32(s.opts.ReadLimit),
 	}))
+	if err != nil {
+		return peerAnswer{err: err}
+	}
+	return peerAnswer{message: answer.Msg}
+}
+
+func (s *Syncer) takePeer(a peerAnswer) {
+	err := a.err
 	if err == nil {
-		err = s.takeAnswer(answer.Msg)
+		err = s.takeAnswer(a.message)
 	}
 	if err != nil {
 		s.count(func(stats *Stats) { stats.PeerErrors++ })
 		s.opts.Logger.Warn().Err(err).Msg("table catch-up from a peer failed")
-		return
-	}
-	if s.Offset() > before {
-		s.count(func(stats *Stats) { stats.PeerCatchUps++ })
 	}
 }
 
--- a/tablesync/start.go
+++ b/tablesync/start.go
@@ -39,7 +39,7 @@
 	var times []time.Time // of the records from oldest on
 	after := max(oldest, 1) - 1
 	for {
-		batch, err := s.read(ctx, after, 0)
+		batch, err := s.read(ctx, after)
 		if err != nil {
 			return usableSnapshot{}, err
 		}
--- a/tablesync/syncer.go
+++ b/tablesync/syncer.go
@@ -42,10 +42,13 @@
 	rng   *rand.Rand    // owned by Run
 	chain chain         // owned by Run
 	slack time.Duration // owned by Run; time that a log request may take
+	atEnd bool          // owned by Run; the last read reached the end of the log
 
 	view   atomic.Pointer[table.View]
 	target atomic.Uint64 // highest offset that a peer has reported
 	loaded atomic.Bool
+	// learned holds a token when a peer has reported a higher offset.
+	learned chan struct{}
 
 	mu      sync.Mutex // guards the fields below; written by Run only
 	fold    *table.Fold
@@ -61,12 +64,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if peers == nil {
+		peers = func() []Peer { return nil }
+	}
 	s := &Syncer{
 		log: log, peers: peers, clock: clock, opts: opts, rng: rng,
 		chain:   newChain(opts.Retention, rng),
 		slack:   opts.ReadSlack,
 		fold:    table.NewFold(),
 		changed: make(chan struct{}),
+		learned: make(chan struct{}, 1),
 	}
 	s.view.Store(s.fold.View())
 	return s, nil
@@ -99,16 +106,26 @@
 }
 
 // Learn notes the table offset of a message. If the log does not deliver up to
-// it, the next round asks a peer.
+// it soon, peers are asked.
 func (s *Syncer) Learn(offset platform.Offset) {
 	for {
 		old := s.target.Load()
-		if uint64(offset) <= old || s.target.CompareAndSwap(old, uint64(offset)) {
+		if uint64(offset) <= old {
 			return
 		}
+		if s.target.CompareAndSwap(old, uint64(offset)) {
+			break
+		}
+	}
+	select {
+	case s.learned <- struct{}{}:
+	default:
 	}
 }
 
+// behind reports whether a peer has a higher offset.
+func (s *Syncer) behind() bool { return uint64(s.Offset()) < s.target.Load() }
+
 // Wait returns when the view is at offset or above it, or when ctx ends.
 func (s *Syncer) Wait(ctx context.Context, offset platform.Offset) error {
 	for {
@@ -141,63 +158,139 @@
 
 // sleep waits between half of d and d, so that readers do not return in step.
 func (s *Syncer) sleep(ctx context.Context, d time.Duration) {
-	d = d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
 	select {
-	case <-s.clock.After(d):
+	case <-s.clock.After(s.jitter(d)):
 	case <-ctx.Done():
 	}
 }
 
-// round reads once from the log, then from a peer if the log fails or is
-// behind. It reports whether the log answered.
+// jitter returns a time between half of d and d.
+func (s *Syncer) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.rng.Int64N(int64(d/2)+1))
+}
+
+// round reads once from the log, and from peers if the log fails. It reports
+// whether the log answered.
 func (s *Syncer) round(ctx context.Context) bool {
+	before := s.Offset()
 	answered := s.readLog(ctx)
 	if ctx.Err() != nil {
 		return answered
 	}
-	if !answered || uint64(s.Offset()) < s.target.Load() {
-		s.readPeer(ctx)
+	if !answered {
+		s.readPeers(ctx)
 	}
 	s.publishSnapshot(ctx)
+	if answered && s.Offset() > before && s.atEnd {
+		s.sleep(ctx, s.opts.ReadPause)
+	}
 	return answered
 }
 
 func (s *Syncer) readLog(ctx context.Context) bool {
-	batch, err := s.read(ctx, s.Offset(), s.opts.ReadWait)
+	after := s.Offset()
+	batch, err := s.poll(ctx, after)
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
+		s.atEnd = false
+		if s.Offset()+1 >= trimmed.Oldest {
+			return true // a peer has delivered the trimmed records meanwhile
+		}
 		return s.startFromLog(ctx, trimmed.Oldest)
 	}
 	if err != nil {
 		s.countLogError(ctx, err)
 		return false
 	}
-	if batch.End < s.Offset() {
+	if batch.End < after {
 		// The log lost records. Its next offsets are taken already, so they
 		// can't be applied; the table in force stays.
 		s.count(func(stats *Stats) { stats.LogBehind++ })
-		s.opts.Logger.Error().Uint64("log_end", uint64(batch.End)).Uint64("table_offset", uint64(s.Offset())).Msg("log ends below the table offset")
+		s.opts.Logger.Error().Uint64("log_end", uint64(batch.End)).Uint64("table_offset", uint64(after)).Msg("log ends below the table offset")
 		return false
 	}
 	if !s.apply(batch.Records) {
 		return false
 	}
-	if s.Offset() >= batch.End {
+	s.atEnd = s.Offset() >= batch.End
+	if s.atEnd {
 		s.loaded.Store(true)
 	}
 	return true
 }
 
-func (s *Syncer) read(ctx context.Context, after platform.Offset, wait time.Duration) (platform.Batch, error) {
-	timed, cancel := context.WithTimeout(ctx, wait+s.slack)
+// logAnswer is the result of one read.
+type logAnswer struct {
+	batch platform.Batch
+	err   error
+}
+
+// learnGrace is the time in which the log usually delivers an offset that a
+// peer has reported. A message often overtakes the record by milliseconds.
+const learnGrace = 500 * time.Millisecond
+
+// poll reads from the log and asks peers while the answer is overdue or a peer
+// is ahead. A connection may be silent for as long as the read may take.
+func (s *Syncer) poll(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+	answers := make(chan logAnswer, 1)
+	timed, cancel := context.WithTimeout(ctx, s.opts.ReadWait+s.slack)
+	defer cancel()
+	go func() {
+		batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, s.opts.ReadWait)
+		answers <- logAnswer{batch, err}
+	}()
+	answer := s.await(ctx, answers)
+	s.adaptSlack(answer.err, timed)
+	return answer.batch, answer.err
+}
+
+func (s *Syncer) await(ctx context.Context, answers <-chan logAnswer) logAnswer {
+	overdue := s.clock.After(s.opts.ReadWait + s.opts.ReadSlack)
+	var hurry <-chan time.Time // nil while no peer is ahead
+	if s.behind() {
+		hurry = s.clock.After(learnGrace)
+	}
+	for {
+		select {
+		case answer := <-answers:
+			return answer
+		case <-ctx.Done():
+			return logAnswer{err: ctx.Err()}
+		case <-overdue:
+			s.readPeers(ctx)
+			overdue = s.clock.After(s.jitter(s.opts.MaxBackoff))
+		case <-s.learned:
+			if hurry == nil && s.behind() {
+				hurry = s.clock.After(learnGrace)
+			}
+		case <-hurry:
+			hurry = nil
+			if s.behind() {
+				s.readPeers(ctx)
+			}
+			if s.behind() {
+				hurry = s.clock.After(s.jitter(s.opts.MaxBackoff))
+			}
+		}
+	}
+}
+
+// read reads without waiting for new records.
+func (s *Syncer) read(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+	timed, cancel := context.WithTimeout(ctx, s.slack)
 	defer cancel()
-	batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, wait)
+	batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, 0)
+	s.adaptSlack(err, timed)
+	return batch, err
+}
+
+// adaptSlack doubles the slack after a time-out and halves it after an answer.
+func (s *Syncer) adaptSlack(err error, timed context.Context) {
 	if err == nil {
 		s.slack = max(s.slack/2, s.opts.ReadSlack)
 	} else if timed.Err() != nil {
 		s.slack = min(2*s.slack, MaxReadSlack)
 	}
-	return batch, err
 }
 
 func (s *Syncer) countLogError(ctx context.Context, err error) {
