--- a/tablecli/commands.go
+++ b/tablecli/commands.go
@@ -113,10 +113,16 @@
 }
 
 // StatusCmd shows the table in force.
-type StatusCmd struct{ Source }
+type StatusCmd struct {
+	Source
+	Instances bool          `help:"Ask each instance for its offset and name those that are behind."`
+	Timeout   time.Duration `default:"30s" help:"Time for the whole command."`
+}
 
 // Run implements the command.
 func (c *StatusCmd) Run(ctx context.Context, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
 	log, err := c.client()
 	if err != nil {
 		return err
@@ -126,6 +132,24 @@
 		return err
 	}
 	digest, _ := f.Digest().MarshalText()
-	_, err = fmt.Fprintf(out, "offset %d digest %s rows %d\n", f.Offset(), digest, len(f.View().Entries()))
+	if _, err = fmt.Fprintf(out, "offset %d digest %s rows %d\n", f.Offset(), digest, len(f.View().Entries())); err != nil || !c.Instances {
+		return err
+	}
+	q := newSurvey(statusTimeout)
+	defer q.close()
+	return printInstances(ctx, log, q, f.Offset(), out)
+}
+
+// printInstances asks each instance once.
+func printInstances(ctx context.Context, list platform.InstanceList, q *survey, offset platform.Offset, out io.Writer) error {
+	instances, err := list.Instances(ctx)
+	if err != nil {
+		return err
+	}
+	late := q.late(ctx, instances, offset)
+	if _, err = fmt.Fprintf(out, "in force on %d of %d instance(s)\n", len(instances)-len(late), len(instances)); err != nil || len(late) == 0 {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "not reported by: %s\n", nameSome(late))
 	return err
 }
--- a/tablecli/publish.go
+++ b/tablecli/publish.go
@@ -2,32 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"strings"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/table"
 	"github.com/filbertmux/filbertmux/tablesync"
 )
 
-const (
-	// pollInterval spaces retries and status questions.
-	pollInterval = 200 * time.Millisecond
-	// statusTimeout bounds one status question.
-	statusTimeout = time.Second
-	// maxQuestions bounds the status questions in flight. 930 instances with
-	// 1 ms each take 15 ms; 64 that do not answer delay a round by 1 s.
-	maxQuestions = 64
-	// maxNamed bounds the instances that a message names.
-	maxNamed = 10
-)
+// pollInterval spaces retries and rounds of status questions.
+const pollInterval = 200 * time.Millisecond
 
 // PublishCmd publishes a change set.
 type PublishCmd struct {
@@ -68,7 +54,9 @@
 	if verdict.Outcome != table.OutcomeAccepted || !c.Wait {
 		return verdict.Err()
 	}
-	return waitInForce(ctx, client, verdict.Offset, out)
+	q := newSurvey(statusTimeout)
+	defer q.close()
+	return waitInForce(ctx, client, q, verdict.Offset, out)
 }
 
 // publish appends the set until its verdict is read back. Records with the
@@ -102,72 +90,29 @@
 	}
 }
 
-// waitInForce returns when every listed instance reports the offset.
-func waitInForce(ctx context.Context, list platform.InstanceList, offset platform.Offset, out io.Writer) error {
-	var missing []string
+// waitInForce returns when every listed instance has reported the offset.
+func waitInForce(ctx context.Context, list platform.InstanceList, q *survey, offset platform.Offset, out io.Writer) error {
+	var late []string
+	listed := false
 	for {
 		instances, err := list.Instances(ctx)
 		if err == nil {
-			missing = behind(ctx, instances, offset)
+			listed = true
+			late = q.late(ctx, instances, offset)
 		}
-		if err == nil && len(missing) == 0 {
+		if err == nil && len(late) == 0 {
 			_, err = fmt.Fprintf(out, "in force on %d instance(s)\n", len(instances))
 			return err
 		}
 		if !pause(ctx) {
-			return waitTimeout(missing, offset)
+			return waitTimeout(late, listed, offset)
 		}
 	}
 }
 
-func waitTimeout(missing []string, offset platform.Offset) error {
-	if len(missing) == 0 {
+func waitTimeout(late []string, listed bool, offset platform.Offset) error {
+	if !listed {
 		return errkind.New(errkind.WaitTimeout, "the change is accepted at table offset %d; the instance list could not be read", offset)
 	}
-	return errkind.New(errkind.WaitTimeout, "%d instance(s) have not reported table offset %d: %s",
-		len(missing), offset, strings.Join(missing[:min(len(missing), maxNamed)], " "))
-}
-
-// behind returns the ids of the instances that have not reported the offset.
-// It asks several at once: one that does not answer takes statusTimeout.
-func behind(ctx context.Context, instances []platform.Instance, offset platform.Offset) []string {
-	late := make([]bool, len(instances))
-	var group errgroup.Group
-	group.SetLimit(maxQuestions)
-	for n, i := range instances {
-		group.Go(func() error {
-			late[n] = tableOffset(ctx, i.Address) < offset
-			return nil
-		})
-	}
-	_ = group.Wait() // no question returns an error
-	var missing []string
-	for n, i := range instances {
-		if late[n] {
-			missing = append(missing, i.ID)
-		}
-	}
-	return missing
-}
-
-// tableOffset returns the offset that an instance reports, or 0.
-func tableOffset(ctx context.Context, address string) platform.Offset {
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/statusz", nil)
-	if err != nil {
-		return 0
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var status struct {
-		TableOffset platform.Offset `json:"table_offset"`
-	}
-	if json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&status) != nil {
-		return 0
-	}
-	return status.TableOffset
+	return errkind.New(errkind.WaitTimeout, "%d instance(s) have not reported table offset %d: %s", len(late), offset, nameSome(late))
 }
