--- a/bench/fleet/regions_test.go
+++ b/bench/fleet/regions_test.go
@@ -32,7 +32,7 @@
 				hour := Window{5 * time.Minute, 65 * time.Minute}
 				c := Config{
 					Seed: 1, Readers: 16, Regions: 2, Organisations: 4, Duration: 70 * time.Minute,
-					Log:           LogConfig{Retention: 3 * time.Hour, LostAppends: 0.05},
+					Log:           LogConfig{Retention: 90 * time.Minute, LostAppends: 0.05},
 					ChangesPerDay: 4000, Restarts: 40, RegionsApart: hour, MessagesPerSec: 0.1,
 				}
 				if logDown {
--- a/tablesync/bounds_test.go
+++ b/tablesync/bounds_test.go
@@ -47,8 +47,9 @@
 // silentLog gives no answer while it is silent.
 type silentLog struct {
 	*testLog
-	silent atomic.Bool
-	reads  atomic.Int64
+	silent    atomic.Bool
+	noAppends bool
+	reads     atomic.Int64
 }
 
 func (l *silentLog) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
@@ -65,20 +66,33 @@
 	return batch, err
 }
 
+func (l *silentLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+	if l.silent.Load() {
+		<-ctx.Done()
+		return 0, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+	}
+	if l.noAppends {
+		return 0, errkind.New(errkind.PlatformUnavailable, "log")
+	}
+	return l.testLog.Append(ctx, stream, data)
+}
+
 // Guards against a reader that waits for a silent log, whose time-out grows to
-// 35 s, while its peers have the change.
+// 35 s, while its peers have the change. Each reader has a snapshot to publish
+// and can't.
 func TestSilentLogAsksPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
-		ahead, stopAhead := f.start(f.log)
+		ahead, stopAhead := f.start(&silentLog{testLog: f.log, noAppends: true})
 		defer stopAhead()
 		f.setReaders(ahead)
+		f.publish("c0")
 		cut := &silentLog{testLog: f.log}
 		cut.silent.Store(true)
 		s, stop := f.start(cut)
 		defer stop()
-		time.Sleep(10 * time.Minute)
-		for i := range 20 {
+		time.Sleep(retention * 6 / 10)
+		for i := 1; i < 20; i++ {
 			began := time.Now()
 			require.NoError(t, s.Wait(f.ctx, f.publish(fmt.Sprintf("c%d", i))))
 			require.Less(t, time.Since(began), 7*time.Second)
--- a/tablesync/start.go
+++ b/tablesync/start.go
@@ -67,21 +67,31 @@
 }
 
 // publishSnapshot appends a snapshot when the chain is old. Identical
-// snapshots of two readers are harmless, and so is a lost answer.
+// snapshots of two readers are harmless, and so is a lost answer. The append
+// runs beside the reader's loop: on a silent connection it lasts until the
+// time-out of a slow log.
 func (s *Syncer) publishSnapshot(ctx context.Context) {
 	now := s.clock.Now()
-	if s.Offset() == 0 || !s.chain.due(now) {
+	if s.Offset() == 0 || !s.chain.due(now) || !s.appending.CompareAndSwap(false, true) {
 		return
 	}
 	s.chain.attempted(now)
 	s.mu.Lock()
 	data, err := s.fold.Snapshot()
 	s.mu.Unlock()
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, s.slack)
-		defer cancel()
-		_, err = s.log.Append(ctx, s.opts.Stream, data)
-	}
+	timeout := s.slack
+	go func() {
+		defer s.appending.Store(false)
+		if err == nil {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			_, err = s.log.Append(ctx, s.opts.Stream, data)
+		}
+		s.noteSnapshot(err)
+	}()
+}
+
+func (s *Syncer) noteSnapshot(err error) {
 	if err != nil {
 		s.count(func(stats *Stats) { stats.SnapshotErrors++ })
 		s.opts.Logger.Warn().Err(err).Msg("table snapshot was not published")
--- a/tablesync/syncer.go
+++ b/tablesync/syncer.go
@@ -47,6 +47,8 @@
 	view   atomic.Pointer[table.View]
 	target atomic.Uint64 // highest offset that a peer has reported
 	loaded atomic.Bool
+	// appending is true while a snapshot is being appended.
+	appending atomic.Bool
 	// learned holds a token when a peer has reported a higher offset.
 	learned chan struct{}
 
@@ -179,12 +181,13 @@
 	}
 	if !answered {
 		s.readPeers(ctx)
+		return false
 	}
 	s.publishSnapshot(ctx)
-	if answered && s.Offset() > before && s.atEnd {
+	if s.Offset() > before && s.atEnd {
 		s.sleep(ctx, s.opts.ReadPause)
 	}
-	return answered
+	return true
 }
 
 func (s *Syncer) readLog(ctx context.Context) bool {
