Set the timing of group control by flags

Cause: a rank group could not be tested as processes. The lease of 30 s and the plan interval of a minute were built in, and the stand-in ranks process had no way to read mixed steps or to hold commands back.

Zero, the default, takes the value that the control is built with, so that no default is stated twice. The lease keeps the proportions of its renewal, margin and guard; a plan takes at most half of the staging timeout from the store, as by default. The rate of the stand-in weight store is a flag and can change.

Ruled out: a flag for each field of the lease. Their proportions matter for safety and all processes of a stream need the same ones.

--- a/cli/standin.go
+++ b/cli/standin.go
@@ -32,11 +32,19 @@
 type standinPlatform struct {
 	Listen           string  `name:"listen" default:"127.0.0.1:9000" help:"Address to listen on."`
 	AppendsPerSecond float64 `name:"appends-per-second" help:"Append limit of the log; 0 means none."`
+	FetchesPerSecond float64 `name:"fetches-per-second" help:"Fetch limit of the weight store; 0 means none."`
+	ExpertBytes      int     `name:"expert-bytes" help:"Size of the weights of one expert; 0 means 4096."`
 }
 
 // Run implements the command.
 func (c *standinPlatform) Run(ctx context.Context, streams Streams) error {
-	p := standin.NewPlatform(standin.PlatformConfig{AppendsPerSecond: c.AppendsPerSecond})
+	if c.AppendsPerSecond < 0 || c.FetchesPerSecond < 0 || c.ExpertBytes < 0 {
+		return errkind.New(errkind.InvalidSettings, "platform: rates and sizes must not be negative")
+	}
+	p := standin.NewPlatform(standin.PlatformConfig{
+		AppendsPerSecond: c.AppendsPerSecond, FetchesPerSecond: c.FetchesPerSecond,
+		ExpertBytes: c.ExpertBytes,
+	})
 	return serveStandin(ctx, streams, "platform", c.Listen, p)
 }
 
@@ -78,6 +86,7 @@
 	DriftSteps   uint64        `name:"drift-steps" default:"2000" help:"Steps after which the popularity moves on by one expert."`
 	CheckFencing bool          `name:"check-fencing" help:"Refuse commands with a stale fencing token."`
 	Seed         uint64        `name:"seed" default:"1" help:"Seed of the expert counts."`
+	IgnoreHolds  bool          `name:"ignore-holds" help:"Let ranks enter a promised step undecided, to show that a test notices."`
 }
 
 // Run implements the command.
@@ -89,6 +98,7 @@
 		Replicas: c.Replicas, RanksPerReplica: c.PerReplica, Layers: c.Layers, Experts: c.Experts,
 		SlotsPerRank: c.SlotsPerRank, StepTime: c.StepTime, Seed: c.Seed,
 		ChecksFencing: func(int) bool { return c.CheckFencing },
+		IgnoreHolds:   c.IgnoreHolds,
 		Popularity:    standin.DriftingPopularity(c.Experts, 1, c.DriftSteps),
 	})
 	if err != nil {
@@ -99,6 +109,7 @@
 		prefix := "/" + strconv.Itoa(n)
 		mux.Handle(prefix+"/", http.StripPrefix(prefix, g.Handler(n)))
 	}
+	mux.Handle("/standin/", g.ControlHandler())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() { _ = g.Run(ctx) }()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,6 +67,8 @@
 	GroupRanks int    `name:"group-ranks" validate:"required_with=Group,min=0,max=64" help:"Number of ranks in the group."`
 	RankURL    string `name:"rank-url" validate:"required_with=Group,omitempty,http_url" help:"URL of the rank commands of the backend server."`
 
+	GroupTiming `embed:""`
+
 	MaxInFlight       int           `name:"max-in-flight" default:"256" validate:"min=1,max=100000" help:"Largest number of attempts in flight."`
 	ReplayBytes       int           `name:"replay-bytes" default:"262144" validate:"min=1024" help:"Size of the replay buffer of each attempt in bytes."`
 	ChunkBytes        int           `name:"chunk-bytes" default:"16384" validate:"min=1,ltefield=ReplayBytes" help:"Largest data chunk in bytes."`
@@ -74,3 +76,17 @@
 	ResumeWindow      time.Duration `name:"resume-window" default:"10s" validate:"min=1ms" help:"Time for which an attempt without connection can be resumed."`
 	BackendTimeout    time.Duration `name:"backend-timeout" default:"15m" validate:"min=1ms" help:"Longest duration of a call to the backend server."`
 }
+
+// GroupTiming holds the intervals and rates of the control of a rank group.
+// Zero takes the value that the control is built with.
+type GroupTiming struct {
+	LeaseTTL        time.Duration `name:"lease-ttl" default:"0s" validate:"omitempty,min=500ms,max=1h" help:"Time for which the lease of the group outlives its last renewal; 0 takes the default. It is renewed after a third of this time and given up a tenth of it early. All sidecars need the same value."`
+	PlanInterval    time.Duration `name:"plan-interval" default:"0s" validate:"omitempty,min=10ms" help:"Time between polls of the expert counts; 0 takes the default."`
+	PlanMinInterval time.Duration `name:"plan-min-interval" default:"0s" validate:"omitempty,min=10ms" help:"Shortest time between two plans; 0 takes the default."`
+	StepTime        time.Duration `name:"step-time" default:"0s" validate:"omitempty,min=1ms" help:"Usual time of a step of the group; 0 takes the default."`
+	SwitchLead      time.Duration `name:"switch-lead" default:"0s" validate:"omitempty,min=1ms" help:"Time between the proposal of a map and its first step; 0 takes the default."`
+	VoteTimeout     time.Duration `name:"vote-timeout" default:"0s" validate:"omitempty,min=1ms" help:"Time after which a member asks for missing votes; 0 takes the default."`
+	StagingTimeout  time.Duration `name:"staging-timeout" default:"0s" validate:"omitempty,min=10ms" help:"Time after which a plan without all its weights is undone; 0 takes the default. A plan has no more moves than the weight store serves in half of it."`
+	MoveCost        time.Duration `name:"move-cost" default:"0s" validate:"omitempty,min=1us" help:"Step time that the move of one expert costs the group; 0 takes the default."`
+	StoreRate       float64       `name:"store-rate" default:"0" validate:"omitempty,gt=0,max=1000000" help:"Experts that the weight store serves to the group per second; 0 takes the default."`
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -74,6 +74,20 @@
 		"--group=g", "--ranks=0,1", "--group-ranks=4", "--rank-url=http://127.0.0.1:9300")...))
 }
 
+// Guards against a group that runs with an interval that no one meant.
+func TestGroupTimingIsChecked(t *testing.T) {
+	var s settings.Sidecar
+	require.NoError(t, parse(t, &s, valid...))
+	require.Zero(t, s.GroupTiming)
+	require.NoError(t, parse(t, &s, append(valid[:7:7], "--lease-ttl=2s", "--store-rate=0.5")...))
+	require.Equal(t, settings.GroupTiming{LeaseTTL: 2 * time.Second, StoreRate: 0.5}, s.GroupTiming)
+	t.Setenv("FILBERTMUX_VOTE_TIMEOUT", "-1s")
+	err := parse(t, &settings.Sidecar{}, append(valid[:7:7], "--lease-ttl=1ms", "--store-rate=-1", "--plan-interval=1ms")...)
+	for _, flag := range []string{"--lease-ttl", "--store-rate", "--plan-interval", "--vote-timeout"} {
+		require.ErrorContains(t, err, flag+": must")
+	}
+}
+
 // Guards against environment variables that are ignored, and against a flag
 // that loses against one.
 func TestFlagsOverrideTheEnvironment(t *testing.T) {
--- a/sidecar/group.go
+++ b/sidecar/group.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -42,13 +43,13 @@
 	}
 	seed := rand.Uint64()
 	o.Log.Info().Uint64("seed", seed).Msg("random source of the lease")
-	lease := leaselog.New(client, string(incarnation), time.Now, rand.New(rand.NewPCG(seed, 0)), leaselog.DefaultSettings())
+	lease := leaselog.New(client, string(incarnation), time.Now, rand.New(rand.NewPCG(seed, 0)), leaseSettings(s.GroupTiming))
 	lc.Append(fx.StopHook(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, leaseReleaseTimeout)
 		defer cancel()
 		lease.Close(ctx)
 	}))
-	control, err := groupcontrol.New(groupcontrol.Options{
+	control, err := groupcontrol.New(timed(s.GroupTiming, groupcontrol.Options{
 		Group: s.Group, Member: member, Members: members, Ranks: rankIDs(s.Ranks),
 		Incarnation:   groupcontrol.StartIncarnation(time.Now()),
 		FailureDomain: s.FailureDomain, Model: s.Service, RankURL: s.RankURL,
@@ -60,7 +61,7 @@
 			row, ok := t.View().Service(s.Service)
 			return experts.Weights{Skew: row.SkewWeight, Cost: row.RebalanceWeight}, ok
 		},
-	}.WithDefaults())
+	}.WithDefaults()))
 	if err != nil {
 		return nil, err
 	}
@@ -68,6 +69,40 @@
 	return &group{control}, nil
 }
 
+// leaseSettings keeps the proportions of the defaults.
+func leaseSettings(t settings.GroupTiming) leaselog.Settings {
+	s := leaselog.DefaultSettings()
+	if t.LeaseTTL == 0 {
+		return s
+	}
+	scale := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * float64(t.LeaseTTL) / float64(s.Lease.TTL))
+	}
+	l := &s.Lease
+	l.RenewEvery, l.Margin, l.GuardStale, l.TTL = scale(l.RenewEvery), scale(l.Margin), scale(l.GuardStale), t.LeaseTTL
+	return s
+}
+
+// timed returns o with the intervals and rates that are set.
+func timed(t settings.GroupTiming, o groupcontrol.Options) groupcontrol.Options {
+	o.Timing.Plan = cmp.Or(t.PlanInterval, o.Timing.Plan)
+	o.Holder.StepTime = cmp.Or(t.StepTime, o.Holder.StepTime)
+	o.Holder.Lead = cmp.Or(t.SwitchLead, o.Holder.Lead)
+	if t.StagingTimeout > 0 {
+		// The planner leaves the same part of the time for retries as it does
+		// by default.
+		part := float64(o.Planner.MaxStaging) / float64(o.Holder.StagingTimeout)
+		o.Planner.MaxStaging = time.Duration(part * float64(t.StagingTimeout))
+		o.Holder.StagingTimeout = t.StagingTimeout
+	}
+	o.Switch.ResolveAfter = cmp.Or(t.VoteTimeout, o.Switch.ResolveAfter)
+	o.Planner.StepTime = cmp.Or(t.StepTime, o.Planner.StepTime)
+	o.Planner.MinInterval = cmp.Or(t.PlanMinInterval, o.Planner.MinInterval)
+	o.Planner.MoveCost = cmp.Or(t.MoveCost, o.Planner.MoveCost)
+	o.Planner.StoreRate = cmp.Or(t.StoreRate, o.Planner.StoreRate)
+	return o
+}
+
 func rankIDs(ranks []int) []mapswitch.RankID {
 	ids := make([]mapswitch.RankID, len(ranks))
 	for i, r := range ranks {
--- a/sidecar/group_test.go
+++ b/sidecar/group_test.go
@@ -12,6 +12,9 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
 
+	"github.com/filbertmux/filbertmux/groupcontrol"
+	"github.com/filbertmux/filbertmux/lease"
+	"github.com/filbertmux/filbertmux/leaselog"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/standin"
 )
@@ -56,3 +59,22 @@
 	}))
 	require.Eventually(t, func() bool { return g.State(0).Session > 0 }, time.Minute, 5*time.Millisecond)
 }
+
+// Guards against defaults that change with a flag that nobody set, and against
+// a flag without effect.
+func TestGroupTiming(t *testing.T) {
+	defaults := groupcontrol.Options{}.WithDefaults()
+	require.Equal(t, defaults, timed(settings.GroupTiming{}, defaults))
+	require.Equal(t, leaselog.DefaultSettings(), leaseSettings(settings.GroupTiming{}))
+	require.Equal(t, lease.Settings{
+		TTL: 3 * time.Second, RenewEvery: time.Second, Margin: 300 * time.Millisecond, GuardStale: 3 * time.Second, MaxDuties: 10_000,
+	}, leaseSettings(settings.GroupTiming{LeaseTTL: 3 * time.Second}).Lease)
+	set := timed(settings.GroupTiming{
+		PlanInterval: 1, PlanMinInterval: 2, StepTime: 3, SwitchLead: 4, VoteTimeout: 5, StagingTimeout: 8, MoveCost: 7, StoreRate: 9,
+	}, defaults)
+	want := defaults
+	want.Timing.Plan, want.Planner.MinInterval, want.Planner.StepTime, want.Holder.StepTime = 1, 2, 3, 3
+	want.Holder.Lead, want.Switch.ResolveAfter, want.Holder.StagingTimeout = 4, 5, 8
+	want.Planner.MaxStaging, want.Planner.MoveCost, want.Planner.StoreRate = 4, 7, 9
+	require.Equal(t, want, set)
+}
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -27,6 +27,9 @@
 	ListFrozen bool `json:"list_frozen"`
 	// WeightsDown makes the weight store fail.
 	WeightsDown bool `json:"weights_down"`
+	// FetchesPerSecond, unless zero, is the rate of the weight store from now
+	// on.
+	FetchesPerSecond float64 `json:"fetches_per_second"`
 }
 
 // faultControl holds the faults in force.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -72,7 +72,7 @@
 		log:     newLogService(cfg, faults),
 		list:    &instanceList{lag: cfg.ListLag, now: cfg.Now},
 		faults:  faults,
-		weights: rate.NewLimiter(fetches, max(1, int(cfg.FetchesPerSecond))),
+		weights: rate.NewLimiter(fetches, fetchBurst(cfg.FetchesPerSecond)),
 		cfg:     cfg,
 		mux:     http.NewServeMux(),
 	}
@@ -81,7 +81,17 @@
 }
 
 // SetFaults replaces the faults in force.
-func (p *Platform) SetFaults(f Faults) { p.faults.set(f) }
+func (p *Platform) SetFaults(f Faults) {
+	if f.FetchesPerSecond > 0 {
+		p.weights.SetLimitAt(p.cfg.Now(), rate.Limit(f.FetchesPerSecond))
+		p.weights.SetBurstAt(p.cfg.Now(), fetchBurst(f.FetchesPerSecond))
+	}
+	p.faults.set(f)
+}
+
+// fetchBurst is the number of fetches that may come at once: those of one
+// second, because that is the shortest Retry-After of a refusal.
+func fetchBurst(perSecond float64) int { return max(1, int(perSecond)) }
 
 // SetInstances replaces the instance list. Readers see it after the lag.
 func (p *Platform) SetInstances(instances []platform.Instance) { p.list.set(instances) }
--- a/standin/rankhttp.go
+++ b/standin/rankhttp.go
@@ -19,6 +19,7 @@
 	defer g.mu.Unlock()
 	r := g.replicas[replica]
 	if b.Session < r.session || b.Session == r.session && b.Seq <= r.seq {
+		g.staleBatches++
 		return rankapi.Answer{}, errkind.New(errkind.StaleFencingToken,
 			"batch %d of session %d follows batch %d of session %d", b.Seq, b.Session, r.seq, r.session)
 	}
@@ -187,6 +188,7 @@
 			writeError(w, errkind.Wrap(errkind.InvalidRequest, err, "rank commands"))
 			return
 		}
+		g.await(replica, b)
 		answer, err := g.Command(replica, b)
 		writeResult(w, answer, err)
 	})
--- a/standin/ranks.go
+++ b/standin/ranks.go
@@ -53,6 +53,10 @@
 	mixedSteps   int
 	heldSteps    int
 	lateCommands int
+	staleBatches int
+	// blocks holds a channel for each block, closed at its end.
+	blocks  map[block]chan struct{}
+	blocked int
 }
 
 // replicaRanks is the state of the ranks of one replica.
@@ -81,7 +85,10 @@
 // NewRankGroup returns a group in step 0 with the uniform map on all ranks.
 func NewRankGroup(cfg RankGroupConfig) (*RankGroup, error) {
 	cfg.CountEvery = max(1, cfg.CountEvery)
-	g := &RankGroup{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), popularity: cfg.Popularity}
+	g := &RankGroup{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), popularity: cfg.Popularity,
+		blocks: make(map[block]chan struct{}),
+	}
 	g.topology = experts.Topology{
 		Experts: cfg.Experts, SlotsPerRank: cfg.SlotsPerRank,
 		Domains: make([]string, cfg.Replicas*cfg.RanksPerReplica),
