Run a rank group as processes in scripts

Cause: invariant 1 over real connections was tested with four members in one process only. A kill, a SIGSTOP and a session that a dead process left at its backend server were not tried.

Change: eleven scripts with a stand-in platform, the stand-in ranks and four sidecars, all separate processes. After each script no step may be mixed and no command of an earlier holder may follow one of a later holder. Phases are reached by blocking a kind of rank command, not by time.

Ruled out: delivering a late request together with the end of its connection.

--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -57,6 +57,21 @@
 	"exit-code":      command(1, (*run).exitCode),
 	"sidecar-of":     command(2, (*run).sidecarOf),
 	"one-answer":     command(3, (*run).oneAnswer),
+	"members":        command(1, (*run).members),
+	"restart":        command(1, (*run).restart),
+	"replace":        command(2, (*run).replace),
+	"stall":          command(1, (*run).stall),
+	"unstall":        command(1, (*run).unstall),
+	"block":          command(2, (*run).block),
+	"unblock":        command(0, (*run).unblock),
+	"link-holds":     command(2, (*run).linkHolds),
+	"late-orders":    command(1, (*run).lateOrders),
+	"unstaged":       command(1, (*run).unstaged),
+	"logged":         command(2, (*run).logged),
+	"candidates":     command(1, (*run).candidates),
+	"steps":          command(1, (*run).steps),
+	"advances":       command(0, (*run).advances),
+	"paced":          command(1, (*run).paced),
 }
 
 // run is one execution of a command.
@@ -130,6 +145,10 @@
 	if p.kind == kindEntry {
 		row.Role, row.Address = platform.RoleEntry, p.peer
 	}
+	row.Group = flagValue(p.flags, "group")
+	if row.Ranks, err = p.ranks(); err != nil {
+		return platform.Instance{}, err
+	}
 	if through != "" {
 		row.Address = r.links[through].address
 	}
@@ -517,7 +536,8 @@
 }
 
 // find waits until one of several processes answers a path with a match and
-// sets VAR to its name and VAR_other to that of the other ones.
+// sets VAR to its name, VAR_other to the other ones, and VAR_1, VAR_2 and so on
+// to each of them.
 func (r *run) find(args []string) error {
 	variable, path := args[0], args[1]
 	pattern, err := regexp.Compile(args[2])
@@ -544,6 +564,9 @@
 		}
 		r.Setenv(variable, found)
 		r.Setenv(variable+"_other", strings.Join(others, " "))
+		for n, other := range others {
+			r.Setenv(variable+"_"+strconv.Itoa(n+1), other)
+		}
 		return nil
 	})
 }
--- a/scenarios/process_test.go
+++ b/scenarios/process_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -22,6 +23,7 @@
 	kindPlain    kind = "plain"
 	kindEntry    kind = "entry"
 	kindSidecar  kind = "sidecar"
+	kindRanks    kind = "ranks"
 )
 
 const tailBytes = 6000
@@ -135,6 +137,22 @@
 	return p, nil
 }
 
+// ranks returns the ranks that the backend server of a sidecar hosts.
+func (p *process) ranks() ([]int, error) {
+	var list []int
+	for text := range strings.SplitSeq(flagValue(p.flags, "ranks"), ",") {
+		if text == "" {
+			continue
+		}
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, n)
+	}
+	return list, nil
+}
+
 func flagValue(flags []string, name string) string {
 	for _, f := range slices.Backward(flags) {
 		if value, ok := strings.CutPrefix(f, "--"+name+"="); ok {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -112,3 +112,46 @@
 
 // Guards against publish --wait that can't ask the entries.
 func TestTableWaitEntry(t *testing.T) { runScript(t, "table-wait-entry") }
+
+// Guards against a group whose ranks use different maps, or that stops,
+// although nothing fails.
+func TestGroupSwitch(t *testing.T) { runScript(t, "group-switch") }
+
+// Guards against a group that stays between two maps when its holder dies in
+// any phase of a switch.
+func TestGroupHolderKilled(t *testing.T) { runScript(t, "group-holder-killed") }
+
+// Guards against a paused holder whose late commands take effect on backend
+// servers that ignore tokens.
+func TestGroupHolderFrozen(t *testing.T) { runScript(t, "group-holder-frozen") }
+
+// Guards against a group that stays between two maps when members die in any
+// phase of a switch, or restart while the log is down.
+func TestGroupMember(t *testing.T) { runScript(t, "group-member") }
+
+// Guards against a restarted sidecar that obeys a holder before it has read
+// the current token.
+func TestGroupRestartToken(t *testing.T) { runScript(t, "group-restart-token") }
+
+// Guards against orders of an earlier holder that take effect after those of a
+// later one.
+func TestGroupLate(t *testing.T) { runScript(t, "group-late") }
+
+// Guards against a group that steps on two maps, or stops, because orders or
+// votes are lost or late.
+func TestGroupLost(t *testing.T) { runScript(t, "group-lost") }
+
+// Guards against a switch without agreement in an outage of the log, and two
+// holders after it.
+func TestGroupLog(t *testing.T) { runScript(t, "group-log") }
+
+// Guards against a switch that a stalled rank leaves half done.
+func TestGroupStalled(t *testing.T) { runScript(t, "group-stalled") }
+
+// Guards against a switch that ends before the weight store can have served
+// its moves, or with a mixed step while the store is slow.
+func TestGroupStore(t *testing.T) { runScript(t, "group-store") }
+
+// Guards against a group that waits forever, or steps on two maps, when the
+// weight store goes down while weights are staged.
+func TestGroupStoreOutage(t *testing.T) { runScript(t, "group-store-outage") }
