--- a/scenarios/link_test.go
+++ b/scenarios/link_test.go
@@ -127,13 +127,6 @@
 	}
 }
 
-// retarget leads new connections to another address.
-func (l *link) retarget(target string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.target = target
-}
-
 // hold reads the first bytes of a connection in mode late and returns them at
 // the end of the mode.
 func (l *link) hold(in net.Conn) []byte {
