Name the platform's URL alike in all commands

Someone who exports the variable of one got a missing flag from the other.

Checked by hand: a bad URL ends with exit code 2, an unreachable one with 5, by either name.

--- a/tablecli/commands.go
+++ b/tablecli/commands.go
@@ -30,11 +30,12 @@
 
 // Source names the platform.
 type Source struct {
-	Platform string `required:"" env:"FILBERTMUX_PLATFORM" help:"Base URL of the platform."`
+	// The name is that of the daemons' setting; --platform is its earlier one.
+	PlatformURL string `name:"platform-url" aliases:"platform" required:"" env:"FILBERTMUX_PLATFORM_URL,FILBERTMUX_PLATFORM" help:"URL of the platform services."`
 }
 
 func (s Source) client() (*platform.HTTPClient, error) {
-	return platform.NewHTTPClient(s.Platform, &http.Client{Timeout: time.Minute})
+	return platform.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: time.Minute})
 }
 
 // Edit names the edited rows.
