Keep what entry and sidecar share in one place

Cause: reading both as a newcomer, the same logic stood twice: hop headers, the event stream type, the [DONE] event, the test for a failed dial, the fingerprint of a call and the body of /statusz. The entry also computed a hash for CallRequest.fingerprint, which nothing reads.

Ruled out: one function for both event readers. The sidecar splits a stream into events, the entry looks at one event.

Change: internal/proxyhttp, quarantine.FingerprintOf and daemon.Status hold these.

Conclusion: behaviour is unchanged.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"mime"
 	"net/http"
 	"strconv"
 
@@ -11,6 +10,7 @@
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
 
 // maxHeldBytes is the size up to which an answer that is not an event stream
@@ -154,13 +154,12 @@
 		if h.GetName() != "Content-Type" || len(h.GetValues()) == 0 {
 			continue
 		}
-		mediaType, _, err := mime.ParseMediaType(h.GetValues()[0])
-		return err == nil && mediaType == "text/event-stream"
+		return proxyhttp.IsEventStream(h.GetValues()[0])
 	}
 	return false
 }
 
 func isDoneEvent(event []byte) bool {
-	data, ok := bytes.CutPrefix(event, []byte("data:"))
-	return ok && string(bytes.TrimSpace(data)) == "[DONE]"
+	data, ok := proxyhttp.EventData(event)
+	return ok && proxyhttp.IsDone(data)
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -10,10 +10,10 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
-	"github.com/zeebo/xxh3"
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 	"github.com/filbertmux/filbertmux/routing"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/table"
@@ -174,7 +174,6 @@
 		Headers:      forwardedHeaders(r.Header),
 		Body:         body,
 		TableOffset:  uint64(view.Offset()),
-		Fingerprint:  fingerprint(service, org.Name, body),
 	}
 }
 
@@ -198,13 +197,10 @@
 	return body, nil
 }
 
-// withheldHeaders are not passed on: those of one connection (RFC 9110, section
-// 7.6.1), the caller's key, and those that the sidecar sets itself.
+// withheldHeaders are not passed on beside those of one connection: the
+// caller's keys, and those that the sidecar sets itself.
 var withheldHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true, "Accept-Encoding": true,
+	"Proxy-Authorization": true, "Expect": true, "Accept-Encoding": true,
 	"Authorization": true, "Idempotency-Key": true,
 }
 
@@ -217,22 +213,13 @@
 	}
 	var headers []*pb.Header
 	for name, values := range h {
-		if !withheldHeaders[name] && !named[name] {
+		if !withheldHeaders[name] && !proxyhttp.IsHopHeader(name) && !named[name] {
 			headers = append(headers, &pb.Header{Name: name, Values: values})
 		}
 	}
 	return headers
 }
 
-// fingerprint identifies a request that is sent again. The separators keep two
-// different requests from having the same input.
-func fingerprint(service, organisation string, body []byte) uint64 {
-	h := xxh3.New()
-	_, _ = h.WriteString(service + "\x00" + organisation + "\x00")
-	_, _ = h.Write(body)
-	return h.Sum64()
-}
-
 func labels(r *request) telemetry.Request {
 	call := r.callOrNil()
 	return telemetry.Request{
--- a/entry/server.go
+++ b/entry/server.go
@@ -147,19 +147,20 @@
 	c.Header(requestIDHeader, requestID)
 	ctx, cancel := s.requestContext(c.Request, requestID)
 	defer cancel()
-	release, err := s.admit()
-	if err != nil {
+	refuseUnread := func(err error) {
 		err = ofUnread(c.Request, s.table.View(), err)
 		s.finish(ctx, start, nil, err)
 		refuse(c, requestID, err)
+	}
+	release, err := s.admit()
+	if err != nil {
+		refuseUnread(err)
 		return
 	}
 	defer release()
 	r, err := s.accept(c, parse)
 	if err != nil {
-		err = ofUnread(c.Request, s.table.View(), err)
-		s.finish(ctx, start, r, err)
-		refuse(c, requestID, err)
+		refuseUnread(err)
 		return
 	}
 	r.call.Id = &pb.AttemptId{RequestId: requestID}
--- a/entry/status.go
+++ b/entry/status.go
@@ -5,36 +5,21 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/daemon"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
 // Status is the JSON body of /statusz.
 type Status struct {
-	Role          string          `json:"role"`
-	Instance      string          `json:"instance"`
-	Incarnation   string          `json:"incarnation"`
-	Region        string          `json:"region"`
-	FailureDomain string          `json:"failure_domain"`
-	Office        string          `json:"office,omitempty"`
-	TableOffset   platform.Offset `json:"table_offset"`
-	InFlight      int             `json:"in_flight"`
-	Leaving       bool            `json:"leaving"`
-	Violations    int64           `json:"invariant_violations"`
+	daemon.Status
+	Office string `json:"office,omitempty"`
 }
 
 func (s *Server) status() Status {
+	common := s.settings.Common
 	return Status{
-		Role:          string(platform.RoleEntry),
-		Instance:      s.settings.Instance,
-		Incarnation:   string(s.incarnation),
-		Region:        s.settings.Region,
-		FailureDomain: s.settings.FailureDomain,
-		Office:        s.settings.Office,
-		TableOffset:   s.table.View().Offset(),
-		InFlight:      s.gate.InFlight(),
-		Leaving:       s.gate.IsLeaving(),
-		Violations:    invariant.Violations(),
+		Status: daemon.NewStatus(string(platform.RoleEntry), common, s.incarnation, s.table.View().Offset(), s.gate),
+		Office: common.Office,
 	}
 }
 
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -44,7 +44,7 @@
 
 // attach adds what is known of the request to it.
 func (s *suspectCarrier) attach(call *pb.CallRequest) {
-	f := quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+	f := quarantine.FingerprintOf(call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call.SuspectReports = quarantine.Messages(s.register.Reports(f))
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/go-faster/errors"
 
 	"github.com/filbertmux/filbertmux/entry/lifecycle"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
 
@@ -69,7 +68,7 @@
 	}
 	return lifecycle.Event{
 		Kind: lifecycle.ConnectionEnded, Connection: m.connection, Err: m.err,
-		Unreachable: isDialError(m.err), Lost: isFinal(m.err),
+		Unreachable: proxyhttp.IsDialError(m.err), Lost: isFinal(m.err),
 	}
 }
 
@@ -87,11 +86,6 @@
 	})
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // isFinal reports whether the sidecar said that resuming can't help, for example
 // because it does not hold the missing chunks.
 func isFinal(cause error) bool {
--- a/quarantine/message.go
+++ b/quarantine/message.go
@@ -40,3 +40,8 @@
 	}
 	return reports
 }
+
+// FingerprintOf returns the fingerprint of a call as entry and sidecar see it.
+func FingerprintOf(call *pb.CallRequest) Fingerprint {
+	return NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+}
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -4,17 +4,15 @@
 	"bytes"
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"net/url"
 	"strings"
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
 
-const eventStreamType = "text/event-stream"
-
 // backend sends calls to the backend server beside this process. It is safe
 // for concurrent use.
 type backend struct {
@@ -97,7 +95,7 @@
 // backend server did not receive the call.
 func backendError(ctx context.Context, err error) *errkind.Error {
 	switch {
-	case isDialError(err):
+	case proxyhttp.IsDialError(err):
 		return errkind.Wrap(errkind.BackendUnavailable, err, "connect to the backend server")
 	case ctx.Err() != nil:
 		return errkind.Wrap(errkind.Canceled, context.Cause(ctx), "call")
@@ -152,28 +150,17 @@
 		}
 	}
 	if !events.done {
-		return errkind.New(errkind.StreamIncomplete, "the backend server ended the stream without %s", doneEvent)
+		return errkind.New(errkind.StreamIncomplete, "the backend server ended the stream without [DONE]")
 	}
 	return nil
 }
 
-func isEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return err == nil && mediaType == eventStreamType
-}
-
-// hopHeaders concern one connection only and are not passed on (RFC 9110,
-// section 7.6.1). Content-Length is set anew for each connection.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
-}
+func isEventStream(h http.Header) bool { return proxyhttp.IsEventStream(h.Get("Content-Type")) }
 
 func headOf(resp *http.Response) *pb.Head {
 	head := &pb.Head{Status: int32(resp.StatusCode)}
 	for name, values := range resp.Header {
-		if !hopHeaders[name] {
+		if !proxyhttp.IsHopHeader(name) {
 			head.Headers = append(head.Headers, &pb.Header{Name: name, Values: values})
 		}
 	}
--- a/sidecar/events.go
+++ b/sidecar/events.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
-)
 
-// doneEvent is the data of the event that ends a whole completion stream.
-var doneEvent = []byte("[DONE]")
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
+)
 
 // eventReader splits a stream of server-sent events into whole events, so that
 // each chunk holds one event and the last event can be held back until the
@@ -65,9 +63,9 @@
 
 // note remembers whether the event that ends the stream was seen.
 func (r *eventReader) note(line []byte) {
-	if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+	if data, ok := proxyhttp.EventData(line); ok {
 		r.data = true
-		r.done = bytes.Equal(bytes.TrimSpace(data), doneEvent)
+		r.done = proxyhttp.IsDone(data)
 	}
 }
 
--- a/sidecar/health.go
+++ b/sidecar/health.go
@@ -52,8 +52,3 @@
 	var op *net.OpError
 	return errors.As(err, &op) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
-
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
--- a/sidecar/model.go
+++ b/sidecar/model.go
@@ -14,6 +14,7 @@
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 	"github.com/filbertmux/filbertmux/table"
 )
 
@@ -38,7 +39,7 @@
 func (s *Server) runModel(ctx context.Context, a *attempt, call *pb.CallRequest) (err error) {
 	id := fmt.Sprintf("%s.%d.%s", a.id.GetRequestId(), a.id.GetAttempt(), s.incarnation)
 	defer func() {
-		if err != nil && !isDialError(err) {
+		if err != nil && !proxyhttp.IsDialError(err) {
 			go s.backend.cancelStream(id)
 		}
 	}()
--- a/sidecar/module.go
+++ b/sidecar/module.go
@@ -16,7 +16,6 @@
 	"github.com/filbertmux/filbertmux/drain"
 	"github.com/filbertmux/filbertmux/errkind"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/invariant"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/suspectlog"
@@ -150,30 +149,12 @@
 
 // Status is the JSON body of /statusz.
 type Status struct {
-	Role          string          `json:"role"`
-	Instance      string          `json:"instance"`
-	Incarnation   string          `json:"incarnation"`
-	Service       string          `json:"service"`
-	Region        string          `json:"region"`
-	FailureDomain string          `json:"failure_domain"`
-	TableOffset   platform.Offset `json:"table_offset"`
-	InFlight      int             `json:"in_flight"`
-	Leaving       bool            `json:"leaving"`
-	Violations    int64           `json:"invariant_violations"`
+	daemon.Status
+	Service string `json:"service"`
 }
 
 func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Status{
-		Role:          "sidecar",
-		Instance:      s.settings.Instance,
-		Incarnation:   s.incarnation,
-		Service:       s.settings.Service,
-		Region:        s.settings.Region,
-		FailureDomain: s.settings.FailureDomain,
-		TableOffset:   s.table.Offset(),
-		InFlight:      s.gate.InFlight(),
-		Leaving:       s.gate.IsLeaving(),
-		Violations:    invariant.Violations(),
-	})
+	common := daemon.NewStatus("sidecar", s.settings.Common, daemon.Incarnation(s.incarnation), s.table.Offset(), s.gate)
+	_ = json.NewEncoder(w).Encode(Status{Status: common, Service: s.settings.Service})
 }
--- a/sidecar/suspects_test.go
+++ b/sidecar/suspects_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 	"github.com/filbertmux/filbertmux/quarantine"
 	"github.com/filbertmux/filbertmux/standin"
 )
@@ -223,6 +224,6 @@
 	ctx, r, err := g.enter(context.Background(), quarantine.Fingerprint{})
 	require.NoError(t, err)
 	require.True(t, g.died(r))
-	require.False(t, isDialError(context.Cause(ctx)))
+	require.False(t, proxyhttp.IsDialError(context.Cause(ctx)))
 	require.Equal(t, errkind.Unknown, backendError(ctx, context.Cause(ctx)).Execution)
 }
