Hand a copy of the attempt's id to resume and cancel

Cause: Receiver.ID returns the id that the receiver changes when the first chunk names the incarnation. The effects of a resume and of the end of an attempt carried it to the goroutine of a connection, as the former code did.

Change: lifecycle copies the id. Once stream.Receiver.ID returns a copy, this one can go.

Conclusion: no goroutine but the owner reads the receiver's id.

--- a/entry/lifecycle/script_test.go
+++ b/entry/lifecycle/script_test.go
@@ -223,3 +223,21 @@
 		return runScripts(c, make(map[State]bool))
 	})
 }
+
+// Guards against an id that the receiver changes while the goroutine of a new
+// connection sends it.
+func TestResumeCarriesACopyOfTheID(t *testing.T) {
+	s := &script{now: time.UnixMilli(1_800_000_000_000), request: New(Config{
+		ID: "r", Idempotent: true, MaxResumes: 2,
+		Receiver: stream.ReceiverConfig{MaxPending: 8, SilenceTimeout: time.Second, ProgressTimeout: time.Hour},
+	})}
+	for word := range strings.FieldsSeq(attempting) {
+		require.NoError(t, s.step(word))
+	}
+	effects := s.request.Step(s.now, scriptEvents["lost"](s))
+	resumed := effects[len(effects)-1]
+	require.Equal(t, Resume, resumed.Kind)
+	require.NoError(t, s.step("head>deliver"))
+	require.Equal(t, "i", s.request.receiver.ID().GetIncarnation())
+	require.Empty(t, resumed.ID.GetIncarnation())
+}
--- a/entry/lifecycle/transitions.go
+++ b/entry/lifecycle/transitions.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/filbertmux/filbertmux/chart"
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -144,10 +146,14 @@
 	r.connection++
 	r.receiver.Reconnected(now)
 	return []Effect{{
-		Kind: Resume, ID: r.receiver.ID(), Connection: r.connection, NextSeq: r.receiver.NextSeq(), Err: e.Err,
+		Kind: Resume, ID: r.id(), Connection: r.connection, NextSeq: r.receiver.NextSeq(), Err: e.Err,
 	}}
 }
 
+// id returns a copy, because the driver passes it to other goroutines and the
+// receiver sets the incarnation with the first chunk.
+func (r *Request) id() *pb.AttemptId { return proto.CloneOf(r.receiver.ID()) }
+
 func (r *Request) finish(time.Time, Event) []Effect {
 	if !invariant.Check(r.receiver.Complete(), "clean end of an answer that was not verified") {
 		return r.abort()
@@ -170,7 +176,7 @@
 		return nil
 	}
 	r.open = false
-	end := Effect{Kind: EndAttempt, ID: r.receiver.ID(), Failure: f}
+	end := Effect{Kind: EndAttempt, ID: r.id(), Failure: f}
 	if f != nil {
 		r.worst = worse(r.worst, f)
 		end.Cancel = !r.receiver.Finished()
