Leave out servers that fail the requests they get

Cause: a backend server that answers probes but fails every request kept its share of the work. Nothing but a failed connection removed a server, and the retry budget covers a tenth of the requests only.

Ruled out: a larger budget (it raises the load when a service is overloaded), a health check by the sidecar (these servers answer it).

The run without ejection is part of the benchmark and of TestLifeCycleUnderFaults, which fails without the rule.

--- a/bench/routing/faults.go
+++ b/bench/routing/faults.go
@@ -33,20 +33,27 @@
 	unreachable bool
 	load        float64 // during the fault
 	retries     retry.Config
+	noEjection  bool
 }
 
-// noBudget names the run that shows what the budget prevents.
-const noBudget = "30% fail, no budget"
+// failing servers answer probes. The other runs have a rule off and show what
+// the rule is for.
+const (
+	failing    = "30% fail"
+	noBudget   = "30% fail, no budget"
+	noEjection = "30% fail, no ejection"
+)
 
 func lifeFaults() []lifeFault {
 	faults := []lifeFault{
-		{name: "30% fail", servers: retryFailing, ended: faultEnd, load: retryLoad},
+		{name: failing, servers: retryFailing, ended: faultEnd, load: retryLoad},
 		{name: "30% unreachable", servers: retryFailing, ended: faultEnd, load: retryLoad, unreachable: true},
 		{name: "30% fail, overload", servers: retryFailing, ended: faultEnd, load: overload},
 		{name: "overload", ended: faultEnd, load: overload},
 		{name: "all fail 10 s", servers: retryServers, ended: outageEnd, load: retryLoad},
 		{name: "all unreachable 10 s", servers: retryServers, ended: outageEnd, load: retryLoad, unreachable: true},
-		{name: noBudget, servers: retryFailing, ended: faultEnd, load: retryLoad},
+		{name: noEjection, servers: retryFailing, ended: faultEnd, load: retryLoad, noEjection: true},
+		{name: noBudget, servers: retryFailing, ended: faultEnd, load: retryLoad, noEjection: true},
 	}
 	for i := range faults {
 		faults[i].retries = retry.DefaultConfig()
@@ -66,9 +73,11 @@
 	fault  lifeFault
 	budget *retry.Budget
 	view   *membership.View
-	policy decide.Policy
-	freeAt map[string]time.Time
-	hit    map[string]bool
+	// outliers is nil in the run that shows what ejection is for.
+	outliers *membership.Outliers
+	policy   decide.Policy
+	freeAt   map[string]time.Time
+	hit      map[string]bool
 	perSecond
 }
 
@@ -89,6 +98,9 @@
 		policy: &decide.PowerOfTwo{Loads: decide.NewLoads(reportsMaxAge)},
 		freeAt: make(map[string]time.Time), hit: make(map[string]bool),
 	}
+	if !fault.noEjection {
+		r.outliers = membership.NewOutliers(membership.DefaultOutlierConfig())
+	}
 	var rows []platform.Instance
 	for i := range retryServers {
 		row := platform.Instance{
@@ -178,6 +190,7 @@
 			ID: c.server, Sent: c.sent, Timeout: e.Kind == lifecycle.ReportSilent,
 		})
 	case lifecycle.EndAttempt:
+		r.noteResult(c.server, e.Failure)
 		r.policy.Observe(r.clock.now, decide.Event{Kind: decide.Finished, Server: c.server})
 	case lifecycle.AskRetry:
 		r.askRetry(c, e)
@@ -187,10 +200,25 @@
 	}
 }
 
+// noteResult does what entry/servers does with the end of an attempt.
+func (r *lifeRun) noteResult(server string, failure *lifecycle.Failure) {
+	switch {
+	case r.outliers == nil:
+	case failure == nil:
+		r.outliers.Succeeded(server)
+	case failure.Err.Kind == errkind.BackendFailed:
+		r.outliers.Failed(r.clock.now, server)
+	}
+}
+
 // candidates returns the servers that the request was not tried on.
 func (r *lifeRun) candidates(c *lifeCall) []decide.Candidate {
 	var found []decide.Candidate
-	for _, s := range r.view.Candidates(memberService) {
+	servers := r.view.Candidates(memberService)
+	if r.outliers != nil {
+		servers = r.outliers.Keep(r.clock.now, servers)
+	}
+	for _, s := range servers {
 		if !slices.Contains(c.tried, s.ID) {
 			found = append(found, decide.Candidate{ID: s.ID, FailureDomain: s.FailureDomain})
 		}
--- a/bench/routing/routing_test.go
+++ b/bench/routing/routing_test.go
@@ -60,14 +60,22 @@
 }
 
 // Guards against attempts above the budget and against an entry that stays down
-// after its servers have come back, with the life cycle that ships. Without the
-// budget the attempts are above it.
+// after its servers have come back, with the life cycle that ships, and against
+// servers that answer probes, fail each request and keep their share of the work.
+// Without the budget the attempts are above it.
 func TestLifeCycleUnderFaults(t *testing.T) {
 	replay(t)
 	config := retry.DefaultConfig()
 	// Saved-up retries count once: about 1,400 requests arrive in 10 s.
 	bound := 1 + config.Ratio + config.Burst/1300
 	for _, r := range runFaults(testSeed) {
+		if r.Setting == failing {
+			// 30% of the servers fail; each has to fail a few requests first.
+			require.GreaterOrEqual(t, r.GoodputFault, 0.9)
+		}
+		if r.Setting == noEjection {
+			require.Less(t, r.GoodputFault, 0.9)
+		}
 		if r.Setting == noBudget {
 			require.Greater(t, r.AttemptsInFault, bound)
 			continue
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -170,8 +170,10 @@
 	}
 	x.endTransfer()
 	if e.Failure == nil {
+		x.servers.Succeeded(x.instance)
 		return
 	}
+	x.servers.FailedRequest(x.instance, e.Failure.Err.Kind)
 	switch e.Failure.Err.Kind {
 	case errkind.BackendUnavailable:
 		x.servers.Unavailable(x.instance)
--- a/entry/servers/servers.go
+++ b/entry/servers/servers.go
@@ -47,6 +47,7 @@
 	list     *[]platform.Instance // the list that was applied last
 	services map[string]*service
 	held     map[string]time.Time // instance id -> avoided before
+	outliers *membership.Outliers
 }
 
 // service is the routing state of one service.
@@ -74,6 +75,7 @@
 		view:     membership.New(config.Membership),
 		services: make(map[string]*service),
 		held:     make(map[string]time.Time),
+		outliers: membership.NewOutliers(membership.DefaultOutlierConfig()),
 	}
 }
 
@@ -130,7 +132,8 @@
 }
 
 // candidates returns the best servers that were not tried: usable ones, then
-// suspect ones, then those that are avoided for a while.
+// suspect ones, then those that are avoided for a while. Servers that fail the
+// requests they get are left out as long as enough others remain.
 func (s *Servers) candidates(r Request) []membership.Server {
 	tried := func(m membership.Server) bool { return slices.Contains(r.Tried, m.ID) }
 	found := slices.DeleteFunc(s.view.Candidates(r.Service), tried)
@@ -140,10 +143,10 @@
 		})
 	}
 	free := slices.DeleteFunc(slices.Clone(found), s.isHeld)
-	if len(free) > 0 {
-		return free
+	if len(free) == 0 {
+		free = found
 	}
-	return found
+	return s.outliers.Keep(s.config.Now(), free)
 }
 
 func (s *Servers) isHeld(m membership.Server) bool {
@@ -195,6 +198,35 @@
 	s.held[server.ID] = s.config.Now().Add(unavailableHold)
 }
 
+// Succeeded notes that the server gave a whole answer to a request.
+func (s *Servers) Succeeded(server platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outliers.Succeeded(server.ID)
+}
+
+// FailedRequest notes the error with which an attempt ended at the server.
+func (s *Servers) FailedRequest(server platform.Instance, kind errkind.Kind) {
+	if !isFaultOfServer(kind) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outliers.Failed(s.config.Now(), server.ID)
+}
+
+// isFaultOfServer lists the kinds that say something about the server. Others
+// are about the request, its caller, the log, or a server that is busy or
+// leaving.
+func isFaultOfServer(kind errkind.Kind) bool {
+	switch kind {
+	case errkind.BackendFailed, errkind.BackendUnavailable, errkind.StreamIncomplete:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Servers) observe(server platform.Instance, e routing.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -209,11 +241,21 @@
 	}
 	s.list = list
 	s.view.ApplyList(s.config.Now(), *list)
+	s.forgetRemoved()
+}
+
+// forgetRemoved drops what is kept about servers that the view no longer has.
+// The caller holds mu.
+func (s *Servers) forgetRemoved() {
 	for id := range s.held {
 		if _, ok := s.view.Get(id); !ok {
 			delete(s.held, id)
 		}
 	}
+	s.outliers.Retain(func(id string) bool {
+		_, ok := s.view.Get(id)
+		return ok
+	})
 }
 
 // service returns the routing state of a service and drops what it knows about
--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -181,3 +181,23 @@
 		require.Equal(t, name, newPolicy(name, "d0").Name())
 	}
 }
+
+// Guards against a server that answers probes, fails each request and still
+// gets work, and against one that is avoided because of errors that say nothing
+// about it.
+func TestServerThatFailsRequestsIsEjected(t *testing.T) {
+	f := newFleet("round_robin", 1, 4)
+	f.pass(time.Second)
+	bad := platform.Instance{ID: "s1"}
+	for range 20 {
+		f.servers.FailedRequest(bad, errkind.QueueFull)
+		f.servers.FailedRequest(bad, errkind.LogUnavailable)
+	}
+	require.Positive(t, f.pick(t, 40, Request{})["s1"])
+	for range membership.DefaultOutlierConfig().FailuresInARow {
+		f.servers.FailedRequest(bad, errkind.BackendFailed)
+	}
+	require.Zero(t, f.pick(t, 40, Request{})["s1"])
+	f.pass(2 * membership.DefaultOutlierConfig().BaseHold)
+	require.Positive(t, f.pick(t, 40, Request{})["s1"])
+}
