Keep copies of a request together at an entry

Cause: copies of a crashing request that arrive at once reached a server each, because no sidecar had seen a crash, and known suspects ran alone on several servers at the same time.

Ruled out: waiting for a copy whose server is no candidate (an innocent copy would wait for a silent server); ordering suspects only (the first copies already reach up to 12 servers; not run).

Change: an entry sends copies to the server that runs some of them, up to its part of that server's places; of a suspect it runs one attempt at a time, on the server that the fingerprint's rendezvous order gives at all entries. Other fingerprints are not affected.

--- a/entry/admit.go
+++ b/entry/admit.go
@@ -78,6 +78,11 @@
 	return max(minConcurrency, places/s.liveEntries())
 }
 
+// placesPerServer returns this entry's part of the places at one server.
+func (s *Server) placesPerServer() int {
+	return max(minConcurrency, s.settings.ServerConcurrency/s.liveEntries())
+}
+
 // minConcurrency is the least bound of an entry. With many entries and few
 // servers the derived part is below one request.
 const minConcurrency = 4
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -40,6 +40,7 @@
 	mu     sync.Mutex
 	byAddr map[string]*sidecarClient
 
+	carrier  *suspectCarrier
 	suspects connect.Option
 }
 
@@ -54,9 +55,10 @@
 			IdleConnTimeout:     idleConnTimeout,
 		}}}
 	}
+	carrier := newSuspectCarrier(time.Now)
 	return &clients{
 		reusing: client(false), fresh: client(true), byAddr: make(map[string]*sidecarClient),
-		suspects: connect.WithInterceptors(newSuspectCarrier(time.Now)),
+		carrier: carrier, suspects: connect.WithInterceptors(carrier),
 	}
 }
 
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/quarantine"
 	"github.com/filbertmux/filbertmux/retry"
 	"github.com/filbertmux/filbertmux/stream"
 	"github.com/filbertmux/filbertmux/telemetry"
@@ -27,16 +28,18 @@
 	clients  *clients
 	receiver stream.ReceiverConfig
 	retries  *retries
+	copies   *copies
 }
 
 // run makes attempts until one delivers the whole answer.
 func (d *dispatcher) run(ctx context.Context, r *request, out *answer) error {
 	route := servers.Request{Service: r.call.GetService(), Key: r.call.GetIdempotencyKey(), Prefix: r.prefix}
 	d.retries.firstAttempt(route.Service)
+	f := fingerprintOf(r.call)
 	var failed *failure
 	for n := 1; ; n++ {
 		d.prober.BeforePick(ctx, route)
-		instance, err := d.servers.Pick(route)
+		instance, leave, err := d.pick(ctx, f, route)
 		if err != nil && failed != nil {
 			return failed.ofKey(r)
 		}
@@ -45,6 +48,7 @@
 		}
 		route.Tried = append(route.Tried, instance.ID)
 		last := d.attempt(ctx, r.call, n, instance, out)
+		leave()
 		if last == nil {
 			return nil
 		}
@@ -58,6 +62,20 @@
 	}
 }
 
+// pick chooses a server for one attempt. leave ends the attempt.
+func (d *dispatcher) pick(ctx context.Context, f quarantine.Fingerprint, route servers.Request) (chosen platform.Instance, leave func(), err error) {
+	leave, err = d.copies.enter(ctx, f, func(running string, suspect bool) (string, error) {
+		route.Copy = running
+		if suspect {
+			route.Suspect = f.BodyHash
+		}
+		var err error
+		chosen, err = d.servers.Pick(route)
+		return chosen.ID, err
+	})
+	return chosen, leave, err
+}
+
 // mayRepeat asks the retry budget and waits for the delay of the retry.
 func (d *dispatcher) mayRepeat(ctx context.Context, r *request, n int, last *failure, out *answer) bool {
 	deadline, _ := ctx.Deadline()
--- a/entry/fixture_test.go
+++ b/entry/fixture_test.go
@@ -180,6 +180,11 @@
 			})
 		}
 	}
+	return newFixtureOf(t, edit, row, list)
+}
+
+func newFixtureOf(t *testing.T, edit func(*settings.Entry), row func(*table.SheetRow), list fixedList) *fixture {
+	t.Helper()
 	cfg := settings.Entry{
 		Common:         settings.Common{MaxBodyBytes: 1000, Instance: "e1"},
 		MaxPromptBytes: 500, MaxStreams: 100, RequestTimeout: time.Hour, BodyTimeout: time.Hour,
--- a/entry/server.go
+++ b/entry/server.go
@@ -90,6 +90,7 @@
 	server.admission = admission.New(admission.Config{
 		QueueSize: s.QueueSize, Concurrency: server.concurrency, View: source.View, Now: time.Now,
 	})
+	server.dispatcher.copies = newCopies(c.carrier.handling, server.placesPerServer)
 	server.quota = quota.New(quota.Config{
 		Instance: s.Instance, Incarnation: string(incarnation),
 		View: source.View, Live: server.liveEntries, Now: time.Now,
--- a/entry/servers/servers.go
+++ b/entry/servers/servers.go
@@ -63,6 +63,13 @@
 	Key string
 	// Prefix is the hash of the prompt prefix, 0 without one.
 	Prefix uint64
+	// Copy is the id of the server that runs a copy of this request, empty
+	// without one. It is chosen if possible.
+	Copy string
+	// Suspect is the hash of a request that may have crashed a server, empty
+	// otherwise. All entries choose the same server for it, which then refuses
+	// it when it has crashed that one too.
+	Suspect string
 	// Tried holds the ids of servers that failed this request.
 	Tried []string
 }
@@ -121,6 +128,13 @@
 	if r.Key != "" {
 		return routing.PreferredOrder(r.Key, candidates)[0]
 	}
+	isCopy := func(c routing.Candidate) bool { return c.ID == r.Copy }
+	if at := slices.IndexFunc(candidates, isCopy); at >= 0 {
+		return at
+	}
+	if r.Suspect != "" {
+		return routing.PreferredOrder(r.Suspect, candidates)[0]
+	}
 	picked := s.service(r.Service).policy.Pick(s.routingRequest(now, r, candidates))
 	return max(picked, 0)
 }
--- a/entry/servers/servers_test.go
+++ b/entry/servers/servers_test.go
@@ -181,3 +181,22 @@
 		require.Equal(t, name, newPolicy(name, "d0").Name())
 	}
 }
+
+// Guards against a suspect that crashes another server through each entry.
+func TestSuspectsFollowTheirHashAtEveryEntry(t *testing.T) {
+	a, b := newFleet("round_robin", 1, 6), newFleet("round_robin", 2, 6)
+	a.pass(time.Second)
+	b.pass(time.Second)
+	b.pick(t, 1, Request{}) // the two are at different places of their rounds
+	used := make(map[string]bool)
+	for i := range 40 {
+		r := Request{Service: "desk", Suspect: strconv.Itoa(i)}
+		first, err := a.servers.Pick(r)
+		require.NoError(t, err)
+		second, err := b.servers.Pick(r)
+		require.NoError(t, err)
+		require.Equal(t, first.ID, second.ID)
+		used[first.ID] = true
+	}
+	require.Len(t, used, 6)
+}
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -42,9 +42,20 @@
 	}
 }
 
+func fingerprintOf(call *pb.CallRequest) quarantine.Fingerprint {
+	return quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+}
+
+// handling returns how a request may run, as far as this entry knows.
+func (s *suspectCarrier) handling(f quarantine.Fingerprint) quarantine.Handling {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.register.Handling(s.now(), f)
+}
+
 // attach adds what is known of the request to it.
 func (s *suspectCarrier) attach(call *pb.CallRequest) {
-	f := quarantine.NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
+	f := fingerprintOf(call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call.SuspectReports = quarantine.Messages(s.register.Reports(f))
