--- a/entry/retries_test.go
+++ b/entry/retries_test.go
@@ -55,3 +55,13 @@
 	now = now.Add(retry.DefaultConfig().OverloadHold)
 	require.True(t, r.decide("text-desk", attempt).Repeat)
 }
+
+// Guards against retries for a service whose sidecar has no place left.
+func TestFullSidecarStopsRetries(t *testing.T) {
+	f := newFixture(t, newFakeSidecar(t, "a", failing(errkind.New(errkind.QueueFull, "no place"))))
+	now := time.Now()
+	f.entry.dispatcher.retries.now = func() time.Time { return now }
+	f.complete(t)
+	failed := retry.Attempt{Err: errkind.New(errkind.BackendFailed, ""), Number: 1, Idempotent: true}
+	require.Equal(t, retry.ServiceOverload, f.entry.dispatcher.retries.decide("text-desk", failed).Reason)
+}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -173,3 +173,23 @@
 	got := errkind.Of(stream.EndError(stream.ErrorEnd(sent)))
 	require.Equal(t, sent, got)
 }
+
+// Guards against a repeated chunk that is taken for a new one: the caller would
+// get it twice, or the owner would count it as a gap.
+func TestRepeatedChunksAreDropped(t *testing.T) {
+	sender := stream.NewSender(attempt, 1<<10)
+	sender.Head(&pb.Head{Status: 200})
+	sender.Data([]byte("one"))
+	sender.Data([]byte("two"))
+	head, one, two := sender.Next(), sender.Next(), sender.Next()
+	receiver := stream.NewReceiver(&pb.AttemptId{RequestId: "r", Attempt: 1}, cfg, start)
+	var got []byte
+	for _, c := range []*pb.Chunk{head, head, two, two, one, one, two} {
+		for _, ready := range receiver.Receive(start, c) {
+			got = append(got, ready.GetData()...)
+		}
+	}
+	require.Equal(t, "onetwo", string(got))
+	require.EqualValues(t, 4, receiver.Stats().Duplicates)
+	require.Zero(t, receiver.Stats().BeyondGap)
+}
