--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -14,6 +14,7 @@
 	clients  *clients
 	receiver stream.ReceiverConfig
 	retries  *retries
+	copies   *copies
 }
 
 // noteRefusal stops retries after the queue refused work for lack of room or
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/filbertmux/filbertmux/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/quarantine"
 	"github.com/filbertmux/filbertmux/retry"
 	"github.com/filbertmux/filbertmux/telemetry"
 )
@@ -26,13 +27,16 @@
 // the goroutine of the request.
 type exchange struct {
 	*dispatcher
-	request  *request
-	out      *answer
-	life     *lifecycle.Request
-	route    servers.Request
-	instance platform.Instance // of the present attempt
-	transfer *transfer         // nil between attempts
-	err      error
+	request     *request
+	out         *answer
+	life        *lifecycle.Request
+	fingerprint quarantine.Fingerprint
+	route       servers.Request
+	instance    platform.Instance // of the present attempt
+	transfer    *transfer         // nil between attempts
+	// leaveCopies ends the present attempt among copies of the request.
+	leaveCopies func()
+	err         error
 }
 
 func (d *dispatcher) newExchange(r *request, out *answer) *exchange {
@@ -42,7 +46,8 @@
 			ID: r.call.GetId().GetRequestId(), Idempotent: r.call.GetIdempotent(),
 			Receiver: d.receiver, MaxResumes: maxResumes,
 		}),
-		route: servers.Request{Service: r.call.GetService(), Key: r.call.GetIdempotencyKey(), Prefix: r.prefix},
+		fingerprint: quarantine.FingerprintOf(r.call),
+		route:       servers.Request{Service: r.call.GetService(), Key: r.call.GetIdempotencyKey(), Prefix: r.prefix},
 	}
 }
 
@@ -120,15 +125,28 @@
 func (x *exchange) pick(ctx context.Context) lifecycle.Event {
 	x.out.reset()
 	x.prober.BeforePick(ctx, x.route)
-	instance, err := x.servers.Pick(x.route)
+	leave, err := x.copies.enter(ctx, x.fingerprint, x.pickServer)
 	if err != nil {
 		return lifecycle.Event{Kind: lifecycle.NoServer, Err: err}
 	}
-	x.instance = instance
-	x.route.Tried = append(x.route.Tried, instance.ID)
+	x.leaveCopies = leave
+	x.route.Tried = append(x.route.Tried, x.instance.ID)
 	return lifecycle.Event{Kind: lifecycle.Picked}
 }
 
+// pickServer prefers the server that runs a copy of the request. A suspect goes
+// to the same server through all entries.
+func (x *exchange) pickServer(running string, suspect bool) (string, error) {
+	route := x.route
+	route.Copy = running
+	if suspect {
+		route.Suspect = x.fingerprint.BodyHash
+	}
+	instance, err := x.servers.Pick(route)
+	x.instance = instance
+	return instance.ID, err
+}
+
 func (x *exchange) startTransfer(ctx context.Context, attempt int) {
 	call := proto.CloneOf(x.request.call)
 	call.Id.Attempt = uint32(attempt)
@@ -191,6 +209,7 @@
 	x.transfer.disconnect()
 	x.transfer = nil
 	x.servers.Finished(x.instance)
+	x.leaveCopies()
 }
 
 // askRetry asks the retry budget. A retry that has no server to go to must not
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -42,6 +42,13 @@
 	}
 }
 
+// handling returns how a request may run, as far as this entry knows.
+func (s *suspectCarrier) handling(f quarantine.Fingerprint) quarantine.Handling {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.register.Handling(s.now(), f)
+}
+
 // attach adds what is known of the request to it.
 func (s *suspectCarrier) attach(call *pb.CallRequest) {
 	f := quarantine.FingerprintOf(call)
