Make the planner's plots readable

Change: hours with ticks each six hours and room for the legend beside the lines; the logarithmic skew axis of the other plot; labels 10k, 1M.

--- a/bench/experts/plot.go
+++ b/bench/experts/plot.go
@@ -40,7 +40,8 @@
 func plotSkewOverTime(file, title string, results []Result) error {
 	p := plot.New()
 	p.Title.Text = title
-	p.X.Label.Text = "minutes"
+	p.X.Label.Text = "hours"
+	p.X.Tick.Marker = hourTicks
 	p.Y.Label.Text = "largest skew in ten minutes (log scale)"
 	p.Y.Scale = plot.LogScale{}
 	p.Y.Tick.Marker = skewTicks
@@ -53,10 +54,23 @@
 		p.Add(line)
 		p.Legend.Add(r.Policy, line)
 	}
+	// The legend stands beside the lines and not on them.
+	p.X.Max *= legendRoom
 	p.Legend.Top = true
 	return p.Save(plotWidth, plotHeight, file)
 }
 
+// legendRoom stretches the axis of time to the width of the legend.
+const legendRoom = 1.2
+
+var hourTicks = plot.ConstantTicks{
+	{Value: 0, Label: "0"},
+	{Value: 6, Label: "6"},
+	{Value: 12, Label: "12"},
+	{Value: 18, Label: "18"},
+	{Value: 24, Label: "24"},
+}
+
 // skewTicks are denser near 1, where the planned policies are.
 var skewTicks = plot.ConstantTicks{
 	{Value: 1, Label: "1.00"},
@@ -76,7 +90,7 @@
 	const window = 10 * perMinute
 	var points plotter.XYs
 	for chunk := range slices.Chunk(series, window) {
-		points = append(points, plotter.XY{X: float64(len(points) * window / perMinute), Y: slices.Max(chunk)})
+		points = append(points, plotter.XY{X: float64(len(points)*window) / (60 * perMinute), Y: slices.Max(chunk)})
 	}
 	return points
 }
@@ -86,8 +100,10 @@
 	p.Title.Text = title
 	p.X.Label.Text = "moves (log scale, 0 drawn as 1)"
 	p.X.Scale = plot.LogScale{}
-	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
-	p.Y.Label.Text = "p99 skew"
+	p.X.Tick.Marker = moveTicks
+	p.Y.Label.Text = "p99 skew (log scale)"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = skewTicks
 	for i, r := range results {
 		scatter, err := plotter.NewScatter(plotter.XYs{{X: float64(max(1, r.Moves)), Y: r.SkewP99}})
 		if err != nil {
@@ -99,6 +115,18 @@
 		p.Add(scatter)
 		p.Legend.Add(r.Policy, scatter)
 	}
+	p.Y.Min = 1
 	p.Legend.Top = true
 	return p.Save(plotWidth, plotHeight, file)
 }
+
+var moveTicks = plot.ConstantTicks{
+	{Value: 1, Label: "1"},
+	{Value: 1e1, Label: "10"},
+	{Value: 1e2, Label: "100"},
+	{Value: 1e3, Label: "1k"},
+	{Value: 1e4, Label: "10k"},
+	{Value: 1e5, Label: "100k"},
+	{Value: 1e6, Label: "1M"},
+	{Value: 1e7, Label: "10M"},
+}
