Make a superseded sidecar leave its group

Cause: a sidecar that was frozen, replaced and thawed ended its group control, but went on to answer group messages with success and to stand for the lease. Members that had kept a connection to it sent all later messages there.

Ruled out: an undecided member (all said undecided false), a stale token (no command was refused), ranks that hold (holding 0, settled).

Change: after its control ended, a sidecar refuses group messages with 503 and closes the connection, releases the lease and stands for it no more. `holding` in /groupz is false at the end of the control. `replace` gives the link to the new name too.

TestSupersededSidecarLeavesTheGroup covers the refusal; that the lease is given up was not tried separately.

--- a/groupcontrol/control.go
+++ b/groupcontrol/control.go
@@ -126,7 +126,9 @@
 			run(p.run)
 		}
 	}
-	return group.Wait()
+	err := group.Wait()
+	c.count(func(s *Stats) { s.Holding = false })
+	return err
 }
 
 func (c *Control) tick(ctx context.Context) error {
--- a/scenarios/group_test.go
+++ b/scenarios/group_test.go
@@ -91,7 +91,9 @@
 	if err := r.start(append([]string{args[1], string(kindSidecar)}, old.flags...)); err != nil {
 		return err
 	}
-	r.links["link-"+args[0]].retarget(r.processes[args[1]].address)
+	l := r.links["link-"+args[0]]
+	l.retarget(r.processes[args[1]].address)
+	r.links["link-"+args[1]] = l
 	return poll(func() error {
 		a, err := r.rankState(args[1])
 		if err != nil {
--- a/sidecar/group.go
+++ b/sidecar/group.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -28,7 +29,11 @@
 
 // group is the part of a sidecar that controls its rank group. It is empty in
 // a sidecar without a group.
-type group struct{ control *groupcontrol.Control }
+type group struct {
+	control *groupcontrol.Control
+	// ended says that another sidecar has taken the place of this one.
+	ended atomic.Bool
+}
 
 func newGroup(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, client *platform.HTTPClient,
 	instances *daemon.Instances, t *tablesync.Syncer,
@@ -44,11 +49,12 @@
 	seed := rand.Uint64()
 	o.Log.Info().Uint64("seed", seed).Msg("random source of the lease")
 	lease := leaselog.New(client, string(incarnation), time.Now, rand.New(rand.NewPCG(seed, 0)), leaseSettings(s.GroupTiming))
-	lc.Append(fx.StopHook(func(ctx context.Context) {
+	withdraw := func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, leaseReleaseTimeout)
 		defer cancel()
 		lease.Close(ctx)
-	}))
+	}
+	lc.Append(fx.StopHook(withdraw))
 	control, err := groupcontrol.New(timed(s.GroupTiming, groupcontrol.Options{
 		Group: s.Group, Member: member, Members: members, Ranks: rankIDs(s.Ranks),
 		Incarnation:   groupcontrol.StartIncarnation(time.Now()),
@@ -65,8 +71,17 @@
 	if err != nil {
 		return nil, err
 	}
-	daemon.Start(lc, o.Log, daemon.Duty{Name: "control the rank group", Run: control.Run})
-	return &group{control}, nil
+	g := &group{control: control}
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "control the rank group", Run: func(ctx context.Context) error {
+		err := control.Run(ctx)
+		if err != nil {
+			g.ended.Store(true)
+			// Otherwise it could win the lease and nobody would act on it.
+			withdraw(ctx)
+		}
+		return err
+	}})
+	return g, nil
 }
 
 // leaseSettings keeps the proportions of the defaults.
@@ -135,7 +150,7 @@
 	mux := http.NewServeMux()
 	path, service := filbertmuxv1connect.NewGroupServiceHandler(g.control,
 		connect.WithReadMaxBytes(s.MaxBodyBytes+messageOverheadBytes))
-	mux.Handle(path, daemon.RequireToken(s.PeerToken.Reveal(), service))
+	mux.Handle(path, daemon.RequireToken(s.PeerToken.Reveal(), g.untilEnded(service)))
 	mux.HandleFunc("GET /groupz", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(g.control.Stats())
@@ -143,3 +158,17 @@
 	mux.Handle("/", next)
 	return mux
 }
+
+// untilEnded refuses calls after the control ended, and closes their
+// connections. Other members would keep a connection on which each message is
+// accepted and none has an effect.
+func (g *group) untilEnded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.ended.Load() {
+			w.Header().Set("Connection", "close")
+			http.Error(w, "another sidecar is in this place", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/sidecar/group_test.go
+++ b/sidecar/group_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,9 +13,11 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
 
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/groupcontrol"
 	"github.com/filbertmux/filbertmux/lease"
 	"github.com/filbertmux/filbertmux/leaselog"
+	"github.com/filbertmux/filbertmux/rankapi"
 	"github.com/filbertmux/filbertmux/settings"
 	"github.com/filbertmux/filbertmux/standin"
 )
@@ -78,3 +81,31 @@
 	want.Planner.MaxStaging, want.Planner.MoveCost, want.Planner.StoreRate = 4, 7, 9
 	require.Equal(t, want, set)
 }
+
+// Guards against a sidecar that goes on to accept group messages, or to stand
+// for the lease, after another one has taken its place.
+func TestSupersededSidecarLeavesTheGroup(t *testing.T) {
+	g, err := standin.NewRankGroup(standin.RankGroupConfig{Replicas: 1, RanksPerReplica: 2, Layers: 1, Experts: 2, SlotsPerRank: 1})
+	require.NoError(t, err)
+	ranks := httptest.NewServer(g.Handler(0))
+	t.Cleanup(ranks.Close)
+	var address string
+	groupStatus(t, func(s *settings.Sidecar) {
+		address = s.Advertise
+		s.Group, s.Ranks, s.GroupRanks, s.RankURL = "g", []int{0, 1}, 2, ranks.URL
+	})
+	deliver := func() (status int, closes bool) {
+		resp, err := http.Post("http://"+address+filbertmuxv1connect.GroupServiceDeliverProcedure, "application/json", strings.NewReader("{}"))
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		return resp.StatusCode, resp.Close
+	}
+	status, _ := deliver()
+	require.Equal(t, http.StatusNotFound, status) // the request names no group
+	_, err = g.Command(0, rankapi.Batch{Session: 1 << 63, Seq: 1})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		status, closes := deliver()
+		return status == http.StatusServiceUnavailable && closes
+	}, time.Minute, 5*time.Millisecond)
+}
