--- /dev/null
+++ b/scenarios/records_test.go
@@ -0,0 +1,46 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Guards against a change set that counts twice, or turns from accepted into
+// refused, when a late copy of its record arrives, and against an office that
+// changes a row of the other one.
+func TestTableRecords(t *testing.T) { runScript(t, "table-records") }
+
+func init() {
+	commands["append-again"] = command(1, (*run).appendAgain)
+}
+
+// appendAgain appends a copy of a table record, as a publisher does whose first
+// append arrives late.
+func (r *run) appendAgain(args []string) error {
+	p, err := r.process("platform")
+	if err != nil {
+		return err
+	}
+	offset, err := strconv.ParseUint(r.Getenv(args[0]), 10, 64)
+	if err != nil {
+		return err
+	}
+	stream := "http://" + p.address + platform.StreamPath + "table"
+	_, body, err := r.get(fmt.Sprintf("%s?after=%d&limit=1", stream, offset-1))
+	if err != nil {
+		return err
+	}
+	var batch platform.Batch
+	if err := json.Unmarshal([]byte(body), &batch); err != nil {
+		return err
+	}
+	if len(batch.Records) == 0 {
+		return fmt.Errorf("the log has no record %d: %s", offset, body)
+	}
+	return r.expect2xx(http.MethodPost, stream, string(batch.Records[0].Data))
+}
