Read a slow log in operators' commands

Cause: table publish, diff, export, history and status gave a read up after 1 s, so a log that took longer failed them with exit 5.

Ruled out: readers in daemons. Their time-out grows; a command reads once.

Change: a command waits 5 s for one answer. The time-out of publish and status still bounds the whole command.

Figures: log with 3 s a request (TestReadOnceFromSlowLog): failed before with 1 s, passes now.

--- a/tablesync/bounds_test.go
+++ b/tablesync/bounds_test.go
@@ -144,3 +144,15 @@
 		require.NoError(t, s.Wait(f.ctx, last))
 	})
 }
+
+// Guards against an operator's command that fails because the log is slow.
+func TestReadOnceFromSlowLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		last := f.publish("c1")
+		f.log.set(false, 3*time.Second)
+		fold, err := ReadOnce(f.ctx, f.log)
+		require.NoError(t, err)
+		require.Equal(t, last, fold.Offset())
+	})
+}
--- a/tablesync/once.go
+++ b/tablesync/once.go
@@ -15,9 +15,15 @@
 // noSnapshots is a retention after which no command is still running.
 const noSnapshots = 100 * 365 * 24 * time.Hour
 
+// commandSlack is how long a command waits for one answer of the log. A command
+// reads once and has no peers, so it bears a slower log than a daemon.
+const commandSlack = 5 * time.Second
+
 // ReadOnce returns the fold at the end of the log. The caller owns it.
 func ReadOnce(ctx context.Context, log platform.Log) (*table.Fold, error) {
-	s, err := New(log, nil, SystemClock{}, rand.New(rand.NewPCG(0, 0)), Options{Retention: noSnapshots, ReadWait: time.Millisecond, Logger: zerolog.Nop()})
+	s, err := New(log, nil, SystemClock{}, rand.New(rand.NewPCG(0, 0)), Options{
+		Retention: noSnapshots, ReadWait: time.Millisecond, ReadSlack: commandSlack, Logger: zerolog.Nop(),
+	})
 	if err != nil {
 		return nil, err
 	}
