Ask peers early when a process starts

Cause: a process that started in a region without the log waited 4 s for its first long poll before it asked peers, and half of the peers did not answer.

Change: a process that has no table reads without letting the log wait, and asks peers after 0.5 s without an answer.

--- a/tablesync/syncer.go
+++ b/tablesync/syncer.go
@@ -125,8 +125,9 @@
 	}
 }
 
-// behind reports whether a peer has a higher offset.
-func (s *Syncer) behind() bool { return uint64(s.Offset()) < s.target.Load() }
+// wants reports whether a peer has a higher offset, or has the table while this
+// process has none.
+func (s *Syncer) wants() bool { return !s.Loaded() || uint64(s.Offset()) < s.target.Load() }
 
 // Wait returns when the view is at offset or above it, or when ctx ends.
 func (s *Syncer) Wait(ctx context.Context, offset platform.Offset) error {
@@ -228,29 +229,35 @@
 	err   error
 }
 
-// learnGrace is the time in which the log usually delivers an offset that a
-// peer has reported. A message often overtakes the record by milliseconds.
+// learnGrace is the time in which the log usually delivers the table to a new
+// process, or an offset that a peer has reported. A message often overtakes the record by milliseconds.
 const learnGrace = 500 * time.Millisecond
 
 // poll reads from the log and asks peers while the answer is overdue or a peer
-// is ahead. A connection may be silent for as long as the read may take.
+// is ahead. A connection may be silent for as long as the read may take. A new
+// process does not let the log wait for records: a log that answers, even with
+// none, then does so at once, and a silent one is told apart early.
 func (s *Syncer) poll(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+	wait := s.opts.ReadWait
+	if !s.Loaded() {
+		wait = 0
+	}
 	answers := make(chan logAnswer, 1)
-	timed, cancel := context.WithTimeout(ctx, s.opts.ReadWait+s.slack)
+	timed, cancel := context.WithTimeout(ctx, wait+s.slack)
 	defer cancel()
 	go func() {
-		batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, s.opts.ReadWait)
+		batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, wait)
 		answers <- logAnswer{batch, err}
 	}()
-	answer := s.await(ctx, answers)
+	answer := s.await(ctx, answers, wait)
 	s.adaptSlack(answer.err, timed)
 	return answer.batch, answer.err
 }
 
-func (s *Syncer) await(ctx context.Context, answers <-chan logAnswer) logAnswer {
-	overdue := s.clock.After(s.opts.ReadWait + s.opts.ReadSlack)
-	var hurry <-chan time.Time // nil while no peer is ahead
-	if s.behind() {
+func (s *Syncer) await(ctx context.Context, answers <-chan logAnswer, wait time.Duration) logAnswer {
+	overdue := s.clock.After(wait + s.opts.ReadSlack)
+	var hurry <-chan time.Time // nil while no peer is known to have more
+	if s.wants() {
 		hurry = s.clock.After(learnGrace)
 	}
 	for {
@@ -263,15 +270,15 @@
 			s.readPeers(ctx)
 			overdue = s.clock.After(s.jitter(s.opts.MaxBackoff))
 		case <-s.learned:
-			if hurry == nil && s.behind() {
+			if hurry == nil && s.wants() {
 				hurry = s.clock.After(learnGrace)
 			}
 		case <-hurry:
 			hurry = nil
-			if s.behind() {
+			if s.wants() {
 				s.readPeers(ctx)
 			}
-			if s.behind() {
+			if s.wants() {
 				hurry = s.clock.After(s.jitter(s.opts.MaxBackoff))
 			}
 		}
