Test claims that reach the log or are read too late

Change: two tests of claimlog in virtual time. One lets the append of a claim take effect 10 s late, one delays reads beyond DecideWithin. Each sends the key again through another sidecar, where it has to run once. One test of claim passes a verdict just before and at DecideWithin.

--- /dev/null
+++ b/claim/late_test.go
@@ -0,0 +1,38 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/claim"
+)
+
+// Guards against a run that starts after the time in which the call had to be
+// decided, when the verdict is handled before the deadline: the entry has given
+// the sidecar up by then and may have sent the key elsewhere.
+func TestVerdictAfterDeadlineDoesNotRun(t *testing.T) {
+	s, now := claim.DefaultSettings(), time.UnixMilli(1_800_000_000_000)
+	id := claim.ID{Incarnation: "a", Seq: 1}
+	won := claim.Event{Kind: claim.ClaimRead, Verdict: claim.Verdict{Claim: id, Won: true}}
+	for _, c := range []struct {
+		after time.Duration
+		kind  claim.EffectKind
+	}{{s.DecideWithin - time.Millisecond, claim.Run}, {s.DecideWithin, claim.AppendOutcome}} {
+		request := claim.Request{
+			Organisation: "org", Service: "svc", Key: keyAt(now, 1).String(),
+			Deadline: now.Add(time.Hour),
+		}
+		call := claim.NewCall(s, id, request, now)
+		call.Step(now, claim.Event{Kind: claim.Start})
+		var kinds []claim.EffectKind
+		for _, e := range call.Step(now.Add(c.after), won) {
+			kinds = append(kinds, e.Kind)
+		}
+		require.Contains(t, kinds, c.kind, "%s", c.after)
+		if c.kind != claim.Run {
+			require.NotContains(t, kinds, claim.Run)
+		}
+	}
+}
--- /dev/null
+++ b/claimlog/late_test.go
@@ -0,0 +1,64 @@
+package claimlog_test
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/claim"
+)
+
+// Guards against a key that stays in progress because the claim of a call that
+// had ended reached the log afterwards: the claim has to be abandoned, so that
+// the key runs once when it is sent again.
+func TestLateClaimIsAbandoned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newMemLog(1)
+		a, b := newClient(t, log, nil), newClient(t, log, nil)
+		require.NoError(t, a.Serve("order-book", 0))
+		require.NoError(t, b.Serve("order-book", 0))
+		time.Sleep(time.Second)
+		log.set(faults{late: 1, lateBy: 10 * time.Second})
+		var runs atomic.Int64
+		key := newKey()
+		_, err := a.Run(t.Context(), request(key), answering(&runs, "x"))
+		require.Error(t, err)
+		log.set(faults{})
+		time.Sleep(20 * time.Second)
+		require.Zero(t, runs.Load(), "the call has ended")
+		answer, err := b.Run(t.Context(), request(key), answering(&runs, "y"))
+		require.NoError(t, err)
+		require.Equal(t, "y", string(answer.Body))
+		require.EqualValues(t, 1, runs.Load())
+	})
+}
+
+// Guards against a call that runs although its claim was read too late, when
+// its caller has been told that it did not run, and against a caller that waits
+// for a slow log beyond DecideWithin.
+func TestClaimReadTooLateDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newMemLog(1)
+		a, b := newClient(t, log, nil), newClient(t, log, nil)
+		require.NoError(t, a.Serve("order-book", 0))
+		require.NoError(t, b.Serve("order-book", 0))
+		time.Sleep(time.Second)
+		log.set(faults{readDelay: 5 * time.Second})
+		var runs atomic.Int64
+		key := newKey()
+		began := time.Now()
+		_, err := a.Run(t.Context(), request(key), answering(&runs, "x"))
+		require.Error(t, err)
+		require.LessOrEqual(t, time.Since(began), claim.DefaultSettings().DecideWithin+time.Second)
+		time.Sleep(10 * time.Second)
+		require.Zero(t, runs.Load())
+		log.set(faults{})
+		time.Sleep(10 * time.Second)
+		_, err = b.Run(t.Context(), request(key), answering(&runs, "y"))
+		require.NoError(t, err)
+		require.EqualValues(t, 1, runs.Load())
+	})
+}
