Let a crashed stand-in engine refuse connections first

Cause: sidecar.TestRequestsInFlightAtACrash failed once under load. The stand-in engine ended its answers before its listener was closed. A health check in between was answered, so the innocent request counted as a lost connection and not as one in flight at a crash. A process that dies does both at once.

Ruled out: the guard (a request whose server answers a health check is rightly no suspect), the resume at the engine (its errors are no dial errors).

Change: OnCrash stands in place of Crash, closes the listener and then ends the answers.

--- a/sidecar/suspects_test.go
+++ b/sidecar/suspects_test.go
@@ -66,6 +66,7 @@
 	c.deaths++
 	_ = c.server.Close()
 	c.server = nil
+	c.engine.Crash()
 }
 
 func prompt(id, text string) *pb.CallRequest {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -34,9 +34,12 @@
 	// ChecksFencing makes the engine refuse commands with a stale token.
 	ChecksFencing bool
 	// CrashMarker makes a request whose prompt contains it crash the engine:
-	// all its answers end unfinished and OnCrash is called.
+	// all its answers end unfinished.
 	CrashMarker string
-	OnCrash     func()
+	// OnCrash is called in place of Crash if it is set. It first makes the
+	// address refuse connections and then calls Crash, because a process that
+	// died answers no health check when its answers break off.
+	OnCrash func()
 }
 
 const (
@@ -129,9 +132,10 @@
 		return
 	}
 	if e.cfg.CrashMarker != "" && strings.Contains(req.Prompt(), e.cfg.CrashMarker) {
-		e.Crash()
 		if e.cfg.OnCrash != nil {
 			e.cfg.OnCrash()
+		} else {
+			e.Crash()
 		}
 		panic(http.ErrAbortHandler)
 	}
