Double the wait between two sends of a plan without a limit

Cause: with the wait limited to 1 s, 30 s of staging at the design size would still send a plan of about 30 KB 35 times to each member.

Change: the wait doubles without a limit other than the time-out of staging. A member that has restarted, and so lost the plan, gets it at once again.

--- a/mapswitch/holder.go
+++ b/mapswitch/holder.go
@@ -10,11 +10,6 @@
 	"github.com/filbertmux/filbertmux/platform"
 )
 
-// maxPrepareWait bounds the time after which a plan is sent again to a member
-// that has not staged it. A plan carries the whole map, and staging may take
-// minutes: repeated with each poll, it cost the holder 18.8 KB/s of 10 KB/s.
-const maxPrepareWait = time.Second
-
 // HolderSettings are the timers and limits of a holder.
 type HolderSettings struct {
 	// StepTime is the usual time of a step.
@@ -67,7 +62,9 @@
 	sentAt   time.Time
 	began    time.Time
 	// prepareAt is when the plan is sent again, prepareWait the wait after
-	// that.
+	// that. The wait doubles each time, because a plan carries the whole map
+	// and staging may take minutes: repeated with each poll, plans cost the
+	// holder 18.8 KB/s of the 10 KB/s for control.
 	prepareAt   time.Time
 	prepareWait time.Duration
 	seq         uint64
@@ -154,6 +151,10 @@
 	for i := range s.Ranks {
 		h.ledger.RecordState(&s.Ranks[i])
 	}
+	if old := h.status[s.From]; old != nil && old.Incarnation != s.Incarnation {
+		// A sidecar that has restarted does not know the plan.
+		h.prepareAt, h.prepareWait = now, h.settings.Retransmit
+	}
 	h.status[s.From] = &s
 	h.seenAt[s.From] = now
 	return true
@@ -296,6 +297,6 @@
 		return false
 	}
 	h.prepareAt = now.Add(h.prepareWait)
-	h.prepareWait = min(2*h.prepareWait, max(maxPrepareWait, h.settings.Retransmit))
+	h.prepareWait *= 2
 	return true
 }
--- a/mapswitch/mapswitch_test.go
+++ b/mapswitch/mapswitch_test.go
@@ -104,9 +104,10 @@
 func TestPlanIsSeldomRepeated(t *testing.T) {
 	s, now := DefaultHolderSettings(), time.Unix(1_700_000_000, 0)
 	h := NewHolder(s, 1, now.Add(time.Hour), 2)
+	incarnation := uint64(1)
 	report := func(from MemberID, staged Attempt, version uint64) {
 		h.Handle(now, Status{
-			From: from, Token: 1, Incarnation: 1,
+			From: from, Token: 1, Incarnation: incarnation,
 			Ranks: []RankState{{Rank: RankID(from), Version: version, Staged: staged}},
 		})
 	}
@@ -138,6 +139,12 @@
 	}
 	require.Equal(t, Staging, h.Phase())
 	require.Equal(t, 1, sent[0])
-	require.LessOrEqual(t, sent[1], 40)
+	require.LessOrEqual(t, sent[1], 12)
 	require.Greater(t, polls, 1000)
+	before := sent[1]
+	incarnation++
+	report(1, Attempt{}, 1)
+	now = now.Add(s.Retransmit)
+	count(h.Tick(now))
+	require.Equal(t, before+1, sent[1], "a restarted member gets the plan soon")
 }
