--- a/bench/fleet/fleet_test.go
+++ b/bench/fleet/fleet_test.go
@@ -1,23 +1,18 @@
 package fleet
 
 import (
-	"os"
-	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/internal/bubble"
 	"github.com/filbertmux/filbertmux/internal/seeds"
 )
 
-// TestMain runs the package on one processor. With several, Go 1.26.8 crashes
-// inside the race detector when timers of a synctest bubble fire.
-func TestMain(m *testing.M) {
-	runtime.GOMAXPROCS(1)
-	os.Exit(m.Run())
-}
+// TestMain sets up the package for synctest.
+func TestMain(m *testing.M) { bubble.Main(m) }
 
 // smallDay has the failures of a day in 12 minutes, on fewer readers.
 func smallDay(seed uint64) Config {
