Test a caller that stops reading in mid-stream

Cause: slow readers are among the faults of the promise of whole answers, and no test had one.

Change: script answers-slow. An answer of about 15 MB exceeds the buffers between sidecar and caller; the caller stops after 10 events for longer than the silence time, others get whole answers meanwhile, and then it reads the rest, which is whole. An entry that is killed leaves no attempt behind.

Ruled out: many small tokens (the stand-in engine makes about 800 a second, so that 60,000 took 75 s), a small receive buffer (the same).

--- a/scenarios/callcommands_test.go
+++ b/scenarios/callcommands_test.go
@@ -69,6 +69,10 @@
 		return err
 	}
 	prompt := "draft for " + args[0]
+	slow := slices.Contains(args[3:], "-slow")
+	if slow {
+		prompt += " " + strings.Repeat("x", slowWordBytes)
+	}
 	body, err := json.Marshal(standin.ChatRequest{
 		Model: "text-desk", Stream: true, MaxTokens: tokens,
 		Messages: []standin.ChatMessage{{Role: "user", Content: prompt}},
@@ -76,10 +80,24 @@
 	if err != nil {
 		return err
 	}
-	r.begin(args[0], request{
+	q := request{
 		method: http.MethodPost, url: "http://" + p.address + "/v1/chat/completions",
 		token: examples.DevKey(caller), body: string(body), prompt: prompt, tokens: tokens,
-	})
+	}
+	if slow {
+		q.slow = make(chan struct{})
+	}
+	r.begin(args[0], q)
+	return nil
+}
+
+// readOn lets a slow caller read the rest of its answer.
+func (r *run) readOn(args []string) error {
+	c, err := r.callOf(args[0])
+	if err != nil {
+		return err
+	}
+	close(c.request.slow)
 	return nil
 }
 
--- a/scenarios/calls_test.go
+++ b/scenarios/calls_test.go
@@ -23,8 +23,19 @@
 	again  bool
 	prompt string
 	tokens int
+	// slow, if set, makes the caller stop reading after slowAfter events until
+	// it is closed.
+	slow chan struct{}
 }
 
+const (
+	slowAfter = 10
+	// slowWordBytes is the length of a word in the prompt of a slow caller. Each
+	// fourth token of the answer repeats it, so that 1,500 tokens, which an engine
+	// generates in about 2 s, exceed all buffers on the way to the caller.
+	slowWordBytes = 40_000
+)
+
 // call is one call in flight or answered. done guards the fields set by the
 // goroutine of the call, except events, which mu guards.
 type call struct {
@@ -110,6 +121,9 @@
 			c.mu.Lock()
 			c.events++
 			c.mu.Unlock()
+			if c.request.slow != nil && c.eventCount() == slowAfter {
+				<-c.request.slow
+			}
 		}
 		if err == io.EOF { //nolint:errorlint // bufio returns io.EOF unwrapped
 			return nil
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -43,6 +43,7 @@
 	"new-key":        command(1, (*run).newKey),
 	"call":           command(4, (*run).call),
 	"completion":     command(3, (*run).completion),
+	"read-on":        command(1, (*run).readOn),
 	"events":         command(2, (*run).events),
 	"answer":         command(2, (*run).answer),
 	"waiting":        command(1, (*run).waiting),
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -86,6 +86,10 @@
 // that is lost with a connection although its sidecar still has it.
 func TestAnswers(t *testing.T) { runScript(t, "answers") }
 
+// Guards against a caller that reads slowly and gets a part of its answer, holds
+// up the answers of others, or keeps an attempt open after it has left.
+func TestSlowReader(t *testing.T) { runScript(t, "answers-slow") }
+
 // Guards against new work for a sidecar that leaves, and against a shutdown
 // that cuts off a stream.
 func TestLeaving(t *testing.T) { runScript(t, "leaving") }
