--- a/Makefile
+++ b/Makefile
@@ -38,18 +38,18 @@
 # Randomised tests with more seeds: make soak SEEDS=1000. A failing run prints
 # the command that replays its seed.
 SEEDS ?= 200
-RANDOMISED := ./claim ./claimlog ./entry/lifecycle ./lease ./mapswitch ./quarantine ./table ./tablesync
+RANDOMISED := ./serve/claim ./serve/claimlog ./daemons/entry/lifecycle ./rankgroup/lease ./rankgroup/mapswitch ./serve/quarantine ./config/table ./config/tablesync
 soak:
 	FILBERTMUX_SEEDS=$(SEEDS) go test -count=1 -timeout 120m $(RANDOMISED)
-	FILBERTMUX_SEEDS=$(SEEDS) go test -race -count=1 -timeout 120m -run TestRandomFaults ./scenarios
-	go test -count=1 ./routing ./fairqueue ./membership ./experts ./stream -rapid.checks=$$((100 * $(SEEDS)))
+	FILBERTMUX_SEEDS=$(SEEDS) go test -race -count=1 -timeout 120m -run TestRandomFaults ./measure/scenarios
+	go test -count=1 ./balance/routing ./serve/fairqueue ./balance/membership ./rankgroup/experts ./serve/stream -rapid.checks=$$((100 * $(SEEDS)))
 
 # Each fuzz test for a bounded time.
 FUZZTIME ?= 20s
 fuzz:
-	go test ./table -run '^$$' -fuzz FuzzParseCSV -fuzztime $(FUZZTIME)
-	go test ./table -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
-	go test ./experts -run '^$$' -fuzz FuzzDecide -fuzztime $(FUZZTIME)
+	go test ./config/table -run '^$$' -fuzz FuzzParseCSV -fuzztime $(FUZZTIME)
+	go test ./config/table -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
+	go test ./rankgroup/experts -run '^$$' -fuzz FuzzDecide -fuzztime $(FUZZTIME)
 
 # Needs protoc; the generated code is committed, so a build does not.
 generate:
--- a/membership/list.go
+++ b/balance/membership/list.go
@@ -3,17 +3,17 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // ApplyList takes one reading of the instance list. Entries of other roles are
 // skipped. The list lags, so only a change in it has an effect: a new row adds
 // a suspect server that is probed at once, and a row that disappears or turns
 // to leaving withdraws the server until a success that was sent afterwards.
-func (v *View) ApplyList(now time.Time, list []platform.Instance) {
+func (v *View) ApplyList(now time.Time, list []infra.Instance) {
 	seen := make(map[string]bool, len(list))
 	for _, instance := range list {
-		if instance.Role != platform.RoleBackend {
+		if instance.Role != infra.RoleBackend {
 			continue
 		}
 		seen[instance.ID] = true
@@ -27,7 +27,7 @@
 	}
 }
 
-func (v *View) applyRow(now time.Time, row platform.Instance) {
+func (v *View) applyRow(now time.Time, row infra.Instance) {
 	s, known := v.servers[row.ID]
 	if !known {
 		s = &server{Server: Server{Instance: row, State: Suspect}, nextProbeAt: now}
@@ -41,7 +41,7 @@
 	s.Instance = row
 	s.listed = true
 	s.listedAt = row.State
-	if row.State == platform.Departing && before != platform.Departing {
+	if row.State == infra.Departing && before != infra.Departing {
 		v.withdraw(now, s, Leaving)
 	}
 }
--- a/membership/membership.go
+++ b/balance/membership/membership.go
@@ -35,7 +35,7 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // State is the state of a backend server in this view.
@@ -104,7 +104,7 @@
 
 // Server is a backend server as seen by this entry.
 type Server struct {
-	platform.Instance
+	infra.Instance
 	Incarnation string
 	State       State
 }
@@ -113,7 +113,7 @@
 type server struct {
 	Server
 	listed   bool
-	listedAt platform.InstanceState
+	listedAt infra.InstanceState
 	absentAt time.Time
 	// withdrawnAt is when the list last withdrew the server. Only a success
 	// that was sent later brings it back.
--- a/membership/membership_test.go
+++ b/balance/membership/membership_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -18,16 +18,16 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-func row(id, domain string) platform.Instance {
-	return platform.Instance{
-		ID: id, Role: platform.RoleBackend, Service: "text-desk", Address: id + ":1",
-		FailureDomain: domain, State: platform.Live,
+func row(id, domain string) infra.Instance {
+	return infra.Instance{
+		ID: id, Role: infra.RoleBackend, Service: "text-desk", Address: id + ":1",
+		FailureDomain: domain, State: infra.Live,
 	}
 }
 
-func leavingRow(id string) platform.Instance {
+func leavingRow(id string) infra.Instance {
 	r := row(id, "a")
-	r.State = platform.Departing
+	r.State = infra.Departing
 	return r
 }
 
@@ -38,7 +38,7 @@
 
 func oneUsable() *membership.View {
 	v := membership.New(membership.DefaultConfig())
-	v.ApplyList(at(0), []platform.Instance{row("s1", "a")})
+	v.ApplyList(at(0), []infra.Instance{row("s1", "a")})
 	v.ApplySuccess(at(10), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(5)})
 	return v
 }
@@ -48,9 +48,9 @@
 func TestListOnlyWithdraws(t *testing.T) {
 	v := oneUsable()
 	require.Equal(t, membership.Usable, state(v, "s1"))
-	v.ApplyList(at(1000), []platform.Instance{leavingRow("s1")})
+	v.ApplyList(at(1000), []infra.Instance{leavingRow("s1")})
 	require.Equal(t, membership.Leaving, state(v, "s1"))
-	v.ApplyList(at(2000), []platform.Instance{row("s1", "a")})
+	v.ApplyList(at(2000), []infra.Instance{row("s1", "a")})
 	require.Equal(t, membership.Leaving, state(v, "s1"), "the list alone brings nothing back")
 	v.ApplySuccess(at(2010), membership.Success{ID: "s1", Incarnation: "i1", Sent: at(900)})
 	require.Equal(t, membership.Leaving, state(v, "s1"), "the answer is older than the list")
@@ -88,7 +88,7 @@
 
 func fleet(config membership.Config) *membership.View {
 	v := membership.New(config)
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for i := range 12 {
 		rows = append(rows, row(fmt.Sprintf("s%02d", i), string(rune('a'+i%3))))
 	}
--- a/membership/outliers_test.go
+++ b/balance/membership/outliers_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 func candidatesOf(n int) []membership.Server {
 	var found []membership.Server
 	for i := range n {
-		found = append(found, membership.Server{Instance: platform.Instance{ID: strconv.Itoa(i)}})
+		found = append(found, membership.Server{Instance: infra.Instance{ID: strconv.Itoa(i)}})
 	}
 	return found
 }
--- a/routing/routing_test.go
+++ b/balance/routing/routing_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/filbertmux/filbertmux/routing"
+	"github.com/filbertmux/filbertmux/balance/routing"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/chart/chart_test.go
+++ b/base/chart/chart_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/chart"
+	"github.com/filbertmux/filbertmux/base/chart"
 )
 
 var vocabulary = chart.Vocabulary{Guards: []string{"ready"}, Actions: []string{"go", "stop"}}
--- a/errkind/errkind_test.go
+++ b/base/errkind/errkind_test.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Guards against a kind that was added without an answer, or two kinds that
--- a/platform/http.go
+++ b/base/infra/http.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Paths of the HTTP protocol. Append is POST StreamPath+stream with the record
--- a/platform/platform.go
+++ b/base/infra/platform.go
@@ -1,8 +1,8 @@
-// Package platform defines the services that filbertmux gets from the platform
+// Package infra defines the services that filbertmux gets from the platform
 // (log, instance list, weight store) and HTTP clients for them.
 //
 // Implementations of the interfaces are safe for concurrent use.
-package platform
+package infra
 
 import (
 	"context"
--- a/ring/ring.go
+++ b/base/ring/ring.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Policy says what Push does when the ring is full.
--- a/ring/ring_test.go
+++ b/base/ring/ring_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/ring"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/ring"
 )
 
 // Guards against a queue that grows past its capacity or loses count of drops.
--- a/telemetry/log.go
+++ b/base/telemetry/log.go
@@ -10,7 +10,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // RequestIDField is the name of the field that every log line of a request has.
--- a/telemetry/telemetry_test.go
+++ b/base/telemetry/telemetry_test.go
@@ -14,7 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 )
 
 // Guards against a log line of a request that can't be matched to the request.
--- a/cmd/filbertmux-bench/main.go
+++ b/cmd/filbertmux-bench/main.go
@@ -4,13 +4,13 @@
 import (
 	"github.com/alecthomas/kong"
 
-	"github.com/filbertmux/filbertmux/bench/capacity"
-	"github.com/filbertmux/filbertmux/bench/claims"
-	"github.com/filbertmux/filbertmux/bench/experts"
-	"github.com/filbertmux/filbertmux/bench/fleet"
-	"github.com/filbertmux/filbertmux/bench/load"
-	"github.com/filbertmux/filbertmux/bench/process"
-	"github.com/filbertmux/filbertmux/bench/routing"
+	"github.com/filbertmux/filbertmux/measure/bench/capacity"
+	"github.com/filbertmux/filbertmux/measure/bench/claims"
+	"github.com/filbertmux/filbertmux/measure/bench/experts"
+	"github.com/filbertmux/filbertmux/measure/bench/fleet"
+	"github.com/filbertmux/filbertmux/measure/bench/load"
+	"github.com/filbertmux/filbertmux/measure/bench/process"
+	"github.com/filbertmux/filbertmux/measure/bench/routing"
 )
 
 type commands struct {
--- a/cmd/filbertmux/main.go
+++ b/cmd/filbertmux/main.go
@@ -5,7 +5,7 @@
 	"context"
 	"os"
 
-	"github.com/filbertmux/filbertmux/cli"
+	"github.com/filbertmux/filbertmux/daemons/cli"
 )
 
 func main() {
--- a/settings/settings_test.go
+++ b/config/settings/settings_test.go
@@ -8,8 +8,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/settings"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/settings"
 )
 
 func parse(t *testing.T, target any, args ...string) error {
--- a/settings/validate.go
+++ b/config/settings/validate.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-playground/validator/v10"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 var checker = newChecker()
--- a/table/change.go
+++ b/config/table/change.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Record types. A change of meaning gets a new type, because readers of
@@ -35,9 +35,9 @@
 	ID     string `json:"id"`
 	Office string `json:"office"`
 	// ReadOffset is the table offset of the publisher when it made the set.
-	ReadOffset platform.Offset `json:"read_offset"`
-	Comment    string          `json:"comment,omitempty"`
-	Changes    []Change        `json:"changes"`
+	ReadOffset infra.Offset `json:"read_offset"`
+	Comment    string       `json:"comment,omitempty"`
+	Changes    []Change     `json:"changes"`
 }
 
 // Encode returns the log record of the change set.
--- a/table/digest.go
+++ b/config/table/digest.go
@@ -9,7 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeebo/xxh3"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Digest is the xxh3 hash of a folded state.
@@ -34,7 +34,7 @@
 // milliseconds at 1,100 organisations.
 type digestSum uint64
 
-func (s digestSum) digest(offset platform.Offset) Digest {
+func (s digestSum) digest(offset infra.Offset) Digest {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], uint64(s))
 	binary.LittleEndian.PutUint64(b[8:], uint64(offset))
@@ -47,11 +47,11 @@
 func (s *digestSum) addVerdict(v Verdict) { *s += elementHash("verdict", v) }
 func (s *digestSum) subVerdict(v Verdict) { *s -= elementHash("verdict", v) }
 
-func (s *digestSum) addDeletion(key Key, at platform.Offset) {
+func (s *digestSum) addDeletion(key Key, at infra.Offset) {
 	*s += elementHash("deletion", deletion{key, at})
 }
 
-func (s *digestSum) subDeletion(key Key, at platform.Offset) {
+func (s *digestSum) subDeletion(key Key, at infra.Offset) {
 	*s -= elementHash("deletion", deletion{key, at})
 }
 
--- a/table/examples_test.go
+++ b/config/table/examples_test.go
@@ -7,16 +7,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 // record returns the log record of a change set.
-func record(t testing.TB, offset platform.Offset, s ChangeSet) platform.Record {
+func record(t testing.TB, offset infra.Offset, s ChangeSet) infra.Record {
 	t.Helper()
 	data, err := s.Encode()
 	require.NoError(t, err)
-	return platform.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data}
+	return infra.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data}
 }
 
 // foldOf publishes a directory office by office.
--- a/table/fault.go
+++ b/config/table/fault.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Fault is one reason why a row or a change is refused.
--- a/table/fold.go
+++ b/config/table/fold.go
@@ -7,29 +7,29 @@
 	"slices"
 	"strconv"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Horizon is the number of offsets for which verdicts, deletions and digests
 // are remembered: almost two days at 2,200 changes a day. A change set that
 // was made further back is refused, so a forgotten verdict is never decided a
 // second time.
-const Horizon platform.Offset = 4096
+const Horizon infra.Offset = 4096
 
 // Fold is the state of the table after the records up to Offset. It is owned
 // by one goroutine.
 type Fold struct {
-	offset   platform.Offset
-	horizon  platform.Offset // Horizon, or less in tests
+	offset   infra.Offset
+	horizon  infra.Offset // Horizon, or less in tests
 	entries  map[Key]Entry
 	verdicts map[string]Verdict
 	// deleted holds the offset of the deletion of rows that do not exist.
-	deleted map[Key]platform.Offset
+	deleted map[Key]infra.Offset
 	// byOffset holds what was remembered at an offset and is forgotten when
 	// the offset leaves the horizon.
-	byOffset map[platform.Offset]remembered
+	byOffset map[infra.Offset]remembered
 	sum      digestSum
-	digests  map[platform.Offset]Digest
+	digests  map[infra.Offset]Digest
 	stats    Stats
 	rules    ruleSwitches
 }
@@ -49,21 +49,21 @@
 // NewFold returns the empty table at offset 0.
 func NewFold() *Fold { return newFold(Horizon) }
 
-func newFold(horizon platform.Offset) *Fold {
+func newFold(horizon infra.Offset) *Fold {
 	f := &Fold{
 		horizon:  horizon,
 		entries:  make(map[Key]Entry),
 		verdicts: make(map[string]Verdict),
-		deleted:  make(map[Key]platform.Offset),
-		byOffset: make(map[platform.Offset]remembered),
-		digests:  make(map[platform.Offset]Digest),
+		deleted:  make(map[Key]infra.Offset),
+		byOffset: make(map[infra.Offset]remembered),
+		digests:  make(map[infra.Offset]Digest),
 	}
 	f.digests[0] = f.sum.digest(0)
 	return f
 }
 
 // Offset returns the offset of the last applied record.
-func (f *Fold) Offset() platform.Offset { return f.offset }
+func (f *Fold) Offset() infra.Offset { return f.offset }
 
 // Stats returns the counters.
 func (f *Fold) Stats() Stats { return f.stats }
@@ -79,7 +79,7 @@
 
 // Apply applies the next record. A record that is not the next one has no
 // effect: the offset of a fold never decreases and never skips a record.
-func (f *Fold) Apply(r platform.Record) Verdict {
+func (f *Fold) Apply(r infra.Record) Verdict {
 	if r.Offset <= f.offset {
 		f.stats.Rereads++
 		return Verdict{Outcome: OutcomeReread, Offset: r.Offset}
@@ -95,7 +95,7 @@
 	return v
 }
 
-func (f *Fold) dispatch(r platform.Record) Verdict {
+func (f *Fold) dispatch(r infra.Record) Verdict {
 	switch RecordType(r.Data) {
 	case TypeChangeSet:
 		s, err := DecodeChangeSet(r.Data)
@@ -116,7 +116,7 @@
 
 // compare checks the digest of a snapshot record against the own digest at the
 // offset that the snapshot covers.
-func (f *Fold) compare(r platform.Record) Verdict {
+func (f *Fold) compare(r infra.Record) Verdict {
 	var head snapshotHead
 	if err := json.Unmarshal(r.Data, &head); err != nil {
 		f.stats.Malformed++
@@ -294,7 +294,7 @@
 	f.byOffset[v.Offset] = m
 }
 
-func (f *Fold) rememberDeletion(key Key, at platform.Offset) {
+func (f *Fold) rememberDeletion(key Key, at infra.Offset) {
 	f.deleted[key] = at
 	f.sum.addDeletion(key, at)
 	m := f.byOffset[at]
@@ -329,4 +329,4 @@
 // View returns an immutable copy of the rows for lookups.
 func (f *Fold) View() *View { return newView(f.offset, maps.Clone(f.entries)) }
 
-func formatOffset(o platform.Offset) string { return strconv.FormatUint(uint64(o), 10) }
+func formatOffset(o infra.Offset) string { return strconv.FormatUint(uint64(o), 10) }
--- a/table/fuzz_test.go
+++ b/config/table/fuzz_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 // Guards against a CSV file that panics the parser, or valid rows that change
@@ -52,9 +52,9 @@
 	f.Add(data, []byte(`{"type":"table.snapshot.v1","offset":0,"digest":"0"}`))
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		fold := NewFold()
-		fold.Apply(platform.Record{Offset: 1, Data: first})
-		fold.Apply(platform.Record{Offset: 2, Data: second})
-		require.Equal(t, platform.Offset(2), fold.Offset())
+		fold.Apply(infra.Record{Offset: 1, Data: first})
+		fold.Apply(infra.Record{Offset: 2, Data: second})
+		require.Equal(t, infra.Offset(2), fold.Offset())
 		snapshot, err := fold.Snapshot()
 		require.NoError(t, err)
 		restored, err := Restore(snapshot)
--- a/table/random_test.go
+++ b/config/table/random_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
 	randomSteps = 400
 	// randomHorizon is short, so that each run forgets verdicts many times.
-	randomHorizon platform.Offset = 40
+	randomHorizon infra.Offset = 40
 )
 
 // TestReadersAgreeAndNothingReverts runs two offices with stale readers, lost
@@ -26,7 +26,7 @@
 	var total Stats
 	for _, seed := range list {
 		w, problem := runWorld(t, seed, ruleSwitches{})
-		require.Empty(t, problem, seeds.Replay(t, "table", seed))
+		require.Empty(t, problem, seeds.Replay(t, "config/table", seed))
 		s := w.readers[0].Stats()
 		total.Accepted += s.Accepted
 		total.Refused += s.Refused
@@ -65,11 +65,11 @@
 	t       *testing.T
 	rng     *rand.Rand
 	rules   ruleSwitches
-	log     []platform.Record // log[i] has offset i+1
-	oldest  platform.Offset   // lowest retained offset
-	sets    []ChangeSet       // every set that was appended, for duplicates
+	log     []infra.Record // log[i] has offset i+1
+	oldest  infra.Offset   // lowest retained offset
+	sets    []ChangeSet    // every set that was appended, for duplicates
 	readers []*Fold
-	digests map[platform.Offset]Digest
+	digests map[infra.Offset]Digest
 	// verdicts is the first verdict of each ID, current the version that the
 	// accepted changes imply for each row.
 	verdicts map[string]Verdict
@@ -81,7 +81,7 @@
 func runWorld(t *testing.T, seed uint64, rules ruleSwitches) (*world, string) {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 0)), rules: rules, oldest: 1,
-		digests: make(map[platform.Offset]Digest), verdicts: make(map[string]Verdict), current: make(map[Key]Entry),
+		digests: make(map[infra.Offset]Digest), verdicts: make(map[string]Verdict), current: make(map[Key]Entry),
 	}
 	for range 4 {
 		w.readers = append(w.readers, w.newFold())
@@ -129,7 +129,7 @@
 }
 
 func (w *world) append(data []byte) {
-	w.log = append(w.log, platform.Record{Offset: platform.Offset(len(w.log) + 1), Data: data})
+	w.log = append(w.log, infra.Record{Offset: infra.Offset(len(w.log) + 1), Data: data})
 	// Reader 0 is the reference: it never restarts and never lags.
 	w.advance(0, 1)
 }
@@ -234,7 +234,7 @@
 
 // checkVerdict follows the accepted changes without the rules of the fold: the
 // author of each change must have seen the row that the change replaces.
-func (w *world) checkVerdict(r platform.Record, v Verdict) {
+func (w *world) checkVerdict(r infra.Record, v Verdict) {
 	if RecordType(r.Data) != TypeChangeSet {
 		return
 	}
@@ -256,7 +256,7 @@
 	}
 }
 
-func (w *world) checkAccepted(offset platform.Offset, s ChangeSet) {
+func (w *world) checkAccepted(offset infra.Offset, s ChangeSet) {
 	for _, c := range s.Changes {
 		now := w.current[c.Key]
 		if c.Base != now.Version {
--- a/table/row.go
+++ b/config/table/row.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Kind is the kind of a row. Each kind has its own CSV file.
@@ -187,7 +187,7 @@
 
 // Version is the offset of the record that last changed a row; 0 means that
 // the row does not exist.
-type Version = platform.Offset
+type Version = infra.Offset
 
 // Entry is a row with its version.
 type Entry struct {
--- a/table/scenario_test.go
+++ b/config/table/scenario_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // TestScenarios runs testdata/scenarios. Guards against verdicts that differ
@@ -32,7 +32,7 @@
 type scenario struct {
 	t       *testing.T
 	fold    *Fold
-	records []platform.Record
+	records []infra.Record
 }
 
 func (s *scenario) run(t *testing.T, d *datadriven.TestData) string {
@@ -80,7 +80,7 @@
 	if d.HasArg("read") {
 		var read int
 		d.ScanArgs(s.t, "read", &read)
-		set.ReadOffset = platform.Offset(read)
+		set.ReadOffset = infra.Offset(read)
 	}
 	for line := range strings.SplitSeq(strings.TrimSpace(d.Input), "\n") {
 		set.Changes = append(set.Changes, s.change(strings.Fields(line)))
@@ -114,7 +114,7 @@
 }
 
 func (s *scenario) apply(data []byte) string {
-	r := platform.Record{Offset: platform.Offset(len(s.records) + 1), Data: data}
+	r := infra.Record{Offset: infra.Offset(len(s.records) + 1), Data: data}
 	s.records = append(s.records, r)
 	return printVerdict(s.fold.Apply(r))
 }
--- a/table/snapshot.go
+++ b/config/table/snapshot.go
@@ -8,19 +8,19 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 type snapshotHead struct {
-	Type   string          `json:"type"`
-	Offset platform.Offset `json:"offset"`
-	Digest Digest          `json:"digest"`
+	Type   string       `json:"type"`
+	Offset infra.Offset `json:"offset"`
+	Digest Digest       `json:"digest"`
 }
 
 type deletion struct {
-	Key    Key             `json:"key"`
-	Offset platform.Offset `json:"offset"`
+	Key    Key          `json:"key"`
+	Offset infra.Offset `json:"offset"`
 }
 
 // snapshot is the record of type TypeSnapshot. All lists are sorted, so the
@@ -55,7 +55,7 @@
 }
 
 // SnapshotOffset returns the offset that a record covers if it is a snapshot.
-func SnapshotOffset(data []byte) (platform.Offset, bool) {
+func SnapshotOffset(data []byte) (infra.Offset, bool) {
 	if RecordType(data) != TypeSnapshot {
 		return 0, false
 	}
@@ -70,7 +70,7 @@
 // does not match the content.
 func Restore(data []byte) (*Fold, error) { return restore(data, Horizon) }
 
-func restore(data []byte, horizon platform.Offset) (*Fold, error) {
+func restore(data []byte, horizon infra.Offset) (*Fold, error) {
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
 		return nil, errkind.Wrap(errkind.InvalidTable, err, "decode snapshot")
--- a/table/verdict.go
+++ b/config/table/verdict.go
@@ -1,6 +1,6 @@
 package table
 
-import "github.com/filbertmux/filbertmux/platform"
+import "github.com/filbertmux/filbertmux/base/infra"
 
 // Outcome is what a fold did with a record.
 type Outcome string
@@ -33,7 +33,7 @@
 	ID      string  `json:"id,omitempty"`
 	Office  string  `json:"office,omitempty"`
 	// Offset is the record that decided the verdict.
-	Offset platform.Offset `json:"offset"`
+	Offset infra.Offset `json:"offset"`
 	// Faults are the first reasons of a refusal and FaultCount is their
 	// number before the list was cut.
 	Faults     []Fault `json:"faults,omitempty"`
@@ -46,7 +46,7 @@
 // InvalidTable with all remembered reasons.
 func (v Verdict) Err() error { return FaultsError(v.Faults) }
 
-func refusal(id, office string, offset platform.Offset, faults []Fault) Verdict {
+func refusal(id, office string, offset infra.Offset, faults []Fault) Verdict {
 	return Verdict{
 		Outcome: OutcomeRefused, ID: id, Office: office, Offset: offset,
 		Faults: faults[:min(len(faults), maxVerdictFaults)], FaultCount: len(faults),
--- a/table/view.go
+++ b/config/table/view.go
@@ -6,7 +6,7 @@
 	"encoding/hex"
 	"slices"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // DefaultWeight applies to an organisation without a weight row.
@@ -14,7 +14,7 @@
 
 // View is the table at one offset. It is immutable, so it may be shared.
 type View struct {
-	offset  platform.Offset
+	offset  infra.Offset
 	entries map[Key]Entry
 	byHash  map[string]*Organisation
 	classes []Class
@@ -26,7 +26,7 @@
 	route   *Route
 }
 
-func newView(offset platform.Offset, entries map[Key]Entry) *View {
+func newView(offset infra.Offset, entries map[Key]Entry) *View {
 	v := &View{
 		offset:  offset,
 		entries: entries,
@@ -62,7 +62,7 @@
 func routeListID(service, method string) string { return service + " " + method }
 
 // Offset returns the table offset of the view.
-func (v *View) Offset() platform.Offset { return v.offset }
+func (v *View) Offset() infra.Offset { return v.offset }
 
 // Get returns a row and its version.
 func (v *View) Get(key Key) (Entry, bool) {
--- a/tablecli/commands.go
+++ b/config/tablecli/commands.go
@@ -11,10 +11,10 @@
 
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // Commands is embedded into the command line. Each Run takes a
@@ -34,8 +34,8 @@
 	PlatformURL string `name:"platform-url" aliases:"platform" required:"" env:"FILBERTMUX_PLATFORM_URL,FILBERTMUX_PLATFORM" help:"URL of the platform services."`
 }
 
-func (s Source) client() (*platform.HTTPClient, error) {
-	return platform.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: time.Minute})
+func (s Source) client() (*infra.HTTPClient, error) {
+	return infra.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: time.Minute})
 }
 
 // Edit names the edited rows.
@@ -142,7 +142,7 @@
 }
 
 // printInstances asks each instance once.
-func printInstances(ctx context.Context, list platform.InstanceList, q *survey, offset platform.Offset, out io.Writer) error {
+func printInstances(ctx context.Context, list infra.InstanceList, q *survey, offset infra.Offset, out io.Writer) error {
 	instances, err := list.Instances(ctx)
 	if err != nil {
 		return err
--- a/tablecli/commands_test.go
+++ b/config/tablecli/commands_test.go
@@ -16,40 +16,40 @@
 	"github.com/alecthomas/kong"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // testPlatform is a log whose first append takes effect but answers 503.
 type testPlatform struct {
 	mu      sync.Mutex
 	lost    bool
-	records []platform.Record
+	records []infra.Record
 	address string
 }
 
 func (p *testPlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	end := platform.Offset(len(p.records))
+	end := infra.Offset(len(p.records))
 	switch {
 	case r.URL.Path == "/statusz":
-		_ = json.NewEncoder(w).Encode(map[string]platform.Offset{"table_offset": end})
-	case r.URL.Path == platform.InstancePath:
-		_ = json.NewEncoder(w).Encode([]platform.Instance{{ID: "i", Address: p.address}})
+		_ = json.NewEncoder(w).Encode(map[string]infra.Offset{"table_offset": end})
+	case r.URL.Path == infra.InstancePath:
+		_ = json.NewEncoder(w).Encode([]infra.Instance{{ID: "i", Address: p.address}})
 	case r.Method == http.MethodPost:
 		data, _ := io.ReadAll(r.Body)
-		p.records = append(p.records, platform.Record{Offset: end + 1, Data: data})
+		p.records = append(p.records, infra.Record{Offset: end + 1, Data: data})
 		if !p.lost {
 			p.lost = true
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		_ = json.NewEncoder(w).Encode(platform.AppendResponse{Offset: end + 1})
+		_ = json.NewEncoder(w).Encode(infra.AppendResponse{Offset: end + 1})
 	default:
-		var after platform.Offset
+		var after infra.Offset
 		_ = json.Unmarshal([]byte(r.URL.Query().Get("after")), &after)
-		_ = json.NewEncoder(w).Encode(platform.Batch{Records: p.records[min(after, end):], Oldest: 1, End: end})
+		_ = json.NewEncoder(w).Encode(infra.Batch{Records: p.records[min(after, end):], Oldest: 1, End: end})
 	}
 }
 
--- a/tablecli/history.go
+++ b/config/tablecli/history.go
@@ -11,9 +11,9 @@
 	"slices"
 	"strings"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // HistoryCmd lists the remembered verdicts, the oldest first.
--- a/tablecli/publish.go
+++ b/config/tablecli/publish.go
@@ -6,10 +6,10 @@
 	"io"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // pollInterval spaces retries and rounds of status questions.
@@ -61,7 +61,7 @@
 
 // publish appends the set until its verdict is read back. Records with the
 // same ID count once, so a lost answer is resolved by appending again.
-func publish(ctx context.Context, log platform.Log, set table.ChangeSet) (table.Verdict, error) {
+func publish(ctx context.Context, log infra.Log, set table.ChangeSet) (table.Verdict, error) {
 	data, err := set.Encode()
 	if err != nil {
 		return table.Verdict{}, err
@@ -91,7 +91,7 @@
 }
 
 // waitInForce returns when every listed instance has reported the offset.
-func waitInForce(ctx context.Context, list platform.InstanceList, q *survey, offset platform.Offset, out io.Writer) error {
+func waitInForce(ctx context.Context, list infra.InstanceList, q *survey, offset infra.Offset, out io.Writer) error {
 	var late []string
 	listed := false
 	for {
@@ -110,7 +110,7 @@
 	}
 }
 
-func waitTimeout(late []string, listed bool, offset platform.Offset) error {
+func waitTimeout(late []string, listed bool, offset infra.Offset) error {
 	if !listed {
 		return errkind.New(errkind.WaitTimeout, "the change is accepted at table offset %d; the instance list could not be read", offset)
 	}
--- a/tablecli/survey.go
+++ b/config/tablecli/survey.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 const (
@@ -29,7 +29,7 @@
 	client  *http.Client
 	timeout time.Duration // of one question
 	// reported holds the highest offset that each instance has reported.
-	reported map[instanceKey]platform.Offset
+	reported map[instanceKey]infra.Offset
 	silent   map[instanceKey]bool // those that did not answer the last question
 }
 
@@ -37,14 +37,14 @@
 // keep its id.
 type instanceKey struct{ id, address string }
 
-func keyOf(i platform.Instance) instanceKey { return instanceKey{i.ID, i.Address} }
+func keyOf(i infra.Instance) instanceKey { return instanceKey{i.ID, i.Address} }
 
 func newSurvey(timeout time.Duration) *survey {
 	return &survey{
 		timeout: timeout,
 		// A connection is not kept, because an instance is seldom asked twice.
 		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxConnsPerHost: 1}},
-		reported: make(map[instanceKey]platform.Offset),
+		reported: make(map[instanceKey]infra.Offset),
 		silent:   make(map[instanceKey]bool),
 	}
 }
@@ -55,8 +55,8 @@
 // not answer before at the end, and returns the ids of those that still have
 // not. An instance that has reported it is not asked again, because offsets do
 // not fall.
-func (q *survey) late(ctx context.Context, instances []platform.Instance, offset platform.Offset) []string {
-	var prompt, silent []platform.Instance
+func (q *survey) late(ctx context.Context, instances []infra.Instance, offset infra.Offset) []string {
+	var prompt, silent []infra.Instance
 	for _, i := range instances {
 		switch {
 		case q.reported[keyOf(i)] >= offset:
@@ -77,8 +77,8 @@
 }
 
 // ask asks several at once: one that does not answer takes statusTimeout.
-func (q *survey) ask(ctx context.Context, instances []platform.Instance) {
-	offsets := make([]platform.Offset, len(instances))
+func (q *survey) ask(ctx context.Context, instances []infra.Instance) {
+	offsets := make([]infra.Offset, len(instances))
 	answered := make([]bool, len(instances))
 	var group errgroup.Group
 	group.SetLimit(maxQuestions)
@@ -97,7 +97,7 @@
 }
 
 // tableOffset returns the offset that an instance reports.
-func (q *survey) tableOffset(ctx context.Context, address string) (platform.Offset, bool) {
+func (q *survey) tableOffset(ctx context.Context, address string) (infra.Offset, bool) {
 	ctx, cancel := context.WithTimeout(ctx, q.timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/statusz", nil)
@@ -110,7 +110,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var status struct {
-		TableOffset platform.Offset `json:"table_offset"`
+		TableOffset infra.Offset `json:"table_offset"`
 	}
 	if json.NewDecoder(io.LimitReader(resp.Body, 1<<20)).Decode(&status) != nil {
 		return 0, false
--- a/tablecli/survey_test.go
+++ b/config/tablecli/survey_test.go
@@ -14,15 +14,15 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // manyInstances serves /statusz on many loopback addresses in one process.
 type manyInstances struct {
-	list    []platform.Instance
+	list    []infra.Instance
 	number  map[string]int // by address
-	offset  func(n int) platform.Offset
+	offset  func(n int) infra.Offset
 	hangs   func(n int) bool
 	release chan struct{}
 
@@ -39,7 +39,7 @@
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:0", 2+n%8))
 		require.NoError(t, err)
 		m.number[l.Addr().String()] = n
-		m.list = append(m.list, platform.Instance{ID: fmt.Sprintf("i%d", n), Address: l.Addr().String()})
+		m.list = append(m.list, infra.Instance{ID: fmt.Sprintf("i%d", n), Address: l.Addr().String()})
 		go func() { _ = server.Serve(l) }()
 	}
 	t.Cleanup(func() {
@@ -76,7 +76,7 @@
 	_, _ = fmt.Fprintf(w, `{"table_offset":%d}`, m.offset(n))
 }
 
-func (m *manyInstances) Instances(context.Context) ([]platform.Instance, error) { return m.list, nil }
+func (m *manyInstances) Instances(context.Context) ([]infra.Instance, error) { return m.list, nil }
 
 // Guards against publish --wait that asks 930 instances without a bound on its
 // sockets, asks those again that have reported, names one that has reported,
@@ -85,7 +85,7 @@
 	const count, hung, offset = 930, 40, 7
 	m := startInstances(t, count)
 	m.hangs = func(n int) bool { return n%(count/hung) == 3 && n/(count/hung) < hung }
-	m.offset = func(int) platform.Offset { return offset }
+	m.offset = func(int) infra.Offset { return offset }
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	began := time.Now()
@@ -125,7 +125,7 @@
 	m.hangs = func(int) bool { return false }
 	began := time.Now()
 	var late atomic.Int64
-	m.offset = func(n int) platform.Offset {
+	m.offset = func(n int) infra.Offset {
 		if n%100 == 0 && time.Since(began) < time.Second {
 			late.Add(1)
 			return 6
@@ -147,11 +147,11 @@
 	const count = 100
 	m := startInstances(t, count)
 	m.hangs = func(int) bool { return false }
-	m.offset = func(n int) platform.Offset {
+	m.offset = func(n int) infra.Offset {
 		if n == 50 {
 			panic(http.ErrAbortHandler)
 		}
-		return platform.Offset(7 - n/99)
+		return infra.Offset(7 - n/99)
 	}
 	var out bytes.Buffer
 	q := newSurvey(time.Minute)
--- a/tablesync/bounds_test.go
+++ b/config/tablesync/bounds_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Guards against a table that is lost with all its readers in a log outage of
@@ -52,21 +52,21 @@
 	reads     atomic.Int64
 }
 
-func (l *silentLog) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *silentLog) Read(ctx context.Context, stream string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	l.reads.Add(1)
 	if l.silent.Load() {
 		<-ctx.Done()
-		return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+		return infra.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
 	}
 	batch, err := l.testLog.Read(ctx, stream, after, limit, wait)
 	if l.silent.Load() {
 		<-ctx.Done()
-		return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+		return infra.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
 	}
 	return batch, err
 }
 
-func (l *silentLog) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+func (l *silentLog) Append(ctx context.Context, stream string, data []byte) (infra.Offset, error) {
 	if l.silent.Load() {
 		<-ctx.Done()
 		return 0, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
--- a/tablesync/chain.go
+++ b/config/tablesync/chain.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // A snapshot is due when the oldest record that a new reader needs is older
@@ -23,7 +23,7 @@
 type chain struct {
 	retention time.Duration
 	rng       *rand.Rand
-	covered   platform.Offset
+	covered   infra.Offset
 	oldest    time.Time // zero before the first record
 	jitter    time.Duration
 	notBefore time.Time
@@ -47,7 +47,7 @@
 }
 
 // restart notes a newer snapshot and the time of the oldest needed record.
-func (c *chain) restart(covered platform.Offset, oldest time.Time) {
+func (c *chain) restart(covered infra.Offset, oldest time.Time) {
 	if covered < c.covered {
 		return
 	}
--- a/tablesync/log_test.go
+++ b/config/tablesync/log_test.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 )
 
 // testLog is a log of one stream with retention, outages and slow answers.
@@ -15,8 +15,8 @@
 	retention time.Duration
 
 	mu      sync.Mutex
-	records []platform.Record
-	oldest  platform.Offset
+	records []infra.Record
+	oldest  infra.Offset
 	down    bool
 	delay   time.Duration
 	changed chan struct{}
@@ -50,13 +50,13 @@
 	return nil
 }
 
-func (l *testLog) Append(ctx context.Context, _ string, data []byte) (platform.Offset, error) {
+func (l *testLog) Append(ctx context.Context, _ string, data []byte) (infra.Offset, error) {
 	if err := l.enter(ctx); err != nil {
 		return 0, err
 	}
 	defer l.mu.Unlock()
-	offset := l.oldest + platform.Offset(len(l.records))
-	l.records = append(l.records, platform.Record{Offset: offset, Time: time.Now(), Data: data})
+	offset := l.oldest + infra.Offset(len(l.records))
+	l.records = append(l.records, infra.Record{Offset: offset, Time: time.Now(), Data: data})
 	close(l.changed)
 	l.changed = make(chan struct{})
 	return offset, nil
@@ -83,24 +83,24 @@
 	}
 }
 
-func (l *testLog) Read(ctx context.Context, _ string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (l *testLog) Read(ctx context.Context, _ string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	deadline := time.After(wait)
 	for {
 		if err := l.enter(ctx); err != nil {
-			return platform.Batch{}, err
+			return infra.Batch{}, err
 		}
 		l.expire()
-		end := l.oldest + platform.Offset(len(l.records)) - 1
+		end := l.oldest + infra.Offset(len(l.records)) - 1
 		changed := l.changed
 		if after+1 < l.oldest {
 			defer l.mu.Unlock()
-			return platform.Batch{}, &platform.TrimmedError{Oldest: l.oldest, End: end}
+			return infra.Batch{}, &infra.TrimmedError{Oldest: l.oldest, End: end}
 		}
 		if after < end || wait == 0 {
 			defer l.mu.Unlock()
 			from := min(int(after+1-l.oldest), len(l.records))
 			to := min(from+limit, len(l.records))
-			return platform.Batch{Records: l.records[from:to:to], Oldest: l.oldest, End: end}, nil
+			return infra.Batch{Records: l.records[from:to:to], Oldest: l.oldest, End: end}, nil
 		}
 		l.mu.Unlock()
 		select {
@@ -108,7 +108,7 @@
 		case <-deadline:
 			wait = 0
 		case <-ctx.Done():
-			return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
+			return infra.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log")
 		}
 	}
 }
--- a/tablesync/once.go
+++ b/config/tablesync/once.go
@@ -7,9 +7,9 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 )
 
 // noSnapshots is a retention after which no command is still running.
@@ -20,7 +20,7 @@
 const commandSlack = 5 * time.Second
 
 // ReadOnce returns the fold at the end of the log. The caller owns it.
-func ReadOnce(ctx context.Context, log platform.Log) (*table.Fold, error) {
+func ReadOnce(ctx context.Context, log infra.Log) (*table.Fold, error) {
 	s, err := New(log, nil, SystemClock{}, rand.New(rand.NewPCG(0, 0)), Options{
 		Retention: noSnapshots, ReadWait: time.Millisecond, ReadSlack: commandSlack, Logger: zerolog.Nop(),
 	})
--- a/tablesync/options.go
+++ b/config/tablesync/options.go
@@ -5,7 +5,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // DefaultStream is the log stream of the table.
--- a/tablesync/peer.go
+++ b/config/tablesync/peer.go
@@ -6,10 +6,10 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	v1 "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 // Bounds of one answer to a peer.
@@ -27,7 +27,7 @@
 var _ Peer = (*Syncer)(nil)
 
 type cachedSnapshot struct {
-	offset platform.Offset
+	offset infra.Offset
 	data   []byte
 }
 
@@ -36,7 +36,7 @@
 func (s *Syncer) TableSince(_ context.Context, req *connect.Request[v1.TableSinceRequest]) (*connect.Response[v1.TableSinceResponse], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	after := platform.Offset(req.Msg.GetOffset())
+	after := infra.Offset(req.Msg.GetOffset())
 	end := s.fold.Offset()
 	answer := &v1.TableSinceResponse{Offset: uint64(end)}
 	records, held := s.recent.after(after, end)
@@ -55,7 +55,7 @@
 
 // snapshotFor returns a snapshot above offset after from which the held records
 // continue. s.mu is held.
-func (s *Syncer) snapshotFor(after platform.Offset) (cachedSnapshot, error) {
+func (s *Syncer) snapshotFor(after infra.Offset) (cachedSnapshot, error) {
 	end := s.fold.Offset()
 	if _, held := s.recent.after(s.cached.offset, end); held && s.cached.offset > after {
 		return s.cached, nil
@@ -68,7 +68,7 @@
 	return s.cached, nil
 }
 
-func toMessages(records []platform.Record, limit uint32) []*v1.TableRecord {
+func toMessages(records []infra.Record, limit uint32) []*v1.TableRecord {
 	if limit == 0 || limit > maxAnswerRecords {
 		limit = maxAnswerRecords
 	}
@@ -117,7 +117,7 @@
 	}
 }
 
-func (s *Syncer) ask(ctx context.Context, peer Peer, offset platform.Offset) peerAnswer {
+func (s *Syncer) ask(ctx context.Context, peer Peer, offset infra.Offset) peerAnswer {
 	answer, err := peer.TableSince(ctx, connect.NewRequest(&v1.TableSinceRequest{
 		Offset: uint64(offset), Limit: uint32(s.opts.ReadLimit),
 	}))
@@ -139,7 +139,7 @@
 }
 
 func (s *Syncer) takeAnswer(answer *v1.TableSinceResponse) error {
-	if platform.Offset(answer.GetSnapshotOffset()) > s.Offset() {
+	if infra.Offset(answer.GetSnapshotOffset()) > s.Offset() {
 		f, err := table.Restore(answer.GetSnapshot())
 		if err != nil {
 			return err
@@ -150,10 +150,10 @@
 			s.chain.restart(f.Offset(), s.clock.Now())
 		}
 	}
-	records := make([]platform.Record, 0, len(answer.GetRecords()))
+	records := make([]infra.Record, 0, len(answer.GetRecords()))
 	for _, m := range answer.GetRecords() {
-		records = append(records, platform.Record{
-			Offset: platform.Offset(m.GetOffset()), Time: time.UnixMilli(m.GetTimeUnixMs()), Data: m.GetData(),
+		records = append(records, infra.Record{
+			Offset: infra.Offset(m.GetOffset()), Time: time.UnixMilli(m.GetTimeUnixMs()), Data: m.GetData(),
 		})
 	}
 	s.apply(records)
--- a/tablesync/random_test.go
+++ b/config/tablesync/random_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 // TestReadersSurviveFaults runs readers through outages, slow phases, expiry
@@ -24,7 +24,7 @@
 	var total Stats
 	for _, seed := range list {
 		synctest.Test(t, func(t *testing.T) {
-			t.Logf("seed %d; %s", seed, seeds.Replay(t, "tablesync", seed))
+			t.Logf("seed %d; %s", seed, seeds.Replay(t, "config/tablesync", seed))
 			runFaults(t, rand.New(rand.NewPCG(seed, 1)), &total)
 		})
 		require.False(t, t.Failed())
@@ -41,8 +41,8 @@
 		fleet[i], stops[i] = f.start(f.log)
 	}
 	f.setReaders(fleet...)
-	digests := make(map[platform.Offset]table.Digest)
-	offsets := make([]platform.Offset, readers)
+	digests := make(map[infra.Offset]table.Digest)
+	offsets := make([]infra.Offset, readers)
 	published := 0
 	for range steps {
 		switch rng.IntN(8) {
--- a/tablesync/recent.go
+++ b/config/tablesync/recent.go
@@ -1,6 +1,6 @@
 package tablesync
 
-import "github.com/filbertmux/filbertmux/platform"
+import "github.com/filbertmux/filbertmux/base/infra"
 
 // Bounds of the records that are kept for peers.
 const (
@@ -10,11 +10,11 @@
 
 // recent holds the last applied records, without gaps.
 type recent struct {
-	records []platform.Record
+	records []infra.Record
 	bytes   int
 }
 
-func (r *recent) add(record platform.Record) {
+func (r *recent) add(record infra.Record) {
 	r.records = append(r.records, record)
 	r.bytes += len(record.Data)
 	drop := 0
@@ -24,7 +24,7 @@
 	}
 	if drop > 0 {
 		// A copy lets the garbage collector free the dropped data.
-		r.records = append([]platform.Record(nil), r.records[drop:]...)
+		r.records = append([]infra.Record(nil), r.records[drop:]...)
 	}
 }
 
@@ -32,7 +32,7 @@
 
 // after returns the records that follow offset, or false if the next one is
 // not held. end is the offset of the last applied record.
-func (r *recent) after(offset, end platform.Offset) ([]platform.Record, bool) {
+func (r *recent) after(offset, end infra.Offset) ([]infra.Record, bool) {
 	if offset >= end {
 		return nil, true
 	}
@@ -43,9 +43,9 @@
 }
 
 // at returns the record with the offset, if it is held.
-func (r *recent) at(offset platform.Offset) (platform.Record, bool) {
+func (r *recent) at(offset infra.Offset) (infra.Record, bool) {
 	if len(r.records) == 0 || offset < r.records[0].Offset || offset > r.records[len(r.records)-1].Offset {
-		return platform.Record{}, false
+		return infra.Record{}, false
 	}
 	return r.records[offset-r.records[0].Offset], true
 }
--- a/tablesync/start.go
+++ b/config/tablesync/start.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 )
 
 // startFromLog adopts the newest usable snapshot of a log that no longer holds
 // the next record. It reports false if there is none.
-func (s *Syncer) startFromLog(ctx context.Context, oldest platform.Offset) bool {
+func (s *Syncer) startFromLog(ctx context.Context, oldest infra.Offset) bool {
 	found, err := s.scan(ctx, oldest)
 	if err != nil {
 		s.countLogError(ctx, err)
@@ -34,7 +34,7 @@
 
 // scan reads all retained records and returns the newest snapshot that can be
 // continued: the record after the offset that it covers is still there.
-func (s *Syncer) scan(ctx context.Context, oldest platform.Offset) (usableSnapshot, error) {
+func (s *Syncer) scan(ctx context.Context, oldest infra.Offset) (usableSnapshot, error) {
 	var newest usableSnapshot
 	var times []time.Time // of the records from oldest on
 	after := max(oldest, 1) - 1
--- a/tablesync/syncer.go
+++ b/config/tablesync/syncer.go
@@ -14,10 +14,10 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/invariant"
+	"github.com/filbertmux/filbertmux/config/table"
 )
 
 // Stats counts the work of a Syncer since it started.
@@ -35,7 +35,7 @@
 
 // Syncer is a reader of the table.
 type Syncer struct {
-	log   platform.Log
+	log   infra.Log
 	peers func() []Peer
 	clock Clock
 	opts  Options
@@ -61,7 +61,7 @@
 }
 
 // New returns a Syncer at offset 0. rng is owned by the Syncer afterwards.
-func New(log platform.Log, peers func() []Peer, clock Clock, rng *rand.Rand, opts Options) (*Syncer, error) {
+func New(log infra.Log, peers func() []Peer, clock Clock, rng *rand.Rand, opts Options) (*Syncer, error) {
 	opts, err := opts.withDefaults()
 	if err != nil {
 		return nil, err
@@ -85,7 +85,7 @@
 func (s *Syncer) View() *table.View { return s.view.Load() }
 
 // Offset returns the offset of the view. It never decreases.
-func (s *Syncer) Offset() platform.Offset { return s.View().Offset() }
+func (s *Syncer) Offset() infra.Offset { return s.View().Offset() }
 
 // Loaded reports whether the table has been read to the end of the log once,
 // or has been taken from a peer.
@@ -101,7 +101,7 @@
 }
 
 // Digest returns the offset and digest of the fold, for /statusz.
-func (s *Syncer) Digest() (platform.Offset, table.Digest) {
+func (s *Syncer) Digest() (infra.Offset, table.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.fold.Offset(), s.fold.Digest()
@@ -109,7 +109,7 @@
 
 // Learn notes the table offset of a message. If the log does not deliver up to
 // it soon, peers are asked.
-func (s *Syncer) Learn(offset platform.Offset) {
+func (s *Syncer) Learn(offset infra.Offset) {
 	for {
 		old := s.target.Load()
 		if uint64(offset) <= old {
@@ -130,7 +130,7 @@
 func (s *Syncer) wants() bool { return !s.Loaded() || uint64(s.Offset()) < s.target.Load() }
 
 // Wait returns when the view is at offset or above it, or when ctx ends.
-func (s *Syncer) Wait(ctx context.Context, offset platform.Offset) error {
+func (s *Syncer) Wait(ctx context.Context, offset infra.Offset) error {
 	for {
 		s.mu.Lock()
 		changed := s.changed
@@ -194,7 +194,7 @@
 func (s *Syncer) readLog(ctx context.Context) bool {
 	after := s.Offset()
 	batch, err := s.poll(ctx, after)
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) {
 		s.atEnd = false
 		if s.Offset()+1 >= trimmed.Oldest {
@@ -225,7 +225,7 @@
 
 // logAnswer is the result of one read.
 type logAnswer struct {
-	batch platform.Batch
+	batch infra.Batch
 	err   error
 }
 
@@ -237,7 +237,7 @@
 // is ahead. A connection may be silent for as long as the read may take. A new
 // process does not let the log wait for records: a log that answers, even with
 // none, then does so at once, and a silent one is told apart early.
-func (s *Syncer) poll(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+func (s *Syncer) poll(ctx context.Context, after infra.Offset) (infra.Batch, error) {
 	wait := s.opts.ReadWait
 	if !s.Loaded() {
 		wait = 0
@@ -286,7 +286,7 @@
 }
 
 // read reads without waiting for new records.
-func (s *Syncer) read(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+func (s *Syncer) read(ctx context.Context, after infra.Offset) (infra.Batch, error) {
 	timed, cancel := context.WithTimeout(ctx, s.slack)
 	defer cancel()
 	batch, err := s.log.Read(timed, s.opts.Stream, after, s.opts.ReadLimit, 0)
@@ -319,7 +319,7 @@
 
 // apply applies records in order and publishes the view. It reports false if
 // a record was missing.
-func (s *Syncer) apply(records []platform.Record) bool {
+func (s *Syncer) apply(records []infra.Record) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.fold.Offset()
@@ -344,7 +344,7 @@
 }
 
 // follow keeps the snapshot chain up to date. s.mu is held.
-func (s *Syncer) follow(r platform.Record) {
+func (s *Syncer) follow(r infra.Record) {
 	s.chain.first(r.Time)
 	covered, ok := table.SnapshotOffset(r.Data)
 	if !ok {
--- a/tablesync/syncer_test.go
+++ b/config/tablesync/syncer_test.go
@@ -14,9 +14,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	v1 "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 // The tests run in synctest bubbles: time is virtual and does not depend on
@@ -59,7 +59,7 @@
 }
 
 // start runs a reader whose peers are the readers that are in the fleet.
-func (f *fleet) start(log platform.Log) (*Syncer, context.CancelFunc) {
+func (f *fleet) start(log infra.Log) (*Syncer, context.CancelFunc) {
 	f.next++
 	s, err := New(log, f.peers, SystemClock{}, rand.New(rand.NewPCG(uint64(f.next), 7)), Options{Retention: retention, Logger: zerolog.Nop()})
 	require.NoError(f.t, err)
@@ -68,7 +68,7 @@
 	return s, cancel
 }
 
-func (f *fleet) publish(id string) platform.Offset {
+func (f *fleet) publish(id string) infra.Offset {
 	f.t.Helper()
 	offset, err := f.log.Append(f.ctx, DefaultStream, classSet(f.t, id))
 	require.NoError(f.t, err)
@@ -168,7 +168,7 @@
 			stops = append(stops, stop)
 		}
 		const hours = 6
-		var last platform.Offset
+		var last infra.Offset
 		for i := range 30 {
 			last = f.publish(fmt.Sprintf("c%d", i))
 			time.Sleep(20 * time.Second)
@@ -257,12 +257,12 @@
 		f := newFleet(t)
 		s, stop := f.start(f.log)
 		defer stop()
-		var last platform.Offset
+		var last infra.Offset
 		for i := range maxRecentRecords + 100 {
 			last = f.publish(fmt.Sprintf("c%d", i))
 		}
 		require.NoError(t, s.Wait(f.ctx, last))
-		ask := func(offset platform.Offset) *v1.TableSinceResponse {
+		ask := func(offset infra.Offset) *v1.TableSinceResponse {
 			answer, err := s.TableSince(f.ctx, connect.NewRequest(&v1.TableSinceRequest{Offset: uint64(offset)}))
 			require.NoError(t, err)
 			require.LessOrEqual(t, len(answer.Msg.GetRecords()), maxAnswerRecords)
--- a/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -11,14 +11,14 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/demo"
-	"github.com/filbertmux/filbertmux/entry"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/sidecar"
-	"github.com/filbertmux/filbertmux/tablecli"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/tablecli"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/demo"
+	"github.com/filbertmux/filbertmux/daemons/entry"
+	"github.com/filbertmux/filbertmux/daemons/sidecar"
 )
 
 type commands struct {
--- a/cli/cli_test.go
+++ b/daemons/cli/cli_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/cli"
+	"github.com/filbertmux/filbertmux/daemons/cli"
 )
 
 func run(args ...string) (code int, out, errs string) {
--- a/cli/standin.go
+++ b/daemons/cli/standin.go
@@ -9,10 +9,10 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/measure/standin"
 
 	"github.com/rs/zerolog"
 )
--- a/daemon/daemon_test.go
+++ b/daemons/daemon/daemon_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 // Guards against SIGTERM, or a second one, that cuts off an answer in flight.
--- a/daemon/instances.go
+++ b/daemons/daemon/instances.go
@@ -7,21 +7,21 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Instances follows the instance list. It is safe for concurrent use.
 type Instances struct {
-	list     platform.InstanceList
+	list     infra.InstanceList
 	interval time.Duration
 	timeout  time.Duration
 	log      zerolog.Logger
-	view     atomic.Pointer[[]platform.Instance]
+	view     atomic.Pointer[[]infra.Instance]
 }
 
 // NewInstances returns a view that has not been read yet. interval is the time
 // between two reads, timeout bounds one read.
-func NewInstances(list platform.InstanceList, interval, timeout time.Duration, log zerolog.Logger) *Instances {
+func NewInstances(list infra.InstanceList, interval, timeout time.Duration, log zerolog.Logger) *Instances {
 	return &Instances{list: list, interval: interval, timeout: timeout, log: log}
 }
 
@@ -51,7 +51,7 @@
 
 // View returns the last list, or nil before the first one. The list must not
 // be modified. A new list has a new address.
-func (i *Instances) View() *[]platform.Instance { return i.view.Load() }
+func (i *Instances) View() *[]infra.Instance { return i.view.Load() }
 
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/daemon/peers.go
+++ b/daemons/daemon/peers.go
@@ -7,10 +7,10 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/tablesync"
 )
 
 // peerIdleTimeout is short, because a process seldom asks the same peer twice.
@@ -39,7 +39,7 @@
 	}
 	var list []tablesync.Peer
 	for _, i := range *view {
-		if i.ID != p.own && i.State == platform.Live && i.Address != "" {
+		if i.ID != p.own && i.State == infra.Live && i.Address != "" {
 			list = append(list, peer{client: p.client, instance: i})
 		}
 	}
@@ -50,13 +50,13 @@
 // peers and asks few.
 type peer struct {
 	client   *http.Client
-	instance platform.Instance
+	instance infra.Instance
 }
 
 // TableSince implements tablesync.Peer.
 func (p peer) TableSince(ctx context.Context, req *connect.Request[pb.TableSinceRequest]) (*connect.Response[pb.TableSinceResponse], error) {
 	url := "http://" + p.instance.Address
-	if p.instance.Role == platform.RoleEntry {
+	if p.instance.Role == infra.RoleEntry {
 		return filbertmuxv1connect.NewEntryServiceClient(p.client, url).TableSince(ctx, req)
 	}
 	return filbertmuxv1connect.NewSidecarServiceClient(p.client, url).TableSince(ctx, req)
--- a/daemon/providers.go
+++ b/daemons/daemon/providers.go
@@ -13,11 +13,11 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 // longPollAllowance is added to the platform timeout, because a read of the log
@@ -32,42 +32,42 @@
 
 // Common provides what every daemon needs: its incarnation, drain gate,
 // platform client, table and metrics.
-func Common(s settings.Common, role platform.Role, log zerolog.Logger) fx.Option {
+func Common(s settings.Common, role infra.Role, log zerolog.Logger) fx.Option {
 	return fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(log),
 		fx.Provide(
 			NewIncarnation,
 			drain.NewGate,
-			func() (*platform.HTTPClient, error) { return newPlatform(s) },
-			func(c *platform.HTTPClient) platform.Log { return c },
-			func(c *platform.HTTPClient) platform.InstanceList { return c },
+			func() (*infra.HTTPClient, error) { return newPlatform(s) },
+			func(c *infra.HTTPClient) infra.Log { return c },
+			func(c *infra.HTTPClient) infra.InstanceList { return c },
 			func(lc fx.Lifecycle) *telemetry.Metrics { return newMetrics(lc, s, role, log) },
-			func(lc fx.Lifecycle, l platform.InstanceList) *Instances { return startInstances(lc, l, s, log) },
-			func(lc fx.Lifecycle, l platform.Log, i *Instances) (*tablesync.Syncer, error) {
+			func(lc fx.Lifecycle, l infra.InstanceList) *Instances { return startInstances(lc, l, s, log) },
+			func(lc fx.Lifecycle, l infra.Log, i *Instances) (*tablesync.Syncer, error) {
 				return startTable(lc, l, i, s, log)
 			},
 		),
 	)
 }
 
-func newPlatform(s settings.Common) (*platform.HTTPClient, error) {
-	return platform.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: s.PlatformTimeout + longPollAllowance})
+func newPlatform(s settings.Common) (*infra.HTTPClient, error) {
+	return infra.NewHTTPClient(s.PlatformURL, &http.Client{Timeout: s.PlatformTimeout + longPollAllowance})
 }
 
-func newMetrics(lc fx.Lifecycle, s settings.Common, role platform.Role, log zerolog.Logger) *telemetry.Metrics {
+func newMetrics(lc fx.Lifecycle, s settings.Common, role infra.Role, log zerolog.Logger) *telemetry.Metrics {
 	m := telemetry.NewMetrics(string(role), s.Instance, log)
 	lc.Append(fx.StopHook(m.Close))
 	return m
 }
 
-func startInstances(lc fx.Lifecycle, list platform.InstanceList, s settings.Common, log zerolog.Logger) *Instances {
+func startInstances(lc fx.Lifecycle, list infra.InstanceList, s settings.Common, log zerolog.Logger) *Instances {
 	i := NewInstances(list, s.InstanceInterval, s.PlatformTimeout, log)
 	Start(lc, log, Duty{Name: "follow the instance list", Run: i.Follow})
 	return i
 }
 
-func startTable(lc fx.Lifecycle, l platform.Log, i *Instances, s settings.Common, log zerolog.Logger) (*tablesync.Syncer, error) {
+func startTable(lc fx.Lifecycle, l infra.Log, i *Instances, s settings.Common, log zerolog.Logger) (*tablesync.Syncer, error) {
 	seed := rand.Uint64()
 	log.Info().Uint64("seed", seed).Msg("random source of the table reader")
 	p := newPeers(i, s.Instance, s.PeerToken.Reveal())
--- a/daemon/server.go
+++ b/daemons/daemon/server.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 // writeTimeout is the longest wait for a peer that reads nothing. A peer that
--- a/demo/caller.go
+++ b/daemons/demo/caller.go
@@ -13,11 +13,11 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/entry"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/entry"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 const (
@@ -36,7 +36,7 @@
 func newCaller(d *deployment) *caller { return &caller{d: d, client: &http.Client{}} }
 
 // awaitTable waits until every entry is ready with the table at offset.
-func (c *caller) awaitTable(ctx context.Context, offset platform.Offset) error {
+func (c *caller) awaitTable(ctx context.Context, offset infra.Offset) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, url := range c.d.entries {
@@ -51,7 +51,7 @@
 	return nil
 }
 
-func (c *caller) ready(ctx context.Context, url string, offset platform.Offset) bool {
+func (c *caller) ready(ctx context.Context, url string, offset infra.Offset) bool {
 	var status entry.Status
 	a, err := c.send(ctx, http.MethodGet, url+"/statusz", "", "")
 	if err != nil || json.Unmarshal(a.body, &status) != nil || status.TableOffset < offset {
--- a/demo/demo.go
+++ b/daemons/demo/demo.go
@@ -11,11 +11,11 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
 )
 
 // organisation is the caller of all demo calls.
@@ -53,7 +53,7 @@
 
 // publish appends one change set for each office of the example table and
 // returns the offset of the last one.
-func publish(ctx context.Context, log platform.Log) (platform.Offset, error) {
+func publish(ctx context.Context, log infra.Log) (infra.Offset, error) {
 	sheet, err := table.LoadDir(examples.Demo())
 	if err != nil {
 		return 0, errors.Wrap(err, "example table")
@@ -69,7 +69,7 @@
 		if err != nil {
 			return 0, errors.Wrap(err, "publish")
 		}
-		verdict := fold.Apply(platform.Record{Offset: offset, Data: data})
+		verdict := fold.Apply(infra.Record{Offset: offset, Data: data})
 		if verdict.Outcome != table.OutcomeAccepted {
 			return 0, errkind.New(errkind.InvalidTable, "change set of %s was refused: %v", office, verdict.Faults)
 		}
--- a/demo/demo_test.go
+++ b/daemons/demo/demo_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/demo"
+	"github.com/filbertmux/filbertmux/daemons/demo"
 )
 
 // Guards against a path from caller to backend server that is broken anywhere:
--- a/demo/deployment.go
+++ b/daemons/demo/deployment.go
@@ -12,12 +12,12 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/entry"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/sidecar"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/daemons/entry"
+	"github.com/filbertmux/filbertmux/daemons/sidecar"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 const (
@@ -42,7 +42,7 @@
 	logs     io.Writer
 
 	platformURL string
-	instances   []platform.Instance
+	instances   []infra.Instance
 }
 
 // deploy starts everything. The caller calls stop also after an error.
@@ -117,9 +117,9 @@
 		ResumeWindow:      10 * time.Second,
 		BackendTimeout:    time.Minute,
 	}
-	d.instances = append(d.instances, platform.Instance{
-		ID: id, Role: platform.RoleBackend, Service: service, Address: s.Advertise,
-		FailureDomain: domain, Region: region, State: platform.Live,
+	d.instances = append(d.instances, infra.Instance{
+		ID: id, Role: infra.RoleBackend, Service: service, Address: s.Advertise,
+		FailureDomain: domain, Region: region, State: infra.Live,
 	})
 	log := telemetry.NewLogger(d.logs, zerolog.InfoLevel, "sidecar", id)
 	return d.start(ctx, sidecar.Module(sidecar.Options{Settings: s, Listener: l, Log: log}))
@@ -147,9 +147,9 @@
 		SilenceTimeout:    5 * time.Second,
 		ProgressTimeout:   30 * time.Second,
 	}
-	d.instances = append(d.instances, platform.Instance{
-		ID: id, Role: platform.RoleEntry, Address: s.Advertise,
-		FailureDomain: domain, Region: region, State: platform.Live,
+	d.instances = append(d.instances, infra.Instance{
+		ID: id, Role: infra.RoleEntry, Address: s.Advertise,
+		FailureDomain: domain, Region: region, State: infra.Live,
 	})
 	d.platform.SetInstances(d.instances)
 	d.entries = append(d.entries, "http://"+callers.Addr().String())
--- a/demo/outage_test.go
+++ b/daemons/demo/outage_test.go
@@ -10,8 +10,8 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/entry"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/daemons/entry"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // Guards against an outage of the log that stops lookups and model calls, that
--- a/demo/report.go
+++ b/daemons/demo/report.go
@@ -7,15 +7,15 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Report is the result of the demo.
 type Report struct {
-	OK          bool            `json:"ok"`
-	TableOffset platform.Offset `json:"table_offset"`
-	Calls       []Call          `json:"calls"`
-	Bookings    []Booking       `json:"bookings"`
+	OK          bool         `json:"ok"`
+	TableOffset infra.Offset `json:"table_offset"`
+	Calls       []Call       `json:"calls"`
+	Bookings    []Booking    `json:"bookings"`
 }
 
 // Call is the result of one call. Sent counts its sends, of which all but the
--- a/entry/admission/admission.go
+++ b/daemons/entry/admission/admission.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/fairqueue"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 // keptPart is the part of the places, one in keptPart, that only the most urgent
--- a/entry/admission/admission_test.go
+++ b/daemons/entry/admission/admission_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 // viewWith returns the demo table with edited rows.
@@ -26,7 +26,7 @@
 	for _, office := range sheet.Offices() {
 		data, err := table.Diff(f.View(), sheet, office, "first-"+office).Encode()
 		require.NoError(t, err)
-		require.Equal(t, table.OutcomeAccepted, f.Apply(platform.Record{Offset: f.Offset() + 1, Data: data}).Outcome)
+		require.Equal(t, table.OutcomeAccepted, f.Apply(infra.Record{Offset: f.Offset() + 1, Data: data}).Outcome)
 	}
 	return f.View()
 }
--- a/entry/admission/table.go
+++ b/daemons/entry/admission/table.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/filbertmux/filbertmux/fairqueue"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 // applyTable takes classes, reserves and weights from the table in force. The
--- a/entry/admit.go
+++ b/daemons/entry/admit.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/filbertmux/filbertmux/entry/admission"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/entry/admission"
 )
 
 // refreshInterval is the time between two looks at a changed table and at the
@@ -93,14 +93,14 @@
 func (s *Server) liveEntries() int { return 1 + len(s.otherEntries()) }
 
 // otherEntries returns the live entries without this one.
-func (s *Server) otherEntries() []platform.Instance {
+func (s *Server) otherEntries() []infra.Instance {
 	list := s.instances()
 	if list == nil {
 		return nil
 	}
-	var others []platform.Instance
+	var others []infra.Instance
 	for _, i := range *list {
-		if i.Role == platform.RoleEntry && i.State == platform.Live && i.ID != s.settings.Instance {
+		if i.Role == infra.RoleEntry && i.State == infra.Live && i.ID != s.settings.Instance {
 			others = append(others, i)
 		}
 	}
--- a/entry/admit_test.go
+++ b/daemons/entry/admit_test.go
@@ -9,12 +9,12 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/retry"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/serve/retry"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // held returns a script whose calls wait, after a message on started, until
--- a/entry/booking.go
+++ b/daemons/entry/booking.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 
-	"github.com/filbertmux/filbertmux/entry/lifecycle"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/daemons/entry/lifecycle"
 )
 
 // notRunForKey says what the entry knows about a booking that it refused.
--- a/entry/booking_test.go
+++ b/daemons/entry/booking_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 func (f *fixture) lookup(t *testing.T) reply {
--- a/entry/call.go
+++ b/daemons/entry/call.go
@@ -11,13 +11,13 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
-	"github.com/filbertmux/filbertmux/routing"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/telemetry"
 )
 
 const completionsPath = "/v1/chat/completions"
--- a/entry/clients.go
+++ b/daemons/entry/clients.go
@@ -9,11 +9,11 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/entry/servers"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/entry/servers"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
@@ -80,14 +80,14 @@
 
 // probeFunc returns a probe of a sidecar by this entry.
 func probeFunc(c *clients, source tableSource, sender string) servers.ProbeFunc {
-	return func(ctx context.Context, server platform.Instance) (*pb.ProbeResponse, error) {
+	return func(ctx context.Context, server infra.Instance) (*pb.ProbeResponse, error) {
 		answer, err := c.of(server.Address).calls.Probe(ctx, connect.NewRequest(&pb.ProbeRequest{
 			Sender: sender, TableOffset: uint64(source.View().Offset()),
 		}))
 		if err != nil {
 			return nil, err
 		}
-		source.Learn(platform.Offset(answer.Msg.GetTableOffset()))
+		source.Learn(infra.Offset(answer.Msg.GetTableOffset()))
 		return answer.Msg, nil
 	}
 }
--- a/entry/copies.go
+++ b/daemons/entry/copies.go
@@ -4,8 +4,8 @@
 	"context"
 	"sync"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // copies keeps attempts with the same fingerprint together, so that a request
--- a/entry/copies_test.go
+++ b/daemons/entry/copies_test.go
@@ -21,22 +21,22 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/sidecar"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/sidecar"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
+	"github.com/filbertmux/filbertmux/serve/drain"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 const (
@@ -111,11 +111,11 @@
 // ownTable is the table of a sidecar, which needs no rows here.
 type ownTable struct{ tablesync.Peer }
 
-func (ownTable) Offset() platform.Offset { return 0 }
+func (ownTable) Offset() infra.Offset { return 0 }
 
 func (ownTable) View() *table.View { return table.NewFold().View() }
 
-func (ownTable) Learn(platform.Offset) {}
+func (ownTable) Learn(infra.Offset) {}
 
 // replicas starts sidecars with mortal backend servers.
 func replicas(t *testing.T, n int) ([]*mortal, fixedList) {
@@ -142,8 +142,8 @@
 		t.Cleanup(front.Close)
 		t.Cleanup(s.Abort)
 		servers = append(servers, m)
-		list = append(list, platform.Instance{
-			ID: fmt.Sprintf("s%d", i), Role: platform.RoleBackend, Service: "text-desk", State: platform.Live,
+		list = append(list, infra.Instance{
+			ID: fmt.Sprintf("s%d", i), Role: infra.RoleBackend, Service: "text-desk", State: infra.Live,
 			Address: front.Listener.Addr().String(),
 		})
 	}
--- a/entry/dispatch.go
+++ b/daemons/entry/dispatch.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
-	"github.com/filbertmux/filbertmux/entry/servers"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/daemons/entry/servers"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // dispatcher runs requests on sidecars. It is safe for concurrent use.
--- a/entry/entry_test.go
+++ b/daemons/entry/entry_test.go
@@ -8,10 +8,10 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 const wholeEvents = "data: one\n\ndata: [DONE]\n\n"
--- a/entry/exchange.go
+++ b/daemons/entry/exchange.go
@@ -6,14 +6,14 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/entry/lifecycle"
-	"github.com/filbertmux/filbertmux/entry/servers"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/daemons/entry/lifecycle"
+	"github.com/filbertmux/filbertmux/daemons/entry/servers"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/retry"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 // maxPendingChunks bounds the chunks of one attempt that wait for a gap or for
@@ -32,8 +32,8 @@
 	life        *lifecycle.Request
 	fingerprint quarantine.Fingerprint
 	route       servers.Request
-	instance    platform.Instance // of the present attempt
-	transfer    *transfer         // nil between attempts
+	instance    infra.Instance // of the present attempt
+	transfer    *transfer      // nil between attempts
 	// leaveCopies ends the present attempt among copies of the request.
 	leaveCopies func()
 	err         error
--- a/entry/fixture_test.go
+++ b/daemons/entry/fixture_test.go
@@ -16,16 +16,16 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/drain"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // demoTable serves the example table of the demo.
@@ -35,7 +35,7 @@
 
 func (demoTable) Loaded() bool { return true }
 
-func (demoTable) Learn(platform.Offset) {}
+func (demoTable) Learn(infra.Offset) {}
 
 // withoutLimit drops the limits. Their buckets start empty, so a test that makes
 // two requests at once would depend on the wall clock.
@@ -52,7 +52,7 @@
 	for _, office := range sheet.Offices() {
 		data, err := table.Diff(f.View(), sheet, office, "first-"+office).Encode()
 		require.NoError(t, err)
-		require.Equal(t, table.OutcomeAccepted, f.Apply(platform.Record{Offset: f.Offset() + 1, Data: data}).Outcome)
+		require.Equal(t, table.OutcomeAccepted, f.Apply(infra.Record{Offset: f.Offset() + 1, Data: data}).Outcome)
 	}
 	return demoTable{f.View()}
 }
@@ -160,9 +160,9 @@
 	front *httptest.Server
 }
 
-type fixedList []platform.Instance
+type fixedList []infra.Instance
 
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l fixedList) Instances(context.Context) ([]infra.Instance, error) { return l, nil }
 
 func newFixture(t *testing.T, sidecars ...*fakeSidecar) *fixture {
 	t.Helper()
@@ -174,8 +174,8 @@
 	var list fixedList
 	for _, s := range sidecars {
 		for _, service := range []string{"text-desk", "order-book"} {
-			list = append(list, platform.Instance{
-				ID: s.id + service, Role: platform.RoleBackend, Service: service, State: platform.Live,
+			list = append(list, infra.Instance{
+				ID: s.id + service, Role: infra.RoleBackend, Service: service, State: infra.Live,
 				Address: s.server.Listener.Addr().String(),
 			})
 		}
--- a/entry/lifecycle/bench_test.go
+++ b/daemons/entry/lifecycle/bench_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // BenchmarkChunk is the cost of one chunk of a stream. At the design size an
--- a/entry/lifecycle/request.go
+++ b/daemons/entry/lifecycle/request.go
@@ -1,7 +1,7 @@
 // Package lifecycle decides the life of one request at an entry: when it is
 // sent to a sidecar, what of the answer reaches the caller, when an attempt is
 // resumed or repeated elsewhere, and how the request ends. It runs on
-// chart/charts/entry.yaml.
+// base/chart/charts/entry.yaml.
 //
 // The package is deterministic: Step takes the time and an event and returns
 // effects, without goroutines, clock or I/O. A Request belongs to one
@@ -11,10 +11,10 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // Config describes a request.
--- a/entry/lifecycle/request_test.go
+++ b/daemons/entry/lifecycle/request_test.go
@@ -10,12 +10,12 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/charttest"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // world feeds one request with all events in any order. It only keeps to the
@@ -217,7 +217,7 @@
 		if err != nil {
 			broken++
 			if first == "" {
-				first = fmt.Sprintf("%v; %s", err, seeds.Replay(t, "entry/lifecycle", seed))
+				first = fmt.Sprintf("%v; %s", err, seeds.Replay(t, "daemons/entry/lifecycle", seed))
 			}
 		}
 	}
--- a/entry/lifecycle/script_test.go
+++ b/daemons/entry/lifecycle/script_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/charttest"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // script steps one request. Its text is a list of events, each with the effects
--- a/entry/lifecycle/transitions.go
+++ b/daemons/entry/lifecycle/transitions.go
@@ -7,17 +7,17 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/invariant"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // State is the state of a Request.
 type State string
 
-// States of a Request, as chart/charts/entry.yaml names them. Admitted is the
+// States of a Request, as base/chart/charts/entry.yaml names them. Admitted is the
 // initial state, Finished the final one.
 const (
 	Admitted   State = "admitted"
--- a/entry/module.go
+++ b/daemons/entry/module.go
@@ -9,15 +9,15 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/entry/quota"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/entry/quota"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 // Options sets up an entry. Without listeners it listens on Settings.Listen and
@@ -32,7 +32,7 @@
 // Module returns the fx module of an entry.
 func Module(o Options) fx.Option {
 	return fx.Options(
-		daemon.Common(o.Settings.Common, platform.RoleEntry, o.Log),
+		daemon.Common(o.Settings.Common, infra.RoleEntry, o.Log),
 		fx.Supply(o),
 		fx.Provide(provideServer),
 		fx.Invoke(startDuties, servePeers, serveCallers),
@@ -59,7 +59,7 @@
 
 // Report implements EntryServiceHandler.
 func (p peerService) Report(_ context.Context, req *connect.Request[pb.ReportRequest]) (*connect.Response[pb.ReportResponse], error) {
-	p.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
+	p.table.Learn(infra.Offset(req.Msg.GetTableOffset()))
 	p.quota.Receive(req.Msg)
 	return connect.NewResponse(&pb.ReportResponse{TableOffset: uint64(p.table.Offset())}), nil
 }
--- a/entry/quota/quota.go
+++ b/daemons/entry/quota/quota.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/limits"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/serve/limits"
 )
 
 // Config sets up a Quota.
--- a/entry/quota/report.go
+++ b/daemons/entry/quota/report.go
@@ -4,7 +4,7 @@
 	"math"
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/limits"
+	"github.com/filbertmux/filbertmux/serve/limits"
 )
 
 // leastDemand is the demand in requests, tokens or requests in flight below
--- a/entry/refuse.go
+++ b/daemons/entry/refuse.go
@@ -8,7 +8,7 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // requestIDHeader carries the request id on every answer.
--- a/entry/report.go
+++ b/daemons/entry/report.go
@@ -8,11 +8,11 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/entry/quota"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/entry/quota"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
@@ -28,13 +28,13 @@
 // run is one goroutine.
 type reporter struct {
 	quota  *quota.Quota
-	others func() []platform.Instance
+	others func() []infra.Instance
 	client *http.Client
 	log    zerolog.Logger
 	slots  chan struct{}
 }
 
-func newReporter(q *quota.Quota, others func() []platform.Instance, token string, log zerolog.Logger) *reporter {
+func newReporter(q *quota.Quota, others func() []infra.Instance, token string, log zerolog.Logger) *reporter {
 	transport := &http.Transport{IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 1}
 	return &reporter{
 		quota: q, others: others, log: log, slots: make(chan struct{}, maxReports),
@@ -77,7 +77,7 @@
 	}
 }
 
-func (r *reporter) send(ctx context.Context, to platform.Instance, report *pb.ReportRequest) {
+func (r *reporter) send(ctx context.Context, to infra.Instance, report *pb.ReportRequest) {
 	defer func() { <-r.slots }()
 	ctx, cancel := context.WithTimeout(ctx, reportInterval)
 	defer cancel()
--- a/entry/report_test.go
+++ b/daemons/entry/report_test.go
@@ -10,11 +10,11 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 // fakeEntry records the reports that it gets.
@@ -43,13 +43,13 @@
 		}
 	}, newFakeSidecar(t, "a", events))
 	require.Equal(t, http.StatusOK, f.complete(t).status)
-	list := []platform.Instance{
-		{ID: "e1", Role: platform.RoleEntry, State: platform.Live, Address: "127.0.0.1:1"},
-		{ID: "dead", Role: platform.RoleEntry, State: platform.Live, Address: "127.0.0.1:1"},
-		{ID: "e2", Role: platform.RoleEntry, State: platform.Live, Address: server.Listener.Addr().String()},
-		{ID: "left", Role: platform.RoleEntry, State: platform.Departing, Address: "127.0.0.1:1"},
+	list := []infra.Instance{
+		{ID: "e1", Role: infra.RoleEntry, State: infra.Live, Address: "127.0.0.1:1"},
+		{ID: "dead", Role: infra.RoleEntry, State: infra.Live, Address: "127.0.0.1:1"},
+		{ID: "e2", Role: infra.RoleEntry, State: infra.Live, Address: server.Listener.Addr().String()},
+		{ID: "left", Role: infra.RoleEntry, State: infra.Departing, Address: "127.0.0.1:1"},
 	}
-	f.entry.instances = func() *[]platform.Instance { return &list }
+	f.entry.instances = func() *[]infra.Instance { return &list }
 	require.Equal(t, 3, f.entry.liveEntries())
 	r := newReporter(f.entry.quota, f.entry.otherEntries, "", zerolog.Nop())
 	r.round(context.Background())
--- a/entry/retries.go
+++ b/daemons/entry/retries.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/retry"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 // retries holds the retry budget of each service. It is safe for concurrent
--- a/entry/retries_test.go
+++ b/daemons/entry/retries_test.go
@@ -8,10 +8,10 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/retry"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/retry"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // Guards against retries that multiply the load of a service that fails: at
--- a/entry/server.go
+++ b/daemons/entry/server.go
@@ -13,19 +13,19 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/entry/admission"
-	"github.com/filbertmux/filbertmux/entry/quota"
-	"github.com/filbertmux/filbertmux/entry/servers"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/entry/admission"
+	"github.com/filbertmux/filbertmux/daemons/entry/quota"
+	"github.com/filbertmux/filbertmux/daemons/entry/servers"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/drain"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // tableSource is the part of tablesync.Syncer that the entry needs.
@@ -34,7 +34,7 @@
 	View() *table.View
 	Loaded() bool
 	// Learn notes the table offset of another process.
-	Learn(offset platform.Offset)
+	Learn(offset infra.Offset)
 }
 
 // Server serves the callers of one entry. It is safe for concurrent use.
@@ -47,7 +47,7 @@
 	admission   *admission.Admission
 	quota       *quota.Quota
 	reporter    *reporter
-	instances   func() *[]platform.Instance
+	instances   func() *[]infra.Instance
 	dispatcher  *dispatcher
 	parser      parser
 	gate        *drain.Gate
--- a/entry/servers/policy.go
+++ b/daemons/entry/servers/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/routing"
+	"github.com/filbertmux/filbertmux/balance/routing"
 )
 
 const (
--- a/entry/servers/prober.go
+++ b/daemons/entry/servers/prober.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/infra"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/routing"
 )
 
 const (
@@ -23,7 +23,7 @@
 )
 
 // ProbeFunc asks the sidecar of a server for its load.
-type ProbeFunc func(ctx context.Context, server platform.Instance) (*pb.ProbeResponse, error)
+type ProbeFunc func(ctx context.Context, server infra.Instance) (*pb.ProbeResponse, error)
 
 // Prober sends the probes of Servers. It is safe for concurrent use.
 type Prober struct {
@@ -69,7 +69,7 @@
 // start probes the targets and returns a channel that is closed after the last
 // answer. A target without a free slot counts as answered and is probed again
 // once membership times it out.
-func (p *Prober) start(ctx context.Context, targets []platform.Instance) <-chan struct{} {
+func (p *Prober) start(ctx context.Context, targets []infra.Instance) <-chan struct{} {
 	var pending sync.WaitGroup
 	for _, target := range targets {
 		select {
@@ -92,7 +92,7 @@
 	return done
 }
 
-func (p *Prober) send(ctx context.Context, target platform.Instance) {
+func (p *Prober) send(ctx context.Context, target infra.Instance) {
 	sent := p.servers.config.Now()
 	limited, cancel := context.WithTimeout(ctx, p.servers.config.Membership.ProbeTimeout)
 	defer cancel()
@@ -107,7 +107,7 @@
 }
 
 // due returns the servers that the membership view wants to be probed now.
-func (s *Servers) due() []platform.Instance {
+func (s *Servers) due() []infra.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyList()
@@ -116,7 +116,7 @@
 
 // probesFor returns the servers that the policy wants to be probed because of
 // a request. Bookings follow their key and need no load.
-func (s *Servers) probesFor(r Request) []platform.Instance {
+func (s *Servers) probesFor(r Request) []infra.Instance {
 	if r.Key != "" {
 		return nil
 	}
@@ -130,8 +130,8 @@
 	return s.instances(s.service(r.Service).policy.Probes(s.routingRequest(s.config.Now(), r, candidates)))
 }
 
-func (s *Servers) instances(ids []string) []platform.Instance {
-	found := make([]platform.Instance, 0, len(ids))
+func (s *Servers) instances(ids []string) []infra.Instance {
+	found := make([]infra.Instance, 0, len(ids))
 	for _, id := range ids {
 		if m, ok := s.view.Get(id); ok {
 			found = append(found, m.Instance)
--- a/entry/servers/servers.go
+++ b/daemons/entry/servers/servers.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/routing"
 )
 
 // unavailableHold is the time for which a server is avoided after its sidecar
@@ -35,7 +35,7 @@
 	Now           func() time.Time
 	// List returns the last instance list, or nil before the first one. A new
 	// list has a new address.
-	List func() *[]platform.Instance
+	List func() *[]infra.Instance
 }
 
 // Servers picks the backend server of each attempt.
@@ -44,7 +44,7 @@
 
 	mu       sync.Mutex
 	view     *membership.View
-	list     *[]platform.Instance // the list that was applied last
+	list     *[]infra.Instance // the list that was applied last
 	services map[string]*service
 	held     map[string]time.Time // instance id -> avoided before
 	outliers *membership.Outliers
@@ -107,13 +107,13 @@
 
 // Pick returns the server for one attempt and counts the attempt as sent. The
 // caller calls Finished when the attempt has ended.
-func (s *Servers) Pick(r Request) (platform.Instance, error) {
+func (s *Servers) Pick(r Request) (infra.Instance, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyList()
 	found := s.candidates(r)
 	if len(found) == 0 {
-		return platform.Instance{}, errkind.New(errkind.NoBackendServer, "no backend server of %s is available", r.Service)
+		return infra.Instance{}, errkind.New(errkind.NoBackendServer, "no backend server of %s is available", r.Service)
 	}
 	now := s.config.Now()
 	chosen := found[s.choose(now, r, found)].Instance
@@ -177,13 +177,13 @@
 }
 
 // Finished ends an attempt that Pick counted.
-func (s *Servers) Finished(server platform.Instance) {
+func (s *Servers) Finished(server infra.Instance) {
 	s.observe(server, routing.Event{Kind: routing.Finished, Server: server.ID})
 }
 
 // Answered takes the load that came with a chunk or an answer to a probe. sent
 // is when the call was sent; for a heartbeat, when it arrived.
-func (s *Servers) Answered(server platform.Instance, sent time.Time, load *pb.Load, kind routing.EventKind) {
+func (s *Servers) Answered(server infra.Instance, sent time.Time, load *pb.Load, kind routing.EventKind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Now()
@@ -199,28 +199,28 @@
 
 // Failed takes a broken connection, or with timeout an answer that did not
 // come in time.
-func (s *Servers) Failed(server platform.Instance, sent time.Time, timeout bool) {
+func (s *Servers) Failed(server infra.Instance, sent time.Time, timeout bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view.ApplyFailure(s.config.Now(), membership.Failure{ID: server.ID, Sent: sent, Timeout: timeout})
 }
 
 // Unavailable notes that a sidecar can't reach its backend server.
-func (s *Servers) Unavailable(server platform.Instance) {
+func (s *Servers) Unavailable(server infra.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[server.ID] = s.config.Now().Add(unavailableHold)
 }
 
 // Succeeded notes that the server gave a whole answer to a request.
-func (s *Servers) Succeeded(server platform.Instance) {
+func (s *Servers) Succeeded(server infra.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outliers.Succeeded(server.ID)
 }
 
 // FailedRequest notes the error with which an attempt ended at the server.
-func (s *Servers) FailedRequest(server platform.Instance, kind errkind.Kind) {
+func (s *Servers) FailedRequest(server infra.Instance, kind errkind.Kind) {
 	if !isFaultOfServer(kind) {
 		return
 	}
@@ -241,7 +241,7 @@
 	}
 }
 
-func (s *Servers) observe(server platform.Instance, e routing.Event) {
+func (s *Servers) observe(server infra.Instance, e routing.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.service(server.Service).policy.Observe(s.config.Now(), e)
--- a/entry/servers/servers_test.go
+++ b/daemons/entry/servers/servers_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 // fleet is a set of sidecars under an injected clock, with one instance list
@@ -33,24 +33,24 @@
 	f := &fleet{
 		now: time.Unix(1000, 0), leaving: map[string]bool{}, dead: map[string]bool{}, load: map[string]uint32{},
 	}
-	var list []platform.Instance
+	var list []infra.Instance
 	for i := range count {
-		list = append(list, platform.Instance{
-			ID: "s" + strconv.Itoa(i), Role: platform.RoleBackend, Service: "desk",
-			FailureDomain: "d" + strconv.Itoa(i%2), State: platform.Live,
+		list = append(list, infra.Instance{
+			ID: "s" + strconv.Itoa(i), Role: infra.RoleBackend, Service: "desk",
+			FailureDomain: "d" + strconv.Itoa(i%2), State: infra.Live,
 		})
 	}
 	f.servers = New(Config{
 		Policy: policy, FailureDomain: "d0", Membership: membership.DefaultConfig(),
 		Rand: rand.New(rand.NewPCG(seed, 0)),
 		Now:  func() time.Time { return f.now },
-		List: func() *[]platform.Instance { return &list },
+		List: func() *[]infra.Instance { return &list },
 	})
 	f.prober = NewProber(f.servers, f.probe)
 	return f
 }
 
-func (f *fleet) probe(_ context.Context, server platform.Instance) (*pb.ProbeResponse, error) {
+func (f *fleet) probe(_ context.Context, server infra.Instance) (*pb.ProbeResponse, error) {
 	if f.dead[server.ID] {
 		return nil, errors.New("connection refused")
 	}
@@ -108,7 +108,7 @@
 	first, err := f.servers.Pick(Request{Service: "desk"})
 	require.NoError(t, err)
 	other := map[string]string{"s0": "s1", "s1": "s0"}[first.ID]
-	f.servers.Failed(platform.Instance{ID: other, Service: "desk"}, f.now, false)
+	f.servers.Failed(infra.Instance{ID: other, Service: "desk"}, f.now, false)
 	server, err := f.servers.Pick(Request{Service: "desk", Tried: []string{first.ID}})
 	require.NoError(t, err)
 	require.Equal(t, other, server.ID)
@@ -121,7 +121,7 @@
 func TestServerWithoutBackendIsAvoidedForAWhile(t *testing.T) {
 	f := newFleet("round_robin", 1, 2)
 	f.pass(time.Second)
-	f.servers.Unavailable(platform.Instance{ID: "s0", Service: "desk"})
+	f.servers.Unavailable(infra.Instance{ID: "s0", Service: "desk"})
 	f.pass(unavailableHold / 2)
 	require.Zero(t, f.pick(t, 10, Request{})["s0"])
 	f.pass(unavailableHold)
@@ -188,7 +188,7 @@
 func TestServerThatFailsRequestsIsEjected(t *testing.T) {
 	f := newFleet("round_robin", 1, 4)
 	f.pass(time.Second)
-	bad := platform.Instance{ID: "s1"}
+	bad := infra.Instance{ID: "s1"}
 	for range 20 {
 		f.servers.FailedRequest(bad, errkind.QueueFull)
 		f.servers.FailedRequest(bad, errkind.LogUnavailable)
--- a/entry/status.go
+++ b/daemons/entry/status.go
@@ -5,8 +5,8 @@
 
 	"github.com/gin-gonic/gin"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 )
 
 // Status is the JSON body of /statusz.
@@ -18,7 +18,7 @@
 func (s *Server) status() Status {
 	common := s.settings.Common
 	return Status{
-		Status: daemon.NewStatus(string(platform.RoleEntry), common, s.incarnation, s.table.View().Offset(), s.gate),
+		Status: daemon.NewStatus(string(infra.RoleEntry), common, s.incarnation, s.table.View().Offset(), s.gate),
 		Office: common.Office,
 	}
 }
--- a/entry/suspects.go
+++ b/daemons/entry/suspects.go
@@ -8,7 +8,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // suspectCarrier is an interceptor of the calls to sidecars. It remembers the
--- a/entry/suspects_test.go
+++ b/daemons/entry/suspects_test.go
@@ -7,10 +7,10 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // Guards against a request that crashes a server, is sent again and reaches the
--- a/entry/timeout.go
+++ b/daemons/entry/timeout.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // timeoutHeader holds the time in milliseconds after which the caller gives up.
--- a/entry/transfer.go
+++ b/daemons/entry/transfer.go
@@ -6,11 +6,11 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/filbertmux/filbertmux/entry/lifecycle"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/daemons/entry/lifecycle"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
-	"github.com/filbertmux/filbertmux/telemetry"
 )
 
 // cancelTimeout bounds the cancel call after a caller left.
--- a/entry/transfer_test.go
+++ b/daemons/entry/transfer_test.go
@@ -11,10 +11,10 @@
 	"github.com/gin-gonic/gin"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/entry/lifecycle"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/daemons/entry/lifecycle"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // hang returns the life of a request whose first connection stays silent. It was
--- a/entry/watch.go
+++ b/daemons/entry/watch.go
@@ -6,10 +6,10 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/filbertmux/filbertmux/entry/servers"
+	"github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/entry/servers"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/routing"
 )
 
 // signals takes what a transfer sees of its sidecar.
@@ -24,14 +24,14 @@
 	servers  *servers.Servers
 	table    tableSource
 	retries  *retries
-	instance platform.Instance
+	instance infra.Instance
 	sent     time.Time
 }
 
 // chunk takes a sign of life. Data may have waited in a buffer since the
 // sidecar died, so it counts from the time of the call.
 func (w *watch) chunk(c *pb.Chunk) {
-	w.table.Learn(platform.Offset(c.GetTableOffset()))
+	w.table.Learn(infra.Offset(c.GetTableOffset()))
 	if c.GetLoad() == nil {
 		return
 	}
--- a/sidecar/admit.go
+++ b/daemons/sidecar/admit.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // admit registers the attempt, attaches the first connection and starts the
--- a/sidecar/attempt.go
+++ b/daemons/sidecar/attempt.go
@@ -4,10 +4,10 @@
 	"context"
 	"sync"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // attemptKey identifies an attempt within one incarnation.
--- a/sidecar/backend.go
+++ b/daemons/sidecar/backend.go
@@ -8,7 +8,7 @@
 	"net/url"
 	"strings"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
--- a/sidecar/execute.go
+++ b/daemons/sidecar/execute.go
@@ -5,11 +5,11 @@
 	"io"
 	"time"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // execute runs the call, waits until its answer was sent, and keeps it for
--- a/sidecar/group.go
+++ b/daemons/sidecar/group.go
@@ -12,15 +12,15 @@
 	"connectrpc.com/connect"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/groupcontrol"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // leaseReleaseTimeout bounds the release of the lease at shutdown. Without the
@@ -35,7 +35,7 @@
 	ended atomic.Bool
 }
 
-func newGroup(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, client *platform.HTTPClient,
+func newGroup(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, client *infra.HTTPClient,
 	instances *daemon.Instances, t *tablesync.Syncer,
 ) (*group, error) {
 	s := o.Settings
--- a/sidecar/group_test.go
+++ b/daemons/sidecar/group_test.go
@@ -13,13 +13,13 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/fx"
 
+	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/groupcontrol"
-	"github.com/filbertmux/filbertmux/lease"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/rankapi"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
+	"github.com/filbertmux/filbertmux/rankgroup/lease"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // groupStatus starts a sidecar process and returns the status code of /groupz.
--- a/sidecar/guard.go
+++ b/daemons/sidecar/guard.go
@@ -8,8 +8,8 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 const (
--- a/sidecar/guard_test.go
+++ b/daemons/sidecar/guard_test.go
@@ -11,8 +11,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // scriptedHealth answers health checks with the error that is set.
--- a/sidecar/health.go
+++ b/daemons/sidecar/health.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 const (
--- a/sidecar/model.go
+++ b/daemons/sidecar/model.go
@@ -12,10 +12,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
-	"github.com/filbertmux/filbertmux/table"
 )
 
 const (
--- a/sidecar/model_test.go
+++ b/daemons/sidecar/model_test.go
@@ -13,12 +13,12 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 type demoTable struct {
@@ -36,7 +36,7 @@
 	for _, office := range sheet.Offices() {
 		data, err := table.Diff(fold.View(), sheet, office, "first-"+office).Encode()
 		require.NoError(t, err)
-		fold.Apply(platform.Record{Offset: fold.Offset() + 1, Data: data})
+		fold.Apply(infra.Record{Offset: fold.Offset() + 1, Data: data})
 	}
 	f := newFixture(t, engine)
 	f.server.settings.Service = "text-desk"
--- a/sidecar/module.go
+++ b/daemons/sidecar/module.go
@@ -11,16 +11,16 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/suspectlog"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
+	"github.com/filbertmux/filbertmux/serve/drain"
+	"github.com/filbertmux/filbertmux/serve/suspectlog"
 )
 
 const (
@@ -45,7 +45,7 @@
 // Module returns the fx module of a sidecar.
 func Module(o Options) fx.Option {
 	return fx.Options(
-		daemon.Common(o.Settings.Common, platform.RoleBackend, o.Log),
+		daemon.Common(o.Settings.Common, infra.RoleBackend, o.Log),
 		fx.Supply(o),
 		fx.Provide(newClaims, provideServer, newGroup),
 		fx.Invoke(shareSuspects, watchBackend, serve),
@@ -58,7 +58,7 @@
 	return NewServer(o.Settings, incarnation, claims, t, gate, o.Log, metrics)
 }
 
-func newClaims(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, log platform.Log) (*claimlog.Client, error) {
+func newClaims(lc fx.Lifecycle, o Options, incarnation daemon.Incarnation, log infra.Log) (*claimlog.Client, error) {
 	s, err := claimSettings(o.Settings)
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 }
 
 // shareSuspects exchanges suspect reports with other sidecars through the log.
-func shareSuspects(lc fx.Lifecycle, o Options, log platform.Log, s *Server) {
+func shareSuspects(lc fx.Lifecycle, o Options, log infra.Log, s *Server) {
 	suspects := suspectlog.New(log, suspectlog.DefaultSettings(), o.Log)
 	s.guard.publish = suspects.Publish
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "append suspect reports", Run: suspects.Append})
--- a/sidecar/send.go
+++ b/daemons/sidecar/send.go
@@ -7,10 +7,10 @@
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // send writes the chunks of the attempt to one connection.
--- a/sidecar/server.go
+++ b/daemons/sidecar/server.go
@@ -11,18 +11,18 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/serve/claim"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 // retryHint is the Retry-After of refusals that another sidecar can answer.
@@ -32,9 +32,9 @@
 type tableSource interface {
 	tablesync.Peer
 	View() *table.View
-	Offset() platform.Offset
+	Offset() infra.Offset
 	// Learn notes the table offset of another process.
-	Learn(offset platform.Offset)
+	Learn(offset infra.Offset)
 }
 
 // claimRunner runs a non-idempotent call at most once.
@@ -90,7 +90,7 @@
 // Call implements SidecarServiceHandler. A refusal is a stream with an end chunk
 // only, so that every answer has the same form.
 func (s *Server) Call(ctx context.Context, req *connect.Request[pb.CallRequest], out *connect.ServerStream[pb.Chunk]) error {
-	s.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
+	s.table.Learn(infra.Offset(req.Msg.GetTableOffset()))
 	a, connection, err := s.admit(req.Msg)
 	if err != nil {
 		return out.Send(s.refusal(req.Msg.GetId(), err))
@@ -125,7 +125,7 @@
 
 // Probe implements SidecarServiceHandler.
 func (s *Server) Probe(_ context.Context, req *connect.Request[pb.ProbeRequest]) (*connect.Response[pb.ProbeResponse], error) {
-	s.table.Learn(platform.Offset(req.Msg.GetTableOffset()))
+	s.table.Learn(infra.Offset(req.Msg.GetTableOffset()))
 	return connect.NewResponse(&pb.ProbeResponse{Load: s.load(), TableOffset: uint64(s.table.Offset())}), nil
 }
 
--- a/sidecar/server_test.go
+++ b/daemons/sidecar/server_test.go
@@ -14,19 +14,19 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/daemon"
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/settings"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/settings"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/stream"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
-	"github.com/filbertmux/filbertmux/telemetry"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
+	"github.com/filbertmux/filbertmux/serve/drain"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 func newKey(t *testing.T) string {
@@ -38,11 +38,11 @@
 
 type noTable struct{ tablesync.Peer }
 
-func (noTable) Offset() platform.Offset { return 7 }
+func (noTable) Offset() infra.Offset { return 7 }
 
 func (noTable) View() *table.View { return table.NewFold().View() }
 
-func (noTable) Learn(platform.Offset) {}
+func (noTable) Learn(infra.Offset) {}
 
 type fixture struct {
 	server  *Server
--- a/sidecar/suspects_test.go
+++ b/daemons/sidecar/suspects_test.go
@@ -14,11 +14,11 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 const crashMarker = "CRASH"
--- a/sidecar/view.go
+++ b/daemons/sidecar/view.go
@@ -1,11 +1,11 @@
 package sidecar
 
 import (
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
-// Events, guards and actions of chart/charts/sidecar.yaml.
+// Events, guards and actions of base/chart/charts/sidecar.yaml.
 const (
 	eventRequestArrived = "request_arrived"
 	eventRequestFailed  = "request_failed"
--- a/sidecar/view_test.go
+++ b/daemons/sidecar/view_test.go
@@ -12,10 +12,10 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/internal/charttest"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // healthFunc answers health checks as the test chooses.
--- a/internal/charttest/charttest.go
+++ b/internal/charttest/charttest.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"go.yaml.in/yaml/v3"
 
-	"github.com/filbertmux/filbertmux/chart"
+	"github.com/filbertmux/filbertmux/base/chart"
 )
 
 // Behaviour runs the code on a chart and returns the first difference from the
--- a/bench/capacity/claim.go
+++ b/measure/bench/capacity/claim.go
@@ -6,8 +6,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 const roleClaims = "sidecar of a plain service"
@@ -80,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	b.Apply(platform.Record{Offset: b.Offset() + 1, Time: claimTime, Data: data})
+	b.Apply(infra.Record{Offset: b.Offset() + 1, Time: claimTime, Data: data})
 	return nil
 }
 
--- a/bench/capacity/entry.go
+++ b/measure/bench/capacity/entry.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/fairqueue"
-	"github.com/filbertmux/filbertmux/limits"
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/routing"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
+	"github.com/filbertmux/filbertmux/serve/limits"
 )
 
 const roleEntry = "entry"
@@ -43,14 +43,14 @@
 	}
 }
 
-func instances(n int) []platform.Instance {
-	list := make([]platform.Instance, 0, n)
+func instances(n int) []infra.Instance {
+	list := make([]infra.Instance, 0, n)
 	for i := range n {
-		list = append(list, platform.Instance{
-			ID: fmt.Sprintf("replica-%04d", i), Role: platform.RoleBackend, Service: "text-desk",
+		list = append(list, infra.Instance{
+			ID: fmt.Sprintf("replica-%04d", i), Role: infra.RoleBackend, Service: "text-desk",
 			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), FailureDomain: fmt.Sprintf("domain-%d", i%7),
 			Region: "ro-centru", Group: fmt.Sprintf("group-%03d", i/4), Ranks: []int{0, 1, 2, 3, 4, 5, 6, 7},
-			State: platform.Live,
+			State: infra.Live,
 		})
 	}
 	return list
--- a/bench/capacity/holder.go
+++ b/measure/bench/capacity/holder.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 const roleHolder = "holder of a group"
--- a/bench/capacity/table.go
+++ b/measure/bench/capacity/table.go
@@ -6,8 +6,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 )
 
 const roleTable = "table reader"
@@ -131,7 +131,7 @@
 		return err
 	}
 	offset := f.Offset() + 1
-	v := f.Apply(platform.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data})
+	v := f.Apply(infra.Record{Offset: offset, Time: time.Unix(int64(offset), 0), Data: data})
 	if v.Outcome != table.OutcomeAccepted {
 		return errors.Wrapf(table.FaultsError(v.Faults), "change set %s", set.ID)
 	}
--- a/bench/claims/bound.go
+++ b/measure/bench/claims/bound.go
@@ -4,9 +4,9 @@
 	"context"
 	"sync"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/claim"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
 )
 
 // executor runs one booking.
--- a/bench/claims/claims.go
+++ b/measure/bench/claims/claims.go
@@ -15,9 +15,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/claim"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
 )
 
 // Cmd is the command filbertmux-bench claims.
--- a/bench/claims/log.go
+++ b/measure/bench/claims/log.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // slowLog is an in-memory log of one stream. Half of the latency passes ahead
@@ -16,7 +16,7 @@
 
 	mu      sync.Mutex
 	down    bool
-	records []platform.Record
+	records []infra.Record
 	grown   chan struct{}
 	bytes   int
 }
@@ -39,16 +39,16 @@
 
 func errDown() error { return errkind.New(errkind.PlatformUnavailable, "log is down") }
 
-// Append implements platform.Log.
-func (l *slowLog) Append(_ context.Context, _ string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l *slowLog) Append(_ context.Context, _ string, data []byte) (infra.Offset, error) {
 	time.Sleep(l.latency / 2)
 	l.mu.Lock()
 	if l.down {
 		l.mu.Unlock()
 		return 0, errDown()
 	}
-	end := platform.Offset(len(l.records) + 1)
-	l.records = append(l.records, platform.Record{Offset: end, Time: time.Now(), Data: data})
+	end := infra.Offset(len(l.records) + 1)
+	l.records = append(l.records, infra.Record{Offset: end, Time: time.Now(), Data: data})
 	l.bytes += len(data)
 	close(l.grown)
 	l.grown = make(chan struct{})
@@ -57,8 +57,8 @@
 	return end, nil
 }
 
-// Read implements platform.Log.
-func (l *slowLog) Read(ctx context.Context, _ string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (l *slowLog) Read(ctx context.Context, _ string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	timeout := time.After(wait)
 	for {
 		l.mu.Lock()
@@ -66,11 +66,11 @@
 		rest := l.records[min(int(after), end):]
 		rest = rest[:min(limit, len(rest))]
 		l.mu.Unlock()
-		batch := platform.Batch{Records: rest, Oldest: 1, End: platform.Offset(end)}
+		batch := infra.Batch{Records: rest, Oldest: 1, End: infra.Offset(end)}
 		switch {
 		case down:
 			time.Sleep(l.latency)
-			return platform.Batch{}, errDown()
+			return infra.Batch{}, errDown()
 		case len(rest) > 0:
 			time.Sleep(l.latency / 2)
 			return batch, nil
@@ -80,7 +80,7 @@
 		case <-timeout:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errDown()
+			return infra.Batch{}, errDown()
 		}
 	}
 }
--- a/bench/experts/cmd.go
+++ b/measure/bench/experts/cmd.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	planner "github.com/filbertmux/filbertmux/experts"
+	planner "github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // Cmd is the kong command of the benchmark.
--- a/bench/experts/policy.go
+++ b/measure/bench/experts/policy.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	planner "github.com/filbertmux/filbertmux/experts"
+	planner "github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // skewThreshold is the skew from which the threshold policy replans a layer.
--- a/bench/experts/run.go
+++ b/measure/bench/experts/run.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	planner "github.com/filbertmux/filbertmux/experts"
+	planner "github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 const (
--- a/bench/experts/run_test.go
+++ b/measure/bench/experts/run_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	planner "github.com/filbertmux/filbertmux/experts"
+	planner "github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // simulatePart runs a policy for some intervals of a scenario at today's size.
--- a/bench/experts/workload.go
+++ b/measure/bench/experts/workload.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	planner "github.com/filbertmux/filbertmux/experts"
+	planner "github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // Workload constants. One run is a day.
--- a/bench/fleet/drive.go
+++ b/measure/bench/fleet/drive.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // Operators append again when the answer does not arrive in time; records with
@@ -132,7 +132,7 @@
 	}
 	var reachable, disturbed []time.Duration
 	for offset, entry := range c.changes {
-		if offset <= platform.Offset(f.config.Regions) {
+		if offset <= infra.Offset(f.config.Regions) {
 			continue // the first rows are older than all processes
 		}
 		if entry.disturbed {
--- a/bench/fleet/fleet_test.go
+++ b/measure/bench/fleet/fleet_test.go
@@ -36,7 +36,7 @@
 func TestChangeIsInForceEverywhere(t *testing.T) {
 	for _, seed := range seeds.Of(t, 1) {
 		synctest.Test(t, func(t *testing.T) {
-			t.Log(seeds.Replay(t, "bench/fleet", seed))
+			t.Log(seeds.Replay(t, "measure/bench/fleet", seed))
 			r, err := Run(t.Context(), smallDay(seed))
 			require.NoError(t, err)
 			t.Logf("%+v", r)
--- a/bench/fleet/log.go
+++ b/measure/bench/fleet/log.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // LogConfig describes the log service. Rates are per second; 0 is no limit.
@@ -29,7 +29,7 @@
 	appends *rate.Limiter
 	reads   *rate.Limiter
 	// onAppend receives each record in order, under the lock of the log.
-	onAppend func(stream string, r platform.Record)
+	onAppend func(stream string, r infra.Record)
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -40,8 +40,8 @@
 }
 
 type stream struct {
-	records []platform.Record
-	oldest  platform.Offset
+	records []infra.Record
+	oldest  infra.Offset
 	changed chan struct{}
 }
 
@@ -99,8 +99,8 @@
 	return s
 }
 
-func (s *stream) end() platform.Offset {
-	return s.oldest + platform.Offset(len(s.records)) - 1
+func (s *stream) end() infra.Offset {
+	return s.oldest + infra.Offset(len(s.records)) - 1
 }
 
 func (s *stream) expire(before time.Time) {
@@ -115,7 +115,7 @@
 }
 
 // append adds a record. lost reports that the caller must not get the answer.
-func (l *Log) append(name string, data []byte) (offset platform.Offset, lost bool, err error) {
+func (l *Log) append(name string, data []byte) (offset infra.Offset, lost bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -128,7 +128,7 @@
 		return 0, false, errkind.New(errkind.PlatformRateLimited, "append rate").WithRetryAfter(time.Second)
 	}
 	s := l.stream(name)
-	record := platform.Record{Offset: s.end() + 1, Time: now, Data: data}
+	record := infra.Record{Offset: s.end() + 1, Time: now, Data: data}
 	s.records = append(s.records, record)
 	if l.onAppend != nil {
 		l.onAppend(name, record)
@@ -155,7 +155,7 @@
 }
 
 // read waits for records. cut ends the wait when the connection breaks.
-func (l *Log) read(ctx context.Context, name string, after platform.Offset, limit int, wait time.Duration, cut <-chan struct{}) (platform.Batch, error) {
+func (l *Log) read(ctx context.Context, name string, after infra.Offset, limit int, wait time.Duration, cut <-chan struct{}) (infra.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -167,7 +167,7 @@
 		changed := s.changed
 		l.mu.Unlock()
 		if down {
-			return platform.Batch{}, unavailable("outage")
+			return infra.Batch{}, unavailable("outage")
 		}
 		if err != nil || len(batch.Records) > 0 || wait <= 0 {
 			return batch, err
@@ -180,16 +180,16 @@
 		case <-cut:
 			return batch, nil // the client finds its connection broken
 		case <-ctx.Done():
-			return platform.Batch{}, unavailable("canceled")
+			return infra.Batch{}, unavailable("canceled")
 		}
 	}
 }
 
-func (s *stream) batch(after platform.Offset, limit int) (platform.Batch, error) {
+func (s *stream) batch(after infra.Offset, limit int) (infra.Batch, error) {
 	if after+1 < s.oldest {
-		return platform.Batch{}, &platform.TrimmedError{Oldest: s.oldest, End: s.end()}
+		return infra.Batch{}, &infra.TrimmedError{Oldest: s.oldest, End: s.end()}
 	}
-	batch := platform.Batch{Oldest: s.oldest, End: s.end()}
+	batch := infra.Batch{Oldest: s.oldest, End: s.end()}
 	if after < s.end() {
 		from := int(after + 1 - s.oldest)
 		to := min(from+limit, len(s.records))
@@ -280,7 +280,7 @@
 	return unavailable("no answer")
 }
 
-// Client is the log as one process reaches it. It implements platform.Log.
+// Client is the log as one process reaches it. It implements infra.Log.
 type Client struct {
 	Log  *Log
 	Link *Link
@@ -290,10 +290,10 @@
 	traffic traffic
 }
 
-var _ platform.Log = (*Client)(nil)
+var _ infra.Log = (*Client)(nil)
 
-// Append implements platform.Log.
-func (c *Client) Append(ctx context.Context, name string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (c *Client) Append(ctx context.Context, name string, data []byte) (infra.Offset, error) {
 	_, broken := c.Link.state()
 	if err := c.Link.travel(ctx, broken); err != nil {
 		if mode, _ := c.Link.state(); c.Late && mode == Swallow {
@@ -317,23 +317,23 @@
 	_, _, _ = c.Log.append(name, data)
 }
 
-// Read implements platform.Log.
-func (c *Client) Read(ctx context.Context, name string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (c *Client) Read(ctx context.Context, name string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	_, broken := c.Link.state()
 	c.traffic.add(logRequestBytes)
 	if err := c.Link.travel(ctx, broken); err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
 	lost, err := c.Log.admit()
-	var batch platform.Batch
+	var batch infra.Batch
 	if err == nil {
 		batch, err = c.Log.read(ctx, name, after, limit, wait, broken)
 	}
 	if lost {
-		return platform.Batch{}, silence(ctx)
+		return infra.Batch{}, silence(ctx)
 	}
 	if broke := c.Link.travel(ctx, broken); broke != nil {
-		return platform.Batch{}, broke
+		return infra.Batch{}, broke
 	}
 	for _, r := range batch.Records {
 		c.traffic.add(recordBytes + len(r.Data)*4/3)
--- a/bench/fleet/reader.go
+++ b/measure/bench/fleet/reader.go
@@ -11,9 +11,9 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/tablesync"
 )
 
 // Latencies, one way. The regions are in different countries.
@@ -32,11 +32,11 @@
 	client  *Client
 	syncer  *tablesync.Syncer
 	started time.Time
-	target  platform.Offset // the newest offset that it can learn at its start
-	ended   time.Time       // zero while it runs
+	target  infra.Offset // the newest offset that it can learn at its start
+	ended   time.Time    // zero while it runs
 	stop    context.CancelFunc
 	dead    atomic.Bool
-	seen    platform.Offset // owned by the recorder
+	seen    infra.Offset // owned by the recorder
 }
 
 // fleet is the set of readers. Its fields are owned by the goroutine that
@@ -97,11 +97,11 @@
 
 // reachable returns the newest offset that a new process of a region can learn:
 // the end of the log, or what a process of the region has.
-func (f *fleet) reachable(region int) platform.Offset {
+func (f *fleet) reachable(region int) infra.Offset {
 	if region == logRegion || !f.apart.Load() {
 		return f.rec.end()
 	}
-	newest := platform.Offset(0)
+	newest := infra.Offset(0)
 	for _, r := range *f.readers.Load() {
 		if r.region == region && !r.dead.Load() {
 			newest = max(newest, r.syncer.Offset())
--- a/bench/fleet/recorder.go
+++ b/measure/bench/fleet/recorder.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // change is one accepted change set.
@@ -28,8 +28,8 @@
 type recorder struct {
 	mu       sync.Mutex
 	fold     *table.Fold
-	changes  map[platform.Offset]*change
-	digests  map[platform.Offset]table.Digest
+	changes  map[infra.Offset]*change
+	digests  map[infra.Offset]table.Digest
 	alive    int
 	faults   map[faultKind]int // windows that are open
 	catchUps []time.Duration   // of each process after the regions meet again
@@ -45,12 +45,12 @@
 func newRecorder() *recorder {
 	return &recorder{
 		faults: make(map[faultKind]int),
-		fold:   table.NewFold(), changes: make(map[platform.Offset]*change), digests: make(map[platform.Offset]table.Digest),
+		fold:   table.NewFold(), changes: make(map[infra.Offset]*change), digests: make(map[infra.Offset]table.Digest),
 	}
 }
 
 // appended is called for each record in order.
-func (c *recorder) appended(stream string, r platform.Record) {
+func (c *recorder) appended(stream string, r infra.Record) {
 	if stream != tablesync.DefaultStream {
 		return
 	}
@@ -76,7 +76,7 @@
 	c.changes[r.Offset] = entry
 }
 
-func (c *recorder) end() platform.Offset {
+func (c *recorder) end() infra.Offset {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.fold.Offset()
@@ -153,7 +153,7 @@
 	}
 }
 
-func (c *recorder) note(r *reader, offset platform.Offset, digest table.Digest, view *table.View) {
+func (c *recorder) note(r *reader, offset infra.Offset, digest table.Digest, view *table.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if offset <= r.seen || view.Offset() < r.seen {
@@ -175,7 +175,7 @@
 
 // arrived notes that a change is in force on a process. No row is deleted in a
 // run, so an older version of a row is a revert. c.mu is held.
-func (c *recorder) arrived(r *reader, offset platform.Offset, entry *change, view *table.View) {
+func (c *recorder) arrived(r *reader, offset infra.Offset, entry *change, view *table.View) {
 	for _, key := range entry.keys {
 		if row, _ := view.Get(key); row.Version < offset {
 			c.reverts++
--- a/bench/fleet/regions_test.go
+++ b/measure/bench/fleet/regions_test.go
@@ -14,11 +14,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
+	"github.com/filbertmux/filbertmux/serve/claim"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
 )
 
 // Guards against a reader that steps back while the regions are apart for an
@@ -261,7 +261,7 @@
 		}
 	}
 	time.Sleep(time.Minute)
-	before := map[string]platform.Offset{}
+	before := map[string]infra.Offset{}
 	for _, duty := range []string{shared, remote} {
 		token, held := a.sidecars[2].leases.Token(duty)
 		require.True(t, held)
@@ -308,7 +308,7 @@
 }
 
 // holders returns who may act under a duty now, and with which token.
-func (a *apart) holders(duty string) (names []string, newest platform.Offset) {
+func (a *apart) holders(duty string) (names []string, newest infra.Offset) {
 	for _, s := range a.sidecars {
 		if token, held := s.leases.Token(duty); held {
 			names = append(names, s.name)
@@ -318,7 +318,7 @@
 	return names, newest
 }
 
-func (a *apart) granted(token platform.Offset) bool {
+func (a *apart) granted(token infra.Offset) bool {
 	a.log.mu.Lock()
 	defer a.log.mu.Unlock()
 	return token <= a.log.stream(leaselog.DefaultSettings().Stream).end()
--- a/bench/fleet/run.go
+++ b/measure/bench/fleet/run.go
@@ -13,9 +13,9 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/table"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 )
 
 // Bound is the time in which an accepted change is in force everywhere.
--- a/bench/fleet/wire_test.go
+++ b/measure/bench/fleet/wire_test.go
@@ -12,11 +12,11 @@
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/tablesync"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/tablesync"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // countingConn counts the bytes of a connection in both directions.
@@ -67,7 +67,7 @@
 func TestBytesOnTheWire(t *testing.T) {
 	p := standin.NewPlatform(standin.PlatformConfig{Now: time.Now})
 	read := perRequest(t, p, func(client *http.Client, url string) error {
-		log, err := platform.NewHTTPClient(url, client)
+		log, err := infra.NewHTTPClient(url, client)
 		require.NoError(t, err)
 		_, err = log.Read(t.Context(), tablesync.DefaultStream, 0, tablesync.DefaultReadLimit, time.Millisecond)
 		return err
--- a/bench/load/load.go
+++ b/measure/bench/load/load.go
@@ -21,7 +21,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // Limits of a run, so that a mistyped flag can't overload the machine.
--- a/bench/routing/faults.go
+++ b/measure/bench/routing/faults.go
@@ -6,14 +6,14 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/entry/lifecycle"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	decide "github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/daemons/entry/lifecycle"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/retry"
-	decide "github.com/filbertmux/filbertmux/routing"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/retry"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 // Parameters of the life cycle experiment beyond those of the retry experiment.
@@ -101,11 +101,11 @@
 	if !fault.noEjection {
 		r.outliers = membership.NewOutliers(membership.DefaultOutlierConfig())
 	}
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for i := range retryServers {
-		row := platform.Instance{
-			ID: fmt.Sprintf("replica-%02d", i), Role: platform.RoleBackend, Service: memberService,
-			FailureDomain: domainName(i), State: platform.Live,
+		row := infra.Instance{
+			ID: fmt.Sprintf("replica-%02d", i), Role: infra.RoleBackend, Service: memberService,
+			FailureDomain: domainName(i), State: infra.Live,
 		}
 		rows = append(rows, row)
 		r.hit[row.ID] = i < fault.servers
@@ -200,7 +200,7 @@
 	}
 }
 
-// noteResult does what entry/servers does with the end of an attempt.
+// noteResult does what daemons/entry/servers does with the end of an attempt.
 func (r *lifeRun) noteResult(server string, failure *lifecycle.Failure) {
 	switch {
 	case r.outliers == nil:
--- a/bench/routing/limits.go
+++ b/measure/bench/routing/limits.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/limits"
+	"github.com/filbertmux/filbertmux/serve/limits"
 )
 
 // Parameters of the limits experiment.
--- a/bench/routing/membership.go
+++ b/measure/bench/routing/membership.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/platform"
-	decide "github.com/filbertmux/filbertmux/routing"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	decide "github.com/filbertmux/filbertmux/balance/routing"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Parameters of the membership experiment.
@@ -54,7 +54,7 @@
 	rng     *rand.Rand
 	fault   fault
 	hit     map[string]bool
-	rows    []platform.Instance
+	rows    []infra.Instance
 	entries []*memberEntry
 	result  MembershipResult
 }
@@ -68,9 +68,9 @@
 	r := &memberRun{clock: newClock(), rng: newRand(seed, 1), fault: f, hit: make(map[string]bool)}
 	r.result.Fault = f
 	for i := range memberServers {
-		row := platform.Instance{
-			ID: fmt.Sprintf("replica-%02d", i), Role: platform.RoleBackend, Service: memberService,
-			FailureDomain: domainName(i), State: platform.Live,
+		row := infra.Instance{
+			ID: fmt.Sprintf("replica-%02d", i), Role: infra.RoleBackend, Service: memberService,
+			FailureDomain: domainName(i), State: infra.Live,
 		}
 		r.rows = append(r.rows, row)
 		if hit(i) {
@@ -102,7 +102,7 @@
 func (r *memberRun) affected(id string) bool { return r.hit[id] && r.clock.elapsed() >= lossAt }
 
 func (r *memberRun) updateList() {
-	var rows []platform.Instance
+	var rows []infra.Instance
 	for _, row := range r.rows {
 		if !r.hit[row.ID] {
 			rows = append(rows, row)
--- a/bench/routing/policies.go
+++ b/measure/bench/routing/policies.go
@@ -8,7 +8,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	decide "github.com/filbertmux/filbertmux/routing"
+	decide "github.com/filbertmux/filbertmux/balance/routing"
 )
 
 // Parameters of the load.
--- a/bench/routing/priority.go
+++ b/measure/bench/routing/priority.go
@@ -7,7 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/filbertmux/filbertmux/fairqueue"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 // Parameters of the priority experiment. A slot serves slotRate tokens a
--- a/bench/routing/replica.go
+++ b/measure/bench/routing/replica.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	decide "github.com/filbertmux/filbertmux/routing"
+	decide "github.com/filbertmux/filbertmux/balance/routing"
 )
 
 // Parameters of the replica model. The design sizes (1,500 requests/s and
--- a/bench/routing/retry.go
+++ b/measure/bench/routing/retry.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/retry"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 // Parameters of the retry experiment: 10 servers at 0.7 of their capacity, 3
--- a/bench/routing/routing_test.go
+++ b/measure/bench/routing/routing_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/membership"
-	"github.com/filbertmux/filbertmux/retry"
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 const testSeed = 1
--- a/scenarios/callcommands_test.go
+++ b/measure/scenarios/callcommands_test.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 func (r *run) newKey(args []string) error {
--- a/scenarios/calls_test.go
+++ b/measure/scenarios/calls_test.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/entry"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/daemons/entry"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // request is what a caller sends.
--- a/scenarios/commands_test.go
+++ b/measure/scenarios/commands_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // caller is the organisation whose key a call carries without -token.
@@ -104,7 +104,7 @@
 }
 
 func (r *run) instances(args []string) error {
-	list := []platform.Instance{}
+	list := []infra.Instance{}
 	for _, arg := range args {
 		row, err := r.row(arg)
 		if err != nil {
@@ -112,7 +112,7 @@
 		}
 		list = append(list, row)
 	}
-	return r.put(platform.InstancePath, list)
+	return r.put(infra.InstancePath, list)
 }
 
 // liveInstances lists all entries and sidecars that still run.
@@ -128,29 +128,29 @@
 }
 
 // row reads NAME, NAME@LINK, either with =leaving behind it.
-func (r *run) row(arg string) (platform.Instance, error) {
+func (r *run) row(arg string) (infra.Instance, error) {
 	arg, leaving := strings.CutSuffix(arg, "=leaving")
 	name, through, _ := strings.Cut(arg, "@")
 	p, err := r.process(name)
 	if err != nil {
-		return platform.Instance{}, err
+		return infra.Instance{}, err
 	}
-	row := platform.Instance{
-		ID: name, Role: platform.RoleBackend, Service: p.service, Address: p.address,
-		FailureDomain: p.domain, Region: "ro-centru", State: platform.Live,
+	row := infra.Instance{
+		ID: name, Role: infra.RoleBackend, Service: p.service, Address: p.address,
+		FailureDomain: p.domain, Region: "ro-centru", State: infra.Live,
 	}
 	if p.kind == kindEntry {
-		row.Role, row.Address = platform.RoleEntry, p.peer
+		row.Role, row.Address = infra.RoleEntry, p.peer
 	}
 	row.Group = flagValue(p.flags, "group")
 	if row.Ranks, err = p.ranks(); err != nil {
-		return platform.Instance{}, err
+		return infra.Instance{}, err
 	}
 	if through != "" {
 		row.Address = r.links[through].address
 	}
 	if leaving {
-		row.State = platform.Departing
+		row.State = infra.Departing
 	}
 	return row, nil
 }
--- a/scenarios/group_test.go
+++ b/measure/scenarios/group_test.go
@@ -11,11 +11,11 @@
 	"strings"
 	"time"
 
-	"github.com/filbertmux/filbertmux/groupcontrol"
-	"github.com/filbertmux/filbertmux/lease"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/rankapi"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
+	"github.com/filbertmux/filbertmux/rankgroup/lease"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 const (
@@ -256,23 +256,23 @@
 	return unless(most >= want, "at most %d candidates at once, want %d", most, want)
 }
 
-func (r *run) leaseRecords() ([]platform.Record, error) {
+func (r *run) leaseRecords() ([]infra.Record, error) {
 	p, err := r.process("platform")
 	if err != nil {
 		return nil, err
 	}
-	_, body, err := r.get(fmt.Sprintf("http://%s%s%s?after=0&limit=10000", p.address, platform.StreamPath, lease.Stream))
+	_, body, err := r.get(fmt.Sprintf("http://%s%s%s?after=0&limit=10000", p.address, infra.StreamPath, lease.Stream))
 	if err != nil {
 		return nil, err
 	}
-	var batch platform.Batch
+	var batch infra.Batch
 	err = json.Unmarshal([]byte(body), &batch)
 	return batch.Records, err
 }
 
 // contest returns the largest number of candidates for one tenure, and the
 // number of tenures.
-func contest(records []platform.Record) (most, tenures int, err error) {
+func contest(records []infra.Record) (most, tenures int, err error) {
 	s := lease.DefaultSettings()
 	s.TTL = leaseTTL
 	fold := lease.NewFold(s)
--- a/scenarios/random_test.go
+++ b/measure/scenarios/random_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/examples"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 const (
@@ -177,7 +177,7 @@
 
 // listLive publishes the instance list of the processes that run now.
 func (r *randomRun) listLive() error {
-	list := []platform.Instance{}
+	list := []infra.Instance{}
 	for _, d := range deployment {
 		if r.processes[d.name].ended() {
 			continue
@@ -191,7 +191,7 @@
 		}
 		list = append(list, row)
 	}
-	return r.put(platform.InstancePath, list)
+	return r.put(infra.InstancePath, list)
 }
 
 func (r *randomRun) awaitReady(t *testing.T) {
--- a/scenarios/randomcalls_test.go
+++ b/measure/scenarios/randomcalls_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 // send makes one call and returns it when it ended.
--- a/scenarios/records_test.go
+++ b/measure/scenarios/records_test.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"testing"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Guards against a change set that counts twice, or turns from accepted into
@@ -30,12 +30,12 @@
 	if err != nil {
 		return err
 	}
-	stream := "http://" + p.address + platform.StreamPath + "table"
+	stream := "http://" + p.address + infra.StreamPath + "table"
 	_, body, err := r.get(fmt.Sprintf("%s?after=%d&limit=1", stream, offset-1))
 	if err != nil {
 		return err
 	}
-	var batch platform.Batch
+	var batch infra.Batch
 	if err := json.Unmarshal([]byte(body), &batch); err != nil {
 		return err
 	}
--- a/scenarios/regions_test.go
+++ b/measure/scenarios/regions_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Guards against a cut between the regions that makes a booking run twice or
@@ -33,12 +33,12 @@
 	proxy *httputil.ReverseProxy
 
 	mu   sync.Mutex
-	list []platform.Instance
+	list []infra.Instance
 }
 
 // ServeHTTP implements http.Handler.
 func (v *platformView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != platform.InstancePath {
+	if r.URL.Path != infra.InstancePath {
 		v.proxy.ServeHTTP(w, r)
 		return
 	}
@@ -58,7 +58,7 @@
 	}
 	v := &platformView{
 		proxy: httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: l.address}),
-		list:  []platform.Instance{},
+		list:  []infra.Instance{},
 	}
 	v.proxy.Transport = &http.Transport{}
 	v.proxy.ErrorHandler = func(w http.ResponseWriter, _ *http.Request, _ error) { w.WriteHeader(http.StatusBadGateway) }
@@ -77,7 +77,7 @@
 	if !ok {
 		return fmt.Errorf("no view %s", args[0])
 	}
-	list := []platform.Instance{}
+	list := []infra.Instance{}
 	for _, arg := range args[1:] {
 		row, err := r.row(arg)
 		if err != nil {
--- a/scenarios/scenarios_test.go
+++ b/measure/scenarios/scenarios_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
-	"github.com/filbertmux/filbertmux/cli"
+	"github.com/filbertmux/filbertmux/daemons/cli"
 )
 
 // maxScripts bounds the scripts that run at once. Each has up to a dozen
--- a/scenarios/tablecommands_test.go
+++ b/measure/scenarios/tablecommands_test.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/examples"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 func (r *run) example(args []string) error {
@@ -45,11 +45,11 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	_, body, err := r.get(fmt.Sprintf("http://%s%stable?after=%d&limit=1", p.address, platform.StreamPath, offset-1))
+	_, body, err := r.get(fmt.Sprintf("http://%s%stable?after=%d&limit=1", p.address, infra.StreamPath, offset-1))
 	if err != nil {
 		return time.Time{}, err
 	}
-	var batch platform.Batch
+	var batch infra.Batch
 	if err := json.Unmarshal([]byte(body), &batch); err != nil {
 		return time.Time{}, err
 	}
--- a/standin/command.go
+++ b/measure/standin/command.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // CommandKind names what an engine is told to do.
--- a/standin/engine.go
+++ b/measure/standin/engine.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // EngineConfig sets up an Engine. Zero durations generate without delay.
--- a/standin/engine_test.go
+++ b/measure/standin/engine_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 func newEngine(t *testing.T, cfg standin.EngineConfig) (*standin.Engine, *httptest.Server) {
--- a/standin/faults.go
+++ b/measure/standin/faults.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Faults is the set of faults in force at the platform. The zero value is a
--- a/standin/log.go
+++ b/measure/standin/log.go
@@ -7,14 +7,14 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // logStream is one stream. Records below oldest are trimmed.
 type logStream struct {
-	records []platform.Record
-	next    platform.Offset
+	records []infra.Record
+	next    infra.Offset
 	changed chan struct{}
 }
 
@@ -22,10 +22,10 @@
 	return &logStream{next: 1, changed: make(chan struct{})}
 }
 
-func (s *logStream) append(now time.Time, data []byte) platform.Offset {
+func (s *logStream) append(now time.Time, data []byte) infra.Offset {
 	offset := s.next
 	s.next++
-	s.records = append(s.records, platform.Record{Offset: offset, Time: now, Data: data})
+	s.records = append(s.records, infra.Record{Offset: offset, Time: now, Data: data})
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return offset
@@ -39,26 +39,26 @@
 	s.records = s.records[keep:]
 }
 
-func (s *logStream) oldest() platform.Offset {
+func (s *logStream) oldest() infra.Offset {
 	if len(s.records) == 0 {
 		return s.next
 	}
 	return s.records[0].Offset
 }
 
-func (s *logStream) read(after platform.Offset, limit int) (platform.Batch, error) {
+func (s *logStream) read(after infra.Offset, limit int) (infra.Batch, error) {
 	oldest := s.oldest()
 	end := s.next - 1
 	if after+1 < oldest {
-		return platform.Batch{}, &platform.TrimmedError{Oldest: oldest, End: end}
+		return infra.Batch{}, &infra.TrimmedError{Oldest: oldest, End: end}
 	}
-	batch := platform.Batch{Oldest: oldest, End: end}
+	batch := infra.Batch{Oldest: oldest, End: end}
 	if after >= end {
 		return batch, nil
 	}
 	from := int(after + 1 - oldest)
 	to := min(from+limit, len(s.records))
-	batch.Records = append([]platform.Record(nil), s.records[from:to]...)
+	batch.Records = append([]infra.Record(nil), s.records[from:to]...)
 	return batch, nil
 }
 
@@ -73,7 +73,7 @@
 	appends   int64
 }
 
-var _ platform.Log = (*logService)(nil)
+var _ infra.Log = (*logService)(nil)
 
 func newLogService(cfg PlatformConfig, faults *faultControl) *logService {
 	limit := rate.Inf
@@ -90,8 +90,8 @@
 	}
 }
 
-// Append implements platform.Log.
-func (l *logService) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (l *logService) Append(ctx context.Context, stream string, data []byte) (infra.Offset, error) {
 	if err := l.faults.beforeLog(ctx, stream); err != nil {
 		return 0, err
 	}
@@ -110,10 +110,10 @@
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *logService) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (l *logService) Read(ctx context.Context, stream string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	if err := l.faults.beforeLog(ctx, stream); err != nil {
-		return platform.Batch{}, err
+		return infra.Batch{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -127,15 +127,15 @@
 		case <-timer.C:
 			return batch, nil
 		case <-ctx.Done():
-			return platform.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log read")
+			return infra.Batch{}, errkind.Wrap(errkind.PlatformUnavailable, ctx.Err(), "log read")
 		}
 		if err := l.faults.beforeLog(ctx, stream); err != nil {
-			return platform.Batch{}, err
+			return infra.Batch{}, err
 		}
 	}
 }
 
-func (l *logService) readNow(stream string, after platform.Offset, limit int) (platform.Batch, <-chan struct{}, error) {
+func (l *logService) readNow(stream string, after infra.Offset, limit int) (infra.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.stream(stream)
--- a/standin/platform.go
+++ b/measure/standin/platform.go
@@ -13,8 +13,8 @@
 	"github.com/zeebo/xxh3"
 	"golang.org/x/time/rate"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // FaultsPath takes a JSON Faults value by PUT.
@@ -49,10 +49,10 @@
 }
 
 var (
-	_ platform.Log          = (*Platform)(nil)
-	_ platform.InstanceList = (*Platform)(nil)
-	_ platform.WeightStore  = (*Platform)(nil)
-	_ http.Handler          = (*Platform)(nil)
+	_ infra.Log          = (*Platform)(nil)
+	_ infra.InstanceList = (*Platform)(nil)
+	_ infra.WeightStore  = (*Platform)(nil)
+	_ http.Handler       = (*Platform)(nil)
 )
 
 // NewPlatform returns a healthy platform with empty streams.
@@ -94,23 +94,23 @@
 func fetchBurst(perSecond float64) int { return max(1, int(perSecond)) }
 
 // SetInstances replaces the instance list. Readers see it after the lag.
-func (p *Platform) SetInstances(instances []platform.Instance) { p.list.set(instances) }
+func (p *Platform) SetInstances(instances []infra.Instance) { p.list.set(instances) }
 
 // Appends returns the number of records appended so far.
 func (p *Platform) Appends() int64 { return p.log.appendCount() }
 
-// Append implements platform.Log.
-func (p *Platform) Append(ctx context.Context, stream string, data []byte) (platform.Offset, error) {
+// Append implements infra.Log.
+func (p *Platform) Append(ctx context.Context, stream string, data []byte) (infra.Offset, error) {
 	return p.log.Append(ctx, stream, data)
 }
 
-// Read implements platform.Log.
-func (p *Platform) Read(ctx context.Context, stream string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements infra.Log.
+func (p *Platform) Read(ctx context.Context, stream string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	return p.log.Read(ctx, stream, after, limit, wait)
 }
 
-// Instances implements platform.InstanceList.
-func (p *Platform) Instances(context.Context) ([]platform.Instance, error) {
+// Instances implements infra.InstanceList.
+func (p *Platform) Instances(context.Context) ([]infra.Instance, error) {
 	faults := p.faults.get()
 	if faults.ListDown {
 		return nil, errkind.New(errkind.PlatformUnavailable, "instance list is down")
@@ -118,7 +118,7 @@
 	return p.list.get(faults.ListFrozen), nil
 }
 
-// Fetch implements platform.WeightStore. The bytes depend only on the
+// Fetch implements infra.WeightStore. The bytes depend only on the
 // arguments.
 func (p *Platform) Fetch(_ context.Context, _ string, layer, expert int) ([]byte, error) {
 	if p.faults.get().WeightsDown {
@@ -139,11 +139,11 @@
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
 
 func (p *Platform) routes() {
-	p.mux.HandleFunc("POST "+platform.StreamPath+"{stream}", p.serveAppend)
-	p.mux.HandleFunc("GET "+platform.StreamPath+"{stream}", p.serveRead)
-	p.mux.HandleFunc("GET "+platform.InstancePath, p.serveInstances)
-	p.mux.HandleFunc("PUT "+platform.InstancePath, p.servePutInstances)
-	p.mux.HandleFunc("GET "+platform.WeightPath+"/{model}/{layer}/{expert}", p.serveWeights)
+	p.mux.HandleFunc("POST "+infra.StreamPath+"{stream}", p.serveAppend)
+	p.mux.HandleFunc("GET "+infra.StreamPath+"{stream}", p.serveRead)
+	p.mux.HandleFunc("GET "+infra.InstancePath, p.serveInstances)
+	p.mux.HandleFunc("PUT "+infra.InstancePath, p.servePutInstances)
+	p.mux.HandleFunc("GET "+infra.WeightPath+"/{model}/{layer}/{expert}", p.serveWeights)
 	p.mux.HandleFunc("PUT "+FaultsPath, p.servePutFaults)
 }
 
@@ -154,7 +154,7 @@
 		return
 	}
 	offset, err := p.Append(r.Context(), r.PathValue("stream"), data)
-	writeResult(w, platform.AppendResponse{Offset: offset}, err)
+	writeResult(w, infra.AppendResponse{Offset: offset}, err)
 }
 
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -173,7 +173,7 @@
 		waitMS = 0
 	}
 	wait := time.Duration(waitMS) * time.Millisecond
-	batch, err := p.Read(r.Context(), r.PathValue("stream"), platform.Offset(after), limit, wait)
+	batch, err := p.Read(r.Context(), r.PathValue("stream"), infra.Offset(after), limit, wait)
 	writeResult(w, batch, err)
 }
 
@@ -197,7 +197,7 @@
 }
 
 // entityTag identifies the content of an instance list.
-func entityTag(instances []platform.Instance) (string, error) {
+func entityTag(instances []infra.Instance) (string, error) {
 	data, err := json.Marshal(instances)
 	if err != nil {
 		return "", err
@@ -206,7 +206,7 @@
 }
 
 func (p *Platform) servePutInstances(w http.ResponseWriter, r *http.Request) {
-	var instances []platform.Instance
+	var instances []infra.Instance
 	if err := json.NewDecoder(r.Body).Decode(&instances); err != nil {
 		writeError(w, errkind.Wrap(errkind.InvalidRequest, err, "instances"))
 		return
@@ -245,23 +245,23 @@
 	mu      sync.Mutex
 	lag     time.Duration
 	now     func() time.Time
-	visible []platform.Instance
+	visible []infra.Instance
 	pending []pendingList
 }
 
 type pendingList struct {
 	from      time.Time
-	instances []platform.Instance
+	instances []infra.Instance
 }
 
-func (l *instanceList) set(instances []platform.Instance) {
+func (l *instanceList) set(instances []infra.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	list := append([]platform.Instance{}, instances...)
+	list := append([]infra.Instance{}, instances...)
 	l.pending = append(l.pending, pendingList{from: l.now().Add(l.lag), instances: list})
 }
 
-func (l *instanceList) get(frozen bool) []platform.Instance {
+func (l *instanceList) get(frozen bool) []infra.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -269,5 +269,5 @@
 		l.visible = l.pending[0].instances
 		l.pending = l.pending[1:]
 	}
-	return append([]platform.Instance{}, l.visible...)
+	return append([]infra.Instance{}, l.visible...)
 }
--- a/standin/platform_test.go
+++ b/measure/standin/platform_test.go
@@ -9,23 +9,23 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
 type fakeClock struct{ now time.Time }
 
 func (c *fakeClock) Now() time.Time { return c.now }
 
-func newPlatform(t *testing.T, cfg standin.PlatformConfig) (*standin.Platform, *platform.HTTPClient, *fakeClock) {
+func newPlatform(t *testing.T, cfg standin.PlatformConfig) (*standin.Platform, *infra.HTTPClient, *fakeClock) {
 	t.Helper()
 	clock := &fakeClock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	cfg.Now = clock.Now
 	p := standin.NewPlatform(cfg)
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
-	client, err := platform.NewHTTPClient(server.URL, server.Client())
+	client, err := infra.NewHTTPClient(server.URL, server.Client())
 	require.NoError(t, err)
 	return p, client, clock
 }
@@ -41,7 +41,7 @@
 	batch, err := client.Read(ctx, "s", 0, 10, 0)
 	require.NoError(t, err)
 	require.Len(t, batch.Records, 1)
-	require.Equal(t, platform.Offset(1), batch.Records[0].Offset)
+	require.Equal(t, infra.Offset(1), batch.Records[0].Offset)
 }
 
 // Guards against a read that silently skips trimmed records.
@@ -75,7 +75,7 @@
 func TestInstanceListLags(t *testing.T) {
 	ctx := context.Background()
 	p, client, clock := newPlatform(t, standin.PlatformConfig{ListLag: 3 * time.Second})
-	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Live}})
+	p.SetInstances([]infra.Instance{{ID: "a", State: infra.Live}})
 	got, err := client.Instances(ctx)
 	require.NoError(t, err)
 	require.Empty(t, got)
@@ -104,9 +104,9 @@
 	server := httptest.NewServer(p)
 	defer server.Close()
 	transport := &countingTransport{}
-	client, err := platform.NewHTTPClient(server.URL, &http.Client{Transport: transport})
+	client, err := infra.NewHTTPClient(server.URL, &http.Client{Transport: transport})
 	require.NoError(t, err)
-	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Live}})
+	p.SetInstances([]infra.Instance{{ID: "a", State: infra.Live}})
 	first, err := client.Instances(ctx)
 	require.NoError(t, err)
 	sent := transport.bytes
@@ -115,8 +115,8 @@
 	require.NoError(t, err)
 	require.Equal(t, first, second)
 	require.Equal(t, sent, transport.bytes)
-	p.SetInstances([]platform.Instance{{ID: "a", State: platform.Departing}})
+	p.SetInstances([]infra.Instance{{ID: "a", State: infra.Departing}})
 	third, err := client.Instances(ctx)
 	require.NoError(t, err)
-	require.Equal(t, platform.Departing, third[0].State)
+	require.Equal(t, infra.Departing, third[0].State)
 }
--- a/standin/rankcontrol.go
+++ b/measure/standin/rankcontrol.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"strconv"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/rankapi"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // GroupPath answers with a GroupStatus.
--- a/standin/rankhttp.go
+++ b/measure/standin/rankhttp.go
@@ -7,10 +7,10 @@
 	"slices"
 	"strconv"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/rankapi"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // Command performs a batch on the ranks of one replica.
--- a/standin/rankload.go
+++ b/measure/standin/rankload.go
@@ -6,8 +6,8 @@
 	"sort"
 	"time"
 
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/rankapi"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 const (
--- a/standin/ranks.go
+++ b/measure/standin/ranks.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // Popularity returns the relative popularity of an expert in a step.
--- a/standin/ranks_test.go
+++ b/measure/standin/ranks_test.go
@@ -5,12 +5,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/rankapi"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 func newGroup(t *testing.T, checks bool) *standin.RankGroup {
@@ -34,10 +34,10 @@
 	return a.Ranks[0].State
 }
 
-func attempt(token platform.Offset) mapswitch.Attempt { return mapswitch.Attempt{Token: token, Seq: 1} }
+func attempt(token infra.Offset) mapswitch.Attempt { return mapswitch.Attempt{Token: token, Seq: 1} }
 
 // stage stages a map that swaps the experts, and loads the weights.
-func stage(t *testing.T, g *standin.RankGroup, replica int, token platform.Offset) {
+func stage(t *testing.T, g *standin.RankGroup, replica int, token infra.Offset) {
 	t.Helper()
 	target := experts.Map{Epoch: 1, Layers: []experts.Layer{{1, 0}}}
 	plan := mapswitch.Plan{Attempt: attempt(token), Epoch: 1, Target: &target}
@@ -51,14 +51,14 @@
 	require.Equal(t, attempt(token), g.State(replica).Ranks[0].State.Staged)
 }
 
-func hold(t *testing.T, g *standin.RankGroup, replica int, token platform.Offset, step uint64) mapswitch.RankState {
+func hold(t *testing.T, g *standin.RankGroup, replica int, token infra.Offset, step uint64) mapswitch.RankState {
 	t.Helper()
 	return command(t, g, replica, rankapi.Command{Hold: &mapswitch.HoldRank{
 		Token: token, Hold: mapswitch.Hold{Attempt: attempt(token), Step: step},
 	}})
 }
 
-func release(t *testing.T, g *standin.RankGroup, replica int, token platform.Offset, commit bool) mapswitch.RankState {
+func release(t *testing.T, g *standin.RankGroup, replica int, token infra.Offset, commit bool) mapswitch.RankState {
 	t.Helper()
 	return command(t, g, replica, rankapi.Command{Release: &mapswitch.ReleaseRank{Token: token, Attempt: attempt(token), Commit: commit}})
 }
--- a/standin/respond.go
+++ b/measure/standin/respond.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 func writeResult(w http.ResponseWriter, value any, err error) {
@@ -20,9 +20,9 @@
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) {
-		writeJSON(w, http.StatusGone, platform.TrimmedResponse{Oldest: trimmed.Oldest, End: trimmed.End})
+		writeJSON(w, http.StatusGone, infra.TrimmedResponse{Oldest: trimmed.Oldest, End: trimmed.End})
 		return
 	}
 	e := errkind.Of(err)
--- a/experts/counts.go
+++ b/rankgroup/experts/counts.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Counts holds the tokens that each expert received during one interval.
--- a/experts/decide.go
+++ b/rankgroup/experts/decide.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // Weights are the two weights of a service in the table.
--- a/experts/experts_test.go
+++ b/rankgroup/experts/experts_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/experts/forecast_test.go
+++ b/rankgroup/experts/forecast_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // Guards against a forecast that lags behind a steady change of mix, or that
--- a/experts/health.go
+++ b/rankgroup/experts/health.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // RankState tells why a rank takes long.
--- a/experts/types.go
+++ b/rankgroup/experts/types.go
@@ -9,7 +9,7 @@
 	"math/bits"
 	"slices"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Limits of the planner.
--- a/groupcontrol/backend.go
+++ b/rankgroup/groupcontrol/backend.go
@@ -11,8 +11,8 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/rankapi"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // maxAnswerBytes bounds an answer of the backend server. A report with 58
--- a/groupcontrol/codec.go
+++ b/rankgroup/groupcontrol/codec.go
@@ -1,10 +1,10 @@
 package groupcontrol
 
 import (
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/infra"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // encode returns the wire form of a message between members, or nil for a
@@ -39,7 +39,7 @@
 func decode(from mapswitch.MemberID, m *pb.GroupMessage) mapswitch.Message {
 	switch k := m.GetKind().(type) {
 	case *pb.GroupMessage_TakeOver:
-		return mapswitch.TakeOver{Token: platform.Offset(k.TakeOver.GetToken())}
+		return mapswitch.TakeOver{Token: infra.Offset(k.TakeOver.GetToken())}
 	case *pb.GroupMessage_Prepare:
 		return mapswitch.Prepare{Plan: decodePlan(k.Prepare)}
 	case *pb.GroupMessage_Propose:
@@ -50,13 +50,13 @@
 	case *pb.GroupMessage_Status:
 		return decodeStatus(from, k.Status)
 	case *pb.GroupMessage_Rejected:
-		return mapswitch.Rejected{From: from, Token: platform.Offset(k.Rejected.GetToken())}
+		return mapswitch.Rejected{From: from, Token: infra.Offset(k.Rejected.GetToken())}
 	case *pb.GroupMessage_Query:
 		return mapswitch.Query{From: from, Attempt: decodeAttempt(k.Query.GetAttempt()), Step: k.Query.GetStep()}
 	case *pb.GroupMessage_Vote:
 		return mapswitch.Vote{
 			From: from, Attempt: decodeAttempt(k.Vote.GetAttempt()),
-			Verdict: mapswitch.Verdict(k.Vote.GetVerdict()), Token: platform.Offset(k.Vote.GetToken()),
+			Verdict: mapswitch.Verdict(k.Vote.GetVerdict()), Token: infra.Offset(k.Vote.GetToken()),
 		}
 	}
 	return nil
@@ -67,7 +67,7 @@
 }
 
 func decodeAttempt(a *pb.SwitchAttempt) mapswitch.Attempt {
-	return mapswitch.Attempt{Token: platform.Offset(a.GetToken()), Seq: a.GetSeq()}
+	return mapswitch.Attempt{Token: infra.Offset(a.GetToken()), Seq: a.GetSeq()}
 }
 
 func encodePlan(p mapswitch.Plan) *pb.Prepare {
@@ -110,7 +110,7 @@
 
 func decodeStatus(from mapswitch.MemberID, s *pb.MemberStatus) mapswitch.Status {
 	out := mapswitch.Status{
-		From: from, Incarnation: s.GetIncarnation(), Token: platform.Offset(s.GetToken()),
+		From: from, Incarnation: s.GetIncarnation(), Token: infra.Offset(s.GetToken()),
 		Floor: decodeAttempt(s.GetFloor()), Undecided: s.GetUndecided(),
 	}
 	for _, r := range s.GetRanks() {
@@ -134,7 +134,7 @@
 
 func decodeRank(r *pb.RankStatus) mapswitch.RankState {
 	s := mapswitch.RankState{
-		Rank: mapswitch.RankID(r.GetRank()), Version: r.GetVersion(), Token: platform.Offset(r.GetToken()),
+		Rank: mapswitch.RankID(r.GetRank()), Version: r.GetVersion(), Token: infra.Offset(r.GetToken()),
 		Step: r.GetStep(), Installed: decodeAttempt(r.GetInstalled()), Epoch: r.GetEpoch(),
 		ActiveFrom: r.GetActiveFrom(), Previous: decodeAttempt(r.GetPrevious()),
 		PreviousEpoch: r.GetPreviousEpoch(), Staged: decodeAttempt(r.GetStaged()),
--- a/groupcontrol/commander.go
+++ b/rankgroup/groupcontrol/commander.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/rankapi"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // commander sends commands to the ranks of the backend server, one batch at a
--- a/groupcontrol/control.go
+++ b/rankgroup/groupcontrol/control.go
@@ -8,11 +8,11 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/rankapi"
-	"github.com/filbertmux/filbertmux/ring"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/ring"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 // Capacities of the rings. The state machines repeat what a full ring drops.
--- a/groupcontrol/control_test.go
+++ b/rankgroup/groupcontrol/control_test.go
@@ -12,8 +12,8 @@
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/groupcontrol"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
 )
 
 // Guards against a switch that stops the group although nothing fails.
--- a/groupcontrol/core.go
+++ b/rankgroup/groupcontrol/core.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 const (
@@ -26,9 +26,9 @@
 	c      *Control
 	member *mapswitch.Member
 	holder *mapswitch.Holder
-	token  platform.Offset
+	token  infra.Offset
 	// holders tells from which member the commands with a token came.
-	holders map[platform.Offset]mapswitch.MemberID
+	holders map[infra.Offset]mapswitch.MemberID
 	states  map[mapswitch.RankID]mapswitch.RankState
 	// local holds messages to this process, in order.
 	local    []local
@@ -38,9 +38,9 @@
 	plan  *proposal
 	began time.Time
 	// admit decides whether a command of a holder reaches the member.
-	admit func(from mapswitch.MemberID, token platform.Offset, m mapswitch.Message) bool
+	admit func(from mapswitch.MemberID, token infra.Offset, m mapswitch.Message) bool
 	// readToken returns the current token from the log.
-	readToken func() (platform.Offset, bool)
+	readToken func() (infra.Offset, bool)
 }
 
 // local is a message from a member to this process.
@@ -51,11 +51,11 @@
 
 func newCore(c *Control) *core {
 	k := &core{
-		c: c, holders: make(map[platform.Offset]mapswitch.MemberID),
+		c: c, holders: make(map[infra.Offset]mapswitch.MemberID),
 		states: make(map[mapswitch.RankID]mapswitch.RankState),
 	}
 	k.admit = k.check
-	k.readToken = func() (platform.Offset, bool) { return c.opts.Lease.Current(c.opts.Group) }
+	k.readToken = func() (infra.Offset, bool) { return c.opts.Lease.Current(c.opts.Group) }
 	if c.opts.adjust != nil {
 		c.opts.adjust(k)
 	}
@@ -213,7 +213,7 @@
 // check compares the token of a command with the log. While the log was not
 // read recently, no command passes. Votes need no check: they finish what all
 // members have begun.
-func (k *core) check(from mapswitch.MemberID, token platform.Offset, _ mapswitch.Message) bool {
+func (k *core) check(from mapswitch.MemberID, token infra.Offset, _ mapswitch.Message) bool {
 	err := k.c.opts.Lease.Check(k.c.opts.Group, token)
 	if err == nil {
 		k.learnHolder(token, from)
@@ -227,7 +227,7 @@
 	return false
 }
 
-func (k *core) learnHolder(token platform.Offset, from mapswitch.MemberID) {
+func (k *core) learnHolder(token infra.Offset, from mapswitch.MemberID) {
 	k.holders[token] = from
 	for len(k.holders) > maxHolders {
 		oldest := token
--- a/groupcontrol/cost_test.go
+++ b/rankgroup/groupcontrol/cost_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/groupcontrol"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // TestControlCost measures the control traffic of a group of the design size
--- a/groupcontrol/counts.go
+++ b/rankgroup/groupcontrol/counts.go
@@ -4,9 +4,9 @@
 	"encoding/binary"
 	"sync"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // reported turns the counts of the backend server, which grow from its start,
--- a/groupcontrol/counts_test.go
+++ b/rankgroup/groupcontrol/counts_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
--- a/groupcontrol/export_test.go
+++ b/rankgroup/groupcontrol/export_test.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // WithoutTokenCheck returns o for a sidecar that passes the weights of every
 // plan to its ranks, whatever its token.
 func (o Options) WithoutTokenCheck() Options {
 	o.adjust = func(k *core) {
-		k.admit = func(from mapswitch.MemberID, token platform.Offset, m mapswitch.Message) bool {
+		k.admit = func(from mapswitch.MemberID, token infra.Offset, m mapswitch.Message) bool {
 			if p, ok := m.(mapswitch.Prepare); ok && token < k.newestHolder() {
 				for _, r := range k.c.opts.Ranks {
 					stage := mapswitch.StageRank{Token: token, Plan: p.Plan}
@@ -27,8 +27,8 @@
 	return o
 }
 
-func (k *core) newestHolder() platform.Offset {
-	var newest platform.Offset
+func (k *core) newestHolder() infra.Offset {
+	var newest infra.Offset
 	for token := range k.holders {
 		newest = max(newest, token)
 	}
@@ -39,8 +39,8 @@
 // read the current token.
 func (o Options) WithoutTokenRead() Options {
 	o.adjust = func(k *core) {
-		k.readToken = func() (platform.Offset, bool) { return 0, true }
-		k.admit = func(mapswitch.MemberID, platform.Offset, mapswitch.Message) bool { return true }
+		k.readToken = func() (infra.Offset, bool) { return 0, true }
+		k.admit = func(mapswitch.MemberID, infra.Offset, mapswitch.Message) bool { return true }
 	}
 	return o
 }
