--- a/groupcontrol/fixture_test.go
+++ b/rankgroup/groupcontrol/fixture_test.go
@@ -17,16 +17,16 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/infra"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/groupcontrol"
 	"github.com/filbertmux/filbertmux/internal/memnet"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/rankapi"
-	"github.com/filbertmux/filbertmux/standin"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/groupcontrol"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
 )
 
 const (
@@ -140,7 +140,7 @@
 			answer, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
 			resp.Body = io.NopCloser(bytes.NewReader(answer))
-			if !strings.HasPrefix(r.URL.Path, rankapi.Path) && !strings.HasPrefix(r.URL.Path, platform.WeightPath) {
+			if !strings.HasPrefix(r.URL.Path, rankapi.Path) && !strings.HasPrefix(r.URL.Path, infra.WeightPath) {
 				g.count(len(body) + len(answer) + headerBytes(r.Header) + headerBytes(resp.Header))
 			}
 			time.Sleep(latency)
@@ -179,7 +179,7 @@
 
 // ofHolder reports whether a request is a command of a holder or an append.
 func ofHolder(r *http.Request, body []byte) bool {
-	if strings.HasPrefix(r.URL.Path, platform.StreamPath) {
+	if strings.HasPrefix(r.URL.Path, infra.StreamPath) {
 		return r.Method == http.MethodPost
 	}
 	var d pb.DeliverRequest
@@ -305,9 +305,9 @@
 
 type fixedTable struct{}
 
-func (fixedTable) Offset() platform.Offset { return 7 }
+func (fixedTable) Offset() infra.Offset { return 7 }
 
-func (fixedTable) Learn(platform.Offset) {}
+func (fixedTable) Learn(infra.Offset) {}
 
 func (f *fixture) options(n *node, lease groupcontrol.Lease, client *http.Client) groupcontrol.Options {
 	o := groupcontrol.Options{
@@ -334,7 +334,7 @@
 func (f *fixture) start(n *node) {
 	f.starts++
 	client := &http.Client{Transport: n.gate}
-	store, err := platform.NewHTTPClient("http://"+platformAddress, client)
+	store, err := infra.NewHTTPClient("http://"+platformAddress, client)
 	require.NoError(f.t, err)
 	lease := leaselog.New(store, strconv.FormatUint(f.starts, 10), time.Now, rand.New(rand.NewPCG(f.starts, 0)), f.lease)
 	o := f.options(n, lease, client)
--- a/groupcontrol/options.go
+++ b/rankgroup/groupcontrol/options.go
@@ -6,24 +6,24 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // Lease is the part of leaselog.Client that a Control uses.
 type Lease interface {
 	Campaign(duty string)
-	Token(duty string) (platform.Offset, bool)
-	Check(duty string, token platform.Offset) error
-	Current(duty string) (platform.Offset, bool)
+	Token(duty string) (infra.Offset, bool)
+	Check(duty string, token infra.Offset) error
+	Current(duty string) (infra.Offset, bool)
 }
 
 // Table is the part of tablesync.Syncer that a Control uses.
 type Table interface {
-	Offset() platform.Offset
-	Learn(platform.Offset)
+	Offset() infra.Offset
+	Learn(infra.Offset)
 }
 
 // Timing holds the intervals of a Control.
@@ -92,7 +92,7 @@
 	Peers   *http.Client
 	Backend *http.Client
 	Lease   Lease
-	Store   platform.WeightStore
+	Store   infra.WeightStore
 	// Weights returns the weights of the service's row in the table.
 	Weights func() (experts.Weights, bool)
 	Table   Table
--- a/groupcontrol/peer.go
+++ b/rankgroup/groupcontrol/peer.go
@@ -6,13 +6,13 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/ring"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
-	"github.com/filbertmux/filbertmux/mapswitch"
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/ring"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // peer sends messages to another member.
@@ -133,7 +133,7 @@
 		errkind.New(errkind.InvalidRequest, "member %d of group %q is not here", to, group))
 }
 
-func (c *Control) learn(offset uint64) { c.opts.Table.Learn(platform.Offset(offset)) }
+func (c *Control) learn(offset uint64) { c.opts.Table.Learn(infra.Offset(offset)) }
 
 // ownReport reads the backend server beside this process.
 func (c *Control) ownReport(ctx context.Context, since uint64) (*pb.GroupReportResponse, *experts.Map, error) {
--- a/groupcontrol/planner.go
+++ b/rankgroup/groupcontrol/planner.go
@@ -7,10 +7,10 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // planner polls the expert counts and decides while this process is the
--- a/lease/candidacy.go
+++ b/rankgroup/lease/candidacy.go
@@ -5,14 +5,14 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // State is the state of a Holder.
 type State string
 
-// States of a Holder, as chart/charts/lease.yaml names them. Following is the
+// States of a Holder, as base/chart/charts/lease.yaml names them. Following is the
 // initial state, Left the final one.
 const (
 	Following   State = "following"
--- a/lease/candidacy_test.go
+++ b/rankgroup/lease/candidacy_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/chart"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/internal/charttest"
-	"github.com/filbertmux/filbertmux/platform"
 )
 
 // script drives one Holder and collects the first difference from what is
@@ -50,17 +50,17 @@
 	s.wait(s.holder.settings.TTL + s.holder.settings.Margin)
 }
 
-func (s *script) holds(token platform.Offset) {
+func (s *script) holds(token infra.Offset) {
 	got, ok := s.holder.Token(s.now)
 	s.want(ok == (token != 0) && (token == 0 || got == token), "token %d, %t; want %d", got, ok, token)
 }
 
-func (s *script) folded(holder string, token platform.Offset, nonce uint64, released bool) {
+func (s *script) folded(holder string, token infra.Offset, nonce uint64, released bool) {
 	s.holder.Folded(s.now, Tenure{Duty: "duty", Holder: holder, Token: token, Nonce: nonce, Released: released})
 }
 
 // win claims the duty and reads the claim back with the token.
-func (s *script) win(token platform.Offset) {
+func (s *script) win(token infra.Offset) {
 	s.waitFree()
 	claim := s.sends(OpClaim)
 	s.holds(0) // not read back
@@ -164,7 +164,7 @@
 func holding(s *script) { s.win(5) }
 
 // foldedEnd is the end of a tenure as read from the log.
-func foldedEnd(holder string, token platform.Offset, released bool) func(*script) {
+func foldedEnd(holder string, token infra.Offset, released bool) func(*script) {
 	return func(s *script) { s.folded(holder, token, 90, released) }
 }
 
--- a/lease/fold.go
+++ b/rankgroup/lease/fold.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Stream is the log stream of leases, maps and epochs of rank groups.
@@ -32,12 +32,12 @@
 
 // Record is one lease record. Token is set on renewals and releases.
 type Record struct {
-	Type   string          `json:"type"`
-	Op     Op              `json:"op"`
-	Duty   string          `json:"duty"`
-	Holder string          `json:"holder"`
-	Nonce  uint64          `json:"nonce"` // unique within the holder
-	Token  platform.Offset `json:"token,omitempty"`
+	Type   string       `json:"type"`
+	Op     Op           `json:"op"`
+	Duty   string       `json:"duty"`
+	Holder string       `json:"holder"`
+	Nonce  uint64       `json:"nonce"` // unique within the holder
+	Token  infra.Offset `json:"token,omitempty"`
 }
 
 // Encode returns the bytes of r.
@@ -79,7 +79,7 @@
 type Tenure struct {
 	Duty     string
 	Holder   string
-	Token    platform.Offset
+	Token    infra.Offset
 	Renewed  time.Time // log time of the last record that extended it
 	Nonce    uint64    // of that record
 	Released bool
@@ -88,13 +88,13 @@
 // Fold is the state of all duties as of its last record.
 type Fold struct {
 	settings Settings
-	applied  platform.Offset
+	applied  infra.Offset
 	logTime  time.Time
 	// uncertainUntil: a tenure from missing records would have been renewed
 	// by then. Claims until then are not granted.
 	uncertainUntil time.Time
 	gapPending     bool
-	gapEnd         platform.Offset // last offset that was missing
+	gapEnd         infra.Offset // last offset that was missing
 	tenures        map[string]Tenure
 	skipped        int64
 }
@@ -105,7 +105,7 @@
 }
 
 // Offset returns the offset of the last record that was folded.
-func (f *Fold) Offset() platform.Offset { return f.applied }
+func (f *Fold) Offset() infra.Offset { return f.applied }
 
 // Skipped returns the number of lease records of unknown operation.
 func (f *Fold) Skipped() int64 { return f.skipped }
@@ -123,7 +123,7 @@
 }
 
 // Missing records that the log no longer holds offsets below oldest.
-func (f *Fold) Missing(oldest platform.Offset) {
+func (f *Fold) Missing(oldest infra.Offset) {
 	if oldest > f.applied+1 {
 		f.applied, f.gapEnd = oldest-1, oldest-1
 		f.gapPending = true
@@ -133,7 +133,7 @@
 // Apply folds the next record. Records of other types on the stream only
 // advance offset and time. It returns the tenure that the record started,
 // renewed or released, if any.
-func (f *Fold) Apply(r platform.Record) (Tenure, bool) {
+func (f *Fold) Apply(r infra.Record) (Tenure, bool) {
 	if r.Offset <= f.applied {
 		return Tenure{}, false
 	}
@@ -161,7 +161,7 @@
 	}
 }
 
-func (f *Fold) claim(offset platform.Offset, rec Record) (Tenure, bool) {
+func (f *Fold) claim(offset infra.Offset, rec Record) (Tenure, bool) {
 	t, known := f.tenures[rec.Duty]
 	if known && f.active(t) || f.Uncertain() {
 		return Tenure{}, false
--- a/lease/guard.go
+++ b/rankgroup/lease/guard.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // Guard decides in a sidecar whether a command to its backend server may
@@ -17,13 +17,13 @@
 	// confirmed is the start of the newest read that reached the end of the
 	// stream; zero until the first one.
 	confirmed time.Time
-	passed    map[string]platform.Offset
+	passed    map[string]infra.Offset
 }
 
 // NewGuard returns a Guard of a process that started at now and that folds the
 // stream into fold.
 func NewGuard(s Settings, fold *Fold, now time.Time) *Guard {
-	return &Guard{settings: s, fold: fold, started: now, passed: make(map[string]platform.Offset)}
+	return &Guard{settings: s, fold: fold, started: now, passed: make(map[string]infra.Offset)}
 }
 
 // Confirmed reports that a read which began at the given time has reached the
@@ -37,7 +37,7 @@
 // Current returns the newest token of a duty, zero if it never had a holder.
 // It reports false if the guard's view of the log is not recent or may lack a
 // tenure.
-func (g *Guard) Current(now time.Time, duty string) (platform.Offset, bool) {
+func (g *Guard) Current(now time.Time, duty string) (infra.Offset, bool) {
 	if !g.fresh(now) {
 		return 0, false
 	}
@@ -52,7 +52,7 @@
 // Check passes or refuses a command. A token above the known one comes from a
 // holder that has read further than this guard; it passes and fences off all
 // lower ones. The result is nil or a refusal that proves that nothing ran.
-func (g *Guard) Check(now time.Time, duty string, token platform.Offset) *errkind.Error {
+func (g *Guard) Check(now time.Time, duty string, token infra.Offset) *errkind.Error {
 	if !g.fresh(now) {
 		return errkind.New(errkind.LogUnavailable, "the current fencing token of %s was not read", duty).
 			WithRetryAfter(time.Second)
--- a/lease/holder.go
+++ b/rankgroup/lease/holder.go
@@ -4,15 +4,15 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // maxSent bounds the appends whose record was not read back.
 const maxSent = 16
 
 // Holder is the state machine of one process that stands for a duty. It runs
-// on chart/charts/lease.yaml.
+// on base/chart/charts/lease.yaml.
 type Holder struct {
 	settings Settings
 	duty     string
@@ -21,7 +21,7 @@
 	machine  *chart.Machine
 	nonce    uint64
 	sent     map[uint64]time.Time // by nonce, on the holder's monotonic clock
-	token    platform.Offset      // zero unless the fold names this holder
+	token    infra.Offset         // zero unless the fold names this holder
 	until    time.Time            // end of the tenure on the holder's clock
 	nextSend time.Time
 	freeAt   time.Time // when the other holder's tenure may have expired
@@ -45,7 +45,7 @@
 // Token returns the fencing token while the holder may act. It is asked ahead
 // of each action. Correctness rests on the guards: a process that is paused
 // after the question still acts late.
-func (h *Holder) Token(now time.Time) (platform.Offset, bool) {
+func (h *Holder) Token(now time.Time) (infra.Offset, bool) {
 	return h.token, h.State() == Holding && now.Before(h.until)
 }
 
--- a/lease/lease_test.go
+++ b/rankgroup/lease/lease_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/lease"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/rankgroup/lease"
 )
 
 // rule names a rule that a run of the model switches off.
@@ -32,7 +32,7 @@
 	off        rule
 	settings   lease.Settings
 	now        time.Time
-	records    []platform.Record
+	records    []infra.Record
 	late       []delayed
 	trimmed    int
 	outage     time.Time
@@ -40,7 +40,7 @@
 	guards     []*backend
 	violations []string
 	passed     int
-	tenures    map[platform.Offset]bool
+	tenures    map[infra.Offset]bool
 }
 
 type delayed struct {
@@ -53,19 +53,19 @@
 	holder      *lease.Holder
 	pausedUntil time.Time
 	// acting is the token of the last question, used after a pause.
-	acting platform.Offset
+	acting infra.Offset
 }
 
 type backend struct {
 	fold    *lease.Fold
 	guard   *lease.Guard
-	highest platform.Offset // of commands that reached the backend server
+	highest infra.Offset // of commands that reached the backend server
 }
 
 func newWorld(seed uint64, off rule) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 2)), off: off, settings: lease.DefaultSettings(),
-		now: time.UnixMilli(1_800_000_000_000), tenures: make(map[platform.Offset]bool),
+		now: time.UnixMilli(1_800_000_000_000), tenures: make(map[infra.Offset]bool),
 	}
 	for range 3 {
 		w.holders = append(w.holders, w.newCandidate())
@@ -143,7 +143,7 @@
 	if w.now.Before(w.outage) {
 		return
 	}
-	f.Missing(platform.Offset(w.trimmed + 1))
+	f.Missing(infra.Offset(w.trimmed + 1))
 	rest := w.records[min(int(f.Offset()), len(w.records)):]
 	part := rest[:min(len(rest), 1+w.rng.IntN(100))]
 	for _, r := range part {
@@ -194,7 +194,7 @@
 }
 
 // command sends a command to each guard; some messages arrive much later.
-func (w *world) command(token platform.Offset) {
+func (w *world) command(token infra.Offset) {
 	for _, b := range w.guards {
 		delay := w.upTo(200 * time.Millisecond)
 		if w.chance(0.05) {
@@ -204,7 +204,7 @@
 	}
 }
 
-func (w *world) deliver(b *backend, token platform.Offset) {
+func (w *world) deliver(b *backend, token infra.Offset) {
 	if w.off != guardChecks && b.guard.Check(w.now, duty, token) != nil {
 		return
 	}
@@ -218,7 +218,7 @@
 func (w *world) append(c *candidate, r lease.Record) {
 	data, _ := lease.Encode(r)
 	put := func() {
-		w.records = append(w.records, platform.Record{Offset: platform.Offset(len(w.records) + 1), Time: w.now, Data: data})
+		w.records = append(w.records, infra.Record{Offset: infra.Offset(len(w.records) + 1), Time: w.now, Data: data})
 	}
 	switch {
 	case w.now.Before(w.outage), w.chance(0.05):
@@ -263,7 +263,7 @@
 	for _, seed := range seeds.Of(t, 8) {
 		w := newWorld(seed, none)
 		w.run(steps)
-		require.Empty(t, w.violations, seeds.Replay(t, "lease", seed))
+		require.Empty(t, w.violations, seeds.Replay(t, "rankgroup/lease", seed))
 		require.Greater(t, len(w.tenures), 1, "seed %d", seed)
 		tenures += len(w.tenures)
 		passed += w.passed
--- a/leaselog/leaselog.go
+++ b/rankgroup/leaselog/leaselog.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/lease"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/lease"
 )
 
 // Settings configure a Client.
@@ -27,9 +27,9 @@
 	RetryAfter time.Duration
 	// OnRecord, if set, receives each record of the stream in order, so that
 	// other users of the stream share this tail. It must not block.
-	OnRecord func(platform.Record)
+	OnRecord func(infra.Record)
 	// OnGap, if set, is told the oldest retained offset after missing records.
-	OnGap func(oldest platform.Offset)
+	OnGap func(oldest infra.Offset)
 }
 
 // DefaultSettings returns the settings used by the daemons.
@@ -44,7 +44,7 @@
 // Client is the lease driver of one process. All methods are safe for
 // concurrent use.
 type Client struct {
-	log         platform.Log
+	log         infra.Log
 	incarnation string
 	now         func() time.Time
 	settings    Settings
@@ -69,7 +69,7 @@
 // New returns a Client that tails the stream until Close. incarnation is
 // unique for this process start; now carries a monotonic reading; rng is owned
 // by the Client from here on.
-func New(log platform.Log, incarnation string, now func() time.Time, rng *rand.Rand, s Settings) *Client {
+func New(log infra.Log, incarnation string, now func() time.Time, rng *rand.Rand, s Settings) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	fold := lease.NewFold(s.Lease)
 	c := &Client{
@@ -101,7 +101,7 @@
 
 // Token returns the fencing token of duty while this process holds it. Ask it
 // ahead of each action and send it with each command.
-func (c *Client) Token(duty string) (platform.Offset, bool) {
+func (c *Client) Token(duty string) (infra.Offset, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := c.holders[duty]
@@ -113,7 +113,7 @@
 
 // Check decides whether a command with this token may pass to the backend
 // server. A non-nil error is an *errkind.Error that proves that nothing ran.
-func (c *Client) Check(duty string, token platform.Offset) error {
+func (c *Client) Check(duty string, token infra.Offset) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if refused := c.guard.Check(c.now(), duty, token); refused != nil {
@@ -124,7 +124,7 @@
 
 // Current returns the newest token of duty that this process knows. It reports
 // false while the log was not read recently.
-func (c *Client) Current(duty string) (platform.Offset, bool) {
+func (c *Client) Current(duty string) (infra.Offset, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.guard.Current(c.now(), duty)
@@ -204,7 +204,7 @@
 		after := c.fold.Offset()
 		c.mu.Unlock()
 		batch, err := c.read(after)
-		var trimmed *platform.TrimmedError
+		var trimmed *infra.TrimmedError
 		switch {
 		case err == nil:
 			c.apply(began, batch)
@@ -216,7 +216,7 @@
 	}
 }
 
-func (c *Client) read(after platform.Offset) (platform.Batch, error) {
+func (c *Client) read(after infra.Offset) (infra.Batch, error) {
 	s := &c.settings
 	ctx, cancel := context.WithTimeout(c.ctx, s.ReadWait+s.AppendTimeout)
 	defer cancel()
@@ -230,7 +230,7 @@
 	}
 }
 
-func (c *Client) missing(oldest platform.Offset) {
+func (c *Client) missing(oldest infra.Offset) {
 	c.mu.Lock()
 	c.fold.Missing(oldest)
 	c.mu.Unlock()
@@ -239,7 +239,7 @@
 	}
 }
 
-func (c *Client) apply(began time.Time, batch platform.Batch) {
+func (c *Client) apply(began time.Time, batch infra.Batch) {
 	c.mu.Lock()
 	for _, r := range batch.Records {
 		if t, changed := c.fold.Apply(r); changed {
--- a/leaselog/leaselog_test.go
+++ b/rankgroup/leaselog/leaselog_test.go
@@ -10,40 +10,40 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/leaselog"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/leaselog"
 )
 
 // memLog loses the answer of every third append after its effect.
 type memLog struct {
 	mu      sync.Mutex
 	down    bool
-	records []platform.Record
+	records []infra.Record
 }
 
-func (m *memLog) Append(_ context.Context, _ string, data []byte) (platform.Offset, error) {
+func (m *memLog) Append(_ context.Context, _ string, data []byte) (infra.Offset, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
 		return 0, errkind.New(errkind.PlatformUnavailable, "outage")
 	}
-	end := platform.Offset(len(m.records) + 1)
-	m.records = append(m.records, platform.Record{Offset: end, Time: time.Now(), Data: data})
+	end := infra.Offset(len(m.records) + 1)
+	m.records = append(m.records, infra.Record{Offset: end, Time: time.Now(), Data: data})
 	if end%3 == 0 {
 		return 0, errkind.New(errkind.PlatformUnavailable, "answer lost")
 	}
 	return end, nil
 }
 
-func (m *memLog) Read(_ context.Context, _ string, after platform.Offset, _ int, _ time.Duration) (platform.Batch, error) {
+func (m *memLog) Read(_ context.Context, _ string, after infra.Offset, _ int, _ time.Duration) (infra.Batch, error) {
 	time.Sleep(50 * time.Millisecond)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
-		return platform.Batch{}, errkind.New(errkind.PlatformUnavailable, "outage")
+		return infra.Batch{}, errkind.New(errkind.PlatformUnavailable, "outage")
 	}
-	return platform.Batch{Records: append([]platform.Record(nil), m.records[after:]...), Oldest: 1, End: platform.Offset(len(m.records))}, nil
+	return infra.Batch{Records: append([]infra.Record(nil), m.records[after:]...), Oldest: 1, End: infra.Offset(len(m.records))}, nil
 }
 
 func (m *memLog) setDown(down bool) {
--- a/mapswitch/holder.go
+++ b/rankgroup/mapswitch/holder.go
@@ -4,10 +4,10 @@
 	"math"
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // HolderSettings are the timers and limits of a holder.
@@ -53,7 +53,7 @@
 // Holder is the state machine of the sidecar that holds the lease of a group.
 type Holder struct {
 	settings HolderSettings
-	token    platform.Offset
+	token    infra.Offset
 	leaseEnd time.Time
 	members  int
 	machine  *chart.Machine
@@ -78,7 +78,7 @@
 
 // NewHolder returns a holder with a token. It stops at leaseEnd by its own
 // clock; safety does not depend on that.
-func NewHolder(s HolderSettings, token platform.Offset, leaseEnd time.Time, members int) *Holder {
+func NewHolder(s HolderSettings, token infra.Offset, leaseEnd time.Time, members int) *Holder {
 	return &Holder{
 		settings: s, token: token, leaseEnd: leaseEnd, members: members,
 		machine: holderChart.New(), ledger: NewLedger(),
--- a/mapswitch/ledger.go
+++ b/rankgroup/mapswitch/ledger.go
@@ -1,6 +1,6 @@
 package mapswitch
 
-import "github.com/filbertmux/filbertmux/invariant"
+import "github.com/filbertmux/filbertmux/base/invariant"
 
 // ledgerSteps is the number of steps that a ledger remembers. Ranks of a
 // lock-step group are at most one step apart, so delayed reports decide.
--- a/mapswitch/mapswitch_test.go
+++ b/rankgroup/mapswitch/mapswitch_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/experts"
 	"github.com/filbertmux/filbertmux/internal/seeds"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // runFaults runs one seed and returns the violation, if any.
@@ -39,7 +39,7 @@
 func TestOneMapInEveryStep(t *testing.T) {
 	for _, seed := range seeds.Of(t, 30) {
 		if v := runFaults(seed, rules{}, false); v != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, v, seeds.Replay(t, "mapswitch", seed))
+			t.Fatalf("seed %d: %s\n%s", seed, v, seeds.Replay(t, "rankgroup/mapswitch", seed))
 		}
 	}
 }
--- a/mapswitch/member.go
+++ b/rankgroup/mapswitch/member.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // MemberSettings are the timers of a member.
@@ -33,7 +33,7 @@
 
 	// token is the highest token seen. tokenRead says that the log was read
 	// since the start; before that, no command of a holder is accepted.
-	token     platform.Offset
+	token     infra.Offset
 	tokenRead bool
 
 	// floor is the latest attempt voted on. No attempt up to floor is begun.
@@ -121,7 +121,7 @@
 
 // fromHolder performs a command of a holder unless its token is stale. The
 // check is made here because some backend servers ignore tokens.
-func (m *Member) fromHolder(token platform.Offset, perform func() []Output) []Output {
+func (m *Member) fromHolder(token infra.Offset, perform func() []Output) []Output {
 	if !m.tokenRead || !m.ready() {
 		return nil
 	}
@@ -134,7 +134,7 @@
 
 // raise notes a token. A plan of an earlier holder is dropped; an attempt that
 // was begun runs to its outcome.
-func (m *Member) raise(token platform.Offset) {
+func (m *Member) raise(token infra.Offset) {
 	if token <= m.token {
 		return
 	}
@@ -144,7 +144,7 @@
 	}
 }
 
-func (m *Member) report(holder platform.Offset) []Output {
+func (m *Member) report(holder infra.Offset) []Output {
 	s := Status{
 		From: m.id, Incarnation: m.incarnation, Token: m.token,
 		Floor: m.floor, Undecided: m.current != nil,
--- a/mapswitch/messages.go
+++ b/rankgroup/mapswitch/messages.go
@@ -24,8 +24,8 @@
 package mapswitch
 
 import (
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // MemberID numbers the members of a group from 0.
@@ -37,7 +37,7 @@
 // Attempt identifies one try to switch. Attempts are ordered by token, then
 // by sequence number.
 type Attempt struct {
-	Token platform.Offset
+	Token infra.Offset
 	Seq   uint64
 }
 
@@ -71,7 +71,7 @@
 	// Version grows with each change, so that an older report is recognised.
 	Version uint64
 	// Token is the highest token that a command to the rank carried.
-	Token platform.Offset
+	Token infra.Offset
 	// Step is the step that the rank has entered last.
 	Step uint64
 	// Installed is the attempt whose map is in force from step ActiveFrom on.
@@ -111,7 +111,7 @@
 // Messages from the holder to a member.
 type (
 	// TakeOver announces a holder. It is also its poll for a Status.
-	TakeOver struct{ Token platform.Offset }
+	TakeOver struct{ Token infra.Offset }
 	// Prepare asks a member to have the weights of a plan staged.
 	Prepare struct{ Plan Plan }
 	// Propose asks a member to promise a step. Incarnations holds the
@@ -129,7 +129,7 @@
 	Status struct {
 		From        MemberID
 		Incarnation uint64
-		Token       platform.Offset
+		Token       infra.Offset
 		// Floor is the latest attempt that the member voted on.
 		Floor Attempt
 		// Undecided says that the member has a vote without an outcome, or
@@ -140,7 +140,7 @@
 	// Rejected tells a sender that its token is stale.
 	Rejected struct {
 		From  MemberID
-		Token platform.Offset
+		Token infra.Offset
 	}
 )
 
@@ -170,13 +170,13 @@
 		Attempt Attempt
 		Verdict Verdict
 		// Token is the highest token that the sender has seen.
-		Token platform.Offset
+		Token infra.Offset
 	}
 )
 
 // TokenRead is the answer of the log to ReadToken: the offset of the newest
 // lease record of the group.
-type TokenRead struct{ Token platform.Offset }
+type TokenRead struct{ Token infra.Offset }
 
 // Commands from a member to a rank. Each is answered with a RankState. Token
 // is for backend servers that check tokens.
@@ -185,17 +185,17 @@
 	ReadRank struct{}
 	// StageRank asks a rank to fetch the weights of a plan.
 	StageRank struct {
-		Token platform.Offset
+		Token infra.Offset
 		Plan  Plan
 	}
 	// HoldRank asks a rank to hold.
 	HoldRank struct {
-		Token platform.Offset
+		Token infra.Offset
 		Hold  Hold
 	}
 	// ReleaseRank tells a rank the outcome of an attempt.
 	ReleaseRank struct {
-		Token   platform.Offset
+		Token   infra.Offset
 		Attempt Attempt
 		Commit  bool
 	}
@@ -236,6 +236,6 @@
 	To      Destination
 	Member  MemberID
 	Rank    RankID
-	Holder  platform.Offset
+	Holder  infra.Offset
 	Message Message
 }
--- a/mapswitch/phase.go
+++ b/rankgroup/mapswitch/phase.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
-// Phase is the phase of a holder, a state of chart/charts/mapswitch_holder.yaml.
+// Phase is the phase of a holder, a state of base/chart/charts/mapswitch_holder.yaml.
 type Phase string
 
 // Phases of a holder.
--- a/mapswitch/rank.go
+++ b/rankgroup/mapswitch/rank.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // Rank is the part of a rank that takes part in a switch. It states what
@@ -75,7 +75,7 @@
 }
 
 func (r *Rank) stale(m Message) bool {
-	var token platform.Offset
+	var token infra.Offset
 	switch m := m.(type) {
 	case StageRank:
 		token = m.Token
--- a/mapswitch/sim_test.go
+++ b/rankgroup/mapswitch/sim_test.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 const (
@@ -68,11 +68,11 @@
 	pipes       [simRanks][]Message
 	readyAt     [simRanks]time.Time
 	stalledTo   [simRanks]time.Time
-	holders     map[platform.Offset]*simHolder
-	token       platform.Offset
+	holders     map[infra.Offset]*simHolder
+	token       infra.Offset
 	logDown     bool
 	// taken is the highest token whose holder finished its take-over.
-	taken      platform.Offset
+	taken      infra.Offset
 	used       map[uint64]Attempt
 	heldBefore map[Attempt]bool
 	finished   int
@@ -83,7 +83,7 @@
 func newSim(seed uint64, faults bool, r rules, enterUndecided bool) *sim {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 0)), faults: faults, rules: r,
-		holders: make(map[platform.Offset]*simHolder),
+		holders: make(map[infra.Offset]*simHolder),
 		used:    make(map[uint64]Attempt), heldBefore: make(map[Attempt]bool),
 	}
 	s.start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -193,7 +193,7 @@
 	}
 }
 
-func (s *sim) toHolder(token platform.Offset, msg Message) {
+func (s *sim) toHolder(token infra.Offset, msg Message) {
 	h := s.holders[token]
 	if h == nil {
 		return
@@ -322,7 +322,7 @@
 }
 
 func (s *sim) tickHolders() {
-	for token := platform.Offset(1); token <= s.token; token++ {
+	for token := infra.Offset(1); token <= s.token; token++ {
 		h := s.holders[token]
 		if h.paused || h.Phase() == Stopped {
 			continue
@@ -369,7 +369,7 @@
 	if s.chance(0.03) && !s.logDown {
 		s.newHolder()
 	}
-	if h := s.holders[platform.Offset(s.rng.Uint64N(uint64(s.token))+1)]; s.chance(0.1) && !h.paused {
+	if h := s.holders[infra.Offset(s.rng.Uint64N(uint64(s.token))+1)]; s.chance(0.1) && !h.paused {
 		h.paused = true
 		s.at(s.upTo(longestFault), func() { s.resume(h) })
 	}
--- a/rankapi/rankapi.go
+++ b/rankgroup/rankapi/rankapi.go
@@ -8,8 +8,8 @@
 package rankapi
 
 import (
-	"github.com/filbertmux/filbertmux/experts"
-	"github.com/filbertmux/filbertmux/mapswitch"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 )
 
 // Paths of the protocol.
--- a/claim/book.go
+++ b/serve/claim/book.go
@@ -4,8 +4,8 @@
 	"container/heap"
 	"time"
 
-	"github.com/filbertmux/filbertmux/invariant"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // Status is what a Book knows about an identity.
@@ -34,7 +34,7 @@
 	Status Status
 	// Claim, Offset and Time belong to the claim that holds the identity.
 	Claim  ID
-	Offset platform.Offset
+	Offset infra.Offset
 	Time   time.Time
 	Answer *StoredAnswer
 }
@@ -44,7 +44,7 @@
 type Verdict struct {
 	Claim    ID
 	Identity Identity
-	Offset   platform.Offset
+	Offset   infra.Offset
 	Won      bool
 	Repeat   bool // a further copy of the claim that holds the identity
 	Before   View
@@ -63,7 +63,7 @@
 	bodyHash  string
 	status    Status
 	claim     ID
-	offset    platform.Offset
+	offset    infra.Offset
 	time      time.Time
 	abandoned ID
 	answer    *StoredAnswer
@@ -73,7 +73,7 @@
 // same records from the first one on has the same state.
 type Book struct {
 	settings Settings
-	applied  platform.Offset
+	applied  infra.Offset
 	logTime  time.Time
 	// floor: identities with an older key were dropped.
 	floor time.Time
@@ -95,7 +95,7 @@
 }
 
 // Offset returns the offset of the last record that was folded.
-func (b *Book) Offset() platform.Offset { return b.applied }
+func (b *Book) Offset() infra.Offset { return b.applied }
 
 // LogTime returns the time of the last record that was folded.
 func (b *Book) LogTime() time.Time { return b.logTime }
@@ -108,7 +108,7 @@
 
 // Missing records that the log no longer holds offsets below oldest. If the
 // Book has not read them all, coverage starts at its next record.
-func (b *Book) Missing(oldest platform.Offset) {
+func (b *Book) Missing(oldest infra.Offset) {
 	if oldest <= b.applied+1 {
 		return
 	}
@@ -156,7 +156,7 @@
 
 // Apply folds the next record and returns the verdict on each claim in it.
 // A record at or below the applied offset is ignored.
-func (b *Book) Apply(r platform.Record) Applied {
+func (b *Book) Apply(r infra.Record) Applied {
 	if r.Offset <= b.applied {
 		return Applied{}
 	}
@@ -180,7 +180,7 @@
 	return Applied{RecordID: record.ID, Incarnation: record.Incarnation, Verdicts: b.applyEntries(r, record)}
 }
 
-func (b *Book) applyEntries(r platform.Record, record Record) []Verdict {
+func (b *Book) applyEntries(r infra.Record, record Record) []Verdict {
 	var verdicts []Verdict
 	for i := range record.Entries {
 		e := &record.Entries[i]
@@ -200,7 +200,7 @@
 // applyClaim decides a claim at its own position. A claim that doesn't win
 // there never wins, so its sender can answer at once and needs no record to
 // withdraw it.
-func (b *Book) applyClaim(r platform.Record, e *Entry, claim ID) Verdict {
+func (b *Book) applyClaim(r infra.Record, e *Entry, claim ID) Verdict {
 	id := e.Identity()
 	v := Verdict{Claim: claim, Identity: id, Offset: r.Offset, Before: b.View(id, e.BodyHash)}
 	h := b.holdings[id]
--- a/claim/call.go
+++ b/serve/claim/call.go
@@ -5,9 +5,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // Request is one non-idempotent call as a sidecar receives it.
@@ -22,7 +22,7 @@
 // State is the state of a Call.
 type State uint8
 
-// States of a Call, as chart/charts/claim.yaml names them. Received is the
+// States of a Call, as base/chart/charts/claim.yaml names them. Received is the
 // initial state, Finished the final one.
 const (
 	Received State = iota
--- a/claim/claim_test.go
+++ b/serve/claim/claim_test.go
@@ -7,10 +7,10 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // Guards against two runs of an identity, a not_run answer that is or becomes
@@ -21,7 +21,7 @@
 	for _, seed := range seeds.Of(t, 60) {
 		w := newWorld(seed, none)
 		w.run()
-		require.Empty(t, w.violations, seeds.Replay(t, "claim", seed))
+		require.Empty(t, w.violations, seeds.Replay(t, "serve/claim", seed))
 		for status, n := range w.answers {
 			answers[status] += n
 		}
@@ -77,20 +77,20 @@
 // claim, and against a reader that stops at a record of a later version.
 func TestBookSkipsForeignRecords(t *testing.T) {
 	s, now := claim.DefaultSettings(), time.UnixMilli(1_800_000_000_000)
-	b, key, offset := claim.NewBook(s), keyAt(now, 1), platform.Offset(0)
+	b, key, offset := claim.NewBook(s), keyAt(now, 1), infra.Offset(0)
 	put := func(incarnation string, e claim.Entry) {
 		offset++
 		e.Seq, e.Organisation, e.Service, e.Key = 1, "org", "svc", key
 		data, err := claim.Encode("r", incarnation, []claim.Entry{e})
 		require.NoError(t, err)
-		b.Apply(platform.Record{Offset: offset, Time: now, Data: data})
+		b.Apply(infra.Record{Offset: offset, Time: now, Data: data})
 	}
 	put("a", claim.Entry{Type: claim.EntryClaim})
 	put("b", claim.Entry{Type: claim.EntryAbandoned, ClaimOffset: 1})
 	put("a", claim.Entry{Type: claim.EntryAbandoned, ClaimOffset: 9})
 	put("a", claim.Entry{Type: "transfer", ClaimOffset: 1})
 	offset++
-	b.Apply(platform.Record{Offset: offset, Time: now, Data: []byte(`{"type":"later"}`)})
+	b.Apply(infra.Record{Offset: offset, Time: now, Data: []byte(`{"type":"later"}`)})
 	id := claim.Identity{Organisation: "org", Service: "svc", Key: key}
 	require.Equal(t, claim.Open, b.View(id, "").Status)
 	require.EqualValues(t, 2, b.Skipped())
--- a/claim/key.go
+++ b/serve/claim/key.go
@@ -15,7 +15,7 @@
 	"github.com/google/uuid"
 	"github.com/zeebo/xxh3"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Identity names one booking. At most one run exists for an identity.
--- a/claim/late_test.go
+++ b/serve/claim/late_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claim"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // Guards against a run that starts after the time in which the call had to be
--- a/claim/model_test.go
+++ b/serve/claim/model_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // rule names a rule that a run of the model switches off.
@@ -46,8 +46,8 @@
 	now        time.Time
 	timers     timerHeap
 	order      int
-	records    []platform.Record
-	trimmed    platform.Offset
+	records    []infra.Record
+	trimmed    infra.Offset
 	outage     bool
 	sidecars   []*sidecar
 	sends      []*send
--- a/claim/modelsidecar_test.go
+++ b/serve/claim/modelsidecar_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 func (w *world) newSidecar() *sidecar {
@@ -161,7 +161,7 @@
 	}
 }
 
-func (sc *sidecar) acknowledged(c *modelCall, e claim.Entry, offset platform.Offset, lost bool, again func()) {
+func (sc *sidecar) acknowledged(c *modelCall, e claim.Entry, offset infra.Offset, lost bool, again func()) {
 	if lost {
 		sc.unresolved(c, e, again)
 		return
@@ -194,9 +194,9 @@
 	}
 }
 
-func (w *world) put(data []byte) platform.Offset {
-	offset := w.trimmed + platform.Offset(len(w.records)) + 1
-	w.records = append(w.records, platform.Record{Offset: offset, Time: w.now, Data: data})
+func (w *world) put(data []byte) infra.Offset {
+	offset := w.trimmed + infra.Offset(len(w.records)) + 1
+	w.records = append(w.records, infra.Record{Offset: offset, Time: w.now, Data: data})
 	return offset
 }
 
@@ -208,7 +208,7 @@
 		delay = w.upTo(5 * time.Second)
 	}
 	after, trimmed := sc.book.Offset(), w.trimmed
-	var read []platform.Record
+	var read []infra.Record
 	if !w.outage && after >= trimmed {
 		read = w.records[min(int(after-trimmed), len(w.records)):]
 		read = read[:min(len(read), 1+w.rng.IntN(8))]
@@ -226,7 +226,7 @@
 	})
 }
 
-func (sc *sidecar) apply(r platform.Record) {
+func (sc *sidecar) apply(r infra.Record) {
 	for _, v := range sc.book.Apply(r).Verdicts {
 		if v.Claim.Incarnation != sc.incarnation {
 			continue
--- a/claim/record.go
+++ b/serve/claim/record.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // recordType is the type field of a log record of the claim stream.
@@ -36,14 +36,14 @@
 // Entry is one claim or outcome. Seq is the claim's sequence number within the
 // incarnation of the record. ClaimOffset is set on outcomes.
 type Entry struct {
-	Type         EntryType       `json:"type"`
-	Seq          uint64          `json:"seq"`
-	Organisation string          `json:"org"`
-	Service      string          `json:"service"`
-	Key          uuid.UUID       `json:"key"`
-	BodyHash     string          `json:"body_hash,omitempty"`
-	ClaimOffset  platform.Offset `json:"claim_offset,omitempty"`
-	Answer       *StoredAnswer   `json:"answer,omitempty"`
+	Type         EntryType     `json:"type"`
+	Seq          uint64        `json:"seq"`
+	Organisation string        `json:"org"`
+	Service      string        `json:"service"`
+	Key          uuid.UUID     `json:"key"`
+	BodyHash     string        `json:"body_hash,omitempty"`
+	ClaimOffset  infra.Offset  `json:"claim_offset,omitempty"`
+	Answer       *StoredAnswer `json:"answer,omitempty"`
 }
 
 // Identity returns the identity that e refers to.
--- a/claim/reply.go
+++ b/serve/claim/reply.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // viewError returns the refusal for an identity that another claim holds or
--- a/claim/transitions.go
+++ b/serve/claim/transitions.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 var statesByName = map[string]State{
--- a/claimlog/client.go
+++ b/serve/claimlog/client.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // Clock returns the present time. Its values carry a monotonic reading.
@@ -91,7 +91,7 @@
 
 // Client runs non-idempotent calls. All methods are safe for concurrent use.
 type Client struct {
-	log         platform.Log
+	log         infra.Log
 	incarnation string
 	now         Clock
 	settings    Settings
@@ -111,7 +111,7 @@
 
 // New returns a Client. incarnation is unique for this process start, such as
 // a new UUID. The caller ends the Client with Shutdown.
-func New(log platform.Log, incarnation string, now Clock, s Settings) *Client {
+func New(log infra.Log, incarnation string, now Clock, s Settings) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Client{
 		log: log, incarnation: incarnation, now: now, settings: s,
--- a/claimlog/client_test.go
+++ b/serve/claimlog/client_test.go
@@ -14,10 +14,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/claimlog"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/internal/seeds"
+	"github.com/filbertmux/filbertmux/serve/claim"
+	"github.com/filbertmux/filbertmux/serve/claimlog"
 )
 
 func newClient(t *testing.T, log *memLog, change func(*claimlog.Settings)) *claimlog.Client {
@@ -151,7 +151,7 @@
 
 func checkFaultyLog(t *testing.T) {
 	seed := seeds.Of(t, 1)[0]
-	t.Log(seeds.Replay(t, "claimlog", seed))
+	t.Log(seeds.Replay(t, "serve/claimlog", seed))
 	log := newMemLog(seed)
 	log.set(faults{
 		lostAfter: 0.15, lostBefore: 0.1, late: 0.1, rateLimited: 0.15,
--- a/claimlog/late_test.go
+++ b/serve/claimlog/late_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/claim"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // Guards against a key that stays in progress because the claim of a call that
--- a/claimlog/livecall.go
+++ b/serve/claimlog/livecall.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 type result struct {
--- a/claimlog/memlog_test.go
+++ b/serve/claimlog/memlog_test.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // faults are probabilities per append, except outage.
@@ -27,8 +27,8 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	faults  faults
-	records []platform.Record
-	trimmed platform.Offset
+	records []infra.Record
+	trimmed infra.Offset
 	grown   chan struct{}
 }
 
@@ -46,15 +46,15 @@
 func (m *memLog) trim() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.trimmed += platform.Offset(len(m.records))
+	m.trimmed += infra.Offset(len(m.records))
 	m.records = nil
 }
 
-func (m *memLog) put(data []byte) platform.Offset {
+func (m *memLog) put(data []byte) infra.Offset {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	end := m.trimmed + platform.Offset(len(m.records)) + 1
-	m.records = append(m.records, platform.Record{Offset: end, Time: time.Now(), Data: data})
+	end := m.trimmed + infra.Offset(len(m.records)) + 1
+	m.records = append(m.records, infra.Record{Offset: end, Time: time.Now(), Data: data})
 	close(m.grown)
 	m.grown = make(chan struct{})
 	return end
@@ -62,7 +62,7 @@
 
 func unavailable() error { return errkind.New(errkind.PlatformUnavailable, "fault") }
 
-func (m *memLog) Append(_ context.Context, _ string, data []byte) (platform.Offset, error) {
+func (m *memLog) Append(_ context.Context, _ string, data []byte) (infra.Offset, error) {
 	m.mu.Lock()
 	f, x := m.faults, m.rng.Float64()
 	m.mu.Unlock()
@@ -83,34 +83,34 @@
 	return offset, nil
 }
 
-func (m *memLog) Read(ctx context.Context, _ string, after platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (m *memLog) Read(ctx context.Context, _ string, after infra.Offset, limit int, wait time.Duration) (infra.Batch, error) {
 	timeout := time.After(wait)
 	for {
 		m.mu.Lock()
 		f, grown, trimmed := m.faults, m.grown, m.trimmed
-		end := trimmed + platform.Offset(len(m.records))
-		var found []platform.Record
+		end := trimmed + infra.Offset(len(m.records))
+		var found []infra.Record
 		if after >= trimmed {
 			found = m.records[min(int(after-trimmed), len(m.records)):]
 		}
-		found = append([]platform.Record(nil), found[:min(limit, len(found))]...)
+		found = append([]infra.Record(nil), found[:min(limit, len(found))]...)
 		m.mu.Unlock()
 		if f.outage {
-			return platform.Batch{}, unavailable()
+			return infra.Batch{}, unavailable()
 		}
 		if after < trimmed {
-			return platform.Batch{}, &platform.TrimmedError{Oldest: trimmed + 1, End: end}
+			return infra.Batch{}, &infra.TrimmedError{Oldest: trimmed + 1, End: end}
 		}
 		if len(found) > 0 {
 			time.Sleep(f.readDelay)
-			return platform.Batch{Records: found, Oldest: trimmed + 1, End: end}, nil
+			return infra.Batch{Records: found, Oldest: trimmed + 1, End: end}, nil
 		}
 		select {
 		case <-grown:
 		case <-timeout:
-			return platform.Batch{Oldest: trimmed + 1, End: end}, nil
+			return infra.Batch{Oldest: trimmed + 1, End: end}, nil
 		case <-ctx.Done():
-			return platform.Batch{}, unavailable()
+			return infra.Batch{}, unavailable()
 		}
 	}
 }
--- a/claimlog/partition.go
+++ b/serve/claimlog/partition.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // item is one entry that waits for a commit. call is nil for the abandonment
@@ -194,7 +194,7 @@
 }
 
 // apply folds records and passes each verdict on an own claim to its call.
-func (p *partition) apply(records []platform.Record) {
+func (p *partition) apply(records []infra.Record) {
 	var orphans []claim.Entry
 	p.mu.Lock()
 	for _, r := range records {
--- a/claimlog/tail.go
+++ b/serve/claimlog/tail.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/base/infra"
 )
 
 // tail folds the stream from its first record on.
@@ -29,7 +29,7 @@
 	}
 }
 
-func (p *partition) read() (platform.Batch, error) {
+func (p *partition) read() (infra.Batch, error) {
 	s := &p.client.settings
 	p.mu.Lock()
 	after := p.book.Offset()
@@ -42,7 +42,7 @@
 // recovered reports whether the tail goes on without a pause. Records that the
 // log no longer holds leave a gap in the Book.
 func (p *partition) recovered(err error) bool {
-	var trimmed *platform.TrimmedError
+	var trimmed *infra.TrimmedError
 	if errors.As(err, &trimmed) {
 		p.mu.Lock()
 		before := p.book.Offset()
--- a/claimlog/writer.go
+++ b/serve/claimlog/writer.go
@@ -6,9 +6,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/filbertmux/filbertmux/claim"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 // Back-off between attempts to append the same record.
--- a/drain/drain.go
+++ b/serve/drain/drain.go
@@ -1,4 +1,4 @@
-// Package drain runs the shutdown chart of a daemon (chart/charts/drain.yaml):
+// Package drain runs the shutdown chart of a daemon (base/chart/charts/drain.yaml):
 // a Gate admits requests, refuses them once the daemon leaves, and tells when
 // the last request in flight has ended.
 package drain
@@ -6,9 +6,9 @@
 import (
 	"sync"
 
-	"github.com/filbertmux/filbertmux/chart"
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/invariant"
+	"github.com/filbertmux/filbertmux/base/chart"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/invariant"
 )
 
 // Events, guards and actions of the chart.
--- a/drain/drain_test.go
+++ b/serve/drain/drain_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/drain"
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
 func closed(c <-chan struct{}) bool {
--- a/fairqueue/fairqueue.go
+++ b/serve/fairqueue/fairqueue.go
@@ -15,7 +15,7 @@
 	"container/list"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Class is a priority class.
--- a/fairqueue/fairqueue_test.go
+++ b/serve/fairqueue/fairqueue_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/fairqueue"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 var (
--- a/limits/limits.go
+++ b/serve/limits/limits.go
@@ -31,7 +31,7 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Amount is one value for each limited resource.
--- a/limits/limits_test.go
+++ b/serve/limits/limits_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/limits"
+	"github.com/filbertmux/filbertmux/serve/limits"
 )
 
 var (
--- a/quarantine/quarantine.go
+++ b/serve/quarantine/quarantine.go
@@ -17,7 +17,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeebo/xxh3"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Stream is the log stream of suspects.
--- a/quarantine/quarantine_test.go
+++ b/serve/quarantine/quarantine_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/internal/seeds"
-	"github.com/filbertmux/filbertmux/quarantine"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // fleet is a model of servers whose registers hear of reports after a delay.
@@ -183,7 +183,7 @@
 	for _, seed := range seeds.Of(t, 10) {
 		f := newFleet(seed, false)
 		innocents := f.run()
-		replay := seeds.Replay(t, "quarantine", seed)
+		replay := seeds.Replay(t, "serve/quarantine", seed)
 		for p := range 3 {
 			body := fmt.Sprintf("poison-%d", p)
 			require.LessOrEqual(t, f.byPoison[body], 2, replay)
--- a/retry/retry.go
+++ b/serve/retry/retry.go
@@ -11,7 +11,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Config holds the retry settings of a service.
--- a/retry/retry_test.go
+++ b/serve/retry/retry_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/errkind"
-	"github.com/filbertmux/filbertmux/retry"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/stream/receiver.go
+++ b/serve/stream/receiver.go
@@ -6,7 +6,7 @@
 	"github.com/zeebo/xxh3"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
--- a/stream/sender.go
+++ b/serve/stream/sender.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/zeebo/xxh3"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
--- a/stream/stream.go
+++ b/serve/stream/stream.go
@@ -10,7 +10,7 @@
 import (
 	"time"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
--- a/stream/stream_test.go
+++ b/serve/stream/stream_test.go
@@ -10,9 +10,9 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
-	"github.com/filbertmux/filbertmux/errkind"
+	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/stream"
+	"github.com/filbertmux/filbertmux/serve/stream"
 )
 
 var (
--- a/suspectlog/suspectlog.go
+++ b/serve/suspectlog/suspectlog.go
@@ -12,9 +12,9 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
-	"github.com/filbertmux/filbertmux/platform"
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/ring"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/base/ring"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // Settings configure a Log.
@@ -48,7 +48,7 @@
 
 // Log appends and tails the stream of suspects. It is safe for concurrent use.
 type Log struct {
-	log      platform.Log
+	log      infra.Log
 	settings Settings
 	logger   zerolog.Logger
 	queue    *ring.Ring[quarantine.Report]
@@ -56,7 +56,7 @@
 }
 
 // New returns a Log. Append and Follow do its I/O.
-func New(log platform.Log, s Settings, logger zerolog.Logger) *Log {
+func New(log infra.Log, s Settings, logger zerolog.Logger) *Log {
 	return &Log{
 		log: log, settings: s, logger: logger,
 		queue: ring.New[quarantine.Report](ring.Config{
@@ -139,11 +139,11 @@
 // Follow passes the reports of all processes to apply until ctx ends. Records
 // that the log no longer holds are older than any suspect that is kept.
 func (l *Log) Follow(ctx context.Context, apply func([]quarantine.Report)) error {
-	var after platform.Offset
+	var after infra.Offset
 	backoff := l.settings.AppendEvery
 	for ctx.Err() == nil {
 		batch, err := l.read(ctx, after)
-		var trimmed *platform.TrimmedError
+		var trimmed *infra.TrimmedError
 		switch {
 		case errors.As(err, &trimmed) && trimmed.Oldest > after+1:
 			after = trimmed.Oldest - 1
@@ -158,14 +158,14 @@
 	return nil
 }
 
-func (l *Log) read(ctx context.Context, after platform.Offset) (platform.Batch, error) {
+func (l *Log) read(ctx context.Context, after infra.Offset) (infra.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.settings.ReadWait+l.settings.AppendTimeout)
 	defer cancel()
 	return l.log.Read(ctx, quarantine.Stream, after, l.settings.ReadLimit, l.settings.ReadWait)
 }
 
 // take returns the offset of the last record.
-func (l *Log) take(after platform.Offset, records []platform.Record, apply func([]quarantine.Report)) platform.Offset {
+func (l *Log) take(after infra.Offset, records []infra.Record, apply func([]quarantine.Report)) infra.Offset {
 	for _, r := range records {
 		after = r.Offset
 		reports, ok := quarantine.Decode(r.Data)
--- a/suspectlog/suspectlog_test.go
+++ b/serve/suspectlog/suspectlog_test.go
@@ -10,9 +10,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"github.com/filbertmux/filbertmux/quarantine"
-	"github.com/filbertmux/filbertmux/standin"
-	"github.com/filbertmux/filbertmux/suspectlog"
+	"github.com/filbertmux/filbertmux/measure/standin"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
+	"github.com/filbertmux/filbertmux/serve/suspectlog"
 )
 
 func reports(n int) []quarantine.Report {
