--- a/base/errkind/answers.go
+++ b/base/errkind/answers.go
@@ -43,6 +43,7 @@
 	LogUnavailable:        {"log_unavailable", http.StatusServiceUnavailable, connect.CodeUnavailable, ExitUnavailable, NotRun, true},
 	BackendUnavailable:    {"backend_unavailable", http.StatusServiceUnavailable, connect.CodeUnavailable, ExitUnavailable, NotRun, true},
 	BackendFailed:         {"backend_failed", http.StatusBadGateway, connect.CodeUnknown, ExitUnknown, Unknown, false},
+	BackendTimeout:        {"backend_timeout", http.StatusGatewayTimeout, connect.CodeDeadlineExceeded, ExitTimeout, Unknown, false},
 	StreamIncomplete:      {"stream_incomplete", http.StatusBadGateway, connect.CodeDataLoss, ExitUnknown, Unknown, false},
 	Canceled:              {"canceled", statusClientClosedRequest, connect.CodeCanceled, ExitFailure, Unknown, false},
 	StaleFencingToken:     {"stale_fencing_token", http.StatusConflict, connect.CodeFailedPrecondition, ExitRefused, NotRun, false},
--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -63,6 +63,7 @@
 	LogUnavailable
 	BackendUnavailable
 	BackendFailed
+	BackendTimeout
 	StreamIncomplete
 	Canceled
 	StaleFencingToken
--- /dev/null
+++ b/config/fleet/servers.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Server is a backend server as it registered itself.
+type Server struct {
+	// ID is new with most starts of the server.
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	// Slots is the number of requests that it processes at once.
+	Slots int
+	// Draining servers take no new work.
+	Draining bool
+	// Born is the start of the process in Unix milliseconds, or 0. A server
+	// that starts again under its id holds nothing of what it held before.
+	Born int64
+	// ColdFor is how much longer the server is slow after its start.
+	ColdFor time.Duration
+}
+
+// ServerChange is one change of the registered servers.
+type ServerChange struct {
+	ID string
+	// Server is nil if the entry was removed or can't be used.
+	Server *Server
+}
+
+// Servers is the list of registered backend servers. The zero value is empty.
+type Servers struct {
+	byID map[string]Server
+}
+
+// Apply takes changes in the order in which they were made.
+func (s *Servers) Apply(changes []ServerChange) {
+	if s.byID == nil {
+		s.byID = make(map[string]Server, len(changes))
+	}
+	for _, c := range changes {
+		if c.Server == nil {
+			delete(s.byID, c.ID)
+			continue
+		}
+		s.byID[c.ID] = *c.Server
+	}
+}
+
+// Len returns the number of servers.
+func (s *Servers) Len() int { return len(s.byID) }
+
+// IDs returns the ids of all servers in order.
+func (s *Servers) IDs() []string { return slices.Sorted(maps.Keys(s.byID)) }
+
+// Get returns a server by its id.
+func (s *Servers) Get(id string) (Server, bool) {
+	server, ok := s.byID[id]
+	return server, ok
+}
+
+// Usable returns the servers of a service that take new work, by id.
+func (s *Servers) Usable(service string) []Server {
+	var usable []Server
+	for server := range maps.Values(s.byID) {
+		if server.Service == service && !server.Draining {
+			usable = append(usable, server)
+		}
+	}
+	slices.SortFunc(usable, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
+	return usable
+}
--- /dev/null
+++ b/daemons/gateway/peers.go
@@ -0,0 +1,207 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/filbertmux/filbertmux/balance/loadshare"
+	"github.com/filbertmux/filbertmux/base/clock"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+const (
+	// gatewayTopic lists the addresses of the gateways, so that they find each
+	// other.
+	gatewayTopic = "keyed.gateways"
+	// reportInterval is the longest time between two reports, and minReportGap
+	// the shortest.
+	reportInterval = 500 * time.Millisecond
+	minReportGap   = 50 * time.Millisecond
+	// reportBytesPerSecond bounds the reports to all peers, which keeps control
+	// traffic within 10 KB/s at any size of the fleet.
+	reportBytesPerSecond = 10_000
+	// rediscoverInterval is the time between reads of the gateways' addresses.
+	rediscoverInterval = 30 * time.Second
+	maxDatagram        = 8 << 10
+)
+
+// peers exchanges load reports with the other gateways.
+type peers struct {
+	self        string
+	incarnation uint64
+	conn        *net.UDPConn
+	services    *services
+	store       *platform.Store
+	log         zerolog.Logger
+
+	mu       sync.Mutex
+	table    *loadshare.Table
+	sequence uint64
+}
+
+func newPeers(conn *net.UDPConn, services *services, store *platform.Store, log zerolog.Logger) *peers {
+	self := conn.LocalAddr().String()
+	return &peers{
+		self:        self,
+		incarnation: uint64(clock.Now().UnixNano()),
+		conn:        conn,
+		services:    services,
+		store:       store,
+		log:         log,
+		table:       loadshare.New(self),
+	}
+}
+
+// receive takes reports until the socket is closed.
+func (p *peers) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.log.Debug().Err(err).Msg("report not received")
+			continue
+		}
+		var m pb.LoadReport
+		if err := proto.Unmarshal(buffer[:n], &m); err != nil {
+			p.log.Warn().Err(err).Msg("report of another gateway is not readable")
+			continue
+		}
+		p.take(&m)
+	}
+}
+
+func (p *peers) take(m *pb.LoadReport) {
+	r := loadshare.Report{
+		Sender:      m.GetSender(),
+		Incarnation: m.GetIncarnation(),
+		Sequence:    m.GetSequence(),
+		Leaving:     m.GetLeaving(),
+		InFlight:    make(map[string]int, len(m.GetServers())),
+	}
+	for _, s := range m.GetServers() {
+		r.InFlight[s.GetServer()] = int(s.GetInFlight())
+	}
+	now := clock.Now()
+	p.mu.Lock()
+	fresh := p.table.Receive(now, r)
+	others := p.table.Others(now)
+	p.mu.Unlock()
+	if fresh {
+		p.services.setOthers(others)
+	}
+}
+
+// send reports the load of this gateway whenever it changes, within the bound on
+// bytes, and at least at the report interval.
+func (p *peers) send(ctx context.Context) error {
+	var last map[string]int
+	var lastAt time.Time
+	gap := minReportGap
+	for ctx.Err() == nil {
+		sleep(ctx, gap)
+		now := clock.Now()
+		load := p.services.own()
+		due := now.Sub(lastAt) >= reportInterval
+		if !due && maps.Equal(load, last) {
+			continue
+		}
+		bytes := p.report(now, load, false)
+		gap = max(minReportGap, time.Duration(bytes)*time.Second/reportBytesPerSecond)
+		last, lastAt = load, now
+		if due {
+			p.refresh(now)
+		}
+	}
+	return nil
+}
+
+// refresh drops the load of gateways that fell silent.
+func (p *peers) refresh(now time.Time) {
+	p.mu.Lock()
+	others := p.table.Others(now)
+	p.mu.Unlock()
+	p.services.setOthers(others)
+}
+
+// report sends one report and returns the number of bytes sent.
+func (p *peers) report(now time.Time, load map[string]int, leaving bool) int {
+	p.mu.Lock()
+	p.sequence++
+	m := &pb.LoadReport{Sender: p.self, Incarnation: p.incarnation, Sequence: p.sequence, Leaving: leaving}
+	due := p.table.Due(now)
+	p.mu.Unlock()
+	for id, n := range load {
+		m.Servers = append(m.Servers, &pb.ServerLoad{Server: id, InFlight: uint32(n)})
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		p.log.Error().Err(err).Msg("load report not encoded")
+		return 0
+	}
+	for _, address := range due {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			p.log.Warn().Err(err).Str("peer", address).Msg("address of a gateway is not usable")
+			continue
+		}
+		if _, err := p.conn.WriteToUDP(data, to); err != nil {
+			p.log.Debug().Err(err).Str("peer", address).Msg("load report not sent")
+		}
+	}
+	return len(data) * len(due)
+}
+
+// discover announces this gateway and reads the addresses of the others.
+func (p *peers) discover(ctx context.Context) error {
+	announced := false
+	for ctx.Err() == nil {
+		if !announced {
+			announced = p.announce(ctx)
+		}
+		records, _, err := p.store.Newest(ctx, gatewayTopic)
+		if err != nil || !announced {
+			if err != nil {
+				p.log.Debug().Err(err).Msg("gateways not read")
+			}
+			sleep(ctx, maxBackoff)
+			continue
+		}
+		p.learn(records)
+		sleep(ctx, rediscoverInterval)
+	}
+	return nil
+}
+
+func (p *peers) learn(records []platform.KeyedRecord) {
+	now := clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			p.table.Add(now, string(r.Value))
+		}
+	}
+}
+
+func (p *peers) announce(ctx context.Context) bool {
+	record := platform.KeyedRecord{Key: p.self, Value: []byte(p.self)}
+	if err := p.store.AppendKeyed(ctx, gatewayTopic, record); err != nil {
+		p.log.Warn().Err(err).Msg("address of this gateway not announced")
+		return false
+	}
+	return true
+}
+
+// withdraw tells the others that this gateway leaves.
+func (p *peers) withdraw() { p.report(clock.Now(), nil, true) }
--- /dev/null
+++ b/daemons/gateway/reload.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// settingsInterval is the time between checks of the settings file, which may
+// change without a signal.
+const settingsInterval = 5 * time.Second
+
+// reloadSettings takes changed bounds from the settings file. Addresses and
+// names belong to the machine and stay for the lifetime of the process.
+func reloadSettings(lc fx.Lifecycle, o Options, g *Gateway) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "reload settings", Run: func(ctx context.Context) error {
+		defer signal.Stop(hangup)
+		ticker := time.NewTicker(settingsInterval)
+		defer ticker.Stop()
+		current := o.Settings.Bounds
+		for {
+			signalled := false
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-hangup:
+				signalled = true
+			case <-ticker.C:
+			}
+			current = g.reload(current, signalled)
+		}
+	}})
+}
+
+// reload reads the settings and returns the bounds in force.
+func (g *Gateway) reload(current platform.Bounds, signalled bool) platform.Bounds {
+	s, err := platform.LoadSettings()
+	if err != nil {
+		g.log.Error().Err(err).Msg("settings not reloaded; the former ones stay in force")
+		return current
+	}
+	if s.Bounds != current {
+		g.bounds.Store(&s.Bounds)
+	}
+	if s.Bounds != current || signalled {
+		g.log.Info().Bool("signal", signalled).Bool("changed", s.Bounds != current).
+			Interface("bounds", s.Bounds).Msg("settings reloaded")
+	}
+	return s.Bounds
+}
--- /dev/null
+++ b/daemons/gateway/service.go
@@ -0,0 +1,363 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/balance/placement"
+	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
+	"github.com/filbertmux/filbertmux/serve/retry"
+)
+
+const (
+	// placementDepth is how many requests beyond its slots a server holds. One
+	// keeps a freed slot busy while the news of it travels.
+	placementDepth = 1
+	// queueCapacity bounds the requests that wait for one service.
+	queueCapacity = 512
+	// classes is the number of priority classes, and classReserve the part of
+	// the service that each one but the first gets while it has work.
+	classes      = 10
+	classReserve = 0.05
+	// retryBudgetMargin is the part of the shared retry budget that is used.
+	// The rest covers gateways that restart with a full budget and requests
+	// that are counted in another window.
+	retryBudgetMargin = 0.7
+	// minBudgetGateways is the least number of gateways that the extra retries
+	// are divided by, so that a gateway that knows no peer takes no large part.
+	minBudgetGateways = 16
+	// retryDelay and maxRetryDelay bound the pause before a retry.
+	retryDelay    = 5 * time.Millisecond
+	maxRetryDelay = 100 * time.Millisecond
+	// overloadHold is the time without retries after a server was full.
+	overloadHold = 500 * time.Millisecond
+	// waitSlack is added to the limit of a wait, so that the step at its end
+	// finds it over.
+	waitSlack = 2 * time.Millisecond
+	// failureHold keeps work away from a server after a broken connection.
+	failureHold = 700 * time.Millisecond
+	// firstSmoothing is the weight of an answer in the mean time to the first
+	// part of one.
+	firstSmoothing = 0.05
+	// fullHold keeps work away from a server that refused for lack of room.
+	fullHold = 100 * time.Millisecond
+)
+
+// service places the requests of one service. It is safe for concurrent use.
+type service struct {
+	name string
+
+	mu        sync.Mutex
+	scheduler *placement.Scheduler[*waiter]
+	outliers  *membership.Outliers
+	budget    *retry.Budget
+	rng       *rand.Rand
+	// progressed is when any server last sent a part of an answer.
+	progressed time.Time
+	// meanFirst is the smoothed time to the first part of an answer.
+	meanFirst time.Duration
+}
+
+// waiter is a request that waits for a place.
+type waiter struct {
+	// placed gets exactly one outcome.
+	placed chan placement.Outcome[*waiter]
+}
+
+func newService(name, failureDomain string, budget retry.Config, rng *rand.Rand) *service {
+	return &service{
+		name: name,
+		scheduler: placement.New[*waiter](placement.Config{
+			FailureDomain: failureDomain,
+			Depth:         placementDepth,
+			Classes:       priorityClasses(),
+			QueueCapacity: queueCapacity,
+		}, rng),
+		outliers: membership.NewOutliers(membership.DefaultOutlierConfig()),
+		budget:   retry.NewBudget(budget),
+		rng:      rng,
+	}
+}
+
+func priorityClasses() []fairqueue.Class {
+	list := make([]fairqueue.Class, classes)
+	for i := range list {
+		list[i] = fairqueue.Class{Name: className(i), Reserve: classReserve}
+	}
+	list[0].Reserve = 0
+	return list
+}
+
+// className returns the name of a priority in queues, logs and metrics.
+func className(priority int) string {
+	return "p" + strconv.Itoa(min(max(priority, 0), classes-1))
+}
+
+// setServers takes the registered servers of the service.
+func (s *service) setServers(now time.Time, list []fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := make(map[string]bool, len(list))
+	candidates := make([]membership.Server, 0, len(list))
+	byID := make(map[string]fleet.Server, len(list))
+	for _, l := range list {
+		known[l.ID] = true
+		byID[l.ID] = l
+		candidates = append(candidates, membership.Server{Instance: infra.Instance{ID: l.ID}})
+	}
+	s.outliers.Retain(func(id string) bool { return known[id] })
+	var kept []placement.Server
+	for _, c := range s.outliers.Keep(now, candidates) {
+		l := byID[c.ID]
+		kept = append(kept, placement.Server{ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots})
+	}
+	s.scheduler.SetServers(kept)
+	s.deliver(s.scheduler.Step(now))
+}
+
+// setOthers takes the load that the other gateways cause.
+func (s *service) setOthers(now time.Time, load map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.SetOthers(load)
+	s.deliver(s.scheduler.Step(now))
+}
+
+// step ends the waits that are over.
+func (s *service) step(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deliver(s.scheduler.Step(now))
+}
+
+// load returns the requests, slots and waiting requests, for log lines.
+func (s *service) load() (inFlight, slots, waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inFlight, slots = s.scheduler.Load()
+	return inFlight, slots, s.scheduler.Waiting()
+}
+
+// own calls report for each server with requests of this gateway.
+func (s *service) own(report func(id string, inFlight int)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Own(report)
+}
+
+// acquire waits for a place and returns the id of the server on which the
+// request is counted until release.
+func (s *service) acquire(ctx context.Context, r placement.Request[*waiter]) (string, error) {
+	w := &waiter{placed: make(chan placement.Outcome[*waiter], 1)}
+	r.Value = w
+	s.mu.Lock()
+	ticket, outcomes := s.scheduler.Place(clock.Now(), r)
+	s.deliver(outcomes)
+	s.mu.Unlock()
+	if len(w.placed) == 0 {
+		s.await(ctx, w, r.MaxWait)
+	}
+	if len(w.placed) > 0 {
+		return outcome(<-w.placed)
+	}
+	s.mu.Lock()
+	waiting := ticket != nil && s.scheduler.Cancel(ticket)
+	s.mu.Unlock()
+	if waiting {
+		return "", errkind.Wrap(errkind.Canceled, context.Cause(ctx), "left while waiting")
+	}
+	// The outcome came at the same moment; the caller releases the place.
+	return outcome(<-w.placed)
+}
+
+// await returns when w got its outcome or ctx ended. The wait for a place ends
+// by a step of the scheduler at its limit.
+func (s *service) await(ctx context.Context, w *waiter, limit time.Duration) {
+	timer := time.NewTimer(limit + waitSlack)
+	defer timer.Stop()
+	for {
+		select {
+		case o := <-w.placed:
+			w.placed <- o
+			return
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			s.step(clock.Now())
+			timer.Reset(waitSlack)
+		}
+	}
+}
+
+func outcome(o placement.Outcome[*waiter]) (string, error) {
+	if o.Err != nil {
+		return "", o.Err
+	}
+	return o.Server, nil
+}
+
+// deliver hands outcomes to their waiters. The caller holds the mutex; each
+// channel has room for its only outcome.
+func (s *service) deliver(outcomes []placement.Outcome[*waiter]) {
+	for _, o := range outcomes {
+		o.Value.placed <- o
+	}
+}
+
+// result is how a request ended at a server.
+type result struct {
+	server string
+	// took and cost are set for whole answers.
+	took time.Duration
+	cost float64
+	// first is the time to the first part of the answer.
+	first time.Duration
+	err  *errkind.Error
+	// full says that the server refused for lack of room, moved that another
+	// server has its address.
+	full  bool
+	moved bool
+	// innocent says that the failure isn't one of the server.
+	innocent bool
+}
+
+// release ends a request at a server.
+func (s *service) release(now time.Time, r result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Finished(r.server, r.took, r.cost)
+	if r.first > 0 {
+		s.notePace(now, r.server, r.first)
+	}
+	switch {
+	case r.err == nil:
+		s.outliers.Succeeded(r.server)
+	case r.moved:
+		s.scheduler.Ban(r.server)
+	case r.full:
+		s.scheduler.Hold(r.server, now.Add(fullHold))
+		s.budget.Overloaded(now)
+	case !r.innocent:
+		s.scheduler.Hold(r.server, now.Add(failureHold))
+		s.outliers.Failed(now, r.server)
+	}
+	s.deliver(s.scheduler.Step(now))
+}
+
+// notePace compares the time to the first part of an answer with the mean.
+func (s *service) notePace(now time.Time, server string, first time.Duration) {
+	if s.meanFirst > 0 {
+		s.scheduler.Paced(now, server, float64(first)/float64(s.meanFirst))
+		s.meanFirst += time.Duration(firstSmoothing * float64(first-s.meanFirst))
+		return
+	}
+	s.meanFirst = first
+}
+
+// firstAttempt notes a new request.
+func (s *service) firstAttempt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.FirstAttempt()
+}
+
+// decideRetry decides about a failed attempt.
+func (s *service) decideRetry(now time.Time, a retry.Attempt) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Decide(now, a, s.rng)
+}
+
+// noteProgress notes a part of an answer.
+func (s *service) noteProgress(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progressed = now
+}
+
+// lastProgress returns when any server last sent a part of an answer.
+func (s *service) lastProgress() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.progressed
+}
+
+// services holds the schedulers by service name. It is safe for concurrent use.
+type services struct {
+	failureDomain string
+	retries       retry.Config
+	rng           *rand.Rand
+
+	mu     sync.Mutex
+	byName map[string]*service
+	others map[string]int
+}
+
+func newServices(failureDomain string, retries retry.Config, rng *rand.Rand) *services {
+	return &services{
+		failureDomain: failureDomain, retries: retries, rng: rng, byName: make(map[string]*service),
+	}
+}
+
+// get returns a service, with its present servers if it is new.
+func (s *services) get(name string, view *View) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc, ok := s.byName[name]; ok {
+		return svc
+	}
+	rng := rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))
+	svc := newService(name, s.failureDomain, s.retries, rng)
+	s.byName[name] = svc
+	now := clock.Now()
+	svc.setServers(now, view.Usable(name))
+	svc.setOthers(now, s.others)
+	return svc
+}
+
+// all returns all services.
+func (s *services) all() []*service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*service, 0, len(s.byName))
+	for _, svc := range s.byName {
+		list = append(list, svc)
+	}
+	return list
+}
+
+// refresh takes the registered servers from view.
+func (s *services) refresh(view *View) {
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.setServers(now, view.Usable(svc.name))
+	}
+}
+
+// setOthers takes the load that other gateways cause.
+func (s *services) setOthers(load map[string]int) {
+	s.mu.Lock()
+	s.others = load
+	s.mu.Unlock()
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.setOthers(now, load)
+	}
+}
+
+// own returns the requests of this gateway on each server.
+func (s *services) own() map[string]int {
+	load := make(map[string]int)
+	for _, svc := range s.all() {
+		svc.own(func(id string, inFlight int) { load[id] = inFlight })
+	}
+	return load
+}
--- /dev/null
+++ b/daemons/gateway/watchdog.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/config/fleet"
+)
+
+const (
+	// silenceLimit is how long a server may send nothing of a stream while
+	// other servers of the service do.
+	silenceLimit = 800 * time.Millisecond
+	// plainSilenceObjectives is the same for other answers, in objectives of
+	// the route: these servers answer independently of each other.
+	plainSilenceObjectives = 2
+	// othersRecent is how recently another server must have sent something.
+	// When all are silent, their group stalls, and no other server is better.
+	othersRecent = 250 * time.Millisecond
+)
+
+// watchdog closes the connection of an exchange whose server is silent while
+// others answer, if another server can go on with the request.
+type watchdog struct {
+	x     *exchange
+	limit time.Duration
+
+	mu    sync.Mutex
+	timer *time.Timer
+	last  time.Time
+	fired bool
+}
+
+func newWatchdog(x *exchange) *watchdog {
+	w := &watchdog{x: x, last: clock.Now()}
+	if !x.r.route.Repeatable() || x.r.trace.sent+1 >= x.r.route.MaxAttempts {
+		return w
+	}
+	w.limit = silenceLimit
+	if x.r.route.Kind != fleet.Streaming {
+		w.limit = plainSilenceObjectives * x.r.route.Objective
+	}
+	if w.limit <= 0 {
+		return w
+	}
+	w.timer = time.AfterFunc(w.limit, w.check)
+	return w
+}
+
+// progress notes that the server sent something.
+func (w *watchdog) progress() {
+	now := clock.Now()
+	w.mu.Lock()
+	w.last = now
+	w.mu.Unlock()
+	w.x.svc.noteProgress(now)
+}
+
+func (w *watchdog) check() {
+	now := clock.Now()
+	others := now.Sub(w.x.svc.lastProgress()) < othersRecent
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	quiet := now.Sub(w.last)
+	if quiet >= w.limit && (others || w.x.r.route.Kind != fleet.Streaming) {
+		w.fired = true
+		w.x.conn.Close()
+		return
+	}
+	w.timer.Reset(max(w.limit-quiet, othersRecent))
+}
+
+// silent reports whether the watchdog closed the connection.
+func (w *watchdog) silent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fired
+}
+
+func (w *watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
