Plan and switch expert maps through agents beside the ranks

Ruled out: orders and counts from one place (billed and pause the group from another machine); the member votes of rankgroup/mapswitch (they rest on ranks that answer a new connection only after all earlier orders, while orders here may be carried out seconds late).

Change: rankgroup/switchover derives the next orders of a switch from the reports of the ranks alone. daemons/rankagent runs beside each rank, reads it for free and passes orders on; the agent that owns a partition in the store is the holder and plans with rankgroup/experts, which now knows a bound on new experts for each rank.

--- a/config/fleet/servers.go
+++ b/config/fleet/servers.go
@@ -23,6 +23,11 @@
 	Born int64
 	// ColdFor is how much longer the server is slow after its start.
 	ColdFor time.Duration
+	// Group is the rank group of the server, or empty; Rank its number in the
+	// group and GroupSize the number of ranks.
+	Group     string
+	Rank      int
+	GroupSize int
 }
 
 // ServerChange is one change of the registered servers.
--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -22,12 +22,13 @@
 )
 
 type commands struct {
-	Entry   entryCommand      `cmd:"" help:"Run an entry, which serves callers."`
-	Sidecar sidecarCommand    `cmd:"" help:"Run the sidecar of a backend server."`
-	Gateway gatewayCommand    `cmd:"" help:"Run a gateway on the users' platform, which serves callers."`
-	Table   tablecli.Commands `cmd:"" help:"Validate, publish and inspect the table."`
-	Standin standinCommand    `cmd:"" help:"Run a stand-in for tests."`
-	Demo    demoCommand       `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
+	Entry     entryCommand      `cmd:"" help:"Run an entry, which serves callers."`
+	Sidecar   sidecarCommand    `cmd:"" help:"Run the sidecar of a backend server."`
+	Gateway   gatewayCommand    `cmd:"" help:"Run a gateway on the users' platform, which serves callers."`
+	RankAgent rankAgentCommand  `cmd:"" name:"rankagent" help:"Run the agent beside a rank on the users' platform, which controls the expert maps of its group."`
+	Table     tablecli.Commands `cmd:"" help:"Validate, publish and inspect the table."`
+	Standin   standinCommand    `cmd:"" help:"Run a stand-in for tests."`
+	Demo      demoCommand       `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
 }
 
 // Streams are the outputs of a command.
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -62,8 +62,8 @@
 	events     int
 	// decision is why a failed attempt was not repeated.
 	decision retry.Reason
-	outcome    string
-	status     int
+	outcome  string
+	status   int
 }
 
 // labels returns the labels of the request in metrics.
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -220,7 +220,7 @@
 	cost float64
 	// first is the time to the first part of the answer.
 	first time.Duration
-	err  *errkind.Error
+	err   *errkind.Error
 	// full says that the server refused for lack of room, moved that another
 	// server has its address.
 	full  bool
--- /dev/null
+++ b/daemons/rankagent/module.go
@@ -0,0 +1,123 @@
+package rankagent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// Role is the name of the daemon in logs and metrics.
+const Role = "rankagent"
+
+const (
+	// identityInterval is the time between attempts to read which rank this
+	// agent stands beside, and identityRefresh between checks of it.
+	identityInterval = 500 * time.Millisecond
+	identityRefresh  = 2 * time.Second
+	// peerIdle is how long a connection to another agent stays open unused.
+	peerIdle      = 30 * time.Second
+	headerTimeout = 2 * time.Second
+)
+
+// Options are what an agent is built from.
+type Options struct {
+	Settings platform.Settings
+	Log      zerolog.Logger
+}
+
+// Module returns the fx options of an agent.
+func Module(o Options) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(o),
+		fx.Provide(
+			func(o Options) *platform.Store { return platform.NewStore(o.Settings.Store.Address) },
+			func(o Options) *Agent { return NewAgent(platform.NewRank(o.Settings.BackendAddress), o.Log) },
+			func(o Options, store *platform.Store) *election {
+				return newElection(store, o.Settings.IP, o.Log)
+			},
+		),
+		fx.Invoke(serveHolder, lead),
+	)
+}
+
+// serveHolder serves the calls of the holder of the group.
+func serveHolder(lc fx.Lifecycle, o Options, agent *Agent) error {
+	address := net.JoinHostPort(o.Settings.IP, strconv.Itoa(o.Settings.PeerPort))
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return errkind.Wrap(errkind.InvalidSettings, err, "address for other agents")
+	}
+	mux := http.NewServeMux()
+	mux.Handle(filbertmuxv1connect.NewRankAgentServiceHandler(agent))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+					o.Log.Error().Err(err).Msg("server of agents ended")
+				}
+			}()
+			o.Log.Info().Str("address", address).Str("rank", o.Settings.BackendAddress).
+				Str("service", o.Settings.BackendService).Msg("started")
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			o.Log.Info().Msg("stopped")
+			return server.Close()
+		},
+	})
+	return nil
+}
+
+func lead(lc fx.Lifecycle, o Options, agent *Agent, e *election, store *platform.Store) {
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "identity", Run: agent.identify})
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "election", Run: func(ctx context.Context) error {
+		return e.run(ctx, func() string {
+			group, _, _ := agent.Identity()
+			return group
+		})
+	}})
+	h := &holder{
+		agent: agent, election: e, store: store, service: o.Settings.BackendService,
+		port: o.Settings.PeerPort, log: o.Log, client: peerClient(), planner: newPlanner(),
+		peers: make(map[int]peer), domains: make(map[int]string),
+	}
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "lead the group", Run: h.run})
+}
+
+func peerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: agentTimeout, KeepAlive: -1}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdle,
+	}}
+}
+
+// identify reads which rank this agent stands beside, and notices when the
+// server there was replaced.
+func (a *Agent) identify(ctx context.Context) error {
+	for ctx.Err() == nil {
+		s, err := a.rank.State(ctx)
+		if err != nil || s.Group == "" {
+			a.log.Debug().Err(err).Msg("rank not known")
+			sleep(ctx, identityInterval)
+			continue
+		}
+		a.note(s)
+		sleep(ctx, identityRefresh)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemons/rankagent/plan.go
@@ -0,0 +1,149 @@
+package rankagent
+
+import (
+	"time"
+
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/config/fleet"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+)
+
+const (
+	// driftRate is the relative variance that the share of an expert gains per
+	// second where the mix of work changes within seconds.
+	driftRate = 0.15
+	// countsPerRequest scales counts to independent observations: the tokens of
+	// one request choose their experts together.
+	countsPerRequest = 4000
+	// planHorizon is the time over which a map has to pay off: the time until
+	// the mix of work has changed again.
+	planHorizon = 4 * time.Second
+	// copySlowdown is how much longer steps take while experts are copied.
+	copySlowdown = 0.15
+	// planHysteresis is how much more than its cost a plan has to save.
+	planHysteresis = 1.3
+	// usualBatch is the number of requests of a rank for which the time of a
+	// step is taken.
+	usualBatch = 8
+	// maxCountAge is the age from which counts are of no use.
+	maxCountAge = 10 * time.Second
+	bitsPerByte = 8
+)
+
+// planner turns the counts of all ranks into maps.
+type planner struct {
+	tracker *experts.Tracker
+	// last holds the counts of each rank at the last reading, by rank.
+	last map[int]counted
+}
+
+type counted struct {
+	born   int64
+	counts []uint64
+}
+
+func newPlanner() *planner { return &planner{last: make(map[int]counted)} }
+
+// observe takes the counts of all ranks, as they were at now. Counts of a rank
+// that started anew are used from the second reading on.
+func (p *planner) observe(now time.Time, e *fleet.Experts, reports []*pb.ReadRankResponse) error {
+	sum := make([]float64, e.Layers*e.PerLayer)
+	for _, r := range reports {
+		if len(r.GetCounts()) != len(sum) {
+			return errkind.New(errkind.InvalidCounts, "%d counts of rank %d, want %d", len(r.GetCounts()), r.GetRank(), len(sum))
+		}
+		before, known := p.last[int(r.GetRank())]
+		p.last[int(r.GetRank())] = counted{born: r.GetBorn(), counts: r.GetCounts()}
+		if !known || before.born != r.GetBorn() {
+			continue
+		}
+		for i, n := range r.GetCounts() {
+			if n > before.counts[i] {
+				sum[i] += float64(n-before.counts[i]) / countsPerRequest
+			}
+		}
+	}
+	if p.tracker == nil {
+		p.tracker = experts.NewTracker(e.Layers, e.PerLayer, driftRate)
+	}
+	c := &experts.Counts{At: now}
+	for layer := range e.Layers {
+		c.Layers = append(c.Layers, sum[layer*e.PerLayer:(layer+1)*e.PerLayer])
+	}
+	return p.tracker.Observe(c)
+}
+
+// decide returns a map that is worth the switch, or the reason why there is none.
+func (p *planner) decide(
+	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map,
+) (experts.Decision, error) {
+	if p.tracker == nil {
+		return experts.Decision{Reason: experts.Balanced}, nil
+	}
+	loads, err := p.tracker.Loads(now, maxCountAge)
+	if err != nil {
+		return experts.Decision{}, err
+	}
+	return experts.Decide(planSettings(e, t.Ranks()), experts.Input{
+		Now: now, Topology: t, InForce: inForce, Loads: loads, Weights: experts.Weights{Skew: 1, Cost: 1},
+	})
+}
+
+func planSettings(e *fleet.Engine, ranks int) experts.Settings {
+	s := experts.DefaultSettings()
+	s.StepTime = e.Step + usualBatch*e.StepPerRequest
+	s.ExpertShare = e.Experts.Share
+	s.Horizon = planHorizon
+	s.MoveCost = moveCost(e.Experts, ranks)
+	s.TailWeight = 1
+	s.Hysteresis = planHysteresis
+	s.MinInterval = 0
+	s.MaxInFlight = ranks * e.Experts.Layers * e.Experts.SlotsPerRank
+	s.StoreRate = float64(s.MaxInFlight)
+	s.MaxCountAge = maxCountAge
+	return s
+}
+
+// moveCost is the time that the copy of one expert costs the group. Ranks copy
+// at the same time, so each copy counts for its part of them.
+func moveCost(e *fleet.Experts, ranks int) time.Duration {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	seconds := e.ExpertMegabytes * bitsPerByte / e.LinkMbps
+	return time.Duration(copySlowdown * seconds / float64(ranks) * float64(time.Second))
+}
+
+// topology describes the group to the planner.
+func topology(e *fleet.Experts, domains []string) *experts.Topology {
+	return &experts.Topology{
+		Experts: e.PerLayer, SlotsPerRank: e.SlotsPerRank, Domains: domains, MaxNewPerRank: e.NewPerLayer,
+	}
+}
+
+// mapInForce puts together the map from the experts that each rank has in use.
+func mapInForce(t *experts.Topology, layers int, reports []*pb.ReadRankResponse) (*experts.Map, error) {
+	m := &experts.Map{Layers: make([]experts.Layer, layers)}
+	for i := range m.Layers {
+		m.Layers[i] = make(experts.Layer, t.Slots())
+		for slot := range m.Layers[i] {
+			m.Layers[i][slot] = experts.Empty
+		}
+	}
+	for _, r := range reports {
+		if len(r.GetExperts()) != layers {
+			return nil, errkind.New(errkind.InvalidMap, "rank %d reports %d layers, want %d", r.GetRank(), len(r.GetExperts()), layers)
+		}
+		for i, list := range r.GetExperts() {
+			if len(list.GetExperts()) > t.SlotsPerRank {
+				return nil, errkind.New(errkind.InvalidMap, "rank %d holds %d experts, at most %d fit",
+					r.GetRank(), len(list.GetExperts()), t.SlotsPerRank)
+			}
+			for k, e := range list.GetExperts() {
+				m.Layers[i][int(r.GetRank())*t.SlotsPerRank+k] = experts.Expert(e)
+			}
+		}
+	}
+	return m, m.Validate(t)
+}
--- a/rankgroup/experts/decide.go
+++ b/rankgroup/experts/decide.go
@@ -82,7 +82,8 @@
 	Topology *Topology
 	InForce  *Map
 	Loads    Loads
-	// StepTimes holds the measured step time of each rank; see Classify.
+	// StepTimes holds the measured step time of each rank; see Classify. If it
+	// is nil, no rank counts as slow or stalled.
 	StepTimes []time.Duration
 	Weights   Weights
 	// InFlight is the number of experts being fetched.
@@ -171,6 +172,9 @@
 	if !validWeight(in.Weights.Skew) || !validWeight(in.Weights.Cost) {
 		return nil, errkind.New(errkind.InvalidTable, "weights for skew %v and cost %v", in.Weights.Skew, in.Weights.Cost)
 	}
+	if in.StepTimes == nil {
+		return make([]RankState, in.Topology.Ranks()), nil
+	}
 	return Classify(s.Health, totalRankLoad(in), in.StepTimes)
 }
 
--- a/rankgroup/experts/planner.go
+++ b/rankgroup/experts/planner.go
@@ -148,6 +148,10 @@
 		w.slots = replay(inForce, steps[:bestSteps])
 		w.recompute()
 		best.slots = w.finish(inForce)
+		if !addsWithin(p.in.Topology, inForce, best.slots) {
+			// Spreading over failure domains needed more room than there is.
+			best.slots = alignSlots(p.in.Topology, inForce, replay(inForce, steps[:bestSteps]))
+		}
 	}
 	if w.maxLoad() > target {
 		p.tryReplan(&best, before, limit)
@@ -167,6 +171,9 @@
 	t, load := p.in.Topology, p.in.Loads.Layers[best.layer]
 	inForce := p.in.InForce.Layers[best.layer]
 	full := ReplanLayer(t, inForce, load, p.frozen)
+	if !addsWithin(t, inForce, full) {
+		return
+	}
 	after := p.layout(best.layer, full).maxLoad()
 	moves := len(layerMoves(t, best.layer, inForce, full))
 	if o, ok := p.value(best.layer, before, after, moves, limit); ok && o.value > best.value {
--- a/rankgroup/experts/refine.go
+++ b/rankgroup/experts/refine.go
@@ -129,11 +129,38 @@
 	if gain <= minGain*s.target*s.target {
 		return
 	}
-	if score := scoreOf(gain, moves); score > s.best.score {
+	if score := scoreOf(gain, moves); score > s.best.score && s.withinLimit(c) {
 		s.best = candidate{change: c, gain: gain, score: score}
 	}
 }
 
+// withinLimit reports whether a change adds no more experts to its ranks than
+// they have room for.
+func (s *search) withinLimit(c change) bool {
+	if s.topo.MaxNewPerRank == 0 {
+		return true
+	}
+	rank := s.topo.RankOf(c.slot)
+	if s.added(rank)-s.fetches(s.slots[c.slot], rank)+s.fetches(c.expert, rank) > s.topo.MaxNewPerRank {
+		return false
+	}
+	if !c.swap {
+		return true
+	}
+	other := s.topo.RankOf(c.other)
+	return s.added(other)-s.fetches(c.expert, other)+s.fetches(s.slots[c.slot], other) <= s.topo.MaxNewPerRank
+}
+
+// added returns the number of experts of a rank that must be fetched.
+func (s *search) added(rank int) int {
+	n := 0
+	first, end := s.slotsOf(rank)
+	for _, e := range s.slots[first:end] {
+		n += s.fetches(e, rank)
+	}
+	return n
+}
+
 func scoreOf(gain float64, moves int) float64 {
 	if moves < 1 {
 		return gain / 0.5
@@ -357,6 +384,13 @@
 	if rank == hot || s.isFrozen(rank) || s.hosted(e, rank) || f != Empty && s.hosted(f, rank) || g != Empty && s.hosted(g, hot) {
 		return 0, false
 	}
+	if limit := s.topo.MaxNewPerRank; limit > 0 {
+		onHot := s.added(hot) - s.fetches(f, hot) + s.fetches(g, hot)
+		onRank := s.added(rank) - s.fetches(g, rank) + s.fetches(e, rank)
+		if onHot > limit || onRank > limit {
+			return 0, false
+		}
+	}
 	l := &s.replicaLoad[e]
 	hotLoad, load := s.rankLoad[hot]-l.now+l.more, s.rankLoad[rank]+l.more
 	if f != Empty {
--- a/rankgroup/experts/types.go
+++ b/rankgroup/experts/types.go
@@ -37,6 +37,10 @@
 	SlotsPerRank int
 	// Domains holds the failure domain of each rank.
 	Domains []string
+	// MaxNewPerRank bounds the experts of a layer that one map may add to a
+	// rank; 0 means no bound. Some engines have room for a few experts beside
+	// those in use.
+	MaxNewPerRank int
 }
 
 // Ranks returns the number of ranks.
@@ -193,6 +197,19 @@
 	return moves
 }
 
+// addsWithin reports whether a layer adds at most MaxNewPerRank experts to each
+// rank.
+func addsWithin(t *Topology, from, to Layer) bool {
+	if t.MaxNewPerRank == 0 {
+		return true
+	}
+	added := make([]int, t.Ranks())
+	for _, m := range layerMoves(t, 0, from, to) {
+		added[m.Rank]++
+	}
+	return slices.Max(added) <= t.MaxNewPerRank
+}
+
 // hostSets returns the set of ranks that host each expert.
 func hostSets(t *Topology, l Layer) []uint64 {
 	hosts := make([]uint64, t.Experts)
--- /dev/null
+++ b/rankgroup/switchover/switchover.go
@@ -0,0 +1,368 @@
+// Package switchover moves a lock-step group of ranks from one expert map to the
+// next where the ranks can be armed for a step and can hold the group at one.
+//
+// A holder reads all ranks, and derives the next orders from what they report
+// alone. It has the experts of the new map copied to every rank, has its own
+// rank hold the group at a step ahead, arms every rank for that step, and
+// releases the group when each rank has confirmed that it is armed. Two rules
+// keep all ranks on one map:
+//
+//   - a rank is armed only while the group is held at that step;
+//   - a hold is released only when all ranks are armed for that step with the
+//     same version.
+//
+// An order may be lost, and may be carried out long after it was sent. It then
+// meets a group that has passed the step, has a newer version prepared or is in
+// a later epoch, and each of these refuses it. A holder that takes over finds
+// everything in the reports: it finishes what its predecessor began, with a copy
+// of the present map if nothing else is prepared everywhere.
+//
+// The package answers the loss, pause or replacement of the holder at any
+// moment, and orders that are carried out late. It is deterministic and does no
+// I/O. A Coordinator has one owner.
+package switchover
+
+import (
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+)
+
+// Arm is the switch that a rank makes as a step begins.
+type Arm struct {
+	Version int64
+	Step    int64
+}
+
+// Report is the state of one rank.
+type Report struct {
+	Rank int
+	// Epoch changes each time the group forms anew. The ranks then use map 0 and
+	// have nothing prepared, armed or held.
+	Epoch int64
+	// Open is false while the group is broken.
+	Open bool
+	// Step is the last step that was begun.
+	Step int64
+	// InForce is the version of the map in use, and Prepared that of the map
+	// whose experts are all on the rank, or 0.
+	InForce  int64
+	Prepared int64
+	// Armed is nil if the rank isn't armed.
+	Armed *Arm
+	// Held is the step at which the rank holds the group, or 0.
+	Held int64
+}
+
+// Kind says what an order does.
+type Kind uint8
+
+// Kinds of orders.
+const (
+	// Prepare copies the experts of a map to the rank.
+	Prepare Kind = iota
+	// HoldAt keeps the group from beginning a step.
+	HoldAt
+	// ArmFor has the rank switch as a step begins.
+	ArmFor
+	// Disarm undoes ArmFor.
+	Disarm
+	// Release ends HoldAt.
+	Release
+)
+
+// String returns the name of k in logs.
+func (k Kind) String() string {
+	return [...]string{"prepare", "hold", "arm", "disarm", "release"}[k]
+}
+
+// Order is an order to one rank.
+type Order struct {
+	Rank    int
+	Kind    Kind
+	Epoch   int64
+	Version int64
+	Step    int64
+	// Map is set for Prepare.
+	Map *experts.Map
+}
+
+// Config holds the parameters of a Coordinator.
+type Config struct {
+	// Own is the rank on the same machine, at which the group is held.
+	Own int
+	// Ranks is the number of ranks of the group.
+	Ranks int
+	// Lead is the number of steps between the newest step and the one at which
+	// the group is held. Within it, all ranks can be armed without a pause.
+	Lead int64
+}
+
+// Phase tells how far a switch is.
+type Phase uint8
+
+// Phases.
+const (
+	// Blind: not all ranks have reported, or the group is not open.
+	Blind Phase = iota
+	Idle
+	Preparing
+	Holding
+	Arming
+	Switching
+)
+
+// String returns the name of p in logs.
+func (p Phase) String() string {
+	return [...]string{"blind", "idle", "preparing", "holding", "arming", "switching"}[p]
+}
+
+// Coordinator derives the orders of the holder of a group.
+type Coordinator struct {
+	config Config
+	phase  Phase
+	epoch  int64
+	target *target
+	// asked is the version that a rank was asked to prepare, by rank. A rank
+	// that copies is not asked again.
+	asked map[int]int64
+}
+
+type target struct {
+	version int64
+	planned *experts.Map
+}
+
+// New returns a coordinator without a target.
+func New(config Config) *Coordinator {
+	return &Coordinator{config: config, asked: make(map[int]int64)}
+}
+
+// Phase returns how far the switch was at the last call of Next.
+func (c *Coordinator) Phase() Phase { return c.phase }
+
+// Submit sets the map to switch to. version is higher than all versions that
+// any rank has had. It is only accepted while Idle.
+func (c *Coordinator) Submit(version int64, planned *experts.Map) bool {
+	if c.phase != Idle {
+		return false
+	}
+	c.target = &target{version: version, planned: planned}
+	return true
+}
+
+// Abandon gives up the target, for example because a rank can't prepare it. A
+// group that is held is brought to its release nevertheless.
+func (c *Coordinator) Abandon() { c.target = nil }
+
+// Next returns the orders to send now. reports holds the newest report of each
+// rank, read after the last orders were answered or given up. inForce is the map
+// that the ranks use; version is higher than all versions that any rank has had.
+func (c *Coordinator) Next(reports []Report, inForce *experts.Map, version int64) []Order {
+	if !c.complete(reports) {
+		c.phase = Blind
+		return nil
+	}
+	if epoch := reports[0].Epoch; epoch != c.epoch {
+		// What was planned rests on the map of another epoch.
+		c.epoch, c.target = epoch, nil
+		clear(c.asked)
+	}
+	armed := countArmed(reports)
+	held := anyHeld(reports)
+	switch {
+	case c.underWay(reports):
+		c.phase = Switching
+		return nil
+	case armed == len(reports) && sameArms(reports):
+		return c.release(reports)
+	case armed > 0 && (held == 0 || !c.mayComplete(reports, held)):
+		return c.disarm(reports)
+	case held > 0:
+		return c.arm(reports, held, inForce, version)
+	default:
+		return c.advance(reports)
+	}
+}
+
+// complete reports whether all ranks were read, in one epoch of an open group.
+func (c *Coordinator) complete(reports []Report) bool {
+	if len(reports) != c.config.Ranks {
+		return false
+	}
+	for _, r := range reports {
+		if !r.Open || r.Epoch != reports[0].Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// underWay reports whether the reports were read while the ranks went from one
+// map to the next: they differ, because each one was read at another moment.
+func (c *Coordinator) underWay(reports []Report) bool {
+	for _, r := range reports {
+		if r.InForce != reports[0].InForce {
+			return true
+		}
+	}
+	return false
+}
+
+// release ends the holds of a group whose ranks are all armed.
+func (c *Coordinator) release(reports []Report) []Order {
+	c.phase = Switching
+	var out []Order
+	for _, r := range reports {
+		if r.Held > 0 {
+			out = append(out, Order{Rank: r.Rank, Kind: Release, Epoch: r.Epoch, Step: r.Held})
+		}
+	}
+	return out
+}
+
+// mayComplete reports whether the ranks that aren't armed can follow the others.
+func (c *Coordinator) mayComplete(reports []Report, held int64) bool {
+	var want *Arm
+	for _, r := range reports {
+		switch {
+		case r.Armed == nil:
+		case want == nil:
+			want = r.Armed
+		case *want != *r.Armed:
+			return false
+		}
+	}
+	if want == nil || want.Step != held {
+		return false
+	}
+	for _, r := range reports {
+		if r.Armed == nil && r.Prepared != want.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// disarm undoes a switch that can't be completed.
+func (c *Coordinator) disarm(reports []Report) []Order {
+	c.phase = Arming
+	var out []Order
+	for _, r := range reports {
+		if r.Armed != nil {
+			out = append(out, Order{Rank: r.Rank, Kind: Disarm, Epoch: r.Epoch, Version: r.Armed.Version})
+		}
+	}
+	return out
+}
+
+// arm brings a held group towards its release. If no version is prepared on all
+// ranks, a copy of the map in force is, which needs no copying of experts.
+func (c *Coordinator) arm(reports []Report, held int64, inForce *experts.Map, version int64) []Order {
+	prepared, same := samePrepared(reports)
+	if !same || prepared <= reports[0].InForce {
+		if c.target == nil || c.superseded(reports) {
+			c.target = &target{version: version, planned: inForce}
+		}
+		return c.prepare(reports)
+	}
+	c.phase = Arming
+	var out []Order
+	for _, r := range reports {
+		if r.Armed == nil {
+			out = append(out, Order{Rank: r.Rank, Kind: ArmFor, Epoch: r.Epoch, Version: prepared, Step: held})
+		}
+	}
+	return out
+}
+
+// superseded reports whether a rank has a version prepared that another holder
+// issued after the target.
+func (c *Coordinator) superseded(reports []Report) bool {
+	for _, r := range reports {
+		if r.Prepared > c.target.version {
+			return true
+		}
+	}
+	return false
+}
+
+// advance drives a group in which nothing is armed or held.
+func (c *Coordinator) advance(reports []Report) []Order {
+	if c.target != nil && (reports[0].InForce == c.target.version || c.superseded(reports)) {
+		c.target = nil
+	}
+	if c.target == nil {
+		c.phase = Idle
+		return nil
+	}
+	if prepared, same := samePrepared(reports); !same || prepared != c.target.version {
+		return c.prepare(reports)
+	}
+	c.phase = Holding
+	newest := int64(0)
+	for _, r := range reports {
+		newest = max(newest, r.Step)
+	}
+	return []Order{{Rank: c.config.Own, Kind: HoldAt, Epoch: c.epoch, Step: newest + c.config.Lead}}
+}
+
+// prepare asks the ranks that have not begun to copy.
+func (c *Coordinator) prepare(reports []Report) []Order {
+	c.phase = Preparing
+	var out []Order
+	for _, r := range reports {
+		if r.Prepared == c.target.version || c.asked[r.Rank] == c.target.version {
+			continue
+		}
+		out = append(out, Order{
+			Rank: r.Rank, Kind: Prepare, Epoch: r.Epoch, Version: c.target.version, Map: c.target.planned,
+		})
+	}
+	return out
+}
+
+// Accepted notes that a rank has begun an order, so that a copy under way isn't
+// asked for again.
+func (c *Coordinator) Accepted(o Order) {
+	if o.Kind == Prepare {
+		c.asked[o.Rank] = o.Version
+	}
+}
+
+func countArmed(reports []Report) int {
+	n := 0
+	for _, r := range reports {
+		if r.Armed != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func sameArms(reports []Report) bool {
+	for _, r := range reports {
+		if *r.Armed != *reports[0].Armed {
+			return false
+		}
+	}
+	return true
+}
+
+// anyHeld returns the lowest step at which a rank holds the group, or 0.
+func anyHeld(reports []Report) int64 {
+	lowest := int64(0)
+	for _, r := range reports {
+		if r.Held > 0 && (lowest == 0 || r.Held < lowest) {
+			lowest = r.Held
+		}
+	}
+	return lowest
+}
+
+func samePrepared(reports []Report) (int64, bool) {
+	for _, r := range reports {
+		if r.Prepared != reports[0].Prepared {
+			return 0, false
+		}
+	}
+	return reports[0].Prepared, true
+}
