Plan in small steps and give slow ranks less load

Cause: a plan took 0.8 to 1.1 s, mostly the copies of the rank with the most new experts and four steps of lead; a rank that turned slow (3.3 times) slowed the whole group, because the planner took all ranks for equal.

Change: one new expert a rank and layer in a plan, a lead of two steps, and a handicap for slow ranks in the planner.

--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -140,7 +140,7 @@
 
 func encodeState(s platform.RankState) *pb.ReadRankResponse {
 	r := &pb.ReadRankResponse{
-		Group: s.Group, Rank: uint32(s.Report.Rank), Size: uint32(s.Size), Born: s.Born,
+		Group: s.Group, Rank: uint32(s.Report.Rank), Size: uint32(s.Size), Born: s.Born, Pace: s.Pace,
 		Epoch: s.Report.Epoch, Open: s.Report.Open, Step: s.Report.Step,
 		InForce: s.Report.InForce, Prepared: s.Report.Prepared, Held: s.Report.Held,
 	}
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -38,7 +38,7 @@
 	agentTimeout = 160 * time.Millisecond
 	// leadSteps is how far ahead of the newest step the group is held. The
 	// orders to arm all ranks take less than the time of these steps.
-	leadSteps = 4
+	leadSteps = 2
 	// prepareTimeout bounds the copying of experts: 12 experts of 780 MB take
 	// 1.7 s over the usual link.
 	prepareTimeout = 6 * time.Second
@@ -128,6 +128,9 @@
 	idle := h.phase == switchover.Idle || h.phase == switchover.Blind
 	responses := h.readAll(ctx, idle)
 	t := topology(h.engine.Experts, h.domainList())
+	if len(responses) == t.Ranks() {
+		t.Pace = paces(responses)
+	}
 	inForce, err := h.merge(t, responses)
 	if err != nil {
 		h.log.Debug().Err(err).Msg("ranks not read")
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -23,6 +23,12 @@
 	copySlowdown = 0.15
 	// planHysteresis is how much more than its cost a plan has to save.
 	planHysteresis = 1.3
+	// newPerPlan is the number of experts of a layer that one plan adds to a
+	// rank. The ranks copy one expert after the other, so small plans are in
+	// force sooner, and the next one follows.
+	newPerPlan = 1
+	// slowPace is the pace from which a rank counts as slow.
+	slowPace = 1.1
 	// minSaved is the least saving of a plan, in parts of the horizon. A plan
 	// under way keeps the next one from answering a new mix of work.
 	minSaved = 0.1
@@ -126,10 +132,25 @@
 // topology describes the group to the planner.
 func topology(e *fleet.Experts, domains []string) *experts.Topology {
 	return &experts.Topology{
-		Experts: e.PerLayer, SlotsPerRank: e.SlotsPerRank, Domains: domains, MaxNewPerRank: e.NewPerLayer,
+		Experts: e.PerLayer, SlotsPerRank: e.SlotsPerRank, Domains: domains,
+		MaxNewPerRank: min(e.NewPerLayer, newPerPlan),
 	}
 }
 
+// paces returns how slow each rank is, or nil if none is.
+func paces(responses []*pb.ReadRankResponse) []float64 {
+	out := make([]float64, len(responses))
+	slow := false
+	for i, r := range responses {
+		out[i] = max(r.GetPace(), 1)
+		slow = slow || out[i] > slowPace
+	}
+	if !slow {
+		return nil
+	}
+	return out
+}
+
 // mapInForce puts together the map from the experts that each rank has in use.
 func mapInForce(t *experts.Topology, layers int, reports []*pb.ReadRankResponse) (*experts.Map, error) {
 	m := &experts.Map{Layers: make([]experts.Layer, layers)}
--- a/rankgroup/experts/layout.go
+++ b/rankgroup/experts/layout.go
@@ -15,6 +15,10 @@
 	rankLoad []float64
 	// frozen is the set of ranks whose slots may not change.
 	frozen uint64
+	// handicap is added to the load of each rank, nil without slow ranks. It is
+	// chosen such that ranks of equal load, handicap included, take equally
+	// long.
+	handicap []float64
 	// domainOf maps a rank to the set of ranks in its failure domain.
 	domainOf []uint64
 	// risk is the part by which the load of a replica as large as a mean rank
@@ -41,10 +45,28 @@
 	w.rankLoad = make([]float64, t.Ranks())
 	w.replicaLoad = make([]replicaLoad, t.Experts)
 	w.domainOf = domainSets(t)
+	w.handicap = handicaps(t, sum(load))
 	w.recompute()
 	return w
 }
 
+// handicaps returns the handicap of each rank. With paces p and a load L, ranks
+// are balanced if rank r carries m/p[r], where m is L over the sum of all 1/p.
+func handicaps(t *Topology, load float64) []float64 {
+	if t.Pace == nil {
+		return nil
+	}
+	speed := 0.0
+	for _, p := range t.Pace {
+		speed += 1 / max(p, 1)
+	}
+	out := make([]float64, len(t.Pace))
+	for r, p := range t.Pace {
+		out[r] = load / speed * (1 - 1/max(p, 1))
+	}
+	return out
+}
+
 func domainSets(t *Topology) []uint64 {
 	byName := make(map[string]uint64)
 	for rank, d := range t.Domains {
@@ -62,6 +84,7 @@
 func (w *layout) recompute() {
 	clear(w.hosts)
 	clear(w.rankLoad)
+	copy(w.rankLoad, w.handicap)
 	for slot, e := range w.slots {
 		if e != Empty {
 			w.hosts[e] |= 1 << w.topo.RankOf(slot)
--- a/rankgroup/experts/replan.go
+++ b/rankgroup/experts/replan.go
@@ -33,7 +33,7 @@
 
 // packTarget returns the rank load at which the search stops.
 func packTarget(t *Topology, load []float64) float64 {
-	mean := sum(load) / float64(t.Ranks())
+	mean := (sum(load) + sum(handicaps(t, sum(load)))) / float64(t.Ranks())
 	return mean * LowerBound(t, load) * (1 + PackTolerance)
 }
 
--- a/rankgroup/experts/types.go
+++ b/rankgroup/experts/types.go
@@ -41,6 +41,9 @@
 	// rank; 0 means no bound. Some engines have room for a few experts beside
 	// those in use.
 	MaxNewPerRank int
+	// Pace is how much longer each rank takes for the same work, 1 for a usual
+	// one; nil if all are equal. A slow rank gets less load.
+	Pace []float64
 }
 
 // Ranks returns the number of ranks.
