Free a held group whose holder vanished; no work for broken groups

Ruled out: a shorter tenure (the new holder can't reach the rank either); releasing by direct calls (the frozen machine doesn't answer, 11 of 12 ranks read, in the debug log).

Change: the hold rests on another machine than the holder's and is ordered directly; the holder's own rank is armed last; any agent whose rank stands still with work finishes the switch, or undoes it while the holder's rank can't have been armed. An order to arm without an answer forbids that. A gateway that learns that a group is broken sends it one request each 0.4 s and tells callers to come back as late as they heed. A 421 reads the list of servers at once. A refusal after an attempt that may have run no longer says that the request did not run.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -39,7 +39,7 @@
 	meanSmoothing = 0.1
 	// minRetryAfter and maxRetryAfter bound the advice to a refused caller.
 	minRetryAfter = 150 * time.Millisecond
-	maxRetryAfter = 2500 * time.Millisecond
+	maxRetryAfter = 2600 * time.Millisecond
 	// retryJitter spreads the return of callers that are refused together.
 	retryJitter = 0.25
 )
@@ -102,8 +102,10 @@
 	// pace is the smoothed time of a request relative to the mean.
 	pace    float64
 	pacedAt time.Time
-	// held is until when the server gets no work, banned that it gets none.
+	// held is until when the server gets work only if all others are held too,
+	// down until when it gets none, and banned that it never gets any.
 	held   time.Time
+	down   time.Time
 	banned bool
 	listed bool
 }
@@ -195,7 +197,7 @@
 		}
 	}
 	if s.pick(now, r.Exclude, false) == nil {
-		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no other backend server is left"))}
+		return nil, []Outcome[T]{s.refuseUnserved(now, r.Value)}
 	}
 	s.queue.SetRate(s.rate())
 	ticket, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
@@ -230,8 +232,7 @@
 			picked = s.pick(now, t.Value.exclude, false)
 		}
 		if picked == nil {
-			err := errkind.New(errkind.NoBackendServer, "no other backend server is left")
-			out = append(out, s.refuse(t.Value.value, err))
+			out = append(out, s.refuseUnserved(now, t.Value.value))
 			continue
 		}
 		out = append(out, s.start(picked, t.Value.value))
@@ -282,6 +283,14 @@
 	}
 }
 
+// Down keeps all work away from a server until a time: it is known that it can't
+// serve. After that, the next request finds out.
+func (s *Scheduler[T]) Down(id string, until time.Time) {
+	if known, ok := s.servers[id]; ok && until.After(known.down) {
+		known.down = until
+	}
+}
+
 // Ban keeps all work away from a server for as long as it is listed: its
 // address belongs to another one now.
 func (s *Scheduler[T]) Ban(id string) {
@@ -299,6 +308,19 @@
 	return Outcome[T]{Value: value, Err: err.WithRetryAfter(s.retryAfter())}
 }
 
+// refuseUnserved refuses a request that no server can take. While servers are
+// down, callers that come back soon are refused again, so they are sent away for
+// as long as they heed.
+func (s *Scheduler[T]) refuseUnserved(now time.Time, value T) Outcome[T] {
+	for _, id := range s.order {
+		if s.servers[id].down.After(now) {
+			err := errkind.New(errkind.NoBackendServer, "the backend servers are down")
+			return Outcome[T]{Value: value, Err: err.WithRetryAfter(maxRetryAfter)}
+		}
+	}
+	return s.refuse(value, errkind.New(errkind.NoBackendServer, "no other backend server is left"))
+}
+
 // retryAfter predicts when a place is free: the work that waits here first,
 // then half of a usual request.
 func (s *Scheduler[T]) retryAfter() time.Duration {
@@ -338,7 +360,7 @@
 	ties := 0
 	for _, id := range s.order {
 		c := s.servers[id]
-		if c.banned || c.held.After(now) != held || slices.Contains(exclude, id) {
+		if c.banned || c.down.After(now) || c.held.After(now) != held || slices.Contains(exclude, id) {
 			continue
 		}
 		if room && c.load() >= c.Slots+s.config.Depth {
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -49,6 +49,7 @@
 		if err == nil {
 			return nil
 		}
+		err = r.noteExecution(err)
 		d := svc.decideRetry(clock.Now(), retry.Attempt{
 			Err:           err,
 			Number:        r.trace.attempts,
@@ -69,6 +70,19 @@
 	}
 }
 
+// noteExecution keeps in mind that an attempt may have run. A later failure that
+// proves that its own attempt did not run says nothing about the earlier one.
+func (r *request) noteExecution(err error) error {
+	e := *errkind.Of(err)
+	if e.Execution != errkind.NotRun {
+		r.trace.mayHaveRun = true
+	}
+	if r.trace.mayHaveRun {
+		e.Execution = errkind.Unknown
+	}
+	return &e
+}
+
 // wait reports whether the context still stood after d.
 func wait(ctx context.Context, d time.Duration) bool {
 	sleep(ctx, d)
@@ -145,11 +159,10 @@
 	began  time.Time
 	conn   *upstream.Conn
 	answer platform.Answer
-	// full and moved say why the server refused; innocent that a failure says
-	// nothing about it.
-	full     bool
-	moved    bool
-	innocent bool
+	// full, moved and groupDown say why the server refused.
+	full      bool
+	moved     bool
+	groupDown bool
 }
 
 // run sends the request and relays the answer. The error tells what is known
@@ -234,7 +247,10 @@
 	x.keepAfter(resp)
 	x.moved = x.answer.WrongServer
 	x.full = !x.moved && x.answer.ServerAtFault == ""
-	x.innocent = x.answer.ServerAtFault != ""
+	x.groupDown = x.answer.ServerAtFault != ""
+	if x.moved {
+		x.g.kickServers()
+	}
 	err := errkind.New(errkind.BackendUnavailable, "the server did not run it, status %d, at fault %q",
 		resp.StatusCode, x.answer.ServerAtFault)
 	return err.WithRetryAfter(unreachableRetryAfter)
@@ -273,10 +289,10 @@
 
 func (x *exchange) result(err error) result {
 	now := clock.Now()
-	res := result{server: x.server.ID, full: x.full, moved: x.moved, innocent: x.innocent}
+	res := result{server: x.server.ID, full: x.full, moved: x.moved, groupDown: x.groupDown}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.innocent = res.innocent || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.innocent = errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.took, res.cost = now.Sub(x.began), x.r.cost()
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -22,6 +22,8 @@
 	// a read it stays within the 2 s after which a leaving server gets no new
 	// work.
 	serverInterval = time.Second
+	// minServerInterval is the same after a sign that the list is out of date.
+	minServerInterval = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call. All
 	// instances come at once when the store returns, so it is jittered.
 	minBackoff = 60 * time.Millisecond
@@ -162,9 +164,9 @@
 }
 
 // FollowServers keeps the registered servers of view up to date until ctx ends.
-// changed is called after each change.
+// changed is called after each reading; kick asks for an early one.
 func FollowServers(
-	ctx context.Context, store *platform.Store, view *View, log zerolog.Logger, changed func(),
+	ctx context.Context, store *platform.Store, view *View, log zerolog.Logger, kick <-chan struct{}, changed func(),
 ) error {
 	f := newTopicFollower(store, platform.ServerTopic, log)
 	var removals pendingRemovals
@@ -182,7 +184,12 @@
 			removals.apply(s, changes, u.whole, u.received, log)
 		})
 		changed()
-		sleep(ctx, serverInterval)
+		sleep(ctx, minServerInterval)
+		select {
+		case <-kick:
+		case <-ctx.Done():
+		case <-time.After(serverInterval - minServerInterval):
+		}
 	}
 	return nil
 }
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -37,6 +37,8 @@
 	aborted context.Context
 	abort   context.CancelFunc
 	leaving atomic.Bool
+	// kick asks for an early reading of the servers.
+	kick chan struct{}
 }
 
 // New returns a gateway that knows nothing of the deployment yet.
@@ -51,6 +53,7 @@
 		metrics:  metrics,
 		log:      log,
 		lines:    newLineLimiter(clock.Now),
+		kick:     make(chan struct{}, 1),
 		aborted:  aborted,
 		abort:    abort,
 	}
@@ -58,6 +61,15 @@
 	return g
 }
 
+// kickServers asks for an early reading of the servers, after a sign that the
+// list is out of date.
+func (g *Gateway) kickServers() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
 // retryConfig derives this gateway's part of the retry budget that all share.
 func retryConfig(b platform.Bounds) retry.Config {
 	return retry.Config{
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -64,6 +64,8 @@
 	decision retry.Reason
 	outcome  string
 	status   int
+	// mayHaveRun says that a server may have run the request.
+	mayHaveRun bool
 }
 
 // labels returns the labels of the request in metrics.
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -47,6 +47,9 @@
 	// firstSmoothing is the weight of an answer in the mean time to the first
 	// part of one.
 	firstSmoothing = 0.05
+	// downTime keeps work away from a rank group that is broken. Each gateway
+	// sends it one request after this time and so learns that it is open again.
+	downTime = 400 * time.Millisecond
 	// fullHold keeps work away from a server that refused for lack of room.
 	fullHold = 100 * time.Millisecond
 )
@@ -60,6 +63,8 @@
 	outliers  *membership.Outliers
 	budget    *retry.Budget
 	rng       *rand.Rand
+	// groups holds the rank group of each server.
+	groups map[string]string
 	// progressed is when any server last sent a part of an answer.
 	progressed time.Time
 	// meanFirst is the smoothed time to the first part of an answer.
@@ -113,6 +118,10 @@
 		byID[l.ID] = l
 		candidates = append(candidates, membership.Server{Instance: infra.Instance{ID: l.ID}})
 	}
+	s.groups = make(map[string]string, len(list))
+	for _, l := range list {
+		s.groups[l.ID] = l.Group
+	}
 	s.outliers.Retain(func(id string) bool { return known[id] })
 	var kept []placement.Server
 	for _, c := range s.outliers.Keep(now, candidates) {
@@ -225,6 +234,8 @@
 	// server has its address.
 	full  bool
 	moved bool
+	// groupDown says that the rank group of the server is broken.
+	groupDown bool
 	// innocent says that the failure isn't one of the server.
 	innocent bool
 }
@@ -242,6 +253,8 @@
 		s.outliers.Succeeded(r.server)
 	case r.moved:
 		s.scheduler.Ban(r.server)
+	case r.groupDown:
+		s.suspendGroup(now, s.groups[r.server])
 	case r.full:
 		s.scheduler.Hold(r.server, now.Add(fullHold))
 		s.budget.Overloaded(now)
@@ -252,6 +265,15 @@
 	s.deliver(s.scheduler.Step(now))
 }
 
+// suspendGroup keeps work away from the ranks of a broken group.
+func (s *service) suspendGroup(now time.Time, group string) {
+	for id, g := range s.groups {
+		if g == group && group != "" {
+			s.scheduler.Down(id, now.Add(downTime))
+		}
+	}
+}
+
 // notePace compares the time to the first part of an answer with the mean.
 func (s *service) notePace(now time.Time, server string, first time.Duration) {
 	if s.meanFirst > 0 {
--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -31,6 +31,12 @@
 	epoch   int64
 	version int64
 	cached  bool
+	// fence is the highest fencing token of an order that passed here, and holder
+	// the rank beside the holder that gave it.
+	fence  int64
+	holder uint32
+	// unsettled is an order to arm the rank that got no answer.
+	unsettled switchover.Order
 }
 
 type identity struct {
@@ -62,6 +68,7 @@
 	}
 	a.note(s)
 	r := encodeState(s)
+	a.addOrders(r)
 	layers, err := a.inUse(ctx, s)
 	if err != nil {
 		return nil, err
@@ -131,13 +138,43 @@
 			m.GetRank(), m.GetGroup(), rank, group)
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	reply, err := a.rank.Order(ctx, decodeOrder(m), m.GetFence(), decodeLayers(m))
+	a.noteFence(m.GetFence(), m.GetHolder())
+	o := decodeOrder(m)
+	reply, err := a.rank.Order(ctx, o, m.GetFence(), decodeLayers(m))
 	if err != nil {
+		a.noteUnsettled(o)
 		return nil, connect.NewError(errkind.Of(err).Kind.Answer().Connect, err)
 	}
 	return connect.NewResponse(&pb.OrderRankResponse{Accepted: reply.Accepted, Fenced: reply.Fenced}), nil
 }
 
+func (a *Agent) noteFence(fence int64, holder uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if fence >= a.fence {
+		a.fence, a.holder = fence, holder
+	}
+}
+
+func (a *Agent) noteUnsettled(o switchover.Order) {
+	if o.Kind != switchover.ArmFor {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unsettled = o
+}
+
+// addOrders adds what is known of the orders that passed here.
+func (a *Agent) addOrders(r *pb.ReadRankResponse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.Fence, r.Holder = a.fence, a.holder
+	if u := a.unsettled; u.Epoch == r.GetEpoch() && u.Step > r.GetStep() {
+		r.Unsettled = u.Step
+	}
+}
+
 func encodeState(s platform.RankState) *pb.ReadRankResponse {
 	r := &pb.ReadRankResponse{
 		Group: s.Group, Rank: uint32(s.Report.Rank), Size: uint32(s.Size), Born: s.Born, Pace: s.Pace,
@@ -169,10 +206,13 @@
 	switchover.Release: pb.RankOrderKind_RANK_ORDER_KIND_RELEASE,
 }
 
-func encodeOrder(group string, o switchover.Order, fence int64, t *experts.Topology) *pb.OrderRankRequest {
+func encodeOrder(
+	group string, o switchover.Order, giver giver, t *experts.Topology,
+) *pb.OrderRankRequest {
 	m := &pb.OrderRankRequest{
 		Group: group, Rank: uint32(o.Rank), Kind: orderKinds[o.Kind],
-		Epoch: o.Epoch, Version: o.Version, Step: o.Step, Fence: fence,
+		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
+		Fence: giver.fence, Holder: giver.holder,
 	}
 	if o.Map == nil {
 		return m
--- a/daemons/rankagent/module.go
+++ b/daemons/rankagent/module.go
@@ -22,10 +22,6 @@
 const Role = "rankagent"
 
 const (
-	// identityInterval is the time between attempts to read which rank this
-	// agent stands beside, and identityRefresh between checks of it.
-	identityInterval = 500 * time.Millisecond
-	identityRefresh  = 2 * time.Second
 	// peerIdle is how long a connection to another agent stays open unused.
 	peerIdle      = 30 * time.Second
 	headerTimeout = 2 * time.Second
@@ -83,19 +79,24 @@
 }
 
 func lead(lc fx.Lifecycle, o Options, agent *Agent, e *election, store *platform.Store) {
-	daemon.Start(lc, o.Log, daemon.Duty{Name: "identity", Run: agent.identify})
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "election", Run: func(ctx context.Context) error {
 		return e.run(ctx, func() string {
 			group, _, _ := agent.Identity()
 			return group
 		})
 	}})
-	h := &holder{
-		agent: agent, election: e, store: store, service: o.Settings.BackendService,
-		port: o.Settings.PeerPort, log: o.Log, client: peerClient(), planner: newPlanner(),
-		peers: make(map[int]peer), domains: make(map[int]string),
-	}
+	h := &holder{group: newGroup(o, agent, store), agent: agent, election: e, log: o.Log, planner: newPlanner()}
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "lead the group", Run: h.run})
+	r := &rescuer{agent: agent, rank: agent.rank, group: newGroup(o, agent, store), log: o.Log}
+	daemon.Start(lc, o.Log, daemon.Duty{Name: "watch the rank", Run: r.run})
+}
+
+func newGroup(o Options, agent *Agent, store *platform.Store) *group {
+	return &group{
+		agent: agent, store: store, service: o.Settings.BackendService, port: o.Settings.PeerPort,
+		log: o.Log, client: peerClient(), peers: make(map[int]peer), domains: make(map[int]string),
+		ordered: make(map[int]time.Time),
+	}
 }
 
 func peerClient() *http.Client {
@@ -105,19 +106,3 @@
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: peerIdle,
 	}}
 }
-
-// identify reads which rank this agent stands beside, and notices when the
-// server there was replaced.
-func (a *Agent) identify(ctx context.Context) error {
-	for ctx.Err() == nil {
-		s, err := a.rank.State(ctx)
-		if err != nil || s.Group == "" {
-			a.log.Debug().Err(err).Msg("rank not known")
-			sleep(ctx, identityInterval)
-			continue
-		}
-		a.note(s)
-		sleep(ctx, identityRefresh)
-	}
-	return nil
-}
--- /dev/null
+++ b/daemons/rankagent/rescue.go
@@ -0,0 +1,143 @@
+package rankagent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/base/clock"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/switchover"
+)
+
+const (
+	// watchInterval is the time between looks at the own rank.
+	watchInterval = 200 * time.Millisecond
+	// stuckAfter is how long a rank with work may begin no step before its agent
+	// suspects that the group is held without a holder. The usual step takes a
+	// quarter of it, and a holder finishes a switch well within it.
+	stuckAfter = 380 * time.Millisecond
+	// stagger puts off the agents of higher ranks, so that one of them acts.
+	stagger = 60 * time.Millisecond
+	// rescueRounds bounds one try.
+	rescueRounds = 25
+	// rescuePause is the time to the next try.
+	rescuePause = 300 * time.Millisecond
+)
+
+// rescuer frees a group that is held while its holder is gone or frozen. Any
+// agent may finish a switch: the orders that do so follow from the reports of
+// the ranks alone, so two agents that give them do no harm.
+type rescuer struct {
+	agent *Agent
+	rank  *platform.Rank
+	group *group
+	log   zerolog.Logger
+
+	step    int64
+	movedAt time.Time
+}
+
+// run watches the own rank until ctx ends.
+func (r *rescuer) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, watchInterval)
+		s, err := r.rank.State(ctx)
+		if err != nil || s.Group == "" {
+			continue // the agent logs what it reads of its rank
+		}
+		r.agent.note(s)
+		if !r.stuck(clock.Now(), s) {
+			continue
+		}
+		sleep(ctx, time.Duration(s.Report.Rank)*stagger)
+		r.rescue(ctx)
+		sleep(ctx, rescuePause)
+	}
+	return nil
+}
+
+// stuck reports whether a rank with work begins no steps.
+func (r *rescuer) stuck(now time.Time, s platform.RankState) bool {
+	if s.Report.Step != r.step || s.Active == 0 || !s.Report.Open {
+		r.step, r.movedAt = s.Report.Step, now
+		return false
+	}
+	return now.Sub(r.movedAt) >= stuckAfter
+}
+
+// rescue finishes the switch of a held group. It does nothing in a group that
+// stalls for another reason.
+func (r *rescuer) rescue(ctx context.Context) {
+	if err := r.group.refresh(ctx, len(r.group.peers) == 0); err != nil {
+		r.log.Debug().Err(err).Msg("members of the group not read")
+	}
+	engine := r.group.engine
+	if engine == nil || engine.Experts == nil {
+		return
+	}
+	_, own, size := r.agent.Identity()
+	c := switchover.New(switchover.Config{Own: own, HoldAt: own, Ranks: size, Lead: leadSteps})
+	t := topology(engine.Experts, r.group.domainList())
+	began := clock.Now()
+	for range rescueRounds {
+		if ctx.Err() != nil || !r.round(ctx, c, t) {
+			break
+		}
+		sleep(ctx, switchInterval)
+	}
+	if phase := c.Phase(); phase != switchover.Blind {
+		r.log.Warn().Str("phase", phase.String()).Dur("took_ms", clock.Now().Sub(began)).Msg("group that stood still was looked at")
+	}
+}
+
+// round gives the next orders and reports whether more may follow.
+func (r *rescuer) round(ctx context.Context, c *switchover.Coordinator, t *experts.Topology) bool {
+	responses := r.group.readAll(ctx, reached{})
+	by, unsettled := lastHolder(responses)
+	if len(responses) == t.Ranks()-1 && !has(responses, by.holder) && !unsettled {
+		orders := c.Undo(reportsOf(responses))
+		r.group.give(ctx, c, orders, t, by, reached{})
+		return len(orders) > 0
+	}
+	how := reached{direct: true}
+	if len(responses) < t.Ranks() {
+		responses = r.group.readAll(ctx, how)
+	}
+	inForce, err := r.group.merge(t, responses)
+	if err != nil {
+		r.log.Debug().Err(err).Msg("ranks not read")
+		return true
+	}
+	reports := reportsOf(responses)
+	newest := int64(0)
+	for _, report := range reports {
+		newest = max(newest, report.InForce, report.Prepared)
+	}
+	orders := c.Next(reports, inForce, newest+versionGap)
+	if c.Phase() == switchover.Idle {
+		return false
+	}
+	r.group.give(ctx, c, orders, t, by, how)
+	return true
+}
+
+// lastHolder returns the holder that gave the newest orders, and whether an order
+// to arm a rank got no answer.
+func lastHolder(responses []*pb.ReadRankResponse) (by giver, unsettled bool) {
+	for _, r := range responses {
+		if r.GetFence() > by.fence {
+			by = giver{fence: r.GetFence(), holder: r.GetHolder()}
+		}
+		unsettled = unsettled || r.GetUnsettled() > 0
+	}
+	return by, unsettled
+}
+
+func has(responses []*pb.ReadRankResponse, rank uint32) bool {
+	return slices.ContainsFunc(responses, func(r *pb.ReadRankResponse) bool { return r.GetRank() == rank })
+}
--- a/rankgroup/switchover/switchover.go
+++ b/rankgroup/switchover/switchover.go
@@ -2,14 +2,18 @@
 // next where the ranks can be armed for a step and can hold the group at one.
 //
 // A holder reads all ranks, and derives the next orders from what they report
-// alone. It has the experts of the new map copied to every rank, has its own
-// rank hold the group at a step ahead, arms every rank for that step, and
-// releases the group when each rank has confirmed that it is armed. Two rules
-// keep all ranks on one map:
+// alone. It has the experts of the new map copied to every rank, has a rank on
+// another machine hold the group at a step ahead, arms every rank for that step,
+// its own one last, and releases the group when each rank has confirmed that it
+// is armed. Two rules keep all ranks on one map:
 //
 //   - a rank is armed only while the group is held at that step;
 //   - a hold is released only when all ranks are armed for that step with the
-//     same version.
+//     same version, or when none is and none can be.
+//
+// The holder's own rank is the last to be armed, and the hold is elsewhere, so
+// that the others can undo a switch whose holder vanished together with the way
+// to its rank.
 //
 // An order may be lost, and may be carried out long after it was sent. It then
 // meets a group that has passed the step, has a newer version prepared or is in
@@ -87,8 +91,10 @@
 
 // Config holds the parameters of a Coordinator.
 type Config struct {
-	// Own is the rank on the same machine, at which the group is held.
+	// Own is the rank on the same machine.
 	Own int
+	// HoldAt is the rank at which the group is held, on another machine.
+	HoldAt int
 	// Ranks is the number of ranks of the group.
 	Ranks int
 	// Lead is the number of steps between the newest step and the one at which
@@ -266,14 +272,48 @@
 	}
 	c.phase = Arming
 	var out []Order
-	for _, r := range reports {
-		if r.Armed == nil {
+	last := -1
+	for i, r := range reports {
+		switch {
+		case r.Armed != nil:
+		case r.Rank == c.config.Own:
+			last = i
+		default:
 			out = append(out, Order{Rank: r.Rank, Kind: ArmFor, Epoch: r.Epoch, Version: prepared, Step: held})
 		}
 	}
+	if len(out) == 0 && last >= 0 {
+		r := reports[last]
+		out = append(out, Order{Rank: r.Rank, Kind: ArmFor, Epoch: r.Epoch, Version: prepared, Step: held})
+	}
 	return out
 }
 
+// Undo returns the orders that free a held group whose holder vanished together
+// with the way to its rank, the only one that reports lacks. That rank is armed
+// only after all others, so it isn't as long as one of them isn't. No order to
+// arm a rank may be without an answer.
+func (c *Coordinator) Undo(reports []Report) []Order {
+	c.phase = Blind
+	if len(reports) != c.config.Ranks-1 || len(reports) == 0 || c.underWay(reports) {
+		return nil
+	}
+	for _, r := range reports {
+		if !r.Open || r.Epoch != reports[0].Epoch {
+			return nil
+		}
+	}
+	switch armed := countArmed(reports); {
+	case armed == len(reports):
+		// Its own rank may be armed as well.
+		return nil
+	case armed > 0:
+		return c.disarm(reports)
+	default:
+		return c.release(reports)
+	}
+}
+
 // superseded reports whether a rank has a version prepared that another holder
 // issued after the target.
 func (c *Coordinator) superseded(reports []Report) bool {
@@ -302,7 +342,7 @@
 	for _, r := range reports {
 		newest = max(newest, r.Step)
 	}
-	return []Order{{Rank: c.config.Own, Kind: HoldAt, Epoch: c.epoch, Step: newest + c.config.Lead}}
+	return []Order{{Rank: c.config.HoldAt, Kind: HoldAt, Epoch: c.epoch, Step: newest + c.config.Lead}}
 }
 
 // prepare asks the ranks that have not begun to copy.
