--- /dev/null
+++ b/balance/placement/placement_test.go
@@ -0,0 +1,242 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/balance/placement"
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
+)
+
+var start = time.Unix(1000, 0)
+
+func scheduler(servers, slots int) *placement.Scheduler[int] {
+	s := placement.New[int](placement.Config{
+		FailureDomain: "a", Depth: 1, QueueCapacity: 64,
+		Classes: []fairqueue.Class{{Name: "urgent"}, {Name: "usual", Reserve: 0.1}},
+	}, rand.New(rand.NewPCG(1, 2)))
+	s.SetServers(list(servers, slots))
+	return s
+}
+
+func list(servers, slots int) []placement.Server {
+	var out []placement.Server
+	for i := range servers {
+		out = append(out, placement.Server{ID: fmt.Sprintf("s%d", i), FailureDomain: "a", Slots: slots})
+	}
+	return out
+}
+
+func request(value int) placement.Request[int] {
+	return placement.Request[int]{Class: "usual", Organisation: "o", Cost: 100, MaxWait: 200 * time.Millisecond, Value: value}
+}
+
+// place places a request that is expected to start at once.
+func place(t *testing.T, s *placement.Scheduler[int], now time.Time, r placement.Request[int]) string {
+	t.Helper()
+	ticket, out := s.Place(now, r)
+	require.Nil(t, ticket)
+	require.Len(t, out, 1)
+	require.Nil(t, out[0].Err)
+	return out[0].Server
+}
+
+// Guards against a gateway that counts only its own requests: the others' load
+// decides as well.
+func TestPicksLeastLoadOverAllGateways(t *testing.T) {
+	s := scheduler(3, 4)
+	s.SetOthers(map[string]int{"s0": 3, "s1": 1, "s2": 2})
+	require.Equal(t, "s1", place(t, s, start, request(1)))
+	s.SetOthers(map[string]int{"s0": 0, "s1": 3, "s2": 3})
+	require.Equal(t, "s0", place(t, s, start, request(2)))
+}
+
+// Replays a burst of twice the capacity. Guards against requests that wait longer
+// than an answer is worth, against refusals without a time to come back, and
+// against free places while requests wait.
+func TestBurst(t *testing.T) {
+	const servers, slots, service = 4, 6, 400 * time.Millisecond
+	s := scheduler(servers, slots)
+	type run struct {
+		server string
+		ends   time.Time
+	}
+	var running []run
+	waiting := map[int]time.Time{}
+	served, refused := 0, 0
+	note := func(now time.Time, out []placement.Outcome[int]) {
+		for _, o := range out {
+			if since, ok := waiting[o.Value]; ok {
+				require.LessOrEqual(t, now.Sub(since), 210*time.Millisecond)
+				delete(waiting, o.Value)
+			}
+			if o.Err != nil {
+				refused++
+				require.Equal(t, errkind.NotRun, o.Err.Execution)
+				require.GreaterOrEqual(t, o.Err.RetryAfter, 150*time.Millisecond)
+				continue
+			}
+			running = append(running, run{o.Server, now.Add(service)})
+		}
+	}
+	for ms := range 4000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		var still []run
+		for _, r := range running {
+			if now.Before(r.ends) {
+				still = append(still, r)
+				continue
+			}
+			s.Finished(r.server, service, 100)
+			served++
+		}
+		running = still
+		note(now, s.Step(now))
+		if ms%8 == 0 { // 125 requests a second at a capacity of 60 and 10 more in depth
+			ticket, out := s.Place(now, request(ms))
+			if ticket != nil {
+				waiting[ms] = now
+			}
+			note(now, out)
+		}
+		if len(waiting) > 0 {
+			inFlight, _ := s.Load()
+			require.Equal(t, servers*(slots+1), inFlight, "a place is free while requests wait")
+		}
+	}
+	require.Greater(t, served, 240, "of 280 that the capacity allows")
+	require.Greater(t, refused, 150)
+}
+
+// Guards against urgent work behind a queue of other work, and against a lower
+// class that is never served.
+func TestUrgentFirstWithoutStarvation(t *testing.T) {
+	s := scheduler(1, 1)
+	busy := []string{place(t, s, start, request(0)), place(t, s, start, request(1))}
+	usual, urgent := request(2), request(3)
+	urgent.Class = "urgent"
+	for _, r := range []placement.Request[int]{usual, urgent} {
+		ticket, out := s.Place(start, r)
+		require.NotNil(t, ticket)
+		require.Empty(t, out)
+	}
+	s.Finished(busy[0], time.Second, 100)
+	out := s.Step(start.Add(time.Millisecond))
+	require.Len(t, out, 1)
+	require.Equal(t, 3, out[0].Value)
+
+	s = scheduler(1, 1)
+	server := place(t, s, start, request(0))
+	place(t, s, start, request(1))
+	usualServed := 0
+	for i := 2; i < 400; i++ {
+		for _, class := range []string{"urgent", "usual"} {
+			r := request(i)
+			r.Class, r.MaxWait = class, time.Hour
+			if class == "usual" {
+				r.Value = -i
+			}
+			s.Place(start, r)
+		}
+		s.Finished(server, time.Millisecond, 100)
+		for _, o := range s.Step(start) {
+			if o.Err == nil && o.Value < 0 {
+				usualServed++
+			}
+		}
+	}
+	require.Greater(t, usualServed, 20, "of 400 places, a tenth is reserved")
+}
+
+// Replays the loss of a third of the servers. Guards against work for servers
+// that fail while others are left, and against none when all are held.
+func TestHeldServersAreTheLastResort(t *testing.T) {
+	s := scheduler(3, 4)
+	s.Hold("s0", start.Add(time.Second))
+	for i := range 6 {
+		require.NotEqual(t, "s0", place(t, s, start, request(i)))
+	}
+	s.Hold("s1", start.Add(time.Second))
+	s.Hold("s2", start.Add(time.Second))
+	require.NotEmpty(t, place(t, s, start, request(7)))
+	s.Ban("s0")
+	s.Ban("s1")
+	for i := range 2 {
+		require.Equal(t, "s2", place(t, s, start, request(10+i)))
+	}
+}
+
+// Replays a rank group that is broken. Guards against requests that are sent
+// into it, and against callers that come back before it can be open.
+func TestServersThatAreDownGetNothing(t *testing.T) {
+	s := scheduler(2, 4)
+	s.Down("s0", start.Add(400*time.Millisecond))
+	s.Down("s1", start.Add(400*time.Millisecond))
+	ticket, out := s.Place(start, request(1))
+	require.Nil(t, ticket)
+	require.True(t, errkind.Is(out[0].Err, errkind.NoBackendServer))
+	require.Greater(t, out[0].Err.RetryAfter, 2*time.Second)
+	require.NotEmpty(t, place(t, s, start.Add(500*time.Millisecond), request(2)))
+}
+
+// Replays a slow replica. Guards against an equal share for a server that takes
+// five times as long, and against one that is never tried again.
+func TestSlowServerGetsLess(t *testing.T) {
+	s := scheduler(3, 4)
+	for range 20 {
+		s.Paced(start, "s0", 5)
+		s.Paced(start, "s1", 1)
+		s.Paced(start, "s2", 1)
+	}
+	count := map[string]int{}
+	for i := range 6 {
+		count[place(t, s, start, request(i))]++
+	}
+	require.LessOrEqual(t, count["s0"], 1)
+	late := start.Add(time.Minute)
+	for i := range 6 {
+		count[place(t, s, late, request(10+i))]++
+	}
+	require.GreaterOrEqual(t, count["s0"], 3, "the pace has faded")
+}
+
+// Guards against a retry on the server that failed before.
+func TestExcludesTriedServers(t *testing.T) {
+	s := scheduler(2, 4)
+	r := request(1)
+	r.Exclude = []string{"s0"}
+	for range 3 {
+		require.Equal(t, "s1", place(t, s, start, r))
+	}
+	r.Exclude = []string{"s0", "s1"}
+	_, out := s.Place(start, r)
+	require.True(t, errkind.Is(out[0].Err, errkind.NoBackendServer))
+}
+
+// Guards against places that stay taken after a server left the list.
+func TestServerThatLeftIsForgotten(t *testing.T) {
+	s := scheduler(2, 1)
+	first := place(t, s, start, request(1))
+	s.SetServers(nil)
+	s.Finished(first, time.Second, 1)
+	s.SetServers(list(2, 1))
+	inFlight, slots := s.Load()
+	require.Zero(t, inFlight)
+	require.Equal(t, 2, slots)
+}
+
+// Guards against a cancelled request that takes a place later.
+func TestCancel(t *testing.T) {
+	s := scheduler(1, 1)
+	server := place(t, s, start, request(0))
+	place(t, s, start, request(1))
+	ticket, _ := s.Place(start, request(2))
+	require.True(t, s.Cancel(ticket))
+	s.Finished(server, time.Second, 1)
+	require.Empty(t, s.Step(start))
+}
--- /dev/null
+++ b/serve/eventstream/eventstream_test.go
@@ -0,0 +1,128 @@
+package eventstream_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/eventstream"
+)
+
+func split(t require.TestingT, parts ...string) (events []string, ids []string, rest int) {
+	var s eventstream.Splitter
+	for _, p := range parts {
+		s.Write([]byte(p))
+		for {
+			e, ok, err := s.Next()
+			require.NoError(t, err)
+			if !ok {
+				break
+			}
+			events = append(events, string(e.Raw))
+			ids = append(ids, e.ID)
+		}
+	}
+	return events, ids, s.Rest()
+}
+
+// Guards against events that depend on how the stream was cut into reads.
+func TestSplitAnywhere(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\nx-weights: 3\nid: 3\ndata: c\n\nid: 4\nda"
+	want := []string{"id: 1\ndata: a\n\n", "id:2\r\ndata: b\r\n\r\n", "x-weights: 3\nid: 3\ndata: c\n\n"}
+	rapid.Check(t, func(t *rapid.T) {
+		var parts []string
+		rest := stream
+		for rest != "" {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
+			parts = append(parts, rest[:n])
+			rest = rest[n:]
+		}
+		events, ids, left := split(t, parts...)
+		require.Equal(t, want, events)
+		require.Equal(t, []string{"1", "2", "3"}, ids)
+		require.Equal(t, len("id: 4\nda"), left)
+	})
+}
+
+// Guards against memory without bound for a stream without an end of event.
+func TestEventTooLarge(t *testing.T) {
+	var s eventstream.Splitter
+	s.Write([]byte(strings.Repeat("x", eventstream.MaxEventBytes+1)))
+	_, _, err := s.Next()
+	require.True(t, errkind.Is(err, errkind.StreamIncomplete))
+}
+
+func event(id string) eventstream.Event { return eventstream.Event{ID: id} }
+
+// Guards against an event that the caller gets twice, or never, when a stream
+// goes on at another server.
+func TestProgress(t *testing.T) {
+	p := eventstream.NewProgress("")
+	for _, id := range []string{"1", "2", "3"} {
+		ok, err := p.Accept(event(id))
+		require.NoError(t, err)
+		require.True(t, ok)
+	}
+	require.Equal(t, "3", p.LastID())
+	ok, err := p.Accept(event("3"))
+	require.NoError(t, err)
+	require.False(t, ok)
+	_, err = p.Accept(event("5"))
+	require.True(t, errkind.Is(err, errkind.StreamIncomplete))
+	ok, err = p.Accept(event("4"))
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, 4, p.Events())
+}
+
+// Guards against a resumed request whose first events are dropped or refused.
+func TestProgressOfResumedRequest(t *testing.T) {
+	p := eventstream.NewProgress("12")
+	require.Equal(t, "12", p.LastID())
+	for id, want := range map[string]bool{"12": false} {
+		ok, err := p.Accept(event(id))
+		require.NoError(t, err)
+		require.Equal(t, want, ok)
+	}
+	ok, err := p.Accept(event("13"))
+	require.NoError(t, err)
+	require.True(t, ok)
+}
+
+// Guards against streams without numbers that are cut.
+func TestProgressWithoutNumbers(t *testing.T) {
+	p := eventstream.NewProgress("")
+	for _, id := range []string{"", "a", "b", ""} {
+		ok, err := p.Accept(event(id))
+		require.NoError(t, err)
+		require.True(t, ok)
+	}
+	require.Equal(t, "b", p.LastID())
+}
+
+// FuzzSplitter guards against a crash and against bytes that get lost.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid"), 3)
+	f.Fuzz(func(t *testing.T, stream []byte, cut int) {
+		var s eventstream.Splitter
+		total := 0
+		cut = max(1, min(cut, len(stream)))
+		for len(stream) > 0 {
+			n := min(cut, len(stream))
+			s.Write(stream[:n])
+			total += n
+			stream = stream[n:]
+			for {
+				e, ok, err := s.Next()
+				if err != nil || !ok {
+					break
+				}
+				total -= len(e.Raw)
+			}
+		}
+		require.Equal(t, total, s.Rest())
+	})
+}
