Wait for a rank group that broke a moment ago

Ruled out: shorter Retry-After (before: 0.2 s, refused again); sending all that waits at the first chance (each send uses an attempt of the route).

Change: while a group is broken, one request at a time finds out, 0.4 s apart; the others wait up to 2.5 s after the begin of the outage, then are refused with the longest time that callers heed. The planner uses the first counts of a rank as those since its start.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -49,6 +49,8 @@
 	ID            string
 	FailureDomain string
 	Slots         int
+	// Group is the set of servers that serve together or not at all, or empty.
+	Group string
 }
 
 // Config holds the parameters of a Scheduler.
@@ -70,7 +72,8 @@
 	Organisation string
 	// Cost is the expected work in tokens.
 	Cost float64
-	// MaxWait is the longest time that the request may wait for a place.
+	// MaxWait is the longest time that the request may wait for a place. During
+	// an outage it may wait longer.
 	MaxWait time.Duration
 	// Exclude lists the servers that the request was tried on.
 	Exclude []string
@@ -103,9 +106,8 @@
 	pace    float64
 	pacedAt time.Time
 	// held is until when the server gets work only if all others are held too,
-	// down until when it gets none, and banned that it never gets any.
+	// and banned that it never gets any.
 	held   time.Time
-	down   time.Time
 	banned bool
 	listed bool
 }
@@ -119,6 +121,8 @@
 	// random source and not on the order of a map.
 	order []string
 	queue *fairqueue.Queue[waiting[T]]
+	// outages holds the groups that are known to be broken, by name.
+	outages map[string]*outage
 	// meanCost and meanTime describe the finished requests.
 	meanCost float64
 	meanTime time.Duration
@@ -130,6 +134,7 @@
 		config:  config,
 		rng:     rng,
 		servers: make(map[string]*server),
+		outages: make(map[string]*outage),
 		queue:   fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
 	}
 }
@@ -196,15 +201,22 @@
 			return nil, []Outcome[T]{s.start(picked, r.Value)}
 		}
 	}
+	maxWait := r.MaxWait
+	s.queue.SetRate(s.rate())
 	if s.pick(now, r.Exclude, false) == nil {
-		return nil, []Outcome[T]{s.refuseUnserved(now, r.Value)}
+		patience, ok := s.patience(now, r.Exclude)
+		if !ok {
+			return nil, []Outcome[T]{s.refuseUnserved(now, r.Value)}
+		}
+		// The pace of the past says nothing about an outage.
+		maxWait = patience
+		s.queue.SetRate(0)
 	}
-	s.queue.SetRate(s.rate())
 	ticket, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
 		Class:        r.Class,
 		Organisation: r.Organisation,
 		Cost:         r.Cost,
-		Deadline:     now.Add(r.MaxWait),
+		Deadline:     now.Add(maxWait),
 		Value:        waiting[T]{value: r.Value, exclude: r.Exclude},
 	})
 	if err != nil {
@@ -227,19 +239,24 @@
 	}
 	for s.queue.Len() > 0 && s.pick(now, nil, true) != nil {
 		t := s.queue.Pop()
-		picked := s.pick(now, t.Value.exclude, true)
-		if picked == nil {
-			picked = s.pick(now, t.Value.exclude, false)
-		}
-		if picked == nil {
-			out = append(out, s.refuseUnserved(now, t.Value.value))
-			continue
-		}
-		out = append(out, s.start(picked, t.Value.value))
+		out = append(out, s.serve(now, t))
 	}
 	return out
 }
 
+// serve starts a request that leaves the queue. It was tried on some servers; if
+// those are all that is left, it is tried there again.
+func (s *Scheduler[T]) serve(now time.Time, t *Ticket[T]) Outcome[T] {
+	for _, exclude := range [][]string{t.Value.exclude, nil} {
+		for _, room := range []bool{true, false} {
+			if picked := s.pick(now, exclude, room); picked != nil {
+				return s.start(picked, t.Value.value)
+			}
+		}
+	}
+	return s.refuseUnserved(now, t.Value.value)
+}
+
 // Cancel removes a waiting request and reports whether it still waited.
 func (s *Scheduler[T]) Cancel(t *Ticket[T]) bool { return s.queue.Cancel(t) }
 
@@ -251,6 +268,7 @@
 		return
 	}
 	known.own--
+	s.probed(known)
 	if !known.listed && known.own == 0 {
 		delete(s.servers, id)
 	}
@@ -283,14 +301,6 @@
 	}
 }
 
-// Down keeps all work away from a server until a time: it is known that it can't
-// serve. After that, the next request finds out.
-func (s *Scheduler[T]) Down(id string, until time.Time) {
-	if known, ok := s.servers[id]; ok && until.After(known.down) {
-		known.down = until
-	}
-}
-
 // Ban keeps all work away from a server for as long as it is listed: its
 // address belongs to another one now.
 func (s *Scheduler[T]) Ban(id string) {
@@ -301,6 +311,9 @@
 
 func (s *Scheduler[T]) start(picked *server, value T) Outcome[T] {
 	picked.own++
+	if o, ok := s.outages[picked.Group]; ok {
+		o.probe = picked.ID
+	}
 	return Outcome[T]{Value: value, Server: picked.ID}
 }
 
@@ -308,19 +321,6 @@
 	return Outcome[T]{Value: value, Err: err.WithRetryAfter(s.retryAfter())}
 }
 
-// refuseUnserved refuses a request that no server can take. While servers are
-// down, callers that come back soon are refused again, so they are sent away for
-// as long as they heed.
-func (s *Scheduler[T]) refuseUnserved(now time.Time, value T) Outcome[T] {
-	for _, id := range s.order {
-		if s.servers[id].down.After(now) {
-			err := errkind.New(errkind.NoBackendServer, "the backend servers are down")
-			return Outcome[T]{Value: value, Err: err.WithRetryAfter(maxRetryAfter)}
-		}
-	}
-	return s.refuse(value, errkind.New(errkind.NoBackendServer, "no other backend server is left"))
-}
-
 // retryAfter predicts when a place is free: the work that waits here first,
 // then half of a usual request.
 func (s *Scheduler[T]) retryAfter() time.Duration {
@@ -360,7 +360,7 @@
 	ties := 0
 	for _, id := range s.order {
 		c := s.servers[id]
-		if c.banned || c.down.After(now) || c.held.After(now) != held || slices.Contains(exclude, id) {
+		if c.banned || c.held.After(now) != held || slices.Contains(exclude, id) || s.closed(now, c.Group) {
 			continue
 		}
 		if room && c.load() >= c.Slots+s.config.Depth {
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -186,11 +186,11 @@
 	if err != nil {
 		return x.broken(watch, err)
 	}
-	watch.progress()
 	x.answer = platform.DecodeAnswer(resp.StatusCode, resp.Header)
 	if x.answer.NotRun {
 		return x.refused(resp)
 	}
+	watch.progress()
 	err = x.relay(resp, watch)
 	if err != nil {
 		conn.Close()
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -39,6 +39,9 @@
 	maxRetryDelay = 100 * time.Millisecond
 	// overloadHold is the time without retries after a server was full.
 	overloadHold = 500 * time.Millisecond
+	// stepInterval is the time between looks at the queue by a request that waits
+	// in it.
+	stepInterval = 50 * time.Millisecond
 	// waitSlack is added to the limit of a wait, so that the step at its end
 	// finds it over.
 	waitSlack = 2 * time.Millisecond
@@ -47,9 +50,6 @@
 	// firstSmoothing is the weight of an answer in the mean time to the first
 	// part of one.
 	firstSmoothing = 0.05
-	// downTime keeps work away from a rank group that is broken. Each gateway
-	// sends it one request after this time and so learns that it is open again.
-	downTime = 400 * time.Millisecond
 	// fullHold keeps work away from a server that refused for lack of room.
 	fullHold = 100 * time.Millisecond
 )
@@ -126,7 +126,9 @@
 	var kept []placement.Server
 	for _, c := range s.outliers.Keep(now, candidates) {
 		l := byID[c.ID]
-		kept = append(kept, placement.Server{ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots})
+		kept = append(kept, placement.Server{
+			ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots, Group: l.Group,
+		})
 	}
 	s.scheduler.SetServers(kept)
 	s.deliver(s.scheduler.Step(now))
@@ -190,7 +192,7 @@
 // await returns when w got its outcome or ctx ended. The wait for a place ends
 // by a step of the scheduler at its limit.
 func (s *service) await(ctx context.Context, w *waiter, limit time.Duration) {
-	timer := time.NewTimer(limit + waitSlack)
+	timer := time.NewTimer(min(limit+waitSlack, stepInterval))
 	defer timer.Stop()
 	for {
 		select {
@@ -201,7 +203,7 @@
 			return
 		case <-timer.C:
 			s.step(clock.Now())
-			timer.Reset(waitSlack)
+			timer.Reset(stepInterval)
 		}
 	}
 }
@@ -254,7 +256,7 @@
 	case r.moved:
 		s.scheduler.Ban(r.server)
 	case r.groupDown:
-		s.suspendGroup(now, s.groups[r.server])
+		s.scheduler.GroupDown(now, s.groups[r.server])
 	case r.full:
 		s.scheduler.Hold(r.server, now.Add(fullHold))
 		s.noteFull(now)
@@ -273,15 +275,6 @@
 	}
 }
 
-// suspendGroup keeps work away from the ranks of a broken group.
-func (s *service) suspendGroup(now time.Time, group string) {
-	for id, g := range s.groups {
-		if g == group && group != "" {
-			s.scheduler.Down(id, now.Add(downTime))
-		}
-	}
-}
-
 // notePace compares the time to the first part of an answer with the mean.
 func (s *service) notePace(now time.Time, server string, first time.Duration) {
 	if s.meanFirst > 0 {
@@ -306,11 +299,15 @@
 	return s.budget.Decide(now, a, s.rng)
 }
 
-// noteProgress notes a part of an answer.
-func (s *service) noteProgress(now time.Time) {
+// noteProgress notes a part of an answer. It is a sign that the rank group of the
+// server serves.
+func (s *service) noteProgress(now time.Time, server string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.progressed = now
+	if s.scheduler.GroupUp(s.groups[server]) {
+		s.deliver(s.scheduler.Step(now))
+	}
 }
 
 // lastProgress returns when any server last sent a part of an answer.
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -54,7 +54,7 @@
 	w.mu.Lock()
 	w.last = now
 	w.mu.Unlock()
-	w.x.svc.noteProgress(now)
+	w.x.svc.noteProgress(now, w.x.server.ID)
 }
 
 func (w *watchdog) check() {
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -54,23 +54,26 @@
 
 func newPlanner() *planner { return &planner{last: make(map[int]counted)} }
 
-// observe takes the counts of all ranks, as they were at now. Counts of a rank
-// that started anew are used from the second reading on.
+// at returns the former count of an expert, 0 if the rank counts anew.
+func (c counted) at(born int64, i int, now uint64) uint64 {
+	if c.born != born || i >= len(c.counts) || c.counts[i] > now {
+		return 0
+	}
+	return c.counts[i]
+}
+
+// observe takes the counts of all ranks, as they were at now. The first counts of
+// a rank are those since its start.
 func (p *planner) observe(now time.Time, e *fleet.Experts, reports []*pb.ReadRankResponse) error {
 	sum := make([]float64, e.Layers*e.PerLayer)
 	for _, r := range reports {
 		if len(r.GetCounts()) != len(sum) {
 			return errkind.New(errkind.InvalidCounts, "%d counts of rank %d, want %d", len(r.GetCounts()), r.GetRank(), len(sum))
 		}
-		before, known := p.last[int(r.GetRank())]
+		before := p.last[int(r.GetRank())]
 		p.last[int(r.GetRank())] = counted{born: r.GetBorn(), counts: r.GetCounts()}
-		if !known || before.born != r.GetBorn() {
-			continue
-		}
 		for i, n := range r.GetCounts() {
-			if n > before.counts[i] {
-				sum[i] += float64(n-before.counts[i]) / countsPerRequest
-			}
+			sum[i] += float64(n-before.at(r.GetBorn(), i, n)) / countsPerRequest
 		}
 	}
 	if p.tracker == nil {
