Keep work away from slow ranks; leave queued streams where they are

Ruled out: the planner (it already gives a slow rank fewer experts; its own part of a step remains).

The watchdog leaves a stream alone until its first event if its server is full.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -187,6 +187,15 @@
 	return inFlight, slots
 }
 
+// LoadOf returns the requests of all gateways on a server, and its slots.
+func (s *Scheduler[T]) LoadOf(id string) (inFlight, slots int) {
+	known, ok := s.servers[id]
+	if !ok {
+		return 0, 0
+	}
+	return known.load(), known.Slots
+}
+
 // Waiting returns the number of requests that wait.
 func (s *Scheduler[T]) Waiting() int { return s.queue.Len() }
 
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// gatewayTopic lists the addresses of the gateways, so that they find each
-	// other.
-	gatewayTopic = "keyed.gateways"
 	// reportInterval is the longest time between two reports, and minReportGap
 	// the shortest.
 	reportInterval = 500 * time.Millisecond
@@ -72,12 +69,17 @@
 			p.log.Debug().Err(err).Msg("report not received")
 			continue
 		}
-		var m pb.LoadReport
+		var m pb.Datagram
 		if err := proto.Unmarshal(buffer[:n], &m); err != nil {
-			p.log.Warn().Err(err).Msg("report of another gateway is not readable")
+			p.log.Warn().Err(err).Msg("datagram is not readable")
 			continue
 		}
-		p.take(&m)
+		if load := m.GetLoad(); load != nil {
+			p.take(load)
+		}
+		if pace := m.GetPace(); pace != nil {
+			p.services.slowRank(pace.GetServer(), pace.GetPace())
+		}
 	}
 }
 
@@ -144,7 +146,7 @@
 	for id, n := range load {
 		m.Servers = append(m.Servers, &pb.ServerLoad{Server: id, InFlight: uint32(n)})
 	}
-	data, err := proto.Marshal(m)
+	data, err := proto.Marshal(&pb.Datagram{Kind: &pb.Datagram_Load{Load: m}})
 	if err != nil {
 		p.log.Error().Err(err).Msg("load report not encoded")
 		return 0
@@ -169,7 +171,7 @@
 		if !announced {
 			announced = p.announce(ctx)
 		}
-		records, _, err := p.store.Newest(ctx, gatewayTopic)
+		records, _, err := p.store.Newest(ctx, platform.GatewayTopic)
 		if err != nil || !announced {
 			if err != nil {
 				p.log.Debug().Err(err).Msg("gateways not read")
@@ -196,7 +198,7 @@
 
 func (p *peers) announce(ctx context.Context) bool {
 	record := platform.KeyedRecord{Key: p.self, Value: []byte(p.self)}
-	if err := p.store.AppendKeyed(ctx, gatewayTopic, record); err != nil {
+	if err := p.store.AppendKeyed(ctx, platform.GatewayTopic, record); err != nil {
 		p.log.Warn().Err(err).Msg("address of this gateway not announced")
 		return false
 	}
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -50,6 +50,8 @@
 	// firstSmoothing is the weight of an answer in the mean time to the first
 	// part of one.
 	firstSmoothing = 0.05
+	// slowRankPace is the pace from which a rank gets work only if all are slow.
+	slowRankPace = 1.3
 	// fullHold keeps work away from a server that refused for lack of room.
 	fullHold = 100 * time.Millisecond
 )
@@ -63,8 +65,10 @@
 	outliers  *membership.Outliers
 	budget    *retry.Budget
 	rng       *rand.Rand
-	// groups holds the rank group of each server.
-	groups map[string]string
+	// groups holds the rank group of each server, addresses the server at each
+	// address.
+	groups    map[string]string
+	addresses map[string]string
 	// progressed is when any server last sent a part of an answer.
 	progressed time.Time
 	// meanFirst is the smoothed time to the first part of an answer.
@@ -119,8 +123,10 @@
 		candidates = append(candidates, membership.Server{Instance: infra.Instance{ID: l.ID}})
 	}
 	s.groups = make(map[string]string, len(list))
+	s.addresses = make(map[string]string, len(list))
 	for _, l := range list {
 		s.groups[l.ID] = l.Group
+		s.addresses[l.Address] = l.ID
 	}
 	s.outliers.Retain(func(id string) bool { return known[id] })
 	var kept []placement.Server
@@ -275,6 +281,28 @@
 	}
 }
 
+// slowRankHold keeps work away from a slow rank. Its agent reports it each few
+// hundred ms for as long as it is slow.
+const slowRankHold = time.Second
+
+// slowRank keeps work away from the server at an address. The ranks of a group
+// are in lock-step, so a request on a slow one delays those of all others.
+func (s *service) slowRank(now time.Time, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id, ok := s.addresses[address]; ok {
+		s.scheduler.Hold(id, now.Add(slowRankHold))
+	}
+}
+
+// crowded reports whether a request may wait in the queue of a server.
+func (s *service) crowded(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inFlight, slots := s.scheduler.LoadOf(id)
+	return inFlight >= slots
+}
+
 // notePace compares the time to the first part of an answer with the mean.
 func (s *service) notePace(now time.Time, server string, first time.Duration) {
 	if s.meanFirst > 0 {
@@ -380,6 +408,17 @@
 	}
 }
 
+// slowRank takes the report of the agent beside a slow rank.
+func (s *services) slowRank(address string, pace float64) {
+	if pace < slowRankPace {
+		return
+	}
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.slowRank(now, address)
+	}
+}
+
 // own returns the requests of this gateway on each server.
 func (s *services) own() map[string]int {
 	load := make(map[string]int)
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -21,7 +21,9 @@
 )
 
 // watchdog closes the connection of an exchange whose server is silent while
-// others answer, if another server can go on with the request.
+// others answer, if another server can go on with the request. A stream that may
+// wait in the queue of its server is left alone until its first event: sent
+// elsewhere, it would wait again and cost a second reading of its prompt.
 type watchdog struct {
 	x     *exchange
 	limit time.Duration
@@ -29,6 +31,7 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	last  time.Time
+	began bool
 	fired bool
 }
 
@@ -52,7 +55,7 @@
 func (w *watchdog) progress() {
 	now := clock.Now()
 	w.mu.Lock()
-	w.last = now
+	w.last, w.began = now, true
 	w.mu.Unlock()
 	w.x.svc.noteProgress(now, w.x.server.ID)
 }
@@ -60,10 +63,12 @@
 func (w *watchdog) check() {
 	now := clock.Now()
 	others := now.Sub(w.x.svc.lastProgress()) < othersRecent
+	crowded := w.x.svc.crowded(w.x.server.ID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	quiet := now.Sub(w.last)
-	if quiet >= w.limit && (others || w.x.r.route.Kind != fleet.Streaming) {
+	stream := w.x.r.route.Kind == fleet.Streaming
+	if quiet >= w.limit && (!stream || others && (w.began || !crowded)) {
 		w.fired = true
 		w.x.conn.Close()
 		return
--- a/daemons/rankagent/module.go
+++ b/daemons/rankagent/module.go
@@ -87,7 +87,10 @@
 	}})
 	h := &holder{group: newGroup(o, agent, store), agent: agent, election: e, log: o.Log, planner: newPlanner()}
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "lead the group", Run: h.run})
-	r := &rescuer{agent: agent, rank: agent.rank, group: newGroup(o, agent, store), log: o.Log}
+	r := &rescuer{
+		agent: agent, rank: agent.rank, group: newGroup(o, agent, store), log: o.Log,
+		pace: &paceReporter{store: store, server: o.Settings.BackendAddress, log: o.Log},
+	}
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "watch the rank", Run: r.run})
 }
 
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -104,7 +104,7 @@
 	server := &http.Server{Addr: fmt.Sprintf("%s:%d", hostOf(r), agentPort), Handler: mux, ReadHeaderTimeout: time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{group: newGroup(o, a.agent, client), agent: a.agent, election: a.election, log: log, planner: newPlanner()}
-	w := &rescuer{agent: a.agent, rank: rank, group: newGroup(o, a.agent, client), log: log}
+	w := &rescuer{agent: a.agent, rank: rank, group: newGroup(o, a.agent, client), log: log, pace: &paceReporter{store: client, log: log}}
 	duties := []func(){
 		func() { _ = server.ListenAndServe() },
 		func() { _ = h.run(ctx) },
--- a/daemons/rankagent/rescue.go
+++ b/daemons/rankagent/rescue.go
@@ -36,6 +36,7 @@
 	agent *Agent
 	rank  *platform.Rank
 	group *group
+	pace  *paceReporter
 	log   zerolog.Logger
 
 	step    int64
@@ -51,6 +52,7 @@
 			continue // the agent logs what it reads of its rank
 		}
 		r.agent.note(s)
+		r.pace.note(ctx, s.Pace)
 		if !r.stuck(clock.Now(), s) {
 			continue
 		}
