Plan fewer maps while the pauses of the streams are short

Change: below half of the objective a plan has to save 0.3 of the horizon instead of 0.1; the holder measures the pause by the steps. Registered servers are read each 1.35 s, which with the time of a read stays within the 2 s for leaving servers.

--- a/config/fleet/fleet.go
+++ b/config/fleet/fleet.go
@@ -5,7 +5,10 @@
 // concurrent use; Servers and Freshness have one owner.
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RouteKind says what may be repeated on a route.
 type RouteKind uint8
@@ -158,3 +161,19 @@
 	Organisations []Organisation
 	Limits        Limits
 }
+
+// PauseObjective returns the shortest pause objective of the routes to a service,
+// or 0 if none has one.
+func (c *Config) PauseObjective(service string) time.Duration {
+	shortest := time.Duration(0)
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.PauseObjective <= 0 || !slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }) {
+			continue
+		}
+		if shortest == 0 || r.PauseObjective < shortest {
+			shortest = r.PauseObjective
+		}
+	}
+	return shortest
+}
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -21,7 +21,7 @@
 	// serverInterval is the time between reads of the servers. With the time of
 	// a read it stays within the 2 s after which a leaving server gets no new
 	// work.
-	serverInterval = time.Second
+	serverInterval = 1350 * time.Millisecond
 	// minServerInterval is the same after a sign that the list is out of date.
 	minServerInterval = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call. All
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -54,10 +54,12 @@
 	log     zerolog.Logger
 	client  *http.Client
 
-	engine    *fleet.Engine
-	peers     map[int]peer
-	domains   map[int]string
-	refreshed time.Time
+	engine *fleet.Engine
+	// pauseObjective is the shortest one of the routes to the service, or 0.
+	pauseObjective time.Duration
+	peers          map[int]peer
+	domains        map[int]string
+	refreshed      time.Time
 	// ordered is when the last order to a rank was sent, by rank.
 	ordered map[int]time.Time
 }
@@ -278,6 +280,7 @@
 			return err
 		}
 		g.engine = c.Services[g.service].Engine
+		g.pauseObjective = c.PauseObjective(g.service)
 	}
 	return nil
 }
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -62,6 +62,7 @@
 	began       time.Time
 	moves       int
 	phase       switchover.Phase
+	pauses      pauses
 	// blindRounds counts rounds in which a group that may be held can't be read.
 	blindRounds int
 }
@@ -135,6 +136,7 @@
 	}
 	h.blindRounds = 0
 	reports := reportsOf(responses)
+	h.pauses.note(clock.Now(), reports[0].Step)
 	h.raiseVersion(reports)
 	orders := h.coordinator.Next(reports, inForce, h.version+1)
 	h.notePhase()
@@ -232,7 +234,7 @@
 		h.log.Warn().Err(err).Msg("counts not usable")
 		return
 	}
-	d, err := h.planner.decide(now, h.group.engine, t, inForce)
+	d, err := h.planner.decide(now, h.group.engine, t, inForce, h.pauses.relative(h.group.pauseObjective))
 	if err != nil {
 		h.log.Warn().Err(err).Msg("no plan")
 		return
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -32,6 +32,11 @@
 	// minSaved is the least saving of a plan, in parts of the horizon. A plan
 	// under way keeps the next one from answering a new mix of work.
 	minSaved = 0.1
+	// minSavedAtEase is the same while the pauses of the streams are short: a
+	// better map then helps nobody, and copies are billed.
+	minSavedAtEase = 0.3
+	// easePause is the longest pause, relative to the objective, that is short.
+	easePause = 0.5
 	// usualBatch is the number of requests of a rank for which the time of a
 	// step is taken.
 	usualBatch = 8
@@ -87,8 +92,9 @@
 }
 
 // decide returns a map that is worth the switch, or the reason why there is none.
+// pause is that between two events of a stream, relative to its objective.
 func (p *planner) decide(
-	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map,
+	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map, pause float64,
 ) (experts.Decision, error) {
 	if p.tracker == nil {
 		return experts.Decision{Reason: experts.Balanced}, nil
@@ -100,7 +106,11 @@
 	d, err := experts.Decide(planSettings(e, t.Ranks()), experts.Input{
 		Now: now, Topology: t, InForce: inForce, Loads: loads, Weights: experts.Weights{Skew: 1, Cost: 1},
 	})
-	if d.Rebalance && d.Saved.Seconds() < minSaved*planHorizon.Seconds() {
+	least := minSaved
+	if pause < easePause {
+		least = minSavedAtEase
+	}
+	if d.Rebalance && d.Saved.Seconds() < least*planHorizon.Seconds() {
 		d.Rebalance, d.Reason = false, experts.NotWorthIt
 	}
 	return d, err
