--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -34,7 +34,7 @@
 	minSaved = 0.1
 	// minSavedAtEase is the same while the pauses of the streams are short: a
 	// better map then helps nobody, and copies are billed.
-	minSavedAtEase = 0.3
+	minSavedAtEase = 0.6
 	// easePause is the longest pause, relative to the objective, that is short.
 	easePause = 0.5
 	// usualBatch is the number of requests of a rank for which the time of a
