--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 # Randomised tests with more seeds: make soak SEEDS=1000. A failing run prints
 # the command that replays its seed.
 SEEDS ?= 200
-RANDOMISED := ./serve/claim ./serve/claimlog ./daemons/entry/lifecycle ./rankgroup/lease ./rankgroup/mapswitch ./serve/quarantine ./config/table ./config/tablesync
+RANDOMISED := ./serve/claim ./serve/claimlog ./daemons/entry/lifecycle ./rankgroup/lease ./rankgroup/mapswitch ./rankgroup/switchover ./serve/quarantine ./config/table ./config/tablesync
 soak:
 	FILBERTMUX_SEEDS=$(SEEDS) go test -count=1 -timeout 120m $(RANDOMISED)
 	FILBERTMUX_SEEDS=$(SEEDS) go test -race -count=1 -timeout 120m -run TestRandomFaults ./measure/scenarios
@@ -50,6 +50,9 @@
 	go test ./config/table -run '^$$' -fuzz FuzzParseCSV -fuzztime $(FUZZTIME)
 	go test ./config/table -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
 	go test ./rankgroup/experts -run '^$$' -fuzz FuzzDecide -fuzztime $(FUZZTIME)
+	go test ./serve/eventstream -run '^$$' -fuzz FuzzSplitter -fuzztime $(FUZZTIME)
+	for f in FuzzRecords FuzzEntries FuzzSettings FuzzCall; do \
+		go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
 
 # Needs protoc; the generated code is committed, so a build does not.
 generate:
--- a/balance/placement/outage.go
+++ b/balance/placement/outage.go
@@ -27,18 +27,19 @@
 	probe string
 }
 
-// GroupDown notes that a group is broken. It gets no work but one request at a
-// time, each a while after the other.
-func (s *Scheduler[T]) GroupDown(now time.Time, group string) {
+// GroupDown notes that a group is broken, and reports whether that is news. The
+// group gets no work but one request at a time, each a while after the other.
+func (s *Scheduler[T]) GroupDown(now time.Time, group string) bool {
 	if group == "" {
-		return
+		return false
 	}
-	o, ok := s.outages[group]
-	if !ok {
+	o, known := s.outages[group]
+	if !known {
 		o = &outage{began: now}
 		s.outages[group] = o
 	}
 	o.until, o.probe = now.Add(probeInterval), ""
+	return !known
 }
 
 // GroupUp notes that a group serves, and reports whether that ends an outage.
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -289,7 +289,10 @@
 
 func (x *exchange) result(err error) result {
 	now := clock.Now()
-	res := result{server: x.server.ID, full: x.full, moved: x.moved, groupDown: x.groupDown}
+	res := result{
+		server: x.server.ID, full: x.full, moved: x.moved,
+		groupDown: x.groupDown, atFault: x.answer.ServerAtFault,
+	}
 	if err != nil {
 		res.err = errkind.Of(err)
 		res.innocent = errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -37,6 +37,8 @@
 	aborted context.Context
 	abort   context.CancelFunc
 	leaving atomic.Bool
+	// wasReady is the last answer to the platform.
+	wasReady atomic.Bool
 	// kick asks for an early reading of the servers.
 	kick chan struct{}
 }
@@ -47,7 +49,7 @@
 	aborted, abort := context.WithCancel(context.Background())
 	g := &Gateway{
 		view:     view,
-		services: newServices(s.FailureDomain, retryConfig(s.Bounds), rng),
+		services: newServices(s.FailureDomain, retryConfig(s.Bounds), rng, log),
 		pool:     upstream.NewPool(clock.Now),
 		gate:     drain.NewGate(),
 		metrics:  metrics,
@@ -85,6 +87,14 @@
 // Ready reports whether new connections should come here, and why not. A gateway
 // that can't prove its configuration sends callers to one that can.
 func (g *Gateway) Ready() (bool, string) {
+	ready, reason := g.judgeReady()
+	if g.wasReady.Swap(ready) != ready {
+		g.log.Info().Bool("ready", ready).Str("reason", reason).Msg("readiness changed")
+	}
+	return ready, reason
+}
+
+func (g *Gateway) judgeReady() (bool, string) {
 	switch {
 	case g.leaving.Load():
 		return false, "leaving"
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/filbertmux/filbertmux/balance/membership"
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
@@ -59,6 +61,7 @@
 // service places the requests of one service. It is safe for concurrent use.
 type service struct {
 	name string
+	log  zerolog.Logger
 
 	mu        sync.Mutex
 	scheduler *placement.Scheduler[*waiter]
@@ -69,6 +72,8 @@
 	// address.
 	groups    map[string]string
 	addresses map[string]string
+	// slowAt is when a slow rank was last reported.
+	slowAt time.Time
 	// progressed is when any server last sent a part of an answer.
 	progressed time.Time
 	// meanFirst is the smoothed time to the first part of an answer.
@@ -81,9 +86,12 @@
 	placed chan placement.Outcome[*waiter]
 }
 
-func newService(name, failureDomain string, budget retry.Config, rng *rand.Rand) *service {
+func newService(
+	name, failureDomain string, budget retry.Config, rng *rand.Rand, log zerolog.Logger,
+) *service {
 	return &service{
 		name: name,
+		log:  log.With().Str("service", name).Logger(),
 		scheduler: placement.New[*waiter](placement.Config{
 			FailureDomain: failureDomain,
 			Depth:         placementDepth,
@@ -242,8 +250,10 @@
 	// server has its address.
 	full  bool
 	moved bool
-	// groupDown says that the rank group of the server is broken.
+	// groupDown says that the rank group of the server is broken, atFault on the
+	// loss of which server.
 	groupDown bool
+	atFault   string
 	// innocent says that the failure isn't one of the server.
 	innocent bool
 }
@@ -261,8 +271,12 @@
 		s.outliers.Succeeded(r.server)
 	case r.moved:
 		s.scheduler.Ban(r.server)
+		s.log.Warn().Str("server", r.server).Msg("another server has the address; no more work for this one")
 	case r.groupDown:
-		s.scheduler.GroupDown(now, s.groups[r.server])
+		if s.scheduler.GroupDown(now, s.groups[r.server]) {
+			s.log.Warn().Str("group", s.groups[r.server]).Str("server", r.server).Str("at_fault", r.atFault).
+				Msg("rank group broken")
+		}
 	case r.full:
 		s.scheduler.Hold(r.server, now.Add(fullHold))
 		s.noteFull(now)
@@ -290,9 +304,15 @@
 func (s *service) slowRank(now time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if id, ok := s.addresses[address]; ok {
-		s.scheduler.Hold(id, now.Add(slowRankHold))
+	id, ok := s.addresses[address]
+	if !ok {
+		return
+	}
+	if now.Sub(s.slowAt) > slowRankHold {
+		s.log.Warn().Str("server", id).Msg("slow rank; work goes to the others")
 	}
+	s.slowAt = now
+	s.scheduler.Hold(id, now.Add(slowRankHold))
 }
 
 // crowded reports whether a request may wait in the queue of a server.
@@ -334,6 +354,7 @@
 	defer s.mu.Unlock()
 	s.progressed = now
 	if s.scheduler.GroupUp(s.groups[server]) {
+		s.log.Info().Str("group", s.groups[server]).Str("server", server).Msg("rank group serves again")
 		s.deliver(s.scheduler.Step(now))
 	}
 }
@@ -350,15 +371,16 @@
 	failureDomain string
 	retries       retry.Config
 	rng           *rand.Rand
+	log           zerolog.Logger
 
 	mu     sync.Mutex
 	byName map[string]*service
 	others map[string]int
 }
 
-func newServices(failureDomain string, retries retry.Config, rng *rand.Rand) *services {
+func newServices(failureDomain string, retries retry.Config, rng *rand.Rand, log zerolog.Logger) *services {
 	return &services{
-		failureDomain: failureDomain, retries: retries, rng: rng, byName: make(map[string]*service),
+		failureDomain: failureDomain, retries: retries, rng: rng, log: log, byName: make(map[string]*service),
 	}
 }
 
@@ -370,7 +392,7 @@
 		return svc
 	}
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))
-	svc := newService(name, s.failureDomain, s.retries, rng)
+	svc := newService(name, s.failureDomain, s.retries, rng, s.log)
 	s.byName[name] = svc
 	now := clock.Now()
 	svc.setServers(now, view.Usable(name))
--- /dev/null
+++ b/daemons/gateway/watchdog_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/daemons/gateway/upstream"
+	"github.com/filbertmux/filbertmux/platform/platformtest"
+)
+
+// Guards against a stream that is sent elsewhere although it only waits in the
+// queue of a full server, against one that stays at a silent server, and against
+// moving streams while their whole group stalls.
+func TestWatchdog(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind     fleet.RouteKind
+		load     int
+		began    bool
+		others   bool
+		wantGone bool
+	}{
+		"silent server":           {fleet.Streaming, 1, false, true, true},
+		"queue of a full server":  {fleet.Streaming, 4, false, true, false},
+		"full server falls mute":  {fleet.Streaming, 4, true, true, true},
+		"the whole group stalls":  {fleet.Streaming, 1, true, false, false},
+		"plain server is silent":  {fleet.Idempotent, 1, false, false, true},
+		"booking is never moved":  {fleet.NonIdempotent, 1, false, true, false},
+		"full plain server waits": {fleet.Idempotent, 4, false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := platformtest.NewServer("s1")
+			defer s.Close()
+			f := newFixture(t, s)
+			svc := f.gateway.services.get(platformtest.PlainService, f.gateway.view)
+			svc.setOthers(clock.Now(), map[string]int{"s1": c.load})
+			conn, err := upstream.NewPool(time.Now).Get(context.Background(), s.Address(), 0)
+			require.NoError(t, err)
+			defer conn.Close()
+			x := &exchange{
+				g: f.gateway, svc: svc, conn: conn, server: fleet.Server{ID: "s1"},
+				r: &request{route: &fleet.Route{Kind: c.kind, Resumable: true, MaxAttempts: 2, Objective: 100 * time.Millisecond}},
+			}
+			w := newWatchdog(x)
+			defer w.stop()
+			if w.timer == nil {
+				require.False(t, c.wantGone)
+				return
+			}
+			w.mu.Lock()
+			w.began, w.last = c.began, clock.Now().Add(-time.Hour)
+			w.mu.Unlock()
+			svc.mu.Lock()
+			svc.progressed = clock.Now().Add(-time.Hour)
+			if c.others {
+				svc.progressed = clock.Now()
+			}
+			svc.mu.Unlock()
+			w.check()
+			require.Equal(t, c.wantGone, w.silent())
+			if c.wantGone {
+				require.ErrorIs(t, conn.Send(&upstream.Request{Method: "GET"}), net.ErrClosed)
+			}
+		})
+	}
+}
