--- a/base/clock/clock.go
+++ b/base/clock/clock.go
@@ -1,7 +1,8 @@
-// Package clock reads the clock that decisions about age rest on.
+// Package clock reads the clock that decisions about age rest on, and waits.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,3 +21,19 @@
 	}
 	return time.Unix(ts.Unix())
 }
+
+// Sleep waits for d, or until ctx ends, and reports whether ctx still stands. It
+// doesn't wait if d isn't positive.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/daemons/daemon/instances.go
+++ b/daemons/daemon/instances.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/infra"
 )
 
@@ -32,7 +33,7 @@
 		if err := i.Refresh(ctx); err != nil && ctx.Err() == nil {
 			i.log.Warn().Err(err).Msg("instance list")
 		}
-		pause(ctx, i.interval)
+		clock.Sleep(ctx, i.interval)
 	}
 	return nil
 }
@@ -52,12 +53,3 @@
 // View returns the last list, or nil before the first one. The list must not
 // be modified. A new list has a new address.
 func (i *Instances) View() *[]infra.Instance { return i.view.Load() }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -64,7 +64,7 @@
 		}
 		r.logAttempt(g, err, d)
 		g.metrics.Count("retries", 1)
-		if !wait(ctx, d.Delay) {
+		if !clock.Sleep(ctx, d.Delay) {
 			return ended(ctx, err)
 		}
 	}
@@ -83,12 +83,6 @@
 	return &e
 }
 
-// wait reports whether the context still stood after d.
-func wait(ctx context.Context, d time.Duration) bool {
-	sleep(ctx, d)
-	return ctx.Err() == nil
-}
-
 // attempt sends a request to one server.
 func (g *Gateway) attempt(ctx context.Context, r *request, svc *service, out *answerWriter) error {
 	began := clock.Now()
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -127,7 +127,7 @@
 	for ctx.Err() == nil {
 		u, err := f.read(ctx, configWait)
 		if err != nil {
-			sleep(ctx, f.backoff())
+			clock.Sleep(ctx, f.backoff())
 			continue
 		}
 		ok := true
@@ -140,7 +140,7 @@
 			view.Confirm(u.sent, u.received)
 		}
 		if view.Index() == nil {
-			sleep(ctx, minBackoff)
+			clock.Sleep(ctx, minBackoff)
 		}
 	}
 	return nil
@@ -173,7 +173,7 @@
 	for ctx.Err() == nil {
 		u, err := f.read(ctx, 0)
 		if err != nil {
-			sleep(ctx, f.backoff())
+			clock.Sleep(ctx, f.backoff())
 			continue
 		}
 		if u.returned {
@@ -184,7 +184,7 @@
 			removals.apply(s, changes, u.whole, u.received, log)
 		})
 		changed()
-		sleep(ctx, minServerInterval)
+		clock.Sleep(ctx, minServerInterval)
 		select {
 		case <-kick:
 		case <-ctx.Done():
@@ -209,15 +209,3 @@
 	}
 	return changes
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -111,7 +111,7 @@
 	var lastAt time.Time
 	gap := minReportGap
 	for ctx.Err() == nil {
-		sleep(ctx, gap)
+		clock.Sleep(ctx, gap)
 		now := clock.Now()
 		load := p.services.own()
 		due := now.Sub(lastAt) >= reportInterval
@@ -176,11 +176,11 @@
 			if err != nil {
 				p.log.Debug().Err(err).Msg("gateways not read")
 			}
-			sleep(ctx, maxBackoff)
+			clock.Sleep(ctx, maxBackoff)
 			continue
 		}
 		p.learn(records)
-		sleep(ctx, rediscoverInterval)
+		clock.Sleep(ctx, rediscoverInterval)
 	}
 	return nil
 }
--- /dev/null
+++ b/daemons/gateway/services.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/serve/retry"
+)
+
+// services holds the schedulers by service name. It is safe for concurrent use.
+type services struct {
+	failureDomain string
+	retries       retry.Config
+	rng           *rand.Rand
+	log           zerolog.Logger
+
+	mu     sync.Mutex
+	byName map[string]*service
+	others map[string]int
+}
+
+func newServices(failureDomain string, retries retry.Config, rng *rand.Rand, log zerolog.Logger) *services {
+	return &services{
+		failureDomain: failureDomain, retries: retries, rng: rng, log: log, byName: make(map[string]*service),
+	}
+}
+
+// get returns a service, with its present servers if it is new.
+func (s *services) get(name string, view *View) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if svc, ok := s.byName[name]; ok {
+		return svc
+	}
+	rng := rand.New(rand.NewPCG(s.rng.Uint64(), s.rng.Uint64()))
+	svc := newService(name, s.failureDomain, s.retries, rng, s.log)
+	s.byName[name] = svc
+	now := clock.Now()
+	svc.setServers(now, view.Usable(name))
+	svc.setOthers(now, s.others)
+	return svc
+}
+
+// all returns all services.
+func (s *services) all() []*service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*service, 0, len(s.byName))
+	for _, svc := range s.byName {
+		list = append(list, svc)
+	}
+	return list
+}
+
+// refresh takes the registered servers from view.
+func (s *services) refresh(view *View) {
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.setServers(now, view.Usable(svc.name))
+	}
+}
+
+// setOthers takes the load that other gateways cause.
+func (s *services) setOthers(load map[string]int) {
+	s.mu.Lock()
+	s.others = load
+	s.mu.Unlock()
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.setOthers(now, load)
+	}
+}
+
+// slowRank takes the report of the agent beside a slow rank.
+func (s *services) slowRank(address string, pace float64) {
+	if pace < slowRankPace {
+		return
+	}
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.slowRank(now, address)
+	}
+}
+
+// own returns the requests of this gateway on each server.
+func (s *services) own() map[string]int {
+	load := make(map[string]int)
+	for _, svc := range s.all() {
+		svc.own(func(id string, inFlight int) { load[id] = inFlight })
+	}
+	return load
+}
--- a/daemons/rankagent/election.go
+++ b/daemons/rankagent/election.go
@@ -74,7 +74,7 @@
 	for ctx.Err() == nil {
 		name := group()
 		if name == "" {
-			sleep(ctx, renewInterval)
+			clock.Sleep(ctx, renewInterval)
 			continue
 		}
 		err := e.renew(ctx, name)
@@ -91,7 +91,7 @@
 			failures++
 			e.store.CloseIdle()
 		}
-		sleep(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(renewInterval)))
+		clock.Sleep(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(renewInterval)))
 	}
 	e.leave()
 	return nil
@@ -148,12 +148,3 @@
 		e.log.Warn().Err(err).Msg("the duty was not given back")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -71,12 +71,12 @@
 // finished first, so that no group stays held.
 func (h *holder) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, h.turn(ctx))
+		clock.Sleep(ctx, h.turn(ctx))
 	}
 	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
 	for h.switching() && finish.Err() == nil {
-		sleep(finish, h.turn(finish))
+		clock.Sleep(finish, h.turn(finish))
 	}
 	return nil
 }
--- a/daemons/rankagent/rescue.go
+++ b/daemons/rankagent/rescue.go
@@ -49,7 +49,7 @@
 // run watches the own rank until ctx ends.
 func (r *rescuer) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, watchInterval)
+		clock.Sleep(ctx, watchInterval)
 		s, err := r.rank.State(ctx)
 		if err != nil || s.Group == "" {
 			continue // the agent logs what it reads of its rank
@@ -59,9 +59,9 @@
 		if !r.stuck(clock.Now(), s) {
 			continue
 		}
-		sleep(ctx, time.Duration(s.Report.Rank)*stagger)
+		clock.Sleep(ctx, time.Duration(s.Report.Rank)*stagger)
 		r.rescue(ctx)
-		sleep(ctx, rescuePause)
+		clock.Sleep(ctx, rescuePause)
 	}
 	return nil
 }
@@ -93,7 +93,7 @@
 		if ctx.Err() != nil || !r.round(ctx, c, t) {
 			break
 		}
-		sleep(ctx, switchInterval)
+		clock.Sleep(ctx, switchInterval)
 	}
 	if phase := c.Phase(); phase != switchover.Blind {
 		r.log.Warn().Str("phase", phase.String()).Dur("took_ms", clock.Now().Sub(began)).Msg("group that stood still was looked at")
--- a/measure/standin/engine.go
+++ b/measure/standin/engine.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
@@ -190,7 +191,7 @@
 	case <-ctx.Done():
 	}
 	prefill := time.Duration(len(g.prompt)-g.cached) * e.cfg.PrefillPerByte
-	pause(ctx, prefill)
+	clock.Sleep(ctx, prefill)
 	if g.run(ctx, e.cfg.TokenInterval) {
 		e.served.Add(1)
 	}
--- a/measure/standin/generation.go
+++ b/measure/standin/generation.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/filbertmux/filbertmux/base/clock"
 )
 
 // generation is one answer that the engine produces. It goes on when its
@@ -45,7 +47,7 @@
 // run makes all tokens, one an interval, and reports whether it finished.
 func (g *generation) run(ctx context.Context, interval time.Duration) bool {
 	for range g.tokens {
-		if !pause(ctx, interval) {
+		if !clock.Sleep(ctx, interval) {
 			g.update(func() { g.ended, g.failed = true, true })
 			return false
 		}
@@ -54,18 +56,3 @@
 	g.update(func() { g.ended = true })
 	return true
 }
-
-// pause waits for d and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/rankgroup/groupcontrol/commander.go
+++ b/rankgroup/groupcontrol/commander.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/rankgroup/mapswitch"
 	"github.com/filbertmux/filbertmux/rankgroup/rankapi"
@@ -31,7 +32,7 @@
 				return err
 			}
 			d.c.opts.Log.Warn().Err(err).Msg("rank commands")
-			pause(ctx, d.c.opts.Timing.Retry)
+			clock.Sleep(ctx, d.c.opts.Timing.Retry)
 		}
 	}
 	return nil
@@ -48,7 +49,7 @@
 			return true
 		}
 		d.c.opts.Log.Warn().Err(err).Msg("state of the ranks")
-		pause(ctx, d.c.opts.Timing.Retry)
+		clock.Sleep(ctx, d.c.opts.Timing.Retry)
 	}
 	return false
 }
@@ -198,7 +199,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			s.c.opts.Log.Debug().Err(err).Msg("weights")
-			pause(ctx, max(s.c.opts.Timing.Retry, errkind.Of(err).RetryAfter))
+			clock.Sleep(ctx, max(s.c.opts.Timing.Retry, errkind.Of(err).RetryAfter))
 		}
 		return false
 	}
--- a/rankgroup/groupcontrol/control.go
+++ b/rankgroup/groupcontrol/control.go
@@ -147,12 +147,3 @@
 
 // push never blocks: a full inbox drops its oldest event.
 func (c *Control) push(e event) { _ = c.inbox.Push(context.Background(), e) }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/rankgroup/groupcontrol/peer.go
+++ b/rankgroup/groupcontrol/peer.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/base/ring"
@@ -41,7 +42,7 @@
 		}
 		if err := p.deliver(ctx, messages); err != nil && ctx.Err() == nil {
 			p.c.opts.Log.Debug().Err(err).Int("member", int(p.id)).Msg("message to a member")
-			pause(ctx, p.c.opts.Timing.Retry)
+			clock.Sleep(ctx, p.c.opts.Timing.Retry)
 		}
 	}
 }
--- a/serve/suspectlog/suspectlog.go
+++ b/serve/suspectlog/suspectlog.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/base/ring"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
@@ -118,7 +119,7 @@
 	backoff := l.settings.AppendEvery
 	for {
 		err := l.append(ctx, data)
-		if !pause(ctx, backoff) {
+		if !clock.Sleep(ctx, backoff) {
 			return false
 		}
 		if err == nil {
@@ -148,7 +149,7 @@
 		case errors.As(err, &trimmed) && trimmed.Oldest > after+1:
 			after = trimmed.Oldest - 1
 		case err != nil:
-			pause(ctx, backoff)
+			clock.Sleep(ctx, backoff)
 			backoff = min(2*backoff, l.settings.MaxBackoff)
 		default:
 			backoff = l.settings.AppendEvery
@@ -177,15 +178,3 @@
 	}
 	return after
 }
-
-// pause waits for d and reports false when ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
