Refuse streams that can't finish at the present pace

Change: gateways follow the pauses of their streams; while they are beyond the objective, a stream whose expected events can't arrive in the time left is refused at once, with a time to come back.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -25,6 +25,9 @@
 	waitShare = 0.6
 	// minWait bounds the wait from below for routes without an objective.
 	minWait = 100 * time.Millisecond
+	// unfinishedRetryAfter is the advice to a caller whose stream can't finish: a
+	// slow rank stays slow for seconds.
+	unfinishedRetryAfter = 2600 * time.Millisecond
 	// unreachableRetryAfter is the advice after a server could not be reached.
 	unreachableRetryAfter = 200 * time.Millisecond
 )
@@ -86,6 +89,10 @@
 // attempt sends a request to one server.
 func (g *Gateway) attempt(ctx context.Context, r *request, svc *service, out *answerWriter) error {
 	began := clock.Now()
+	if left := r.timeLeft(began); !svc.canFinish(began, r.eventsLeft(out), r.route.PauseObjective, left) {
+		return errkind.New(errkind.DeadlineUnreachable, "%d events take longer than %s at the present pace",
+			r.eventsLeft(out), left).WithRetryAfter(unfinishedRetryAfter)
+	}
 	id, err := svc.acquire(ctx, placement.Request[*waiter]{
 		Class:        className(r.priority),
 		Organisation: r.organisation,
@@ -115,6 +122,19 @@
 	return nil
 }
 
+// eventsLeft returns the number of events that are still expected of a stream.
+func (r *request) eventsLeft(out *answerWriter) int {
+	engine := r.index.Config.Services[r.service].Engine
+	if r.route.Kind != fleet.Streaming || engine == nil {
+		return 0
+	}
+	tokens := r.call.ExpectedOutputTokens
+	if tokens == 0 {
+		tokens = r.call.MaxOutputTokens / 2
+	}
+	return max(tokens/engine.Stride-out.progress.Events(), 0)
+}
+
 // maxWait is the longest time that the request may wait for a place.
 func (r *request) maxWait(now time.Time) time.Duration {
 	share := time.Duration(waitShare * float64(r.route.Objective))
@@ -153,6 +173,8 @@
 	began  time.Time
 	conn   *upstream.Conn
 	answer platform.Answer
+	// lastEvents is when the last events arrived.
+	lastEvents time.Time
 	// full, moved and groupDown say why the server refused.
 	full      bool
 	moved     bool
--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -199,6 +199,24 @@
 	require.Equal(t, events(4), a.body)
 }
 
+// Guards against a long stream that takes a place until its deadline while pauses
+// are so long that it can't finish, and against a short one that is refused too.
+func TestStreamThatCannotFinish(t *testing.T) {
+	s := platformtest.NewServer("m-s1")
+	defer s.Close()
+	f := newFixture(t)
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
+	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 1 })
+	s.SetDelay(180 * time.Millisecond)
+	require.True(t, f.ask(http.MethodPost, stream, "a1").whole)
+	arrivals := s.Arrivals()
+	a := f.ask(http.MethodPost, stream, "a2", func(h http.Header) { h.Set("X-Length-Hint", "200") })
+	require.Equal(t, 503, a.status)
+	require.NotEmpty(t, a.header.Get("Retry-After"))
+	require.Equal(t, arrivals, s.Arrivals())
+	require.Equal(t, 200, f.ask(http.MethodPost, stream, "a3", func(h http.Header) { h.Set("X-Length-Hint", "30") }).status)
+}
+
 // Guards against work that goes on after its caller left.
 func TestCallerLeaves(t *testing.T) {
 	s := platformtest.NewServer("m-s1", platformtest.Mute)
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -190,6 +190,11 @@
 	if len(batch) == 0 {
 		return nil
 	}
+	now := clock.Now()
+	if !x.lastEvents.IsZero() {
+		x.svc.notePause(now, now.Sub(x.lastEvents))
+	}
+	x.lastEvents = now
 	x.startEvents(resp)
 	return x.out.write(batch)
 }
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -76,6 +76,8 @@
 	slowAt time.Time
 	// progressed is when any server last sent a part of an answer.
 	progressed time.Time
+	// pauses are those of the streams of this gateway.
+	pauses placement.Pauses
 	// meanFirst is the smoothed time to the first part of an answer.
 	meanFirst time.Duration
 }
@@ -359,6 +361,20 @@
 	}
 }
 
+// notePause takes the time between two events of a stream.
+func (s *service) notePause(now time.Time, pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauses.Note(now, pause)
+}
+
+// canFinish reports whether a stream with that many events may end in time.
+func (s *service) canFinish(now time.Time, events int, objective, left time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauses.CanFinish(now, events, objective, left)
+}
+
 // lastProgress returns when any server last sent a part of an answer.
 func (s *service) lastProgress() time.Time {
 	s.mu.Lock()
