Keep slow ranks empty at full load; share extra retries by the live gateways

The part of the extra retries was fixed for 16 gateways and would have exceeded the bound in larger fleets.

Change: slow ranks get work only if there is no other server; the lead of a switch is 0.16 s, at most three steps; the extra retries are divided by the gateways that report, at least 16.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -105,11 +105,13 @@
 	// pace is the smoothed time of a request relative to the mean.
 	pace    float64
 	pacedAt time.Time
-	// held is until when the server gets work only if all others are held too,
-	// and banned that it never gets any.
-	held   time.Time
-	banned bool
-	listed bool
+	// held is until when the server gets work only if all others are held or
+	// full, avoided until when it gets work only if there is no other server, and
+	// banned that it never gets any.
+	held    time.Time
+	avoided time.Time
+	banned  bool
+	listed  bool
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -310,6 +312,15 @@
 	}
 }
 
+// Avoid keeps work away from a server until a time, unless there is no other one.
+// Unlike Hold, it does so when all others are full: work on a slow rank delays
+// that of its whole group.
+func (s *Scheduler[T]) Avoid(id string, until time.Time) {
+	if known, ok := s.servers[id]; ok && until.After(known.avoided) {
+		known.avoided = until
+	}
+}
+
 // Ban keeps all work away from a server for as long as it is listed: its
 // address belongs to another one now.
 func (s *Scheduler[T]) Ban(id string) {
@@ -355,23 +366,36 @@
 }
 
 // pick returns the server with the least relative load. With room, only servers
-// with a free place count. Held servers are the last resort.
+// with a free place count.
 func (s *Scheduler[T]) pick(now time.Time, exclude []string, room bool) *server {
-	if picked := s.pickAmong(now, exclude, room, false); picked != nil {
+	var usable, held, avoided []*server
+	for _, id := range s.order {
+		c := s.servers[id]
+		switch {
+		case c.banned || slices.Contains(exclude, id) || s.closed(now, c.Group):
+		case c.avoided.After(now):
+			avoided = append(avoided, c)
+		case c.held.After(now):
+			held = append(held, c)
+		default:
+			usable = append(usable, c)
+		}
+	}
+	if len(usable)+len(held) == 0 {
+		usable = avoided
+	}
+	if picked := s.least(now, usable, room); picked != nil {
 		return picked
 	}
-	return s.pickAmong(now, exclude, room, true)
+	return s.least(now, held, room)
 }
 
-func (s *Scheduler[T]) pickAmong(now time.Time, exclude []string, room, held bool) *server {
+// least returns one of the candidates with the least load.
+func (s *Scheduler[T]) least(now time.Time, candidates []*server, room bool) *server {
 	var best *server
 	var bestCost float64
 	ties := 0
-	for _, id := range s.order {
-		c := s.servers[id]
-		if c.banned || c.held.After(now) != held || slices.Contains(exclude, id) || s.closed(now, c.Group) {
-			continue
-		}
+	for _, c := range candidates {
 		if room && c.load() >= c.Slots+s.config.Depth {
 			continue
 		}
--- a/balance/placement/placement_test.go
+++ b/balance/placement/placement_test.go
@@ -251,6 +251,25 @@
 	require.GreaterOrEqual(t, count["s0"], 3, "the pace has faded")
 }
 
+// Replays a rank group with one slow rank at full load. Guards against work for
+// the slow rank while others are there, full or held, and against none at all.
+func TestAvoidedServer(t *testing.T) {
+	s := scheduler(2, 1)
+	s.Avoid("s0", start.Add(time.Second))
+	s.Hold("s1", start.Add(time.Second))
+	for i := range 2 {
+		require.Equal(t, "s1", place(t, s, start, request(i)))
+	}
+	ticket, out := s.Place(start, request(3))
+	require.NotNil(t, ticket, "waits for the other one")
+	require.Empty(t, out)
+	s.Ban("s1")
+	require.Len(t, s.Step(start), 1, "there is no other one")
+	s = scheduler(1, 1)
+	s.Avoid("s0", start.Add(time.Second))
+	require.Equal(t, "s0", place(t, s, start, request(1)))
+}
+
 // Guards against a retry on the server that failed before.
 func TestExcludesTriedServers(t *testing.T) {
 	s := scheduler(2, 4)
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -49,7 +49,7 @@
 	aborted, abort := context.WithCancel(context.Background())
 	g := &Gateway{
 		view:     view,
-		services: newServices(s.FailureDomain, retryConfig(s.Bounds), rng, log),
+		services: newServices(s, rng, log),
 		pool:     upstream.NewPool(clock.Now),
 		gate:     drain.NewGate(),
 		metrics:  metrics,
@@ -76,7 +76,7 @@
 func retryConfig(b platform.Bounds) retry.Config {
 	return retry.Config{
 		Ratio:        b.RetryRatio * retryBudgetMargin,
-		Burst:        max(b.RetryExtra*retryBudgetMargin/minBudgetGateways, 1),
+		Burst:        retryBurst(b.RetryExtra, minBudgetGateways),
 		MaxAttempts:  maxRetryAttempts,
 		BaseDelay:    retryDelay,
 		MaxDelay:     maxRetryDelay,
--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
+	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 const (
@@ -306,6 +307,27 @@
 	}
 }
 
+// Guards against retries of all gateways together beyond the shared bound, also
+// in a fleet that is larger than today's.
+func TestRetriesAreShared(t *testing.T) {
+	const extra = 184
+	for _, gateways := range []int{1, 10, 16, 40, 120} {
+		together := float64(max(gateways, 10)) * retryBurst(extra, gateways)
+		require.LessOrEqual(t, together, float64(extra), "%d gateways", gateways)
+	}
+	f := newFixture(t)
+	svc := f.gateway.services.get(platformtest.PlainService, f.gateway.view)
+	f.gateway.services.setGateways(60)
+	granted := 0
+	for range 100 {
+		failed := retry.Attempt{Err: errkind.New(errkind.BackendFailed, "x"), Number: 1, Idempotent: true}
+		if svc.decideRetry(clock.Now(), failed).Repeat {
+			granted++
+		}
+	}
+	require.Equal(t, int(retryBurst(bounds().RetryExtra, 60)), granted)
+}
+
 // Guards against a log that grows with the load without bound, and against lines
 // that vanish without a word.
 func TestLogVolumeIsBounded(t *testing.T) {
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -128,12 +128,14 @@
 	return nil
 }
 
-// refresh drops the load of gateways that fell silent.
+// refresh drops the load of gateways that fell silent, and shares the retries
+// among those that live.
 func (p *peers) refresh(now time.Time) {
 	p.mu.Lock()
-	others := p.table.Others(now)
+	others, live := p.table.Others(now), p.table.Live(now)
 	p.mu.Unlock()
 	p.services.setOthers(others)
+	p.services.setGateways(live + 1)
 }
 
 // report sends one report and returns the number of bytes sent.
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -34,7 +34,8 @@
 	// that are counted in another window.
 	retryBudgetMargin = 0.7
 	// minBudgetGateways is the least number of gateways that the extra retries
-	// are divided by, so that a gateway that knows no peer takes no large part.
+	// are divided by, so that a gateway that knows no peer yet takes no large
+	// part. Both deployments have 10, and 6 more that may be added.
 	minBudgetGateways = 16
 	// retryDelay and maxRetryDelay bound the pause before a retry.
 	retryDelay    = 5 * time.Millisecond
@@ -314,7 +315,7 @@
 		s.log.Warn().Str("server", id).Msg("slow rank; work goes to the others")
 	}
 	s.slowAt = now
-	s.scheduler.Hold(id, now.Add(slowRankHold))
+	s.scheduler.Avoid(id, now.Add(slowRankHold))
 }
 
 // crowded reports whether a request may wait in the queue of a server.
@@ -335,6 +336,13 @@
 	s.meanFirst = first
 }
 
+// setRetryBurst takes this gateway's part of the extra retries.
+func (s *service) setRetryBurst(burst float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.SetBurst(burst)
+}
+
 // firstAttempt notes a new request.
 func (s *service) firstAttempt() {
 	s.mu.Lock()
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -7,24 +7,27 @@
 	"github.com/rs/zerolog"
 
 	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 // services holds the schedulers by service name. It is safe for concurrent use.
 type services struct {
 	failureDomain string
-	retries       retry.Config
+	retryExtra    float64
 	rng           *rand.Rand
 	log           zerolog.Logger
 
-	mu     sync.Mutex
-	byName map[string]*service
-	others map[string]int
+	mu sync.Mutex
+	// retries has this gateway's part of the extra retries as its burst.
+	retries retry.Config
+	byName  map[string]*service
+	others  map[string]int
 }
 
-func newServices(failureDomain string, retries retry.Config, rng *rand.Rand, log zerolog.Logger) *services {
+func newServices(s platform.Settings, rng *rand.Rand, log zerolog.Logger) *services {
 	return &services{
-		failureDomain: failureDomain, retries: retries, rng: rng, log: log, byName: make(map[string]*service),
+		failureDomain: s.FailureDomain, retryExtra: s.Bounds.RetryExtra, retries: retryConfig(s.Bounds), rng: rng, log: log, byName: make(map[string]*service),
 	}
 }
 
@@ -85,6 +88,22 @@
 	}
 }
 
+// setGateways shares the extra retries among the gateways.
+func (s *services) setGateways(n int) {
+	burst := retryBurst(s.retryExtra, n)
+	s.mu.Lock()
+	s.retries.Burst = burst
+	s.mu.Unlock()
+	for _, svc := range s.all() {
+		svc.setRetryBurst(burst)
+	}
+}
+
+// retryBurst is one gateway's part of the extra retries.
+func retryBurst(extra float64, gateways int) float64 {
+	return max(extra*retryBudgetMargin/float64(max(gateways, minBudgetGateways)), 1)
+}
+
 // own returns the requests of this gateway on each server.
 func (s *services) own() map[string]int {
 	load := make(map[string]int)
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -29,8 +29,9 @@
 	directAfter = 1
 	// finishTimeout bounds the completion of a switch by an agent that leaves.
 	finishTimeout = 600 * time.Millisecond
-	// leadSteps is how far ahead of the newest step the group is held. The
-	// orders to arm all ranks take less than the time of these steps.
+	// leadTime is how far ahead of the newest step the group is held: the orders
+	// to arm all ranks take less. leadSteps is the most steps that it counts as.
+	leadTime  = 160 * time.Millisecond
 	leadSteps = 3
 	// prepareTimeout bounds the copying of experts: 12 experts of 780 MB take
 	// 1.7 s over the usual link.
@@ -137,6 +138,7 @@
 	h.blindRounds = 0
 	reports := reportsOf(responses)
 	h.pauses.note(clock.Now(), reports[0].Step)
+	h.coordinator.SetLead(h.pauses.lead())
 	h.raiseVersion(reports)
 	orders := h.coordinator.Next(reports, inForce, h.version+1)
 	h.notePhase()
--- a/daemons/rankagent/pauses.go
+++ b/daemons/rankagent/pauses.go
@@ -46,3 +46,12 @@
 	}
 	return float64(p.mean) / float64(objective)
 }
+
+// lead returns the number of steps in leadTime, at most leadSteps, which is also
+// the answer while the time of a step isn't known.
+func (p *pauses) lead() int64 {
+	if p.mean == 0 {
+		return leadSteps
+	}
+	return min(int64((leadTime+p.mean-1)/p.mean), leadSteps)
+}
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -95,7 +95,7 @@
 }
 
 // decide returns a map that is worth the switch, or the reason why there is none.
-// pause is that between two events of a stream, relative to its objective.
+// pause is the time between two events of a stream relative to its objective.
 func (p *planner) decide(
 	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map, pause float64,
 ) (experts.Decision, error) {
--- a/rankgroup/switchover/switchover.go
+++ b/rankgroup/switchover/switchover.go
@@ -142,6 +142,10 @@
 	return &Coordinator{config: config, asked: make(map[int]int64)}
 }
 
+// SetLead changes the number of steps between the newest step and the one at
+// which the group is held, for a group whose steps have become longer or shorter.
+func (c *Coordinator) SetLead(steps int64) { c.config.Lead = max(steps, 1) }
+
 // Phase returns how far the switch was at the last call of Next.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
--- a/serve/retry/retry.go
+++ b/serve/retry/retry.go
@@ -114,6 +114,13 @@
 	return &Budget{config: config, tokens: config.Burst}
 }
 
+// SetBurst changes the most retries that can be saved up, for a part of a shared
+// budget whose sharers became more or fewer.
+func (b *Budget) SetBurst(burst float64) {
+	b.config.Burst = burst
+	b.tokens = min(b.tokens, burst)
+}
+
 // FirstAttempt adds the share of one first attempt to the budget.
 func (b *Budget) FirstAttempt() {
 	b.tokens = min(b.config.Burst, b.tokens+b.config.Ratio)
