Never ask the store while a group may be held

Cause, found by reading: the holder and the agents that free a group read the members of the group from the store at times; a silent store would have kept a held group standing for 0.9 s.

Change: the holder asks only outside a switch, the other agents ahead of need. A new holder's first switch no longer logs a time from zero.

Test: rankagent.TestFrozenHolder and TestGroupGetsMaps cover both paths; the silent store at that very moment is not tested.

--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -110,13 +110,18 @@
 	})
 	h.group.refreshed = time.Time{}
 	h.phase = switchover.Blind
+	// A switch that a predecessor began is finished without copies of ours.
+	h.began, h.moves = clock.Now(), 0
 }
 
 // round reads the ranks, gives the orders that follow and returns the time to
 // the next round.
 func (h *holder) round(ctx context.Context) time.Duration {
-	if err := h.group.refresh(ctx, h.phase == switchover.Blind); err != nil {
-		h.log.Debug().Err(err).Msg("members of the group not read")
+	if !h.switching() {
+		// A silent store would keep the group held.
+		if err := h.group.refresh(ctx, h.phase == switchover.Blind); err != nil {
+			h.log.Debug().Err(err).Msg("members of the group not read")
+		}
 	}
 	engine := h.group.engine
 	if engine == nil || engine.Experts == nil {
--- a/daemons/rankagent/rescue.go
+++ b/daemons/rankagent/rescue.go
@@ -26,6 +26,9 @@
 	// rescueReadTimeout bounds the reading of the ranks. Agents answer within a
 	// few ms, and the group stands still meanwhile.
 	rescueReadTimeout = 70 * time.Millisecond
+	// memberInterval is the time between readings of the members of the group.
+	// Ranks that are replaced come with a new epoch, which ends any hold.
+	memberInterval = time.Minute
 	// rescueRounds bounds one try.
 	rescueRounds = 25
 	// rescuePause is the time to the next try.
@@ -42,8 +45,9 @@
 	pace  *paceReporter
 	log   zerolog.Logger
 
-	step    int64
-	movedAt time.Time
+	step      int64
+	movedAt   time.Time
+	refreshed time.Time
 }
 
 // run watches the own rank until ctx ends.
@@ -57,6 +61,7 @@
 		r.agent.note(s)
 		r.pace.note(ctx, s.Pace)
 		if !r.stuck(clock.Now(), s) {
+			r.refresh(ctx)
 			continue
 		}
 		clock.Sleep(ctx, time.Duration(s.Report.Rank)*stagger)
@@ -66,6 +71,20 @@
 	return nil
 }
 
+// refresh reads the members of the group ahead of need: while a group is held,
+// there is no time to ask a store that may be silent.
+func (r *rescuer) refresh(ctx context.Context) {
+	now := clock.Now()
+	if !r.refreshed.IsZero() && now.Sub(r.refreshed) < memberInterval {
+		return
+	}
+	if err := r.group.refresh(ctx, false); err != nil {
+		r.log.Debug().Err(err).Msg("members of the group not read")
+		return
+	}
+	r.refreshed = now
+}
+
 // stuck reports whether a rank with work begins no steps.
 func (r *rescuer) stuck(now time.Time, s platform.RankState) bool {
 	if s.Report.Step != r.step || s.Active == 0 || !s.Report.Open {
@@ -78,9 +97,6 @@
 // rescue finishes the switch of a held group. It does nothing in a group that
 // stalls for another reason.
 func (r *rescuer) rescue(ctx context.Context) {
-	if err := r.group.refresh(ctx, len(r.group.peers) == 0); err != nil {
-		r.log.Debug().Err(err).Msg("members of the group not read")
-	}
 	engine := r.group.engine
 	if engine == nil || engine.Experts == nil {
 		return
