Test four rules of the gateway that no test guarded

Cause: with each of 20 rules switched off by hand, four were not caught: the id of an answer for a booking, a booking on a route with several attempts, the attempts of a route while servers are left, a stream that ends properly within an event.

No code of the product changed.

--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -116,6 +116,9 @@
 		f := newFixture(t, s, other)
 		a := f.ask(http.MethodPost, booking, "a1")
 		require.Equal(t, want, a.status, answer)
+		if want == 200 {
+			require.Equal(t, "answer to a1", a.body, answer)
+		}
 		runs := len(s.Runs()) + len(other.Runs())
 		require.LessOrEqual(t, runs, 1, answer)
 		if a.status == 503 {
@@ -130,6 +133,50 @@
 	}
 }
 
+// Guards against a booking that is repeated after it may have run, on a route that
+// allows several attempts.
+func TestBookingIsNotRepeatedWithinTheRoute(t *testing.T) {
+	for _, answer := range []platformtest.Answer{platformtest.ResetBefore, platformtest.Failing, platformtest.Unsigned} {
+		s := platformtest.NewServer("s1", answer, answer)
+		other := platformtest.NewServer("s2", answer, answer)
+		f := newFixture(t, s, other)
+		version := f.deploy.Publish([]string{platformtest.Key}, func(_ string, r map[string]any) { r["maxAttempts"] = 3 })
+		f.eventually(func() bool { return f.gateway.view.Index().Config.Version == version })
+		f.ask(http.MethodPost, booking, "a1")
+		require.Equal(t, 1, s.Arrivals()+other.Arrivals(), answer)
+		s.Close()
+		other.Close()
+	}
+}
+
+// Guards against more attempts than the route allows while servers are left.
+func TestAttemptsOfTheRoute(t *testing.T) {
+	var servers []*platformtest.Server
+	for _, id := range []string{"s1", "s2", "s3", "s4"} {
+		servers = append(servers, platformtest.NewServer(id, platformtest.ResetBefore, platformtest.ResetBefore))
+	}
+	f := newFixture(t, servers...)
+	require.Equal(t, 502, f.ask(http.MethodGet, lookup, "a1").status)
+	arrivals := 0
+	for _, s := range servers {
+		arrivals += s.Arrivals()
+		s.Close()
+	}
+	require.Equal(t, 2, arrivals)
+}
+
+// Guards against a stream that ends within an event and looks complete.
+func TestStreamThatEndsWithinAnEvent(t *testing.T) {
+	s := platformtest.NewServer("m-s1", platformtest.EndInEvent, platformtest.EndInEvent)
+	defer s.Close()
+	f := newFixture(t)
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
+	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 1 })
+	a := f.ask(http.MethodPost, stream, "a1")
+	require.False(t, a.whole)
+	require.Equal(t, events(0)[:len(events(0))-len(events(2))], a.body)
+}
+
 // Guards against an idempotent request that fails although another server can
 // answer it, and against more attempts than the route allows.
 func TestIdempotentIsRepeated(t *testing.T) {
