Wait for the session before superseding it in the sidecar's test

A sidecar opens its rank session above the one that it reads. The test sent the successor's session without waiting for that, so on a busy machine the sidecar read it first, opened a higher one and was rightly never superseded. The EOF in the log is the request that was in flight when the test's server stopped.

Change: the ranks of the test answer 100 ms late, as under load, and the test waits until the session is open.

Conclusion: the test assumed an order; the product is unchanged.

--- a/daemons/sidecar/group_test.go
+++ b/daemons/sidecar/group_test.go
@@ -83,29 +83,39 @@
 }
 
 // Guards against a sidecar that goes on to accept group messages, or to stand
-// for the lease, after another one has taken its place.
+// for the lease, after another one has taken its place. The ranks answer slowly,
+// as on a busy machine: a sidecar that reads them after its successor's session
+// opens a higher one and is rightly not superseded, so the test waits until the
+// session is open.
 func TestSupersededSidecarLeavesTheGroup(t *testing.T) {
 	g, err := standin.NewRankGroup(standin.RankGroupConfig{Replicas: 1, RanksPerReplica: 2, Layers: 1, Experts: 2, SlotsPerRank: 1})
 	require.NoError(t, err)
-	ranks := httptest.NewServer(g.Handler(0))
+	answer := g.Handler(0)
+	ranks := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		answer.ServeHTTP(w, r)
+	}))
 	t.Cleanup(ranks.Close)
 	var address string
 	groupStatus(t, func(s *settings.Sidecar) {
 		address = s.Advertise
 		s.Group, s.Ranks, s.GroupRanks, s.RankURL = "g", []int{0, 1}, 2, ranks.URL
 	})
-	deliver := func() (status int, closes bool) {
+	deliver := func() (status int, closes bool, err error) {
 		resp, err := http.Post("http://"+address+filbertmuxv1connect.GroupServiceDeliverProcedure, "application/json", strings.NewReader("{}"))
-		require.NoError(t, err)
-		require.NoError(t, resp.Body.Close())
-		return resp.StatusCode, resp.Close
+		if err != nil {
+			return 0, false, err
+		}
+		return resp.StatusCode, resp.Close, resp.Body.Close()
 	}
-	status, _ := deliver()
+	status, _, err := deliver()
+	require.NoError(t, err)
 	require.Equal(t, http.StatusNotFound, status) // the request names no group
+	require.Eventually(t, func() bool { return g.State(0).Session > 0 }, time.Minute, 5*time.Millisecond)
 	_, err = g.Command(0, rankapi.Batch{Session: 1 << 63, Seq: 1})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool {
-		status, closes := deliver()
-		return status == http.StatusServiceUnavailable && closes
+		status, closes, err := deliver()
+		return err == nil && status == http.StatusServiceUnavailable && closes
 	}, time.Minute, 5*time.Millisecond)
 }
