Keep the wire's names of the gateway's tests in platformtest

Cause: lines in the tests of daemons/gateway and its connections wrote header names and states of the platform's wire themselves, so a change of the contract had to be made outside platform/ as well.

Ruled out: reading the adapter's own constants; a wrong name there would then pass the tests.

Change: platformtest has typed changes of a request's headers, accessors for what reached a server, and one method for each state of an entry. No check changed.

The tests of platform, gateway, upstream and rankagent pass with -race.

--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -80,8 +80,8 @@
 	f.deploy = &platformtest.Deployment{Store: f.store, Host: host}
 	f.deploy.Publish([]string{platformtest.Key}, nil)
 	for _, s := range servers {
-		f.deploy.Register(s.ID, platformtest.PlainService, s.Address(), "ready")
-		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.Address(), "ready")
+		f.deploy.Register(s.ID, platformtest.PlainService, s.Address())
+		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.Address())
 	}
 	log := zerolog.New(zerolog.SyncWriter(f.lines))
 	view := NewView()
@@ -124,22 +124,22 @@
 }
 
 // ask sends a request with the key of the organisation.
-func (f *fixture) ask(method, path, id string, change ...func(http.Header)) answer {
+func (f *fixture) ask(method, path, id string, change ...platformtest.Change) answer {
 	f.t.Helper()
 	a, err := f.try(context.Background(), method, path, id, change...)
 	require.NoError(f.t, err)
 	return a
 }
 
-func (f *fixture) try(ctx context.Context, method, path, id string, change ...func(http.Header)) (answer, error) {
+func (f *fixture) try(ctx context.Context, method, path, id string, change ...platformtest.Change) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, method, f.server.URL+path, strings.NewReader("body of "+id))
 	require.NoError(f.t, err)
 	req.Host = host
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Key", platformtest.Key)
-	req.Header.Set("X-Deadline-Ms", "3000")
+	platformtest.WithAttempt(id)(req.Header)
+	platformtest.WithKey(platformtest.Key)(req.Header)
+	platformtest.WithDeadline("3000")(req.Header)
 	if strings.HasPrefix(path, platformtest.StreamPath) {
-		req.Header.Set("X-Token-Usage", "100,30")
+		platformtest.WithTokens("100,30")(req.Header)
 	}
 	for _, c := range change {
 		c(req.Header)
@@ -161,5 +161,3 @@
 	}
 	return b.String()
 }
-
-func noKey(h http.Header) { h.Del("X-Key") }
--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -28,17 +28,17 @@
 	s := platformtest.NewServer("s1")
 	defer s.Close()
 	f := newFixture(t, s)
-	a := f.ask(http.MethodPost, booking, "a1", func(h http.Header) { h.Set("X-Tenant", "other") })
+	a := f.ask(http.MethodPost, booking, "a1", platformtest.WithOrganisation("other"))
 	require.Equal(t, 200, a.status)
 	require.Equal(t, "answer to a1", a.body)
-	require.Equal(t, "sig-s1", a.header.Get("X-Server-Signature"))
+	require.Equal(t, "sig-s1", platformtest.Signature(a.header))
 	runs := s.Runs()
 	require.Len(t, runs, 1)
 	require.Equal(t, booking, runs[0].Target)
 	require.Equal(t, "body of a1", runs[0].Body)
-	require.Equal(t, platformtest.Organisation, runs[0].Header.Get("X-Tenant"))
-	require.Empty(t, runs[0].Header.Get("X-Key"))
-	left, err := strconv.Atoi(runs[0].Header.Get("X-Deadline-Ms"))
+	require.Equal(t, platformtest.Organisation, runs[0].Organisation())
+	require.Empty(t, runs[0].Key())
+	left, err := strconv.Atoi(runs[0].Deadline())
 	require.NoError(t, err)
 	require.LessOrEqual(t, left, 2000, "the route's timeout is below the caller's deadline")
 	require.Greater(t, left, 1000)
@@ -49,10 +49,10 @@
 	s := platformtest.NewServer("s1")
 	defer s.Close()
 	f := newFixture(t, s)
-	require.Equal(t, 401, f.ask(http.MethodGet, lookup, "a", noKey).status)
-	require.Equal(t, 200, f.ask(http.MethodGet, open, "b", noKey).status)
+	require.Equal(t, 401, f.ask(http.MethodGet, lookup, "a", platformtest.WithoutKey).status)
+	require.Equal(t, 200, f.ask(http.MethodGet, open, "b", platformtest.WithoutKey).status)
 	require.Equal(t, 404, f.ask(http.MethodGet, "/none/x", "c").status)
-	big := f.ask(http.MethodPost, booking, "d", func(h http.Header) { h.Set("X-Deadline-Ms", "soon") })
+	big := f.ask(http.MethodPost, booking, "d", platformtest.WithDeadline("soon"))
 	require.Equal(t, 400, big.status)
 	require.Len(t, s.Runs(), 1)
 }
@@ -99,7 +99,7 @@
 	version := f.deploy.Publish([]string{"key-2"}, nil)
 	f.eventually(func() bool { return f.gateway.view.Index().Config.Version == version })
 	require.Equal(t, 401, f.ask(http.MethodGet, lookup, "a").status)
-	require.Equal(t, 200, f.ask(http.MethodGet, lookup, "b", func(h http.Header) { h.Set("X-Key", "key-2") }).status)
+	require.Equal(t, 200, f.ask(http.MethodGet, lookup, "b", platformtest.WithKey("key-2")).status)
 }
 
 // Guards against a booking that runs twice, and against an answer that promises
@@ -126,7 +126,7 @@
 			require.NotEmpty(t, a.header.Get("Retry-After"))
 		}
 		if a.status == 502 || a.status == 503 {
-			require.Empty(t, a.header.Get("X-Server-Signature"))
+			require.Empty(t, platformtest.Signature(a.header))
 		}
 		s.Close()
 		other.Close()
@@ -170,7 +170,7 @@
 	s := platformtest.NewServer("m-s1", platformtest.EndInEvent, platformtest.EndInEvent)
 	defer s.Close()
 	f := newFixture(t)
-	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
 	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 1 })
 	a := f.ask(http.MethodPost, stream, "a1")
 	require.False(t, a.whole)
@@ -224,8 +224,8 @@
 	defer s.Close()
 	defer other.Close()
 	f := newFixture(t)
-	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
-	f.deploy.Register(other.ID, platformtest.ModelService, other.Address(), "ready")
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
+	f.deploy.Register(other.ID, platformtest.ModelService, other.Address())
 	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 2 })
 	// Both servers break off once: the second attempt is the last one.
 	a := f.ask(http.MethodPost, stream, "a1")
@@ -243,7 +243,7 @@
 		require.True(t, a.whole)
 		require.Equal(t, events(0), a.body)
 	}
-	a = f.ask(http.MethodPost, stream, "a5", func(h http.Header) { h.Set("Last-Event-Id", "4") })
+	a = f.ask(http.MethodPost, stream, "a5", platformtest.WithLastEvent("4"))
 	require.Equal(t, events(4), a.body)
 }
 
@@ -253,16 +253,16 @@
 	s := platformtest.NewServer("m-s1")
 	defer s.Close()
 	f := newFixture(t)
-	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
 	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 1 })
 	s.SetDelay(180 * time.Millisecond)
 	require.True(t, f.ask(http.MethodPost, stream, "a1").whole)
 	arrivals := s.Arrivals()
-	a := f.ask(http.MethodPost, stream, "a2", func(h http.Header) { h.Set("X-Length-Hint", "200") })
+	a := f.ask(http.MethodPost, stream, "a2", platformtest.WithLengthHint("200"))
 	require.Equal(t, 503, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 	require.Equal(t, arrivals, s.Arrivals())
-	require.Equal(t, 200, f.ask(http.MethodPost, stream, "a3", func(h http.Header) { h.Set("X-Length-Hint", "30") }).status)
+	require.Equal(t, 200, f.ask(http.MethodPost, stream, "a3", platformtest.WithLengthHint("30")).status)
 }
 
 // Guards against work that goes on after its caller left.
@@ -270,7 +270,7 @@
 	s := platformtest.NewServer("m-s1", platformtest.Mute)
 	defer s.Close()
 	f := newFixture(t)
-	f.deploy.Register(s.ID, platformtest.ModelService, s.Address(), "ready")
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
 	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.ModelService)) == 1 })
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
@@ -285,7 +285,7 @@
 	defer s.Close()
 	f := newFixture(t, s)
 	began := time.Now()
-	a := f.ask(http.MethodPost, booking, "a1", func(h http.Header) { h.Set("X-Deadline-Ms", "300") })
+	a := f.ask(http.MethodPost, booking, "a1", platformtest.WithDeadline("300"))
 	require.Equal(t, 504, a.status)
 	require.Less(t, time.Since(began), 600*time.Millisecond)
 }
@@ -298,7 +298,7 @@
 	defer s.Close()
 	defer other.Close()
 	f := newFixture(t, s, other)
-	f.deploy.Register("s1", platformtest.PlainService, s.Address(), "draining")
+	f.deploy.RegisterDraining("s1", platformtest.PlainService, s.Address())
 	f.eventually(func() bool { return len(f.gateway.view.Usable(platformtest.PlainService)) == 1 })
 	before := s.Arrivals()
 	for i := range 5 {
@@ -310,7 +310,7 @@
 	require.Equal(t, 503, f.ask(http.MethodPost, booking, "b1").status)
 	require.Equal(t, 503, f.ask(http.MethodPost, booking, "b2").status)
 	require.Equal(t, 6, other.Arrivals(), "a server that moved is not asked again")
-	f.deploy.Register("s3", platformtest.PlainService, other.Address(), "ready")
+	f.deploy.Register("s3", platformtest.PlainService, other.Address())
 	f.eventually(func() bool { return f.ask(http.MethodPost, booking, "c"+strconv.Itoa(other.Arrivals())).status == 200 })
 }
 
--- a/daemons/gateway/upstream/upstream_test.go
+++ b/daemons/gateway/upstream/upstream_test.go
@@ -17,13 +17,13 @@
 
 func get(id string) *upstream.Request {
 	h := http.Header{}
-	h.Set("X-Attempt-Id", id)
-	h.Set("X-Expected-Instance", "s")
+	platformtest.WithAttempt(id)(h)
+	platformtest.ForInstance("s")(h)
 	return &upstream.Request{Method: http.MethodGet, Target: "/a/b%2Fc?d=%20", Host: "h", Header: h}
 }
 
 func own(id string) func(*http.Response) bool {
-	return func(r *http.Response) bool { return r.Header.Get("X-Attempt-Id") == id }
+	return func(r *http.Response) bool { return platformtest.AttemptID(r.Header) == id }
 }
 
 // exchange sends a request and returns the body and whether the connection was
