--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -35,8 +35,6 @@
 	// the rank beside the holder that gave it.
 	fence  int64
 	holder uint32
-	// unsettled is an order to arm the rank that got no answer.
-	unsettled switchover.Order
 }
 
 type identity struct {
@@ -68,7 +66,7 @@
 	}
 	a.note(s)
 	r := encodeState(s)
-	a.addOrders(r)
+	a.addGiver(r)
 	layers, err := a.inUse(ctx, s)
 	if err != nil {
 		return nil, err
@@ -138,41 +136,33 @@
 			m.GetRank(), m.GetGroup(), rank, group)
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	a.noteFence(m.GetFence(), m.GetHolder())
-	o := decodeOrder(m)
-	reply, err := a.rank.Order(ctx, o, m.GetFence(), decodeLayers(m))
+	if !a.noteFence(m.GetFence(), m.GetHolder()) {
+		return connect.NewResponse(&pb.OrderRankResponse{Fenced: true}), nil
+	}
+	reply, err := orderRank(ctx, a.rank, decodeOrder(m), m.GetFence(), decodeLayers(m))
 	if err != nil {
-		a.noteUnsettled(o)
 		return nil, connect.NewError(errkind.Of(err).Kind.Answer().Connect, err)
 	}
 	return connect.NewResponse(&pb.OrderRankResponse{Accepted: reply.Accepted, Fenced: reply.Fenced}), nil
 }
 
-func (a *Agent) noteFence(fence int64, holder uint32) {
+// noteFence notes the holder that gives an order. It reports whether no newer one
+// has given orders: not all backend servers check that.
+func (a *Agent) noteFence(fence int64, holder uint32) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if fence >= a.fence {
-		a.fence, a.holder = fence, holder
-	}
-}
-
-func (a *Agent) noteUnsettled(o switchover.Order) {
-	if o.Kind != switchover.ArmFor {
-		return
+	if fence < a.fence {
+		return false
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.unsettled = o
+	a.fence, a.holder = fence, holder
+	return true
 }
 
-// addOrders adds what is known of the orders that passed here.
-func (a *Agent) addOrders(r *pb.ReadRankResponse) {
+// addGiver adds the newest holder whose orders passed here.
+func (a *Agent) addGiver(r *pb.ReadRankResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r.Fence, r.Holder = a.fence, a.holder
-	if u := a.unsettled; u.Epoch == r.GetEpoch() && u.Step > r.GetStep() {
-		r.Unsettled = u.Step
-	}
 }
 
 func encodeState(s platform.RankState) *pb.ReadRankResponse {
@@ -191,6 +181,7 @@
 	report := switchover.Report{
 		Rank: int(r.GetRank()), Epoch: r.GetEpoch(), Open: r.GetOpen(), Step: r.GetStep(),
 		InForce: r.GetInForce(), Prepared: r.GetPrepared(), Held: r.GetHeld(),
+		OrderedBy: switchover.Giver{Token: r.GetFence(), Rank: int(r.GetHolder())},
 	}
 	if a := r.GetArmed(); a != nil {
 		report.Armed = &switchover.Arm{Version: a.GetVersion(), Step: a.GetStep()}
@@ -207,12 +198,12 @@
 }
 
 func encodeOrder(
-	group string, o switchover.Order, giver giver, t *experts.Topology,
+	group string, o switchover.Order, by switchover.Giver, t *experts.Topology,
 ) *pb.OrderRankRequest {
 	m := &pb.OrderRankRequest{
 		Group: group, Rank: uint32(o.Rank), Kind: orderKinds[o.Kind],
 		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
-		Fence: giver.fence, Holder: giver.holder,
+		Fence: by.Token, Holder: uint32(by.Rank),
 	}
 	if o.Map == nil {
 		return m
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -64,12 +64,6 @@
 	ordered map[int]time.Time
 }
 
-// giver is the holder in whose name orders are given.
-type giver struct {
-	fence  int64
-	holder uint32
-}
-
 // reached says how the ranks may be read and ordered.
 type reached struct {
 	// counts asks for the counts of the experts.
@@ -82,9 +76,10 @@
 
 // give sends orders to the ranks at the same time.
 func (g *group) give(
-	ctx context.Context, c *switchover.Coordinator, orders []switchover.Order, t *experts.Topology, by giver, how reached,
+	ctx context.Context, c *switchover.Coordinator, orders []switchover.Order, t *experts.Topology, how reached,
 ) {
 	name, _, _ := g.agent.Identity()
+	by := c.Giver()
 	replies := make([]*pb.OrderRankResponse, len(orders))
 	var wg sync.WaitGroup
 	for i, o := range orders {
@@ -98,7 +93,7 @@
 		case replies[i].GetAccepted():
 			c.Accepted(o)
 		case replies[i].GetFenced():
-			g.log.Warn().Int64("token", by.fence).Int("rank", o.Rank).Msg("a newer holder has given orders")
+			g.log.Warn().Int64("token", by.Token).Int("rank", o.Rank).Msg("a newer holder has given orders")
 		}
 	}
 }
@@ -148,7 +143,7 @@
 			return nil, err
 		}
 	}
-	reply, err := p.rank.Order(ctx, o, request.GetFence(), decodeLayers(request))
+	reply, err := orderRank(ctx, p.rank, o, request.GetFence(), decodeLayers(request))
 	if err != nil {
 		return nil, err
 	}
@@ -233,14 +228,21 @@
 	if _, _, size := g.agent.Identity(); len(responses) != size {
 		return nil, errkind.New(errkind.BackendUnavailable, "%d of %d ranks answered", len(responses), size)
 	}
+	if !sameMap(responses) {
+		// The ranks were read while they went from one map to the next. The
+		// coordinator waits, and uses no map.
+		return &experts.Map{}, nil
+	}
+	return mapInForce(t, g.engine.Experts.Layers, responses)
+}
+
+func sameMap(responses []*pb.ReadRankResponse) bool {
 	for _, r := range responses {
 		if r.GetInForce() != responses[0].GetInForce() || r.GetEpoch() != responses[0].GetEpoch() {
-			// The ranks were read while they went from one map to the next. The
-			// coordinator waits, and uses no map.
-			return &experts.Map{}, nil
+			return false
 		}
 	}
-	return mapInForce(t, g.engine.Experts.Layers, responses)
+	return true
 }
 
 func (g *group) domainList() []string {
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -106,7 +106,8 @@
 	h.token, h.version = token, token*versionsPerToken
 	h.based = false
 	h.coordinator = switchover.New(switchover.Config{
-		Own: own, HoldAt: (own + 1) % max(size, 1), Ranks: size, Lead: leadSteps,
+		Self:   switchover.Giver{Token: token, Rank: own},
+		HoldAt: (own + 1) % max(size, 1), Ranks: size, Lead: leadSteps,
 	})
 	h.group.refreshed = time.Time{}
 	h.phase = switchover.Blind
@@ -181,9 +182,7 @@
 	for _, o := range orders {
 		h.version = max(h.version, o.Version)
 	}
-	_, own, _ := h.agent.Identity()
-	by := giver{fence: h.token, holder: uint32(own)}
-	h.group.give(ctx, h.coordinator, orders, t, by, reached{direct: h.blindRounds > directAfter})
+	h.group.give(ctx, h.coordinator, orders, t, reached{direct: h.blindRounds > directAfter})
 }
 
 // pause is the time to the next round.
@@ -220,13 +219,7 @@
 
 // raiseVersion keeps the versions of this tenure above all that the ranks had.
 func (h *holder) raiseVersion(reports []switchover.Report) {
-	newest := int64(0)
-	for _, r := range reports {
-		newest = max(newest, r.InForce, r.Prepared)
-		if r.Armed != nil {
-			newest = max(newest, r.Armed.Version)
-		}
-	}
+	newest := newestVersion(reports)
 	if !h.based {
 		h.based = true
 		newest += versionGap
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -1,6 +1,7 @@
 package rankagent
 
 import (
+	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -170,6 +171,42 @@
 
 // mapInForce puts together the map from the experts that each rank has in use.
 func mapInForce(t *experts.Topology, layers int, reports []*pb.ReadRankResponse) (*experts.Map, error) {
+	m, err := mapOfRanks(t, layers, reports)
+	if err != nil {
+		return nil, err
+	}
+	return m, m.Validate(t)
+}
+
+// mapWithoutRank is the same where one rank was not read. It gets the experts
+// that no other rank has.
+func mapWithoutRank(t *experts.Topology, layers int, reports []*pb.ReadRankResponse, absent int) (*experts.Map, error) {
+	m, err := mapOfRanks(t, layers, reports)
+	if err != nil {
+		return nil, err
+	}
+	for _, layer := range m.Layers {
+		missing := missingExperts(t, layer)
+		if len(missing) > t.SlotsPerRank {
+			return nil, errkind.New(errkind.InvalidMap, "%d experts are on no rank that was read, %d fit on one",
+				len(missing), t.SlotsPerRank)
+		}
+		copy(layer[absent*t.SlotsPerRank:], missing)
+	}
+	return m, m.Validate(t)
+}
+
+func missingExperts(t *experts.Topology, layer experts.Layer) []experts.Expert {
+	var missing []experts.Expert
+	for e := range experts.Expert(t.Experts) {
+		if !slices.Contains(layer, e) {
+			missing = append(missing, e)
+		}
+	}
+	return missing
+}
+
+func mapOfRanks(t *experts.Topology, layers int, reports []*pb.ReadRankResponse) (*experts.Map, error) {
 	m := &experts.Map{Layers: make([]experts.Layer, layers)}
 	for i := range m.Layers {
 		m.Layers[i] = make(experts.Layer, t.Slots())
@@ -191,5 +228,5 @@
 			}
 		}
 	}
-	return m, m.Validate(t)
+	return m, nil
 }
--- a/daemons/rankagent/rescue.go
+++ b/daemons/rankagent/rescue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -102,7 +101,7 @@
 		return
 	}
 	_, own, size := r.agent.Identity()
-	c := switchover.New(switchover.Config{Own: own, HoldAt: own, Ranks: size, Lead: leadSteps})
+	c := switchover.New(switchover.Config{HoldAt: own, Ranks: size, Lead: leadSteps})
 	t := topology(engine.Experts, r.group.domainList())
 	began := clock.Now()
 	for range rescueRounds {
@@ -119,11 +118,11 @@
 // round gives the next orders and reports whether more may follow.
 func (r *rescuer) round(ctx context.Context, c *switchover.Coordinator, t *experts.Topology) bool {
 	responses := r.group.readAll(ctx, reached{timeout: rescueReadTimeout})
-	by, unsettled := lastHolder(responses)
-	if len(responses) == t.Ranks()-1 && !has(responses, by.holder) && !unsettled {
-		orders := c.Undo(reportsOf(responses))
-		r.group.give(ctx, c, orders, t, by, reached{})
-		return len(orders) > 0
+	if len(responses) == t.Ranks()-1 {
+		if orders := r.undo(c, t, responses); len(orders) > 0 {
+			r.group.give(ctx, c, orders, t, reached{})
+			return true
+		}
 	}
 	how := reached{direct: true}
 	if len(responses) < t.Ranks() {
@@ -135,30 +134,45 @@
 		return true
 	}
 	reports := reportsOf(responses)
-	newest := int64(0)
-	for _, report := range reports {
-		newest = max(newest, report.InForce, report.Prepared)
-	}
-	orders := c.Next(reports, inForce, newest+versionGap)
+	orders := c.Next(reports, inForce, newestVersion(reports)+versionGap)
 	if c.Phase() == switchover.Idle {
 		return false
 	}
-	r.group.give(ctx, c, orders, t, by, how)
+	r.group.give(ctx, c, orders, t, how)
 	return true
 }
 
-// lastHolder returns the holder that gave the newest orders, and whether an order
-// to arm a rank got no answer.
-func lastHolder(responses []*pb.ReadRankResponse) (by giver, unsettled bool) {
-	for _, r := range responses {
-		if r.GetFence() > by.fence {
-			by = giver{fence: r.GetFence(), holder: r.GetHolder()}
+// undo returns the orders that free the group without the rank that wasn't read.
+func (r *rescuer) undo(
+	c *switchover.Coordinator, t *experts.Topology, responses []*pb.ReadRankResponse,
+) []switchover.Order {
+	inForce, err := mapWithoutRank(t, r.group.engine.Experts.Layers, responses, absentRank(responses))
+	if err != nil {
+		r.log.Warn().Err(err).Msg("the switch can't be undone")
+		return nil
+	}
+	reports := reportsOf(responses)
+	return c.Undo(reports, inForce, newestVersion(reports)+versionGap)
+}
+
+// absentRank returns the lowest rank that was not read.
+func absentRank(responses []*pb.ReadRankResponse) int {
+	for rank, r := range responses {
+		if int(r.GetRank()) != rank {
+			return rank
 		}
-		unsettled = unsettled || r.GetUnsettled() > 0
 	}
-	return by, unsettled
+	return len(responses)
 }
 
-func has(responses []*pb.ReadRankResponse, rank uint32) bool {
-	return slices.ContainsFunc(responses, func(r *pb.ReadRankResponse) bool { return r.GetRank() == rank })
+// newestVersion returns the highest version that the ranks report.
+func newestVersion(reports []switchover.Report) int64 {
+	newest := int64(0)
+	for _, r := range reports {
+		newest = max(newest, r.InForce, r.Prepared)
+		if r.Armed != nil {
+			newest = max(newest, r.Armed.Version)
+		}
+	}
+	return newest
 }
--- a/rankgroup/switchover/switchover.go
+++ b/rankgroup/switchover/switchover.go
@@ -13,7 +13,8 @@
 //
 // The holder's own rank is the last to be armed, and the hold is elsewhere, so
 // that the others can undo a switch whose holder vanished together with the way
-// to its rank.
+// to its rank. Whoever goes on with a switch that another began does so in the
+// name of that holder, and arms that holder's rank last.
 //
 // An order may be lost, and may be carried out long after it was sent. It then
 // meets a group that has passed the step, has a newer version prepared or is in
@@ -54,6 +55,17 @@
 	Armed *Arm
 	// Held is the step at which the rank holds the group, or 0.
 	Held int64
+	// OrderedBy is the newest holder that gave the rank an order, as far as the
+	// agent beside the rank knows.
+	OrderedBy Giver
+}
+
+// Giver is a holder in whose name orders are given.
+type Giver struct {
+	// Token is its fencing token, or 0 for none.
+	Token int64
+	// Rank is the rank on the same machine.
+	Rank int
 }
 
 // Kind says what an order does.
@@ -91,8 +103,9 @@
 
 // Config holds the parameters of a Coordinator.
 type Config struct {
-	// Own is the rank on the same machine.
-	Own int
+	// Self is the holder, or the zero value for one that only goes on with what
+	// others began.
+	Self Giver
 	// HoldAt is the rank at which the group is held, on another machine.
 	HoldAt int
 	// Ranks is the number of ranks of the group.
@@ -130,6 +143,10 @@
 	// asked is the version that a rank was asked to prepare, by rank. A rank
 	// that copies is not asked again.
 	asked map[int]int64
+	// settled says that the group was seen without a switch under way, so what
+	// follows was begun by this holder. giver is the one of the last orders.
+	settled bool
+	giver   Giver
 }
 
 type target struct {
@@ -146,6 +163,31 @@
 // which the group is held, for a group whose steps have become longer or shorter.
 func (c *Coordinator) SetLead(steps int64) { c.config.Lead = max(steps, 1) }
 
+// Giver returns the holder in whose name the last orders have to be given.
+func (c *Coordinator) Giver() Giver { return c.giver }
+
+// pickGiver chooses the giver of the next orders. Until the group was seen at
+// rest, a predecessor may have armed any rank but its own.
+func (c *Coordinator) pickGiver(reports []Report) {
+	c.giver = c.config.Self
+	if c.settled && c.giver.Token > 0 {
+		return
+	}
+	if last := lastGiver(reports); last.Token > 0 {
+		c.giver = last
+	}
+}
+
+func lastGiver(reports []Report) Giver {
+	var last Giver
+	for _, r := range reports {
+		if r.OrderedBy.Token > last.Token {
+			last = r.OrderedBy
+		}
+	}
+	return last
+}
+
 // Phase returns how far the switch was at the last call of Next.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
@@ -176,6 +218,7 @@
 		c.epoch, c.target = epoch, nil
 		clear(c.asked)
 	}
+	c.pickGiver(reports)
 	armed := countArmed(reports)
 	held := anyHeld(reports)
 	switch {
@@ -280,7 +323,7 @@
 	for i, r := range reports {
 		switch {
 		case r.Armed != nil:
-		case r.Rank == c.config.Own:
+		case r.Rank == c.giver.Rank:
 			last = i
 		default:
 			out = append(out, Order{Rank: r.Rank, Kind: ArmFor, Epoch: r.Epoch, Version: prepared, Step: held})
@@ -295,27 +338,53 @@
 
 // Undo returns the orders that free a held group whose holder vanished together
 // with the way to its rank, the only one that reports lacks. That rank is armed
-// only after all others, so it isn't as long as one of them isn't. No order to
-// arm a rank may be without an answer.
-func (c *Coordinator) Undo(reports []Report) []Order {
+// only after all others, so it isn't as long as one of them isn't. inForce holds
+// the experts of the other ranks; version is higher than all versions that any
+// rank has had.
+//
+// An order to arm a rank may still be carried out later. Before the release,
+// each rank has a newer version prepared, which makes it refuse such an order.
+func (c *Coordinator) Undo(reports []Report, inForce *experts.Map, version int64) []Order {
 	c.phase = Blind
-	if len(reports) != c.config.Ranks-1 || len(reports) == 0 || c.underWay(reports) {
+	if !c.onlyGiverMissing(reports) {
 		return nil
 	}
-	for _, r := range reports {
-		if !r.Open || r.Epoch != reports[0].Epoch {
-			return nil
-		}
-	}
 	switch armed := countArmed(reports); {
 	case armed == len(reports):
-		// Its own rank may be armed as well.
+		// The giver's rank may be armed as well.
 		return nil
 	case armed > 0:
 		return c.disarm(reports)
-	default:
-		return c.release(reports)
+	case anyHeld(reports) == 0:
+		return nil
+	}
+	if c.target == nil {
+		c.target = &target{version: version, planned: inForce}
+	}
+	for _, r := range reports {
+		if r.Prepared < c.target.version {
+			return c.prepare(reports)
+		}
 	}
+	return c.release(reports)
+}
+
+// onlyGiverMissing reports whether all ranks were read, in one epoch of an open
+// group, but that of the holder that gave the last orders.
+func (c *Coordinator) onlyGiverMissing(reports []Report) bool {
+	if len(reports) != c.config.Ranks-1 || len(reports) == 0 || c.underWay(reports) {
+		return false
+	}
+	c.giver = lastGiver(reports)
+	if c.giver.Token == 0 {
+		return false
+	}
+	for _, r := range reports {
+		if !r.Open || r.Epoch != reports[0].Epoch || r.Rank == c.giver.Rank {
+			return false
+		}
+	}
+	return true
 }
 
 // superseded reports whether a rank has a version prepared that another holder
@@ -334,6 +403,8 @@
 	if c.target != nil && (reports[0].InForce == c.target.version || c.superseded(reports)) {
 		c.target = nil
 	}
+	c.settled = true
+	c.pickGiver(reports)
 	if c.target == nil {
 		c.phase = Idle
 		return nil
@@ -354,7 +425,7 @@
 	c.phase = Preparing
 	var out []Order
 	for _, r := range reports {
-		if r.Prepared == c.target.version || c.asked[r.Rank] == c.target.version {
+		if r.Prepared >= c.target.version || c.asked[r.Rank] == c.target.version {
 			continue
 		}
 		out = append(out, Order{
