Ask silent full servers, and have all agents know the ranks they may free

A group whose holder froze right after the hold stood still for 2 to 3 s: ten of twelve agents had read the members of the group while ranks were still registering, and read them again only after a minute, so they saw 2 to 10 ranks and could free nothing. The duty moved 3 s after the last renewal.

Change: a watchdog asks a full server that is silent; one without an answer loses its streams and gets no work for a second (balance/liveness). Agents read the members each second until all are known. A rescue ends when the group moves, and doesn't wait twice for the lost rank. A silent holder loses its duty after 1.8 s.

--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/balance/liveness"
 	"github.com/filbertmux/filbertmux/balance/membership"
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
@@ -55,6 +56,8 @@
 	firstSmoothing = 0.05
 	// slowRankPace is the pace from which a rank gets work only if all are slow.
 	slowRankPace = 1.3
+	// silentHold keeps work away from a server that doesn't answer at all.
+	silentHold = time.Second
 	// fullHold keeps work away from a server that refused for lack of room.
 	fullHold = 100 * time.Millisecond
 )
@@ -67,6 +70,7 @@
 	mu        sync.Mutex
 	scheduler *placement.Scheduler[*waiter]
 	outliers  *membership.Outliers
+	liveness  *liveness.Tracker
 	budget    *retry.Budget
 	rng       *rand.Rand
 	// groups holds the rank group of each server, addresses the server at each
@@ -102,6 +106,7 @@
 			QueueCapacity: queueCapacity,
 		}, rng),
 		outliers: membership.NewOutliers(membership.DefaultOutlierConfig()),
+		liveness: liveness.New(),
 		budget:   retry.NewBudget(budget),
 		rng:      rng,
 	}
@@ -140,6 +145,7 @@
 		s.addresses[l.Address] = l.ID
 	}
 	s.outliers.Retain(func(id string) bool { return known[id] })
+	s.liveness.Retain(func(id string) bool { return known[id] })
 	var kept []placement.Server
 	for _, c := range s.outliers.Keep(now, candidates) {
 		l := byID[c.ID]
@@ -318,6 +324,25 @@
 	s.scheduler.Avoid(id, now.Add(slowRankHold))
 }
 
+// judge returns whether a server that sends nothing is alive.
+func (s *service) judge(now time.Time, id string) liveness.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.liveness.Judge(now, id)
+}
+
+// answered notes whether a server answered a question. One that did not gets no
+// work for a while.
+func (s *service) answered(now time.Time, id string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.liveness.Answered(now, id, err == nil)
+	if err != nil {
+		s.scheduler.Hold(id, now.Add(silentHold))
+		s.log.Warn().Err(err).Str("server", id).Msg("silent server answers no question; its work goes elsewhere")
+	}
+}
+
 // crowded reports whether a request may wait in the queue of a server.
 func (s *service) crowded(id string) bool {
 	s.mu.Lock()
@@ -363,6 +388,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.progressed = now
+	s.liveness.Sign(now, server)
 	if s.scheduler.GroupUp(s.groups[server]) {
 		s.log.Info().Str("group", s.groups[server]).Str("server", server).Msg("rank group serves again")
 		s.deliver(s.scheduler.Step(now))
--- a/daemons/gateway/watchdog_test.go
+++ b/daemons/gateway/watchdog_test.go
@@ -14,6 +14,55 @@
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
 
+// Guards against a stream that waits to the end in the queue of a full server
+// whose machine is frozen, and against moving it while the server answers.
+func TestWatchdogAsksFullServer(t *testing.T) {
+	for name, frozen := range map[string]bool{"frozen": true, "alive": false} {
+		t.Run(name, func(t *testing.T) {
+			g := platformtest.NewGroup(1, 1, 4)
+			g.Unreachable(0, frozen)
+			address, stop := g.Serve(0, "127.0.0.1", 0)
+			defer stop()
+			s := platformtest.NewServer("s1")
+			defer s.Close()
+			f := newFixture(t, s)
+			svc := f.gateway.services.get(platformtest.PlainService, f.gateway.view)
+			svc.setOthers(clock.Now(), map[string]int{"s1": 4})
+			conn, err := upstream.NewPool(time.Now).Get(context.Background(), s.Address(), 0)
+			require.NoError(t, err)
+			defer conn.Close()
+			w := newWatchdog(&exchange{
+				g: f.gateway, svc: svc, conn: conn, server: fleet.Server{ID: "s1", Address: address},
+				r: &request{route: &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}},
+			})
+			defer w.stop()
+			moved := func() bool {
+				w.mu.Lock()
+				w.last = clock.Now().Add(-time.Hour)
+				w.mu.Unlock()
+				svc.mu.Lock()
+				svc.progressed = clock.Now()
+				svc.mu.Unlock()
+				w.check()
+				return w.silent()
+			}
+			require.False(t, moved(), "the first look asks the server")
+			require.Equal(t, frozen, waitFor(moved))
+		})
+	}
+}
+
+// waitFor reports whether a condition becomes true within half a second.
+func waitFor(condition func() bool) bool {
+	for range 50 {
+		if condition() {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
 // Guards against a stream that is sent elsewhere although it only waits in the
 // queue of a full server, against one that stays at a silent server, and against
 // moving streams while their whole group stalls.
--- a/daemons/rankagent/election.go
+++ b/daemons/rankagent/election.go
@@ -19,10 +19,11 @@
 	// dutyPartition belongs to the holder.
 	dutyPartition = 0
 	// tenureTTL is how long a holder that fell silent keeps the duty. A group
-	// goes on with its map meanwhile.
-	tenureTTL = 3 * time.Second
+	// goes on with its map meanwhile, which no longer fits after two or three
+	// changes of the mix of work.
+	tenureTTL = 1800 * time.Millisecond
 	// renewInterval is the time between renewals; two may be lost.
-	renewInterval = time.Second
+	renewInterval = 500 * time.Millisecond
 	// tenureMargin is how long before the end of its tenure a holder stops. It
 	// covers a round of orders.
 	tenureMargin = 300 * time.Millisecond
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -72,6 +72,8 @@
 	direct bool
 	// timeout bounds a call to an agent; 0 takes the usual one.
 	timeout time.Duration
+	// skip lists the ranks that aren't read, because they didn't answer before.
+	skip []int
 }
 
 // give sends orders to the ranks at the same time.
@@ -156,6 +158,9 @@
 	answers := make([]*pb.ReadRankResponse, size)
 	var wg sync.WaitGroup
 	for rank := range size {
+		if slices.Contains(how.skip, rank) {
+			continue
+		}
 		wg.Go(func() {
 			r, err := g.read(ctx, rank, own, how)
 			if err != nil {
@@ -254,11 +259,17 @@
 	return list
 }
 
+// complete reports whether the engine and all ranks of the group are known. Ranks
+// register one after the other when a deployment starts.
+func (g *group) complete() bool {
+	_, _, size := g.agent.Identity()
+	return g.engine != nil && size > 0 && len(g.domains) >= size
+}
+
 // refresh reads the members of the group and the engine from the store.
 func (g *group) refresh(ctx context.Context, missing bool) error {
 	interval := refreshInterval
-	_, _, size := g.agent.Identity()
-	if len(g.domains) < size || g.engine == nil || missing {
+	if !g.complete() || missing {
 		interval = missingRefresh
 	}
 	now := clock.Now()
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -184,6 +184,29 @@
 	f.group.Unreachable(frozen, false)
 }
 
+// Guards against an agent that can't free its group, because it read the members
+// when some ranks were not registered yet and not again for a minute.
+func TestRescuerLearnsLateRanks(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	d := &platformtest.Deployment{Store: store, Host: "h.example"}
+	d.Publish([]string{platformtest.Key}, nil)
+	d.RegisterRank("i-0", "127.0.7.1:1", 0, ranks)
+	agent := NewAgent(nil, zerolog.Nop())
+	agent.identity = identity{group: platformtest.GroupName, size: ranks}
+	o := Options{Log: zerolog.Nop(), Settings: platform.Settings{PeerPort: agentPort, BackendService: platformtest.ModelService}}
+	r := &rescuer{agent: agent, group: newGroup(o, agent, platform.NewStore(store.Address())), log: zerolog.Nop()}
+	r.refresh(t.Context())
+	require.False(t, r.group.complete())
+	for i := 1; i < ranks; i++ {
+		d.RegisterRank(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.0.7.%d:1", i+1), i, ranks)
+	}
+	require.Eventually(t, func() bool {
+		r.refresh(t.Context())
+		return r.group.complete()
+	}, 3*missingRefresh, missingRefresh/10)
+}
+
 // Guards against a duty that nobody has after the holder left, and against two
 // holders at a time.
 func TestHolderLeaves(t *testing.T) {
--- a/daemons/rankagent/rescue.go
+++ b/daemons/rankagent/rescue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,6 +48,8 @@
 	step      int64
 	movedAt   time.Time
 	refreshed time.Time
+	// absent is the rank that didn't answer in the last round of a rescue.
+	absent []int
 }
 
 // run watches the own rank until ctx ends.
@@ -81,7 +84,9 @@
 		r.log.Debug().Err(err).Msg("members of the group not read")
 		return
 	}
-	r.refreshed = now
+	if r.group.complete() {
+		r.refreshed = now
+	}
 }
 
 // stuck reports whether a rank with work begins no steps.
@@ -117,9 +122,17 @@
 
 // round gives the next orders and reports whether more may follow.
 func (r *rescuer) round(ctx context.Context, c *switchover.Coordinator, t *experts.Topology) bool {
-	responses := r.group.readAll(ctx, reached{timeout: rescueReadTimeout})
+	responses := r.group.readAll(ctx, reached{timeout: rescueReadTimeout, skip: r.absent})
+	r.absent = nil
+	if r.moving(responses) {
+		return false
+	}
 	if len(responses) == t.Ranks()-1 {
 		if orders := r.undo(c, t, responses); len(orders) > 0 {
+			// The next round doesn't wait again for the rank that is lost.
+			r.absent = []int{absentRank(responses)}
+			r.log.Info().Ints("absent", r.absent).Int64("token", c.Giver().Token).
+				Str("order", orders[0].Kind.String()).Int("orders", len(orders)).Msg("undoing the switch of a lost holder")
 			r.group.give(ctx, c, orders, t, reached{})
 			return true
 		}
@@ -142,6 +155,11 @@
 	return true
 }
 
+// moving reports whether the group has begun a step since it stood still.
+func (r *rescuer) moving(responses []*pb.ReadRankResponse) bool {
+	return slices.ContainsFunc(responses, func(a *pb.ReadRankResponse) bool { return a.GetStep() > r.step })
+}
+
 // undo returns the orders that free the group without the rank that wasn't read.
 func (r *rescuer) undo(
 	c *switchover.Coordinator, t *experts.Topology, responses []*pb.ReadRankResponse,
