Let the holder go on without the store, and only candidates ask for the duty

Cause: with 72 agents that renew a membership twice a second, a quarter of the grown sites' store calls were theirs. When the store was away for more than the tenure, a group kept its map although the mix of work changed each 3.4 s.

Ruled out: fewer renewals (the duty then moves later from a frozen holder).

Change: an agent asks for the duty only after 0.9 s without a call of a holder. A holder whose renewals get no answer goes on; it stops when an agent tells of a newer holder. The token stays while candidates come and go. Servers are read as often as the bound on draining asks for, 1.35 s at 2 s and 2.35 s at 3 s.

--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -95,7 +95,7 @@
 		done <- struct{}{}
 	}()
 	go func() {
-		_ = FollowServers(ctx, client, view, log, f.gateway.kick, func() { f.gateway.services.refresh(view) })
+		_ = FollowServers(ctx, client, view, log, f.gateway.bounds.Load, f.gateway.kick, func() { f.gateway.services.refresh(view) })
 		done <- struct{}{}
 	}()
 	f.server = httptest.NewServer(f.gateway)
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -18,11 +18,11 @@
 	// configuration is the newest one is at most two polls old, which stays
 	// below the 5 s of the revocation bound with a second to spare.
 	configWait = 1700 * time.Millisecond
-	// serverInterval is the time between reads of the servers. With the time of
-	// a read it stays within the 2 s after which a leaving server gets no new
-	// work.
-	serverInterval = 1350 * time.Millisecond
-	// minServerInterval is the same after a sign that the list is out of date.
+	// drainMargin is how long before the bound on draining the servers are read
+	// again. It covers the read and the requests that are being sent.
+	drainMargin = 650 * time.Millisecond
+	// minServerInterval is the shortest time between two reads of the servers,
+	// after a sign that the list is out of date.
 	minServerInterval = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the wait after a failed call. All
 	// instances come at once when the store returns, so it is jittered.
@@ -163,10 +163,17 @@
 	return true
 }
 
+// serverInterval is the time between reads of the servers. Reads are billed, so
+// there are no more than the bound on draining asks for.
+func serverInterval(b *platform.Bounds) time.Duration {
+	return max(b.Drain-drainMargin, minServerInterval)
+}
+
 // FollowServers keeps the registered servers of view up to date until ctx ends.
 // changed is called after each reading; kick asks for an early one.
 func FollowServers(
-	ctx context.Context, store *platform.Store, view *View, log zerolog.Logger, kick <-chan struct{}, changed func(),
+	ctx context.Context, store *platform.Store, view *View, log zerolog.Logger, bounds func() *platform.Bounds,
+	kick <-chan struct{}, changed func(),
 ) error {
 	f := newTopicFollower(store, platform.ServerTopic, log)
 	var removals pendingRemovals
@@ -188,7 +195,7 @@
 		select {
 		case <-kick:
 		case <-ctx.Done():
-		case <-time.After(serverInterval - minServerInterval):
+		case <-time.After(serverInterval(bounds()) - minServerInterval):
 		}
 	}
 	return nil
--- a/daemons/gateway/leave_test.go
+++ b/daemons/gateway/leave_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
 
@@ -66,3 +67,14 @@
 	}
 	require.NoError(t, front.shutdown(t.Context()))
 }
+
+// Guards against leaving servers that get work after the bound on draining, and
+// against reads of the servers that no bound asks for.
+func TestServersAreReadWithinTheDrainBound(t *testing.T) {
+	for _, drain := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		interval := serverInterval(&platform.Bounds{Drain: drain})
+		require.Less(t, interval, drain-drainMargin/2)
+		require.Greater(t, interval, drain/4)
+	}
+	require.Positive(t, serverInterval(&platform.Bounds{}))
+}
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -60,7 +60,7 @@
 		return FollowConfig(ctx, store, view, o.Log)
 	}})
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "follow servers", Run: func(ctx context.Context) error {
-		return FollowServers(ctx, store, view, o.Log, g.kick, func() {
+		return FollowServers(ctx, store, view, o.Log, g.bounds.Load, g.kick, func() {
 			g.services.refresh(view)
 			g.pool.Expire()
 		})
--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
@@ -35,6 +37,10 @@
 	// the rank beside the holder that gave it.
 	fence  int64
 	holder uint32
+	// seen is the highest fencing token of a holder that called, and seenAt when
+	// the present one last did.
+	seen   int64
+	seenAt time.Time
 }
 
 type identity struct {
@@ -45,12 +51,15 @@
 }
 
 // NewAgent returns the agent of a rank.
-func NewAgent(rank *platform.Rank, log zerolog.Logger) *Agent { return &Agent{rank: rank, log: log} }
+func NewAgent(rank *platform.Rank, log zerolog.Logger) *Agent {
+	return &Agent{rank: rank, log: log, seenAt: clock.Now()}
+}
 
 // ReadRank implements the service.
 func (a *Agent) ReadRank(
 	ctx context.Context, req *connect.Request[pb.ReadRankRequest],
 ) (*connect.Response[pb.ReadRankResponse], error) {
+	a.noteHolder(clock.Now(), req.Msg.GetToken())
 	r, err := a.read(ctx, req.Msg.GetCounts())
 	if err != nil {
 		return nil, connect.NewError(errkind.Of(err).Kind.Answer().Connect, err)
@@ -136,7 +145,7 @@
 			m.GetRank(), m.GetGroup(), rank, group)
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	if !a.noteFence(m.GetFence(), m.GetHolder()) {
+	if !a.noteHolder(clock.Now(), m.GetToken()) || !a.noteFence(m.GetFence(), m.GetHolder()) {
 		return connect.NewResponse(&pb.OrderRankResponse{Fenced: true}), nil
 	}
 	reply, err := orderRank(ctx, a.rank, decodeOrder(m), m.GetFence(), decodeLayers(m))
@@ -146,6 +155,29 @@
 	return connect.NewResponse(&pb.OrderRankResponse{Accepted: reply.Accepted, Fenced: reply.Fenced}), nil
 }
 
+// noteHolder notes a call of a holder. It reports whether no newer one has called;
+// token is 0 for callers that aren't the holder.
+func (a *Agent) noteHolder(now time.Time, token int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if token == 0 {
+		return true
+	}
+	if token < a.seen {
+		return false
+	}
+	a.seen, a.seenAt = token, now
+	return true
+}
+
+// candidate describes this agent to its election.
+func (a *Agent) candidate() candidate {
+	now := clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return candidate{group: a.identity.group, rank: a.identity.rank, silence: now.Sub(a.seenAt)}
+}
+
 // noteFence notes the holder that gives an order. It reports whether no newer one
 // has given orders: not all backend servers check that.
 func (a *Agent) noteFence(fence int64, holder uint32) bool {
@@ -162,7 +194,7 @@
 func (a *Agent) addGiver(r *pb.ReadRankResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r.Fence, r.Holder = a.fence, a.holder
+	r.Fence, r.Holder, r.Seen = a.fence, a.holder, a.seen
 }
 
 func encodeState(s platform.RankState) *pb.ReadRankResponse {
@@ -198,12 +230,12 @@
 }
 
 func encodeOrder(
-	group string, o switchover.Order, by switchover.Giver, t *experts.Topology,
+	group string, o switchover.Order, by switchover.Giver, token int64, t *experts.Topology,
 ) *pb.OrderRankRequest {
 	m := &pb.OrderRankRequest{
 		Group: group, Rank: uint32(o.Rank), Kind: orderKinds[o.Kind],
 		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
-		Fence: by.Token, Holder: uint32(by.Rank),
+		Fence: by.Token, Holder: uint32(by.Rank), Token: token,
 	}
 	if o.Map == nil {
 		return m
--- a/daemons/rankagent/election.go
+++ b/daemons/rankagent/election.go
@@ -28,24 +28,36 @@
 	// covers a round of orders.
 	tenureMargin = 300 * time.Millisecond
 	leaveTimeout = 300 * time.Millisecond
+	// candidateSilence is the time without a call of the holder after which an
+	// agent is a candidate. Holders call each 150 ms.
+	candidateSilence = 900 * time.Millisecond
+	// candidateStagger puts off the agents of higher ranks, so that few of them
+	// ask the store at once, and candidateSteps bounds how often.
+	candidateStagger = 250 * time.Millisecond
+	candidateSteps   = 8
 )
 
 // tenure is the time for which an agent is the holder. Its clock counts while
 // the machine is suspended.
 type tenure struct {
-	// token is the fencing token, higher for each change of the group.
+	// token is the fencing token, higher for each change of the holder.
 	token int64
 	// until is when the store may give the duty to another agent.
 	until time.Time
 }
 
-// holds reports whether the agent may act as the holder at now.
+// holds reports whether no other agent can have the duty at now.
 func (t tenure) holds(now time.Time) bool {
 	return t.token > 0 && now.Before(t.until.Add(-tenureMargin))
 }
 
-// election keeps this agent a candidate for the duty of its group. It is safe
-// for concurrent use.
+// election keeps this agent the holder of its group, or a candidate while the
+// group has none. It is safe for concurrent use.
+//
+// While the store doesn't answer, a holder goes on: the ranks need a map that fits
+// most when the store is away for long. Two holders at a time do no harm to the
+// group (rankgroup/switchover), and the older one stops as soon as an agent knows
+// of the newer one.
 type election struct {
 	store  *platform.Store
 	member string
@@ -55,6 +67,10 @@
 	group      string
 	generation int64
 	tenure     tenure
+	// storeLost says that the last renewal got no answer, and joined that the
+	// store may count this agent as a member.
+	storeLost bool
+	joined    bool
 }
 
 func newElection(store *platform.Store, member string, log zerolog.Logger) *election {
@@ -65,20 +81,43 @@
 func (e *election) token(now time.Time) (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.tenure.token, e.tenure.holds(now)
+	return e.tenure.token, e.tenure.holds(now) || e.tenure.token > 0 && e.storeLost
 }
 
-// run renews the candidacy until ctx ends. group returns the group of the rank,
-// which is empty until it was read.
-func (e *election) run(ctx context.Context, group func() string) error {
+// supersede ends the tenure, because another agent has the duty.
+func (e *election) supersede(newer int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.log.Info().Str("group", e.group).Int64("token", e.tenure.token).Int64("newer", newer).
+		Msg("another agent is the holder of the group")
+	e.tenure = tenure{}
+}
+
+// candidate describes this agent to its election.
+type candidate struct {
+	// group is empty until it was read.
+	group string
+	rank  int
+	// silence is the time since a holder last called.
+	silence time.Duration
+}
+
+// wanted reports whether the group needs c as a candidate.
+func (c candidate) wanted() bool {
+	stagger := time.Duration(c.rank%candidateSteps) * candidateStagger
+	return c.silence >= candidateSilence+stagger
+}
+
+// run renews the duty or the candidacy until ctx ends.
+func (e *election) run(ctx context.Context, self func() candidate) error {
 	failures := 0
 	for ctx.Err() == nil {
-		name := group()
-		if name == "" {
-			clock.Sleep(ctx, renewInterval)
+		c := self()
+		if _, holder := e.token(clock.Now()); c.group == "" || !holder && !c.wanted() {
+			clock.Sleep(ctx, standbyInterval)
 			continue
 		}
-		err := e.renew(ctx, name)
+		err := e.renew(ctx, c.group)
 		switch {
 		case err == nil:
 			if failures > 0 {
@@ -108,6 +147,9 @@
 	sent := clock.Now()
 	m, err := e.store.Join(ctx, "rank-group."+group, e.member, electionTopic, tenureTTL, generation)
 	if err != nil {
+		e.mu.Lock()
+		e.storeLost, e.joined = true, true
+		e.mu.Unlock()
 		return err
 	}
 	e.take(group, m, sent)
@@ -119,28 +161,32 @@
 func (e *election) take(group string, m platform.Membership, sent time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.tenure.token > 0
+	before := e.tenure
 	e.group, e.generation = group, m.Generation
+	e.storeLost, e.joined = false, true
 	if !slices.Contains(m.Partitions, dutyPartition) {
 		e.tenure = tenure{}
-		if before {
+		if before.token > 0 {
 			e.log.Info().Str("group", group).Int64("generation", m.Generation).Msg("no longer holder of the group")
 		}
 		return
 	}
 	e.tenure = tenure{token: m.Generation, until: sent.Add(tenureTTL)}
-	if !before {
-		e.log.Info().Str("group", group).Int64("token", m.Generation).Msg("holder of the group")
+	if before.token > 0 && sent.Before(before.until) {
+		// Candidates come and go, and nobody else had the duty meanwhile.
+		e.tenure.token = before.token
+		return
 	}
+	e.log.Info().Str("group", group).Int64("token", m.Generation).Msg("holder of the group")
 }
 
 // leave gives the duty back, so that another agent has it at once.
 func (e *election) leave() {
 	e.mu.Lock()
-	group := e.group
+	group, joined := e.group, e.joined
 	e.tenure = tenure{}
 	e.mu.Unlock()
-	if group == "" {
+	if group == "" || !joined {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -66,6 +66,8 @@
 
 // reached says how the ranks may be read and ordered.
 type reached struct {
+	// token is the fencing token of the caller, or 0 if it isn't the holder.
+	token int64
 	// counts asks for the counts of the experts.
 	counts bool
 	// direct says that ranks whose agents don't answer are called themselves.
@@ -85,7 +87,7 @@
 	replies := make([]*pb.OrderRankResponse, len(orders))
 	var wg sync.WaitGroup
 	for i, o := range orders {
-		request := encodeOrder(name, o, by, t)
+		request := encodeOrder(name, o, by, how.token, t)
 		g.ordered[o.Rank] = clock.Now()
 		wg.Go(func() { replies[i] = g.order(ctx, o, request, how) })
 	}
@@ -188,7 +190,7 @@
 	if !ok {
 		return nil, errkind.New(errkind.NoBackendServer, "no agent of rank %d is known", rank)
 	}
-	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: how.counts}))
+	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: how.counts, Token: how.token}))
 	if err != nil && how.direct {
 		return g.readDirect(ctx, rank, p)
 	}
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -129,7 +129,12 @@
 		return blindInterval
 	}
 	idle := h.phase == switchover.Idle || h.phase == switchover.Blind
-	responses := h.group.readAll(ctx, reached{counts: idle, direct: h.blindRounds > directAfter})
+	responses := h.group.readAll(ctx, reached{
+		token: h.token, counts: idle, direct: h.blindRounds > directAfter,
+	})
+	if h.superseded(responses) {
+		return standbyInterval
+	}
 	t := topology(engine.Experts, h.group.domainList())
 	if len(responses) == t.Ranks() {
 		t.Pace = paces(responses)
@@ -155,6 +160,21 @@
 	return h.pause()
 }
 
+// superseded gives the duty up if an agent knows a newer holder. A holder that
+// can't reach the store learns of it in no other way.
+func (h *holder) superseded(responses []*pb.ReadRankResponse) bool {
+	newest := int64(0)
+	for _, r := range responses {
+		newest = max(newest, r.GetSeen(), r.GetFence())
+	}
+	if newest <= h.token {
+		return false
+	}
+	h.election.supersede(newest)
+	h.phase = switchover.Blind
+	return true
+}
+
 // noteBlind counts the rounds in which ranks can't be read although one of the
 // others holds the group. After a few, the ranks are called without their agents.
 func (h *holder) noteBlind(responses []*pb.ReadRankResponse) {
@@ -182,7 +202,7 @@
 	for _, o := range orders {
 		h.version = max(h.version, o.Version)
 	}
-	h.group.give(ctx, h.coordinator, orders, t, reached{direct: h.blindRounds > directAfter})
+	h.group.give(ctx, h.coordinator, orders, t, reached{token: h.token, direct: h.blindRounds > directAfter})
 }
 
 // pause is the time to the next round.
--- a/daemons/rankagent/module.go
+++ b/daemons/rankagent/module.go
@@ -80,10 +80,7 @@
 
 func lead(lc fx.Lifecycle, o Options, agent *Agent, e *election, store *platform.Store) {
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "election", Run: func(ctx context.Context) error {
-		return e.run(ctx, func() string {
-			group, _, _ := agent.Identity()
-			return group
-		})
+		return e.run(ctx, agent.candidate)
 	}})
 	h := &holder{group: newGroup(o, agent, store), agent: agent, election: e, log: o.Log, planner: newPlanner()}
 	daemon.Start(lc, o.Log, daemon.Duty{Name: "lead the group", Run: h.run})
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -110,10 +110,7 @@
 		func() { _ = h.run(ctx) },
 		func() { _ = w.run(ctx) },
 		func() {
-			_ = a.election.run(ctx, func() string {
-				group, _, _ := a.agent.Identity()
-				return group
-			})
+			_ = a.election.run(ctx, a.agent.candidate)
 		},
 	}
 	done := make(chan struct{}, len(duties))
@@ -238,7 +235,7 @@
 	topo := &experts.Topology{Experts: 4, SlotsPerRank: 3, Domains: []string{"a", "b"}}
 	m := &experts.Map{Layers: []experts.Layer{{0, 1, experts.Empty, 2, 3, 0}, {3, 2, 1, 0, experts.Empty, experts.Empty}}}
 	o := switchover.Order{Rank: 1, Kind: switchover.Prepare, Epoch: 2, Version: 9, Map: m}
-	encoded := encodeOrder("g", o, switchover.Giver{Token: 5, Rank: 1}, topo)
+	encoded := encodeOrder("g", o, switchover.Giver{Token: 5, Rank: 1}, 5, topo)
 	decoded := decodeOrder(encoded)
 	o.Map = nil
 	require.Equal(t, o, decoded)
