Claim the duty of a group on the log, and use the last writer of an address

Cause: after the loss of power of all machines, eleven old entries stayed in the list beside the new ones for seconds. The first new map was in force 2.4 s after the start: the holder lost its duty 0.5 s after it had it, because the store deals partitions anew whenever a candidate joins or leaves.

Ruled out: leaving at once when the group has a holder (the duty moved four times in 3 s, in force 3.3 s after the start).

Change: of several entries with one address, the one that was written last is used. The duty is a record that is appended to a topic of the group only if it ends where the agent expects it; its place is the token. No renewals: agents claim it when no holder calls them, a holder that leaves tells them, and an older holder stops when an agent tells it of a newer one. Membership of the store is no longer used.

--- a/config/fleet/fleet_test.go
+++ b/config/fleet/fleet_test.go
@@ -81,3 +81,21 @@
 	require.False(t, (&fleet.Route{Kind: fleet.Streaming}).Repeatable())
 	require.True(t, (&fleet.Route{Kind: fleet.Streaming, Resumable: true}).Repeatable())
 }
+
+// Guards against work for servers that died, whose entries stay for seconds after
+// another server has started at their address, also one of another service.
+func TestNewestServerOfAnAddress(t *testing.T) {
+	var s fleet.Servers
+	s.Apply([]fleet.ServerChange{
+		{ID: "new", Server: &fleet.Server{ID: "new", Service: "m", Address: "a:1"}, Written: 12},
+		{ID: "old", Server: &fleet.Server{ID: "old", Service: "m", Address: "a:1"}, Written: 7},
+		{ID: "other", Server: &fleet.Server{ID: "other", Service: "m", Address: "b:1"}, Written: 3},
+		{ID: "reused", Server: &fleet.Server{ID: "reused", Service: "x", Address: "b:1"}, Written: 9},
+		{ID: "alone", Server: &fleet.Server{ID: "alone", Service: "m", Address: "c:1"}, Written: 1},
+	})
+	var usable []string
+	for _, server := range s.Usable("m") {
+		usable = append(usable, server.ID)
+	}
+	require.Equal(t, []string{"alone", "new"}, usable)
+}
--- a/config/fleet/servers.go
+++ b/config/fleet/servers.go
@@ -35,24 +35,31 @@
 	ID string
 	// Server is nil if the entry was removed or can't be used.
 	Server *Server
+	// Written orders the changes: later ones have higher numbers.
+	Written int64
 }
 
 // Servers is the list of registered backend servers. The zero value is empty.
 type Servers struct {
-	byID map[string]Server
+	byID map[string]entry
+}
+
+type entry struct {
+	Server
+	written int64
 }
 
 // Apply takes changes in the order in which they were made.
 func (s *Servers) Apply(changes []ServerChange) {
 	if s.byID == nil {
-		s.byID = make(map[string]Server, len(changes))
+		s.byID = make(map[string]entry, len(changes))
 	}
 	for _, c := range changes {
 		if c.Server == nil {
 			delete(s.byID, c.ID)
 			continue
 		}
-		s.byID[c.ID] = *c.Server
+		s.byID[c.ID] = entry{Server: *c.Server, written: c.Written}
 	}
 }
 
@@ -64,18 +71,29 @@
 
 // Get returns a server by its id.
 func (s *Servers) Get(id string) (Server, bool) {
-	server, ok := s.byID[id]
-	return server, ok
+	e, ok := s.byID[id]
+	return e.Server, ok
 }
 
-// Usable returns the servers of a service that take new work, by id.
+// Usable returns the servers of a service that take new work, by id. Entries of
+// servers that died stay for seconds, and another server may have started at the
+// same address meanwhile: only the one that wrote last is there.
 func (s *Servers) Usable(service string) []Server {
+	newest := s.newestByAddress()
 	var usable []Server
-	for server := range maps.Values(s.byID) {
-		if server.Service == service && !server.Draining {
-			usable = append(usable, server)
+	for e := range maps.Values(s.byID) {
+		if e.Service == service && !e.Draining && newest[e.Address] == e.written {
+			usable = append(usable, e.Server)
 		}
 	}
 	slices.SortFunc(usable, func(a, b Server) int { return strings.Compare(a.ID, b.ID) })
 	return usable
 }
+
+func (s *Servers) newestByAddress() map[string]int64 {
+	newest := make(map[string]int64, len(s.byID))
+	for e := range maps.Values(s.byID) {
+		newest[e.Address] = max(newest[e.Address], e.written)
+	}
+	return newest
+}
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -204,7 +204,7 @@
 func decodeServers(records []platform.KeyedRecord, log zerolog.Logger) []fleet.ServerChange {
 	changes := make([]fleet.ServerChange, 0, len(records))
 	for _, r := range records {
-		change := fleet.ServerChange{ID: r.Key}
+		change := fleet.ServerChange{ID: r.Key, Written: r.Offset}
 		if len(r.Value) > 0 {
 			server, err := platform.DecodeServer(r.Key, r.Value)
 			if err != nil {
--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -52,14 +52,19 @@
 
 // NewAgent returns the agent of a rank.
 func NewAgent(rank *platform.Rank, log zerolog.Logger) *Agent {
-	return &Agent{rank: rank, log: log, seenAt: clock.Now()}
+	// A holder that is there calls within the first moments.
+	return &Agent{rank: rank, log: log, seenAt: clock.Now().Add(firstCall - candidateSilence)}
 }
 
 // ReadRank implements the service.
 func (a *Agent) ReadRank(
 	ctx context.Context, req *connect.Request[pb.ReadRankRequest],
 ) (*connect.Response[pb.ReadRankResponse], error) {
-	a.noteHolder(clock.Now(), req.Msg.GetToken())
+	called := clock.Now()
+	if req.Msg.GetLeaving() {
+		called = called.Add(-candidateSilence)
+	}
+	a.noteHolder(called, req.Msg.GetToken())
 	r, err := a.read(ctx, req.Msg.GetCounts())
 	if err != nil {
 		return nil, connect.NewError(errkind.Of(err).Kind.Answer().Connect, err)
--- a/daemons/rankagent/election.go
+++ b/daemons/rankagent/election.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,83 +13,73 @@
 )
 
 const (
-	// electionTopic has the partition that goes with the duty of each group.
-	electionTopic = "rank-groups"
-	// dutyPartition belongs to the holder.
-	dutyPartition = 0
-	// tenureTTL is how long a holder that fell silent keeps the duty. A group
-	// goes on with its map meanwhile, which no longer fits after two or three
-	// changes of the mix of work.
-	tenureTTL = 1800 * time.Millisecond
-	// renewInterval is the time between renewals; two may be lost.
-	renewInterval = 500 * time.Millisecond
-	// tenureMargin is how long before the end of its tenure a holder stops. It
-	// covers a round of orders.
-	tenureMargin = 300 * time.Millisecond
-	leaveTimeout = 300 * time.Millisecond
 	// candidateSilence is the time without a call of the holder after which an
-	// agent is a candidate. Holders call each 150 ms.
+	// agent claims the duty. Holders call each 150 ms.
 	candidateSilence = 900 * time.Millisecond
-	// candidateStagger puts off the agents of higher ranks, so that few of them
-	// ask the store at once, and candidateSteps bounds how often.
-	candidateStagger = 250 * time.Millisecond
-	candidateSteps   = 8
+	// firstCall is the same after the start of an agent: when all were restarted,
+	// the group has the map that it began with and needs a holder at once.
+	firstCall = 350 * time.Millisecond
+	// candidateStagger puts off the agents of higher ranks, so that the first one
+	// has called them by then, and candidateSteps bounds how often.
+	candidateStagger = 300 * time.Millisecond
+	candidateSteps   = 15
+	// claimPause is the time that a rival who was faster has to call, and the wait
+	// after a claim without an answer.
+	claimPause = 400 * time.Millisecond
 )
 
-// tenure is the time for which an agent is the holder. Its clock counts while
-// the machine is suspended.
-type tenure struct {
-	// token is the fencing token, higher for each change of the holder.
-	token int64
-	// until is when the store may give the duty to another agent.
-	until time.Time
-}
-
-// holds reports whether no other agent can have the duty at now.
-func (t tenure) holds(now time.Time) bool {
-	return t.token > 0 && now.Before(t.until.Add(-tenureMargin))
-}
-
-// election keeps this agent the holder of its group, or a candidate while the
-// group has none. It is safe for concurrent use.
+// election makes this agent the holder of its group while the group has none. It
+// is safe for concurrent use.
 //
-// While the store doesn't answer, a holder goes on: the ranks need a map that fits
-// most when the store is away for long. Two holders at a time do no harm to the
-// group (rankgroup/switchover), and the older one stops as soon as an agent knows
-// of the newer one.
+// A claim is a record at the end of a topic of the group, added only if nobody
+// was faster; its place is the fencing token. Agents claim the duty when no holder
+// calls them. A holder needs no renewals, so it goes on while the store is away,
+// when a group needs a map that fits as well. Two holders at a time do no harm to
+// the group (rankgroup/switchover), and the older one stops as soon as an agent
+// tells it of the newer one.
 type election struct {
 	store  *platform.Store
 	member string
 	log    zerolog.Logger
 
-	mu         sync.Mutex
-	group      string
-	generation int64
-	tenure     tenure
-	// storeLost says that the last renewal got no answer, and joined that the
-	// store may count this agent as a member.
-	storeLost bool
-	joined    bool
+	// won gets a value when this agent becomes the holder.
+	won chan struct{}
+
+	mu sync.Mutex
+	// holding is the fencing token of the duty, or 0.
+	holding int64
+	// group is that of the claims, and end the place of the next claim if it is
+	// known.
+	group string
+	end   int64
+	known bool
 }
 
 func newElection(store *platform.Store, member string, log zerolog.Logger) *election {
-	return &election{store: store, member: member, log: log}
+	return &election{store: store, member: member, log: log, won: make(chan struct{}, 1)}
 }
 
 // token returns the fencing token while this agent is the holder.
-func (e *election) token(now time.Time) (int64, bool) {
+func (e *election) token() (int64, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.tenure.token, e.tenure.holds(now) || e.tenure.token > 0 && e.storeLost
+	return e.holding, e.holding > 0
 }
 
-// supersede ends the tenure, because another agent has the duty.
+// supersede ends the duty, because another agent has it.
 func (e *election) supersede(newer int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.log.Info().Str("group", e.group).Int64("token", e.tenure.token).Int64("newer", newer).
-		Msg("another agent is the holder of the group")
-	e.tenure = tenure{}
+	e.log.Info().Str("group", e.group).Int64("token", e.holding).Int64("newer", newer).
+		Msg("no longer holder of the group")
+	e.holding = 0
+}
+
+// release gives up the duty.
+func (e *election) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holding = 0
 }
 
 // candidate describes this agent to its election.
@@ -102,22 +91,22 @@
 	silence time.Duration
 }
 
-// wanted reports whether the group needs c as a candidate.
+// wanted reports whether the group seems to have no holder.
 func (c candidate) wanted() bool {
-	stagger := time.Duration(c.rank%candidateSteps) * candidateStagger
-	return c.silence >= candidateSilence+stagger
+	stagger := time.Duration(min(c.rank, candidateSteps)) * candidateStagger
+	return c.group != "" && c.silence >= candidateSilence+stagger
 }
 
-// run renews the duty or the candidacy until ctx ends.
+// run claims the duty whenever the group has no holder, until ctx ends.
 func (e *election) run(ctx context.Context, self func() candidate) error {
 	failures := 0
 	for ctx.Err() == nil {
 		c := self()
-		if _, holder := e.token(clock.Now()); c.group == "" || !holder && !c.wanted() {
+		if _, holder := e.token(); holder || !c.wanted() {
 			clock.Sleep(ctx, standbyInterval)
 			continue
 		}
-		err := e.renew(ctx, c.group)
+		won, err := e.claim(ctx, c.group)
 		switch {
 		case err == nil:
 			if failures > 0 {
@@ -131,67 +120,52 @@
 			failures++
 			e.store.CloseIdle()
 		}
-		clock.Sleep(ctx, time.Duration((0.8+0.4*rand.Float64())*float64(renewInterval)))
+		if !won {
+			clock.Sleep(ctx, time.Duration((0.7+0.6*rand.Float64())*float64(claimPause)))
+		}
 	}
-	e.leave()
 	return nil
 }
 
-func (e *election) renew(ctx context.Context, group string) error {
-	e.mu.Lock()
-	generation := e.generation
-	if group != e.group {
-		generation = 0
-	}
-	e.mu.Unlock()
-	sent := clock.Now()
-	m, err := e.store.Join(ctx, "rank-group."+group, e.member, electionTopic, tenureTTL, generation)
-	if err != nil {
-		e.mu.Lock()
-		e.storeLost, e.joined = true, true
-		e.mu.Unlock()
-		return err
+// claim tries to become the holder. The first claim tells where the topic ends.
+func (e *election) claim(ctx context.Context, group string) (won bool, err error) {
+	for range 2 {
+		at, known := e.place(group)
+		added, end, err := e.store.AppendAt(ctx, "rank-group."+group, at, []byte(e.member))
+		if err != nil {
+			return false, err
+		}
+		e.take(end, added)
+		if added || known {
+			return added, nil
+		}
 	}
-	e.take(group, m, sent)
-	return nil
+	return false, nil
 }
 
-// take notes an answer of the store to a call that was sent at sent. The store
-// counts the tenure from the arrival of the call, which is later.
-func (e *election) take(group string, m platform.Membership, sent time.Time) {
+// place returns where the next claim goes, and whether that is known.
+func (e *election) place(group string) (at int64, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	before := e.tenure
-	e.group, e.generation = group, m.Generation
-	e.storeLost, e.joined = false, true
-	if !slices.Contains(m.Partitions, dutyPartition) {
-		e.tenure = tenure{}
-		if before.token > 0 {
-			e.log.Info().Str("group", group).Int64("generation", m.Generation).Msg("no longer holder of the group")
-		}
-		return
-	}
-	e.tenure = tenure{token: m.Generation, until: sent.Add(tenureTTL)}
-	if before.token > 0 && sent.Before(before.until) {
-		// Candidates come and go, and nobody else had the duty meanwhile.
-		e.tenure.token = before.token
-		return
+	if group != e.group {
+		e.group, e.end, e.known = group, 0, false
 	}
-	e.log.Info().Str("group", group).Int64("token", m.Generation).Msg("holder of the group")
+	return e.end, e.known
 }
 
-// leave gives the duty back, so that another agent has it at once.
-func (e *election) leave() {
+// take notes the answer to a claim: where the topic ends now, and whether the
+// claim is its last record.
+func (e *election) take(end int64, won bool) {
 	e.mu.Lock()
-	group, joined := e.group, e.joined
-	e.tenure = tenure{}
-	e.mu.Unlock()
-	if group == "" || !joined {
+	defer e.mu.Unlock()
+	e.end, e.known = end, true
+	if !won {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-	defer cancel()
-	if err := e.store.Leave(ctx, "rank-group."+group, e.member); err != nil {
-		e.log.Warn().Err(err).Msg("the duty was not given back")
+	e.holding = end
+	e.log.Info().Str("group", e.group).Int64("token", e.holding).Msg("holder of the group")
+	select {
+	case e.won <- struct{}{}:
+	default: // the holder has not taken notice of the last time
 	}
 }
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -68,6 +68,8 @@
 type reached struct {
 	// token is the fencing token of the caller, or 0 if it isn't the holder.
 	token int64
+	// leaving tells the agents that the holder gives up the duty.
+	leaving bool
 	// counts asks for the counts of the experts.
 	counts bool
 	// direct says that ranks whose agents don't answer are called themselves.
@@ -190,7 +192,7 @@
 	if !ok {
 		return nil, errkind.New(errkind.NoBackendServer, "no agent of rank %d is known", rank)
 	}
-	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: how.counts, Token: how.token}))
+	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: how.counts, Token: how.token, Leaving: how.leaving}))
 	if err != nil && how.direct {
 		return g.readDirect(ctx, rank, p)
 	}
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -72,16 +72,33 @@
 // finished first, so that no group stays held.
 func (h *holder) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		clock.Sleep(ctx, h.turn(ctx))
+		h.wait(ctx, h.turn(ctx))
 	}
 	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
 	defer cancel()
 	for h.switching() && finish.Err() == nil {
 		clock.Sleep(finish, h.turn(finish))
 	}
+	if token, ok := h.election.token(); ok {
+		// Another agent claims the duty at once.
+		h.group.readAll(finish, reached{token: token, leaving: true})
+		h.election.release()
+	}
 	return nil
 }
 
+// wait waits until the next turn. One that has just won the duty calls the others
+// at once, so that they don't claim it as well.
+func (h *holder) wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-h.election.won:
+	}
+}
+
 // switching reports whether the group may be held.
 func (h *holder) switching() bool {
 	return h.phase == switchover.Holding || h.phase == switchover.Arming || h.phase == switchover.Switching
@@ -89,7 +106,7 @@
 
 // turn does one round if this agent is the holder.
 func (h *holder) turn(ctx context.Context) time.Duration {
-	token, ok := h.election.token(clock.Now())
+	token, ok := h.election.token()
 	if !ok {
 		h.token, h.phase = 0, switchover.Blind
 		return standbyInterval
@@ -124,17 +141,19 @@
 			h.log.Debug().Err(err).Msg("members of the group not read")
 		}
 	}
-	engine := h.group.engine
-	if engine == nil || engine.Experts == nil {
-		return blindInterval
-	}
 	idle := h.phase == switchover.Idle || h.phase == switchover.Blind
+	// The calls tell the agents that the group has a holder, also while the
+	// configuration isn't known.
 	responses := h.group.readAll(ctx, reached{
 		token: h.token, counts: idle, direct: h.blindRounds > directAfter,
 	})
 	if h.superseded(responses) {
 		return standbyInterval
 	}
+	engine := h.group.engine
+	if engine == nil || engine.Experts == nil {
+		return blindInterval
+	}
 	t := topology(engine.Experts, h.group.domainList())
 	if len(responses) == t.Ranks() {
 		t.Pace = paces(responses)
@@ -196,7 +215,7 @@
 }
 
 func (h *holder) give(ctx context.Context, orders []switchover.Order, t *experts.Topology) {
-	if _, ok := h.election.token(clock.Now()); !ok || len(orders) == 0 {
+	if _, ok := h.election.token(); !ok || len(orders) == 0 {
 		return
 	}
 	for _, o := range orders {
