Refuse requests that crash their backend servers

Ruled out: serve/quarantine as it is: it rests on a sidecar that knows what ran on the server alone. A gateway sees a part of what ran there.

Change: a gateway asks a server whose connection broke off for a new one; if that fails, the crash is noted against the request's fingerprint (method, target, body, caller, service) and told to the other gateways, three times by datagram. After the third crash without an answer in between the request is refused for a minute, with 503, because it is proper as such (quarantine.Tally).

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -44,12 +44,17 @@
 	ctx, cancel := r.context(r.arrived)
 	defer cancel()
 	defer context.AfterFunc(g.aborted, cancel)()
+	f := r.fingerprint()
+	if err := g.crashes.check(f); err != nil {
+		return err
+	}
 	svc := g.services.get(r.service, g.view)
 	svc.firstAttempt()
 	for {
 		r.trace.attempts++
 		err := g.attempt(ctx, r, svc, out)
 		if err == nil {
+			g.crashes.answered(f)
 			return nil
 		}
 		err = r.noteExecution(err)
@@ -165,6 +170,8 @@
 
 // exchange is one request at one server.
 type exchange struct {
+	// ctx ends when the request is given up.
+	ctx    context.Context //nolint:containedctx // an exchange lives for one call of run
 	g      *Gateway
 	r      *request
 	svc    *service
@@ -188,7 +195,7 @@
 	if err != nil {
 		return notSent(err)
 	}
-	x.conn = conn
+	x.ctx, x.conn = ctx, conn
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	watch := newWatchdog(x)
@@ -276,6 +283,7 @@
 func (x *exchange) broken(watch *watchdog, err error) error {
 	x.conn.Abort()
 	x.g.pool.Drop(x.server.Address)
+	x.suspectCrash(watch)
 	if watch.silent() {
 		err = errSilent
 	}
@@ -284,6 +292,14 @@
 	return e
 }
 
+// suspectCrash has it found out whether the server is gone, unless the gateway
+// itself closed the connection.
+func (x *exchange) suspectCrash(watch *watchdog) {
+	if !watch.silent() && x.ctx.Err() == nil {
+		go x.g.crashes.broken(x.r.fingerprint(), x.server)
+	}
+}
+
 // keepAfter reads the rest of an answer that doesn't go to the caller, and
 // keeps the connection if that works.
 func (x *exchange) keepAfter(resp *http.Response) {
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// count returns the number of log lines with a text.
+func (f *fixture) count(text string) int {
+	return strings.Count(f.lines.String(), text)
+}
+
+func settings() platform.Settings {
+	return platform.Settings{Instance: "g1", FailureDomain: "zone-1", Bounds: bounds()}
+}
+
 // newFixture starts a gateway whose plain service has the given servers. It waits
 // until the gateway is ready.
 func newFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
@@ -81,12 +90,11 @@
 	f.deploy.Publish([]string{platformtest.Key}, nil)
 	for _, s := range servers {
 		f.deploy.Register(s.ID, platformtest.PlainService, s.Address())
-		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.Address())
+		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.ModelAddress())
 	}
 	log := zerolog.New(zerolog.SyncWriter(f.lines))
 	view := NewView()
-	s := platform.Settings{Instance: "g1", FailureDomain: "zone-1", Bounds: bounds()}
-	f.gateway = New(s, view, telemetry.NewMetrics(Role, "g1", log), log)
+	f.gateway = New(settings(), view, telemetry.NewMetrics(Role, "g1", log), log)
 	client := platform.NewStore(f.store.Address())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -27,6 +27,7 @@
 	view     *View
 	services *services
 	pool     *upstream.Pool
+	crashes  *crashes
 	gate     *drain.Gate
 	metrics  *telemetry.Metrics
 	log      zerolog.Logger
@@ -47,10 +48,12 @@
 func New(s platform.Settings, view *View, metrics *telemetry.Metrics, log zerolog.Logger) *Gateway {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	aborted, abort := context.WithCancel(context.Background())
+	pool := upstream.NewPool(clock.Now)
 	g := &Gateway{
 		view:     view,
 		services: newServices(s, rng, log),
-		pool:     upstream.NewPool(clock.Now),
+		pool:     pool,
+		crashes:  newCrashes(pool, log),
 		gate:     drain.NewGate(),
 		metrics:  metrics,
 		log:      log,
@@ -187,7 +190,9 @@
 	status := err.Kind.Answer().HTTP
 	notRun := err.Execution == errkind.NotRun
 	switch {
-	case notRun && status >= http.StatusInternalServerError:
+	case notRun && (status >= http.StatusInternalServerError || err.Kind == errkind.SuspectRequest):
+		// A request that crashes its servers is proper as such, so it gets no
+		// answer that blames the caller.
 		return http.StatusServiceUnavailable
 	case !notRun && promisesNotRun(status):
 		return http.StatusBadGateway
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidSettings, err, "address for other gateways")
 	}
-	return newPeers(conn, g.services, store, o.Log), nil
+	return newPeers(conn, g, store, o.Log), nil
 }
 
 func followStore(lc fx.Lifecycle, o Options, g *Gateway, store *platform.Store, view *View) {
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 const (
@@ -28,6 +29,11 @@
 	// rediscoverInterval is the time between reads of the gateways' addresses.
 	rediscoverInterval = 30 * time.Second
 	maxDatagram        = 8 << 10
+	// crashSends is how often a crash is told, crashSendGap the time between. Some
+	// datagrams get lost, and all gateways have to know within the 3 s for which
+	// instances may be out of touch.
+	crashSends   = 3
+	crashSendGap = 300 * time.Millisecond
 )
 
 // peers exchanges load reports with the other gateways.
@@ -36,6 +42,7 @@
 	incarnation uint64
 	conn        *net.UDPConn
 	services    *services
+	crashes     *crashes
 	store       *platform.Store
 	log         zerolog.Logger
 
@@ -44,17 +51,20 @@
 	sequence uint64
 }
 
-func newPeers(conn *net.UDPConn, services *services, store *platform.Store, log zerolog.Logger) *peers {
+func newPeers(conn *net.UDPConn, g *Gateway, store *platform.Store, log zerolog.Logger) *peers {
 	self := conn.LocalAddr().String()
-	return &peers{
+	p := &peers{
 		self:        self,
 		incarnation: uint64(clock.Now().UnixNano()),
 		conn:        conn,
-		services:    services,
+		services:    g.services,
+		crashes:     g.crashes,
 		store:       store,
 		log:         log,
 		table:       loadshare.New(self),
 	}
+	g.crashes.tell = func(f quarantine.Fingerprint, crash string) { go p.tellCrash(f, crash) }
+	return p
 }
 
 // receive takes reports until the socket is closed.
@@ -77,6 +87,11 @@
 		if load := m.GetLoad(); load != nil {
 			p.take(load)
 		}
+		if c := m.GetCrash(); c != nil {
+			p.crashes.note(quarantine.Fingerprint{
+				Service: c.GetService(), Organisation: c.GetOrganisation(), BodyHash: c.GetBodyHash(),
+			}, c.GetCrash())
+		}
 		if pace := m.GetPace(); pace != nil {
 			p.services.slowRank(pace.GetServer(), pace.GetPace())
 		}
@@ -158,17 +173,40 @@
 		p.log.Error().Err(err).Msg("load report not encoded")
 		return 0
 	}
-	for _, address := range due {
+	p.sendTo(due, data)
+	return len(data) * len(due)
+}
+
+// sendTo sends a datagram to some gateways.
+func (p *peers) sendTo(addresses []string, data []byte) {
+	for _, address := range addresses {
 		to, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
 			p.log.Warn().Err(err).Str("peer", address).Msg("address of a gateway is not usable")
 			continue
 		}
 		if _, err := p.conn.WriteToUDP(data, to); err != nil {
-			p.log.Debug().Err(err).Str("peer", address).Msg("load report not sent")
+			p.log.Debug().Err(err).Str("peer", address).Msg("datagram not sent")
 		}
 	}
-	return len(data) * len(due)
+}
+
+// tellCrash tells the other gateways of a request that was in flight when its
+// server was lost.
+func (p *peers) tellCrash(f quarantine.Fingerprint, crash string) {
+	report := &pb.CrashReport{Service: f.Service, Organisation: f.Organisation, BodyHash: f.BodyHash, Crash: crash}
+	data, err := proto.Marshal(&pb.Datagram{Kind: &pb.Datagram_Crash{Crash: report}})
+	if err != nil {
+		p.log.Error().Err(err).Msg("crash report not encoded")
+		return
+	}
+	for range crashSends {
+		p.mu.Lock()
+		known := p.table.Known()
+		p.mu.Unlock()
+		p.sendTo(known, data)
+		time.Sleep(crashSendGap)
+	}
 }
 
 // discover announces this gateway and reads the addresses of the others.
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -224,6 +224,7 @@
 
 // cutOff ends an attempt whose answer broke off.
 func (x *exchange) cutOff(watch *watchdog, err error) error {
+	x.suspectCrash(watch)
 	if watch.silent() {
 		err = errSilent
 	}
