Check idempotency keys at the entry, and wait for servers in the scenarios

The script's command ready waits until an entry has read an instance list, also an empty one; the bookings that followed met an entry without servers. A key that no server takes was answered with 503 then, so that its caller sends it again.

Change: an entry refuses a key that is no UUIDv7 itself; its age is left to the sidecar. /statusz tells the usable servers by service, and ready waits until the entries know a server of the service of each named sidecar.

--- a/daemons/entry/call.go
+++ b/daemons/entry/call.go
@@ -18,6 +18,7 @@
 	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
+	"github.com/filbertmux/filbertmux/serve/claim"
 )
 
 const completionsPath = "/v1/chat/completions"
@@ -128,8 +129,8 @@
 		return nil, errkind.New(errkind.UnknownRoute, "%s %s matches no route of %s", c.Request.Method, rest, name)
 	}
 	key := c.GetHeader("Idempotency-Key")
-	if !route.Idempotent && key == "" {
-		return nil, errkind.New(errkind.MissingIdempotencyKey, "this call needs an Idempotency-Key (a UUIDv7)")
+	if err := checkKey(route, key); err != nil {
+		return nil, err
 	}
 	body, err := p.body(c)
 	if err != nil {
@@ -147,6 +148,21 @@
 	return &request{call: call, cost: estimateTokens(len(body), 0)}, nil
 }
 
+// checkKey refuses a booking whose key no sidecar would take. Its age is left to
+// the sidecar that claims it.
+func checkKey(route table.Route, key string) error {
+	if route.Idempotent {
+		return nil
+	}
+	if key == "" {
+		return errkind.New(errkind.MissingIdempotencyKey, "this call needs an Idempotency-Key (a UUIDv7)")
+	}
+	if _, err := claim.ParseKeyText(key); err != nil {
+		return err
+	}
+	return nil
+}
+
 // splitService refuses paths that a backend server may read differently from
 // the route match, such as those with dot segments or encoded slashes.
 func splitService(r *http.Request) (name, rest string, err error) {
--- a/daemons/entry/status.go
+++ b/daemons/entry/status.go
@@ -13,16 +13,26 @@
 type Status struct {
 	daemon.Status
 	Office string `json:"office,omitempty"`
+	// BackendServers is the number of servers of each service that get new work.
+	BackendServers map[string]int `json:"backend_servers"`
 }
 
 func (s *Server) status() Status {
 	common := s.settings.Common
 	return Status{
 		Status: daemon.NewStatus(string(infra.RoleEntry), common, s.incarnation, s.table.View().Offset(), s.gate),
-		Office: common.Office,
+		Office: common.Office, BackendServers: s.usableServers(),
 	}
 }
 
+func (s *Server) usableServers() map[string]int {
+	usable := make(map[string]int)
+	for _, service := range s.table.View().Services() {
+		usable[service.Name] = s.servers.Usable(service.Name)
+	}
+	return usable
+}
+
 func (s *Server) serveStatus(c *gin.Context) { c.JSON(http.StatusOK, s.status()) }
 
 // serveReady tells the platform's balancer whether to send requests here.
--- a/measure/scenarios/commands_test.go
+++ b/measure/scenarios/commands_test.go
@@ -176,20 +176,36 @@
 	return err
 }
 
+// ready waits until the named processes serve, and until the entries among them
+// know a server of the service of each named sidecar. An entry is ready as soon as
+// it has read any instance list.
 func (r *run) ready(args []string) error {
+	var entries []string
+	services := map[string]bool{}
 	for _, name := range args {
 		p, err := r.process(name)
 		if err != nil {
 			return err
 		}
 		path := "/healthz"
-		if p.kind == kindEntry {
+		switch p.kind {
+		case kindEntry:
 			path = "/readyz"
+			entries = append(entries, name)
+		case kindSidecar:
+			services[p.service] = true
 		}
 		if err := poll(func() error { return r.expect2xx(http.MethodGet, "http://"+p.address+path, "") }); err != nil {
 			return err
 		}
 	}
+	for _, entry := range entries {
+		for service := range services {
+			if err := r.until([]string{entry + "/statusz", regexp.QuoteMeta(strconv.Quote(service)) + ":[1-9]"}); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
 
--- a/serve/claim/key.go
+++ b/serve/claim/key.go
@@ -70,8 +70,8 @@
 	return time.UnixMilli(ms)
 }
 
-// ParseKey parses the Idempotency-Key of a call and checks its age at now.
-func ParseKey(text string, now time.Time, s Settings) (uuid.UUID, *errkind.Error) {
+// ParseKeyText parses the Idempotency-Key of a call without a look at its age.
+func ParseKeyText(text string) (uuid.UUID, *errkind.Error) {
 	if text == "" {
 		return uuid.Nil, errkind.New(errkind.MissingIdempotencyKey, "Idempotency-Key is required")
 	}
@@ -82,6 +82,15 @@
 	if key.Version() != 7 || key.Variant() != uuid.RFC4122 {
 		return uuid.Nil, errkind.New(errkind.InvalidIdempotencyKey, "Idempotency-Key is not a UUIDv7")
 	}
+	return key, nil
+}
+
+// ParseKey parses the Idempotency-Key of a call and checks its age at now.
+func ParseKey(text string, now time.Time, s Settings) (uuid.UUID, *errkind.Error) {
+	key, err := ParseKeyText(text)
+	if err != nil {
+		return uuid.Nil, err
+	}
 	created := KeyTime(key)
 	if created.After(now.Add(s.Skew)) {
 		return uuid.Nil, errkind.New(errkind.InvalidIdempotencyKey, "Idempotency-Key is from the future")
