--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -39,8 +39,8 @@
 	// versionsPerToken is the number of map versions that a holder may issue,
 	// so that versions grow from holder to holder.
 	versionsPerToken = 1_000_000
-	// versionGap is left to the versions that the ranks report when a tenure
-	// begins. An agent that restarted may have the token of its former process,
+	// versionGap is left to the versions that the ranks report when an agent
+	// becomes the holder. An agent that restarted may have the token of its former process,
 	// and a version that is being copied isn't reported.
 	versionGap = 1000
 )
@@ -117,7 +117,7 @@
 	return h.round(ctx)
 }
 
-// begin starts a tenure. The counts that were seen before stay of use.
+// begin starts anew under a token. The counts that were seen before stay of use.
 func (h *holder) begin(token int64) {
 	_, own, size := h.agent.Identity()
 	h.token, h.version = token, token*versionsPerToken
@@ -256,7 +256,7 @@
 	h.phase = now
 }
 
-// raiseVersion keeps the versions of this tenure above all that the ranks had.
+// raiseVersion keeps the versions of this holder above all that the ranks had.
 func (h *holder) raiseVersion(reports []switchover.Report) {
 	newest := newestVersion(reports)
 	if !h.based {
