--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -40,8 +40,7 @@
 	// so that versions grow from holder to holder.
 	versionsPerToken = 1_000_000
 	// versionGap is left to the versions that the ranks report when an agent
-	// becomes the holder. An agent that restarted may have the token of its former process,
-	// and a version that is being copied isn't reported.
+	// becomes the holder: one that is being copied isn't reported.
 	versionGap = 1000
 )
 
