--- a/rankgroup/switchover/switchover.go
+++ b/rankgroup/switchover/switchover.go
@@ -31,76 +31,6 @@
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
-// Arm is the switch that a rank makes as a step begins.
-type Arm struct {
-	Version int64
-	Step    int64
-}
-
-// Report is the state of one rank.
-type Report struct {
-	Rank int
-	// Epoch changes each time the group forms anew. The ranks then use map 0 and
-	// have nothing prepared, armed or held.
-	Epoch int64
-	// Open is false while the group is broken.
-	Open bool
-	// Step is the last step that was begun.
-	Step int64
-	// InForce is the version of the map in use, and Prepared that of the map
-	// whose experts are all on the rank, or 0.
-	InForce  int64
-	Prepared int64
-	// Armed is nil if the rank isn't armed.
-	Armed *Arm
-	// Held is the step at which the rank holds the group, or 0.
-	Held int64
-	// OrderedBy is the newest holder that gave the rank an order, as far as the
-	// agent beside the rank knows.
-	OrderedBy Giver
-}
-
-// Giver is a holder in whose name orders are given.
-type Giver struct {
-	// Token is its fencing token, or 0 for none.
-	Token int64
-	// Rank is the rank on the same machine.
-	Rank int
-}
-
-// Kind says what an order does.
-type Kind uint8
-
-// Kinds of orders.
-const (
-	// Prepare copies the experts of a map to the rank.
-	Prepare Kind = iota
-	// HoldAt keeps the group from beginning a step.
-	HoldAt
-	// ArmFor has the rank switch as a step begins.
-	ArmFor
-	// Disarm undoes ArmFor.
-	Disarm
-	// Release ends HoldAt.
-	Release
-)
-
-// String returns the name of k in logs.
-func (k Kind) String() string {
-	return [...]string{"prepare", "hold", "arm", "disarm", "release"}[k]
-}
-
-// Order is an order to one rank.
-type Order struct {
-	Rank    int
-	Kind    Kind
-	Epoch   int64
-	Version int64
-	Step    int64
-	// Map is set for Prepare.
-	Map *experts.Map
-}
-
 // Config holds the parameters of a Coordinator.
 type Config struct {
 	// Self is the holder, or the zero value for one that only goes on with what
@@ -115,25 +45,6 @@
 	Lead int64
 }
 
-// Phase tells how far a switch is.
-type Phase uint8
-
-// Phases.
-const (
-	// Blind: not all ranks have reported, or the group is not open.
-	Blind Phase = iota
-	Idle
-	Preparing
-	Holding
-	Arming
-	Switching
-)
-
-// String returns the name of p in logs.
-func (p Phase) String() string {
-	return [...]string{"blind", "idle", "preparing", "holding", "arming", "switching"}[p]
-}
-
 // Coordinator derives the orders of the holder of a group.
 type Coordinator struct {
 	config Config
@@ -178,16 +89,6 @@
 	}
 }
 
-func lastGiver(reports []Report) Giver {
-	var last Giver
-	for _, r := range reports {
-		if r.OrderedBy.Token > last.Token {
-			last = r.OrderedBy
-		}
-	}
-	return last
-}
-
 // Phase returns how far the switch was at the last call of Next.
 func (c *Coordinator) Phase() Phase { return c.phase }
 
@@ -442,42 +343,3 @@
 		c.asked[o.Rank] = o.Version
 	}
 }
-
-func countArmed(reports []Report) int {
-	n := 0
-	for _, r := range reports {
-		if r.Armed != nil {
-			n++
-		}
-	}
-	return n
-}
-
-func sameArms(reports []Report) bool {
-	for _, r := range reports {
-		if *r.Armed != *reports[0].Armed {
-			return false
-		}
-	}
-	return true
-}
-
-// anyHeld returns the lowest step at which a rank holds the group, or 0.
-func anyHeld(reports []Report) int64 {
-	lowest := int64(0)
-	for _, r := range reports {
-		if r.Held > 0 && (lowest == 0 || r.Held < lowest) {
-			lowest = r.Held
-		}
-	}
-	return lowest
-}
-
-func samePrepared(reports []Report) (int64, bool) {
-	for _, r := range reports {
-		if r.Prepared != reports[0].Prepared {
-			return 0, false
-		}
-	}
-	return reports[0].Prepared, true
-}
--- /dev/null
+++ b/rankgroup/switchover/types.go
@@ -0,0 +1,92 @@
+package switchover
+
+import "github.com/filbertmux/filbertmux/rankgroup/experts"
+
+// Arm is the switch that a rank makes as a step begins.
+type Arm struct {
+	Version int64
+	Step    int64
+}
+
+// Report is the state of one rank.
+type Report struct {
+	Rank int
+	// Epoch changes each time the group forms anew. The ranks then use map 0 and
+	// have nothing prepared, armed or held.
+	Epoch int64
+	// Open is false while the group is broken.
+	Open bool
+	// Step is the last step that was begun.
+	Step int64
+	// InForce is the version of the map in use, and Prepared that of the map
+	// whose experts are all on the rank, or 0.
+	InForce  int64
+	Prepared int64
+	// Armed is nil if the rank isn't armed.
+	Armed *Arm
+	// Held is the step at which the rank holds the group, or 0.
+	Held int64
+	// OrderedBy is the newest holder that gave the rank an order, as far as the
+	// agent beside the rank knows.
+	OrderedBy Giver
+}
+
+// Giver is a holder in whose name orders are given.
+type Giver struct {
+	// Token is its fencing token, or 0 for none.
+	Token int64
+	// Rank is the rank on the same machine.
+	Rank int
+}
+
+// Kind says what an order does.
+type Kind uint8
+
+// Kinds of orders.
+const (
+	// Prepare copies the experts of a map to the rank.
+	Prepare Kind = iota
+	// HoldAt keeps the group from beginning a step.
+	HoldAt
+	// ArmFor has the rank switch as a step begins.
+	ArmFor
+	// Disarm undoes ArmFor.
+	Disarm
+	// Release ends HoldAt.
+	Release
+)
+
+// String returns the name of k in logs.
+func (k Kind) String() string {
+	return [...]string{"prepare", "hold", "arm", "disarm", "release"}[k]
+}
+
+// Order is an order to one rank.
+type Order struct {
+	Rank    int
+	Kind    Kind
+	Epoch   int64
+	Version int64
+	Step    int64
+	// Map is set for Prepare.
+	Map *experts.Map
+}
+
+// Phase tells how far a switch is.
+type Phase uint8
+
+// Phases.
+const (
+	// Blind: not all ranks have reported, or the group is not open.
+	Blind Phase = iota
+	Idle
+	Preparing
+	Holding
+	Arming
+	Switching
+)
+
+// String returns the name of p in logs.
+func (p Phase) String() string {
+	return [...]string{"blind", "idle", "preparing", "holding", "arming", "switching"}[p]
+}
