Cancel a switch at a rank that isn't armed before any rank is disarmed

Cause: an agent that undoes a switch takes the holder for lost when its agent does not answer within 70 ms. A slow holder goes on: it may read that all other ranks are armed and arm its own, while the other agent, which read before, disarms the others and releases the group. The step would begin on two maps.

Change: the first order of an undo goes to ranks that aren't armed. Their agents promise not to have them armed for that step, and the ranks prepare a newer version, which makes void what passed the agents before. Only then are others disarmed, and the group is released when all others refuse. A holder that reads such a promise cancels the switch as well.

Tests that fail without the change: TestOneMapInEveryStep; new: TestCancelledSwitch.

--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -41,6 +41,10 @@
 	// the present one last did.
 	seen   int64
 	seenAt time.Time
+	// cancelled is the switch of cancelledIn, an epoch, for which the rank is not
+	// armed any more.
+	cancelled   switchover.Cancellation
+	cancelledIn int64
 }
 
 type identity struct {
@@ -80,7 +84,7 @@
 	}
 	a.note(s)
 	r := encodeState(s)
-	a.addGiver(r)
+	a.addOrders(r)
 	layers, err := a.inUse(ctx, s)
 	if err != nil {
 		return nil, err
@@ -153,10 +157,17 @@
 	if !a.noteHolder(clock.Now(), m.GetToken()) || !a.noteFence(m.GetFence(), m.GetHolder()) {
 		return connect.NewResponse(&pb.OrderRankResponse{Fenced: true}), nil
 	}
-	reply, err := orderRank(ctx, a.rank, decodeOrder(m), m.GetFence(), decodeLayers(m))
+	o := decodeOrder(m)
+	if !a.takes(o) {
+		return connect.NewResponse(&pb.OrderRankResponse{}), nil
+	}
+	reply, err := orderRank(ctx, a.rank, o, m.GetFence(), decodeLayers(m))
 	if err != nil {
 		return nil, connect.NewError(errkind.Of(err).Kind.Answer().Connect, err)
 	}
+	if reply.Accepted {
+		a.noteAccepted(o)
+	}
 	return connect.NewResponse(&pb.OrderRankResponse{Accepted: reply.Accepted, Fenced: reply.Fenced}), nil
 }
 
@@ -195,11 +206,39 @@
 	return true
 }
 
-// addGiver adds the newest holder whose orders passed here.
-func (a *Agent) addGiver(r *pb.ReadRankResponse) {
+// takes reports whether an order goes to the rank, and notes one that cancels a
+// switch. After that, the rank is not armed for the switch any more.
+func (a *Agent) takes(o switchover.Order) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o.Kind == switchover.ArmFor {
+		return o.Epoch != a.cancelledIn || o.Step > a.cancelled.Step
+	}
+	if o.Cancels > 0 && (o.Epoch != a.cancelledIn || o.Cancels > a.cancelled.Step) {
+		a.cancelledIn, a.cancelled = o.Epoch, switchover.Cancellation{Step: o.Cancels}
+		a.log.Info().Int64("epoch", o.Epoch).Int64("step", o.Cancels).Int64("version", o.Version).
+			Msg("switch cancelled at this rank")
+	}
+	return true
+}
+
+// noteAccepted notes that the rank took an order that cancels a switch.
+func (a *Agent) noteAccepted(o switchover.Order) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if o.Cancels > 0 && o.Epoch == a.cancelledIn {
+		a.cancelled.Version = max(a.cancelled.Version, o.Version)
+	}
+}
+
+// addOrders adds what is known of the orders that passed here.
+func (a *Agent) addOrders(r *pb.ReadRankResponse) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r.Fence, r.Holder, r.Seen = a.fence, a.holder, a.seen
+	if r.GetEpoch() == a.cancelledIn {
+		r.CancelledStep, r.CancelledVersion = a.cancelled.Step, a.cancelled.Version
+	}
 }
 
 func encodeState(s platform.RankState) *pb.ReadRankResponse {
@@ -219,6 +258,7 @@
 		Rank: int(r.GetRank()), Epoch: r.GetEpoch(), Open: r.GetOpen(), Step: r.GetStep(),
 		InForce: r.GetInForce(), Prepared: r.GetPrepared(), Held: r.GetHeld(),
 		OrderedBy: switchover.Giver{Token: r.GetFence(), Rank: int(r.GetHolder())},
+		Cancelled: switchover.Cancellation{Step: r.GetCancelledStep(), Version: r.GetCancelledVersion()},
 	}
 	if a := r.GetArmed(); a != nil {
 		report.Armed = &switchover.Arm{Version: a.GetVersion(), Step: a.GetStep()}
@@ -240,7 +280,7 @@
 	m := &pb.OrderRankRequest{
 		Group: group, Rank: uint32(o.Rank), Kind: orderKinds[o.Kind],
 		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
-		Fence: by.Token, Holder: uint32(by.Rank), Token: token,
+		Fence: by.Token, Holder: uint32(by.Rank), Token: token, Cancels: o.Cancels,
 	}
 	if o.Map == nil {
 		return m
@@ -265,7 +305,9 @@
 }
 
 func decodeOrder(m *pb.OrderRankRequest) switchover.Order {
-	o := switchover.Order{Rank: int(m.GetRank()), Epoch: m.GetEpoch(), Version: m.GetVersion(), Step: m.GetStep()}
+	o := switchover.Order{
+		Rank: int(m.GetRank()), Epoch: m.GetEpoch(), Version: m.GetVersion(), Step: m.GetStep(), Cancels: m.GetCancels(),
+	}
 	for kind, encoded := range orderKinds {
 		if encoded == m.GetKind() {
 			o.Kind = kind
--- a/daemons/rankagent/election_test.go
+++ b/daemons/rankagent/election_test.go
@@ -107,7 +107,7 @@
 	require.False(t, a.noteHolder(clock.Now(), 7))
 	require.True(t, a.noteHolder(clock.Now(), 0), "an agent that finishes a switch is no holder")
 	r := &pb.ReadRankResponse{}
-	a.addGiver(r)
+	a.addOrders(r)
 	h := &holder{election: newElection(nil, "m", zerolog.Nop()), token: 7}
 	h.election.take(7, true)
 	require.True(t, h.superseded([]*pb.ReadRankResponse{r}))
--- a/daemons/rankagent/order_test.go
+++ b/daemons/rankagent/order_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/rankgroup/switchover"
 )
@@ -66,3 +68,27 @@
 	require.False(t, a.noteFence(6, 1))
 	require.True(t, a.noteFence(7, 2))
 }
+
+// Guards against a rank that is armed for a switch that another agent has begun to
+// undo, by a holder that is only slow.
+func TestCancelledSwitch(t *testing.T) {
+	a := NewAgent(nil, zerolog.Nop())
+	arm := switchover.Order{Kind: switchover.ArmFor, Epoch: 1, Version: 7, Step: 50}
+	require.True(t, a.takes(arm))
+	cancel := switchover.Order{Kind: switchover.Prepare, Epoch: 1, Version: 1007, Cancels: 50}
+	require.True(t, a.takes(cancel))
+	require.False(t, a.takes(arm))
+	r := &pb.ReadRankResponse{Epoch: 1}
+	a.addOrders(r)
+	require.Equal(t, switchover.Cancellation{Step: 50}, decodeReport(r).Cancelled, "the rank has not accepted it")
+	a.noteAccepted(cancel)
+	a.addOrders(r)
+	require.Equal(t, switchover.Cancellation{Step: 50, Version: 1007}, decodeReport(r).Cancelled)
+	arm.Step = 51
+	require.True(t, a.takes(arm), "the next switch")
+	r = &pb.ReadRankResponse{Epoch: 2}
+	a.addOrders(r)
+	require.Zero(t, decodeReport(r).Cancelled)
+	arm.Epoch, arm.Step = 2, 10
+	require.True(t, a.takes(arm), "steps of another epoch")
+}
--- a/rankgroup/switchover/reports.go
+++ b/rankgroup/switchover/reports.go
@@ -48,3 +48,25 @@
 	}
 	return reports[0].Prepared, true
 }
+
+// cancelled reports whether the rank was told to refuse to be armed for a step.
+func (r Report) cancelled(step int64) bool {
+	return r.Cancelled.Step >= step && r.Cancelled.Version > 0
+}
+
+// refuses reports whether the rank can't be armed for a step any more: its agent
+// takes no order to, and a newer version prepared makes void those that passed the
+// agent before.
+func (r Report) refuses(step int64) bool {
+	return r.Armed == nil && r.cancelled(step) && r.Prepared >= r.Cancelled.Version
+}
+
+// anyCancelled reports whether an agent refuses to have its rank armed for a step.
+func anyCancelled(reports []Report, step int64) bool {
+	for _, r := range reports {
+		if r.Cancelled.Step >= step {
+			return true
+		}
+	}
+	return false
+}
--- a/rankgroup/switchover/switchover.go
+++ b/rankgroup/switchover/switchover.go
@@ -128,6 +128,9 @@
 		return nil
 	case armed == len(reports) && sameArms(reports):
 		return c.release(reports)
+	case held > 0 && anyCancelled(reports, held):
+		c.phase = Arming
+		return c.cancel(reports, held, inForce, version)
 	case armed > 0 && (held == 0 || !c.mayComplete(reports, held)):
 		return c.disarm(reports)
 	case held > 0:
@@ -238,36 +241,53 @@
 }
 
 // Undo returns the orders that free a held group whose holder vanished together
-// with the way to its rank, the only one that reports lacks. That rank is armed
-// only after all others, so it isn't as long as one of them isn't. inForce holds
-// the experts of the other ranks; version is higher than all versions that any
-// rank has had.
-//
-// An order to arm a rank may still be carried out later. Before the release,
-// each rank has a newer version prepared, which makes it refuse such an order.
+// with the way to its rank, the only one that reports lacks. inForce holds the
+// experts of the other ranks; version is higher than all versions that any rank
+// has had.
 func (c *Coordinator) Undo(reports []Report, inForce *experts.Map, version int64) []Order {
 	c.phase = Blind
-	if !c.onlyGiverMissing(reports) {
+	held := anyHeld(reports)
+	if !c.onlyGiverMissing(reports) || held == 0 {
 		return nil
 	}
-	switch armed := countArmed(reports); {
-	case armed == len(reports):
-		// The giver's rank may be armed as well.
-		return nil
-	case armed > 0:
-		return c.disarm(reports)
-	case anyHeld(reports) == 0:
-		return nil
+	return c.cancel(reports, held, inForce, version)
+}
+
+// cancel ends a hold without a switch. The giver's rank is armed only when all
+// others are armed at one time, so as soon as one rank that isn't armed refuses to
+// be, neither that rank nor the giver's can be armed any more, even if the holder
+// is only slow and goes on. The others are disarmed then.
+func (c *Coordinator) cancel(reports []Report, held int64, inForce *experts.Map, version int64) []Order {
+	refusing, armed := 0, countArmed(reports)
+	for _, r := range reports {
+		if r.refuses(held) {
+			refusing++
+		}
 	}
-	if c.target == nil {
-		c.target = &target{version: version, planned: inForce}
+	switch {
+	case refusing > 0 && armed > 0:
+		return c.disarm(reports)
+	case refusing == len(reports):
+		return c.release(reports)
+	default:
+		// If all are armed, the giver's rank may be armed as well, and there is
+		// nothing to cancel.
+		return cancelUnarmed(reports, held, inForce, version)
 	}
+}
+
+// cancelUnarmed has the ranks that aren't armed refuse to be.
+func cancelUnarmed(reports []Report, held int64, inForce *experts.Map, version int64) []Order {
+	var out []Order
 	for _, r := range reports {
-		if r.Prepared < c.target.version {
-			return c.prepare(reports)
+		if r.Armed != nil || r.cancelled(held) {
+			continue
 		}
+		out = append(out, Order{
+			Rank: r.Rank, Kind: Prepare, Epoch: r.Epoch, Version: version, Map: inForce, Cancels: held,
+		})
 	}
-	return c.release(reports)
+	return out
 }
 
 // onlyGiverMissing reports whether all ranks were read, in one epoch of an open
--- a/rankgroup/switchover/switchover_test.go
+++ b/rankgroup/switchover/switchover_test.go
@@ -141,17 +141,13 @@
 
 // undo has an agent free the group while a rank can't be read.
 func undo(g *platformtest.Group, absent int, token int64) {
-	other := newRescuer()
+	w := &world{group: g, ordered: make(map[int]switchover.Giver), cancelled: make(map[int]cancellation)}
+	for r := range ranks {
+		w.ordered[r] = switchover.Giver{Token: token, Rank: absent}
+	}
+	w.version = 1_000_000
 	for range 10 {
-		reports := reportsOf(g, absent)
-		for i := range reports {
-			reports[i].OrderedBy = switchover.Giver{Token: token, Rank: absent}
-		}
-		for _, o := range other.Undo(reports, &experts.Map{}, 1_000_000) {
-			if g.Order(o, token, nil) < 300 {
-				other.Accepted(o)
-			}
-		}
+		w.undo(absent)
 		g.Copy()
 	}
 }
@@ -180,14 +176,14 @@
 	for died := range 12 {
 		for given := range 6 {
 			g := interruptedSwitch(t, died)
-			w := &world{group: g, ordered: make(map[int]switchover.Giver)}
+			w := &world{group: g, ordered: make(map[int]switchover.Giver), cancelled: make(map[int]cancellation)}
 			for r := 1; r < ranks; r++ {
 				w.ordered[r] = switchover.Giver{Token: 1}
 			}
-			second := &holder{coordinator: newCoordinator(2, 2)}
+			second := &holder{coordinator: newCoordinator(2, 2), token: 2, own: 2}
 			left := given
 			for range 4 {
-				for _, o := range second.coordinator.Next(w.read(), &experts.Map{}, 1_000_000) {
+				for _, o := range second.coordinator.Next(w.read(second.token), &experts.Map{}, 1_000_000) {
 					if left--; left >= 0 {
 						w.give(second, o, false)
 					}
@@ -218,15 +214,27 @@
 	late    []late
 	now     int
 	version int64
-	// ordered is what the agents know of the holders that gave orders.
-	ordered map[int]switchover.Giver
+	// ordered is what the agents know of the holders that gave orders, cancelled
+	// the step and epoch up to which they refuse to have their rank armed.
+	ordered   map[int]switchover.Giver
+	cancelled map[int]cancellation
+	// called is the newest holder that has called the agent of each rank.
+	called [ranks]int64
 	// rescuer is the coordinator of an agent that can't read the rank absent.
 	rescuer *switchover.Coordinator
 	absent  int
+	// seen are reports that the rescuer acts on later.
+	seen []switchover.Report
+}
+
+type cancellation struct {
+	epoch int64
+	switchover.Cancellation
 }
 
 type holder struct {
 	coordinator *switchover.Coordinator
+	token       int64
 	own         int
 	frozenTill  int
 	// stale are reports that a frozen holder acts on when it wakes.
@@ -235,7 +243,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), group: platformtest.NewGroup(ranks, 1, 8)}
-	w.ordered = make(map[int]switchover.Giver)
+	w.ordered, w.cancelled = make(map[int]switchover.Giver), make(map[int]cancellation)
 	w.group.CopyTicks = 1 + w.rng.IntN(6)
 	w.group.IgnoresFences = w.rng.IntN(2) == 0
 	w.elect()
@@ -245,7 +253,7 @@
 func (w *world) elect() {
 	own := w.rng.IntN(ranks)
 	token := int64(len(w.holders) + 1)
-	w.holders = append(w.holders, &holder{coordinator: newCoordinator(token, own), own: own})
+	w.holders = append(w.holders, &holder{coordinator: newCoordinator(token, own), token: token, own: own})
 }
 
 // round lets each holder that runs act once, and time pass.
@@ -261,7 +269,7 @@
 	for _, h := range w.holders[max(len(w.holders)-2, 0):] {
 		w.act(h, faults)
 	}
-	w.rescue()
+	w.rescue(faults)
 	w.carryOutLate()
 	if w.rng.IntN(3) > 0 {
 		w.group.Tick()
@@ -275,7 +283,7 @@
 	reports := h.stale
 	h.stale = nil
 	if reports == nil {
-		reports = w.read()
+		reports = w.read(h.token)
 	}
 	if faults && w.rng.IntN(40) == 0 {
 		h.frozenTill, h.stale = w.now+w.rng.IntN(30), reports
@@ -292,37 +300,50 @@
 	}
 }
 
-// rescue has an agent undo a switch while the newest holder's machine is frozen.
-func (w *world) rescue() {
+// rescue has an agent undo a switch while the newest holder's machine is frozen,
+// or so slow that its agent doesn't answer in time.
+func (w *world) rescue(faults bool) {
 	h := w.holders[len(w.holders)-1]
-	if w.now >= h.frozenTill {
-		w.rescuer = nil
-		return
-	}
-	if w.rng.IntN(3) == 0 {
+	switch {
+	case w.now < h.frozenTill && w.rng.IntN(3) == 0, faults && w.rng.IntN(6) == 0:
 		w.undo(h.own)
+	case w.now >= h.frozenTill && w.rng.IntN(20) == 0:
+		w.rescuer, w.seen = nil, nil
 	}
 }
 
-// undo has an agent act that can't read a rank.
+// undo has an agent act that can't read a rank. It may act on reports that it read
+// some rounds ago.
 func (w *world) undo(absent int) {
 	if w.rescuer == nil || w.absent != absent {
-		w.rescuer, w.absent = newRescuer(), absent
+		w.rescuer, w.absent, w.seen = newRescuer(), absent, nil
+	}
+	reports := w.seen
+	w.seen = nil
+	if reports == nil {
+		reports = slices.DeleteFunc(w.read(0), func(r switchover.Report) bool { return r.Rank == absent })
+		if w.rng != nil && w.rng.IntN(3) == 0 {
+			w.seen = reports
+			return
+		}
 	}
-	reports := slices.DeleteFunc(w.read(), func(r switchover.Report) bool { return r.Rank == absent })
 	w.version += 1000
-	orders := w.rescuer.Undo(reports, &experts.Map{}, w.version)
-	for _, o := range orders {
+	for _, o := range w.rescuer.Undo(reports, &experts.Map{}, w.version) {
 		w.pass(w.rescuer, o, false)
 	}
 }
 
-// read reads the ranks one after the other, while the group goes on.
-func (w *world) read() []switchover.Report {
+// read reads the ranks one after the other, while the group goes on. token is that
+// of the holder, or 0.
+func (w *world) read(token int64) []switchover.Report {
 	var reports []switchover.Report
 	for r := range ranks {
+		w.called[r] = max(w.called[r], token)
 		report := w.group.Report(r)
 		report.OrderedBy = w.ordered[r]
+		if c := w.cancelled[r]; c.epoch == report.Epoch {
+			report.Cancelled = c.Cancellation
+		}
 		reports = append(reports, report)
 		if w.rng != nil && w.rng.IntN(6) == 0 {
 			w.group.Tick()
@@ -331,7 +352,12 @@
 	return reports
 }
 
-func (w *world) give(h *holder, o switchover.Order, faults bool) { w.pass(h.coordinator, o, faults) }
+func (w *world) give(h *holder, o switchover.Order, faults bool) {
+	if o.Kind != switchover.HoldAt && h.token < w.called[o.Rank] {
+		return // the agent knows a newer holder
+	}
+	w.pass(h.coordinator, o, faults)
+}
 
 // pass gives an order through the agent beside the rank, but for those to hold.
 func (w *world) pass(c *switchover.Coordinator, o switchover.Order, faults bool) {
@@ -348,6 +374,9 @@
 			return
 		}
 		w.ordered[o.Rank] = by
+		if !w.agentTakes(o) {
+			return
+		}
 	}
 	if fate == 1 {
 		w.late = append(w.late, late{order: o, fence: by.Token, at: w.now + 1 + w.rng.IntN(40)})
@@ -355,6 +384,24 @@
 	}
 	if w.group.Order(o, by.Token, nil) < 300 {
 		c.Accepted(o)
+		w.noteAccepted(o)
+	}
+}
+
+// agentTakes reports whether the agent beside a rank passes an order on.
+func (w *world) agentTakes(o switchover.Order) bool {
+	c := w.cancelled[o.Rank]
+	if o.Cancels > 0 && (c.epoch != o.Epoch || c.Step < o.Cancels) {
+		w.cancelled[o.Rank] = cancellation{o.Epoch, switchover.Cancellation{Step: o.Cancels}}
+	}
+	return o.Kind != switchover.ArmFor || c.epoch != o.Epoch || o.Step > c.Step
+}
+
+// noteAccepted has the agent note that its rank took an order that cancels.
+func (w *world) noteAccepted(o switchover.Order) {
+	if c := w.cancelled[o.Rank]; o.Cancels > 0 && c.epoch == o.Epoch {
+		c.Version = max(c.Version, o.Version)
+		w.cancelled[o.Rank] = c
 	}
 }
 
--- a/rankgroup/switchover/types.go
+++ b/rankgroup/switchover/types.go
@@ -26,11 +26,23 @@
 	Armed *Arm
 	// Held is the step at which the rank holds the group, or 0.
 	Held int64
+	// Cancelled is the switch that the agent beside the rank refuses to arm it for.
+	Cancelled Cancellation
 	// OrderedBy is the newest holder that gave the rank an order, as far as the
 	// agent beside the rank knows.
 	OrderedBy Giver
 }
 
+// Cancellation is the promise of an agent not to have its rank armed.
+type Cancellation struct {
+	// Step is the step up to which the agent refuses, or 0.
+	Step int64
+	// Version is that of the order that cancelled the switch, once the rank has
+	// accepted it, or 0. All orders to arm that passed the agent before name an
+	// older one.
+	Version int64
+}
+
 // Giver is a holder in whose name orders are given.
 type Giver struct {
 	// Token is its fencing token, or 0 for none.
@@ -70,6 +82,9 @@
 	Step    int64
 	// Map is set for Prepare.
 	Map *experts.Map
+	// Cancels is the step of the switch that a Prepare cancels, or 0. The agent
+	// beside the rank refuses to have it armed for that step from then on.
+	Cancels int64
 }
 
 // Phase tells how far a switch is.
