Survive SIGHUP in every daemon, and late signals while a daemon exits

Cause: only the gateway handled SIGHUP.

Change: daemon.Process.Run registers SIGTERM, SIGINT and SIGHUP before it builds the application and never resets them. A gateway reloads on SIGHUP; the other daemons log that there is nothing to reload.

TestHangupsAndLateSignals sends signals after the end of Run.

--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -9,7 +9,6 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
-	"go.uber.org/fx"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
@@ -86,7 +85,7 @@
 		return err
 	}
 	log := newLogger(c.Common, "entry", streams)
-	return daemon.Run(ctx, fx.New(entry.Module(entry.Options{Settings: c.Entry, Log: log})))
+	return daemon.Process{Log: log}.Run(ctx, entry.Module(entry.Options{Settings: c.Entry, Log: log}))
 }
 
 type sidecarCommand struct {
@@ -100,7 +99,7 @@
 		return err
 	}
 	log := newLogger(c.Common, "sidecar", streams)
-	return daemon.Run(ctx, fx.New(sidecar.Module(sidecar.Options{Settings: c.Sidecar, Log: log})))
+	return daemon.Process{Log: log}.Run(ctx, sidecar.Module(sidecar.Options{Settings: c.Sidecar, Log: log}))
 }
 
 // validateSettings validates the settings and prints them if show is set. done
--- a/daemons/cli/gateway.go
+++ b/daemons/cli/gateway.go
@@ -7,7 +7,6 @@
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
-	"go.uber.org/fx"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
@@ -52,8 +51,17 @@
 	}
 	log, flush := newNonBlockingLogger(c.LogLevel, gateway.Role, s.Instance, streams)
 	defer flush()
-	options := gateway.Options{Settings: s, Log: log, MetricsPort: c.MetricsPort}
-	return daemon.Run(ctx, fx.New(gateway.Module(options)))
+	reloads := make(chan struct{}, 1)
+	options := gateway.Options{Settings: s, Log: log, MetricsPort: c.MetricsPort, Reloads: reloads}
+	return daemon.Process{Log: log, Reload: func() { requestReload(reloads) }}.Run(ctx, gateway.Module(options))
+}
+
+// requestReload asks for a reload, unless one is already pending.
+func requestReload(reloads chan<- struct{}) {
+	select {
+	case reloads <- struct{}{}:
+	default:
+	}
 }
 
 // newNonBlockingLogger returns a logger that writes to standard output, where
--- a/daemons/cli/rankagent.go
+++ b/daemons/cli/rankagent.go
@@ -4,8 +4,6 @@
 	"context"
 	"runtime/debug"
 
-	"go.uber.org/fx"
-
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
@@ -37,5 +35,5 @@
 	}
 	log, flush := newNonBlockingLogger(c.LogLevel, rankagent.Role, s.Instance, streams)
 	defer flush()
-	return daemon.Run(ctx, fx.New(rankagent.Module(rankagent.Options{Settings: s, Log: log})))
+	return daemon.Process{Log: log}.Run(ctx, rankagent.Module(rankagent.Options{Settings: s, Log: log}))
 }
--- a/daemons/cli/standin.go
+++ b/daemons/cli/standin.go
@@ -122,7 +122,8 @@
 		return err
 	}
 	log := telemetry.NewLogger(streams.Err, zerolog.InfoLevel, "standin", name)
-	return daemon.Run(ctx, fx.New(
+	return daemon.Process{Log: log}.Run(
+		ctx,
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Invoke(func(lc fx.Lifecycle) {
 			daemon.Serve(lc, log, daemon.Server{
@@ -130,5 +131,5 @@
 				MaxHeaderBytes: standinHeaderBytes, HeaderTimeout: standinHeaderTimeout,
 			})
 		}),
-	))
+	)
 }
--- a/daemons/daemon/daemon_test.go
+++ b/daemons/daemon/daemon_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/signal"
 	"syscall"
 	"testing"
 	"time"
@@ -36,26 +38,62 @@
 		<-finish
 		_, _ = io.WriteString(w, "last")
 	})
-	app := fx.New(
+	module := fx.Options(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Invoke(func(lc fx.Lifecycle) {
 			daemon.Serve(lc, zerolog.Nop(), daemon.Server{Name: "test", Listener: listener, Handler: handler, Gate: gate})
 		}),
 	)
 	stopped := make(chan error, 1)
-	go func() { stopped <- daemon.Run(context.Background(), app) }()
+	go func() { stopped <- daemon.Process{Log: zerolog.Nop()}.Run(context.Background(), module) }()
 	bodies := make(chan string, 1)
 	go func() { bodies <- getBody(listener.Addr().String()) }()
 	<-started
-	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	sendSignal(t, syscall.SIGTERM)
 	<-gate.Draining()
-	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	sendSignal(t, syscall.SIGTERM)
 	require.Error(t, gate.Enter())
 	close(finish)
 	require.Equal(t, "first last", <-bodies)
 	require.NoError(t, <-stopped)
 }
 
+// Guards against SIGHUP that ends the process or isn't passed on, and against a late
+// SIGTERM that ends the process with its default action while it exits.
+func TestHangupsAndLateSignals(t *testing.T) {
+	reloads := make(chan struct{}, 10)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	process := daemon.Process{Log: zerolog.Nop(), Reload: func() { reloads <- struct{}{} }}
+	go func() {
+		stopped <- process.Run(ctx, fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+			fx.Invoke(func() error { return syscall.Kill(syscall.Getpid(), syscall.SIGHUP) }))
+	}()
+	<-reloads
+	for range 3 {
+		sendSignal(t, syscall.SIGHUP)
+		<-reloads
+	}
+	cancel()
+	require.NoError(t, <-stopped)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		// The default action would end the process.
+		require.NoError(t, syscall.Kill(syscall.Getpid(), s))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// sendSignal sends a signal to this process and waits for its delivery, so that it
+// doesn't reach a daemon that a later test starts.
+func sendSignal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	delivered := make(chan os.Signal, 1)
+	signal.Notify(delivered, s)
+	defer signal.Stop(delivered)
+	require.NoError(t, syscall.Kill(syscall.Getpid(), s))
+	<-delivered
+}
+
 func getBody(address string) string {
 	resp, err := http.Get("http://" + address)
 	if err != nil {
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -28,6 +28,8 @@
 	Log      zerolog.Logger
 	// MetricsPort is the port that serves the metrics, or 0 for none.
 	MetricsPort int
+	// Reloads delivers requests to reload the settings. It may be nil.
+	Reloads <-chan struct{}
 }
 
 // Module returns the fx options of a gateway.
--- a/daemons/gateway/reload.go
+++ b/daemons/gateway/reload.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -14,16 +11,13 @@
 )
 
 // settingsInterval is the time between checks of the settings file, which may
-// change without a SIGHUP.
+// change without a request to reload it.
 const settingsInterval = 5 * time.Second
 
 // reloadSettings applies changed bounds from the settings file. Addresses and
 // names belong to the instance and don't change while the process runs.
 func reloadSettings(lc fx.Lifecycle, o Options, g *Gateway) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "reload settings", Run: func(ctx context.Context) error {
-		defer signal.Stop(hangup)
 		ticker := time.NewTicker(settingsInterval)
 		defer ticker.Stop()
 		current := o.Settings.Bounds
@@ -32,7 +26,7 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case <-hangup:
+			case <-o.Reloads:
 				signalled = true
 			case <-ticker.C:
 			}
