Poll the configuration each 0.8 s, so that keys are served early in an outage

The proof that the configuration is the newest one counts from the moment at which an answered read was sent. With a long poll of 1.7 s it is up to 3.4 s old when the store falls silent, so keys are refused 1.3 s later.

Change: the poll lasts 0.8 s. A gateway that loses the store serves requests with keys for 3 s of the revocation bound of 5 s.

The proof of age is unchanged; TestKeysServedEarlyInStoreOutage fails with the former poll.

--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -15,9 +15,10 @@
 
 const (
 	// configPollTimeout is the duration of a long poll for a new configuration.
-	// The configuration was confirmed as the newest one at most two polls ago,
-	// which stays below the revocation bound of 5 s with a second to spare.
-	configPollTimeout = 1700 * time.Millisecond
+	// The configuration was confirmed as the newest one at most two polls ago, so
+	// a gateway that loses the store serves requests with keys for three more
+	// seconds of the usual revocation bound of 5 s.
+	configPollTimeout = 800 * time.Millisecond
 	// drainMargin is how long before the drain bound the servers are read again.
 	// It covers the read itself and the requests that are just being sent.
 	drainMargin = 650 * time.Millisecond
--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -92,6 +92,23 @@
 	require.Equal(t, 404, f.send(http.MethodGet, "/none/x", "z").status)
 }
 
+// Guards against refusing requests with keys early in an outage of the store,
+// because the configuration was last confirmed long before the outage.
+func TestKeysServedEarlyInStoreOutage(t *testing.T) {
+	const servedFor = 3 * time.Second
+	s := platformtest.NewServer("s1")
+	defer s.Close()
+	f := newFixture(t, s)
+	// The longest time since the last confirmation is just before a poll returns.
+	f.eventually(func() bool {
+		age, _ := f.gateway.state.ConfigFreshness(clock.Now())
+		return age > 3*configPollTimeout/2
+	})
+	f.store.SetFault(platformtest.Unresponsive)
+	time.Sleep(servedFor)
+	require.Equal(t, 200, f.send(http.MethodGet, lookupPath, "a").status)
+}
+
 // Guards against accepting a revoked key and against rejecting a new one.
 func TestAPIKeyRotation(t *testing.T) {
 	s := platformtest.NewServer("s1")
