Bound responses whose bytes never end

Cause: the reader of upstream responses set its header limit anew for each informational response and had no limit for the body of a response to another request. Comments of an event stream counted as events and as progress, so a server that sent nothing else kept its request until the deadline. The body of a refusal was read until 64 KiB had arrived, however slowly.

At a bound the connection is reset and the attempt fails like any other.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -316,8 +316,9 @@
 // drainAndReuse discards the body of a response that isn't forwarded, and returns
 // the connection to the pool if that succeeds.
 func (x *exchange) drainAndReuse(resp *http.Response) {
-	if err := discardBody(resp); err != nil {
-		x.conn.Close()
+	x.conn.SetDeadline(time.Now().Add(maxDiscardTime))
+	if err := upstream.Discard(resp.Body, maxDiscardedBody); err != nil {
+		x.conn.Abort()
 		return
 	}
 	x.reuseConnection(resp)
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -144,6 +144,29 @@
 func (f *fixture) trySend(
 	ctx context.Context, method, path, id string, options ...platformtest.HeaderOption,
 ) (response, error) {
+	resp, err := f.call(ctx, method, path, id, options...)
+	if err != nil {
+		return response{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header, body: string(body), complete: err == nil}, nil
+}
+
+// discardResponse sends a GET request and discards the body of its response. The error
+// says why the body is incomplete.
+func (f *fixture) discardResponse(path, id string, options ...platformtest.HeaderOption) (response, error) {
+	f.t.Helper()
+	resp, err := f.call(context.Background(), http.MethodGet, path, id, options...)
+	require.NoError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return response{status: resp.StatusCode, header: resp.Header}, err
+}
+
+func (f *fixture) call(
+	ctx context.Context, method, path, id string, options ...platformtest.HeaderOption,
+) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, f.server.URL+path, strings.NewReader("body of "+id))
 	require.NoError(f.t, err)
 	req.Host = host
@@ -156,13 +179,7 @@
 	for _, c := range options {
 		c(req.Header)
 	}
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(req)
-	if err != nil {
-		return response{}, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(body), complete: err == nil}, nil
+	return (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(req)
 }
 
 // events returns the stream that a server sends after the event with the ID after.
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -22,6 +22,11 @@
 	maxBufferedResponse = 1 << 20
 	// maxDiscardedBody limits how much of a response that isn't forwarded is read.
 	maxDiscardedBody = 64 << 10
+	// maxDiscardTime limits the time for that. A new connection costs less than the
+	// wait for a slow body.
+	maxDiscardTime = 50 * time.Millisecond
+	// maxResponse limits the size of a response that is forwarded as it arrives.
+	maxResponse = 256 << 20
 	// readBufferSize is the size of one read from a backend server.
 	readBufferSize = 8 << 10
 	// clientWriteTimeout limits a write to a caller that doesn't read.
@@ -76,7 +81,6 @@
 		return errkind.New(errkind.BackendFailed, "response with status %d has no signature", resp.StatusCode)
 	}
 	if x.out.started && !success {
-		_ = discardBody(resp)
 		return errkind.New(errkind.BackendFailed, "status %d instead of the rest of a stream", resp.StatusCode)
 	}
 	if success && x.r.route.Kind == fleet.Streaming && isEventStream(resp.Header) {
@@ -133,9 +137,12 @@
 		return err
 	}
 	buffer := make([]byte, readBufferSize)
-	for {
+	for total := len(head); ; {
 		n, err := resp.Body.Read(buffer)
 		watch.progress()
+		if total += n; total > maxResponse {
+			return errkind.New(errkind.StreamIncomplete, "the response exceeds %d bytes", maxResponse)
+		}
 		if n > 0 {
 			if err := x.out.write(buffer[:n]); err != nil {
 				return err
@@ -157,14 +164,12 @@
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Body.Read(buffer)
-		watch.progress()
 		events.Write(buffer[:n])
-		if err := x.forwardEvents(resp, &events); err != nil {
+		if err := x.forwardEvents(resp, &events, watch); err != nil {
 			return err
 		}
-		watch.progress()
 		if errors.Is(err, io.EOF) {
-			return x.finishEventStream(resp, events.Buffered())
+			return x.finishEventStream(resp, &events)
 		}
 		if err != nil {
 			return x.responseTruncated(watch, err)
@@ -172,8 +177,9 @@
 	}
 }
 
-// forwardEvents writes the complete events that have arrived, in one write.
-func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter) error {
+// forwardEvents writes the complete events that have arrived, in one write. Only
+// events count as progress: a server that sends nothing but comments is silent.
+func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
 	var batch []byte
 	for {
 		e, ok, err := events.Next()
@@ -199,8 +205,11 @@
 		x.svc.recordEventGap(now, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
+	watch.progress()
 	x.startEventStream(resp)
-	return x.out.write(batch)
+	err := x.out.write(batch)
+	watch.progress() // the time that the caller takes to read doesn't count as silence
+	return err
 }
 
 // startEventStream writes the header of the response. A stream that is resumed on
@@ -217,14 +226,16 @@
 	x.r.trace.status = resp.StatusCode
 }
 
-// finishEventStream handles the end of the body. rest is the number of bytes
-// after the last complete event.
-func (x *exchange) finishEventStream(resp *http.Response, rest int) error {
-	if rest > 0 {
+// finishEventStream handles the end of the body.
+func (x *exchange) finishEventStream(resp *http.Response, events *eventstream.Splitter) error {
+	if events.Buffered() > 0 {
 		return errkind.New(errkind.StreamIncomplete, "the stream ended within an event")
 	}
 	x.startEventStream(resp)
-	return nil
+	if len(events.Comments()) == 0 {
+		return nil
+	}
+	return x.out.write(events.Comments())
 }
 
 // responseTruncated handles a connection that failed within the response body.
@@ -235,14 +246,3 @@
 	}
 	return errkind.Wrap(errkind.StreamIncomplete, err, "the response was truncated")
 }
-
-func discardBody(resp *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody+1))
-	if err != nil {
-		return errors.Wrap(err, "discard a response body")
-	}
-	if n > maxDiscardedBody {
-		return errors.New("the response body is too large to discard")
-	}
-	return nil
-}
--- a/daemons/gateway/upstream/conn.go
+++ b/daemons/gateway/upstream/conn.go
@@ -18,8 +18,11 @@
 const (
 	readBufferSize  = 8 << 10
 	writeBufferSize = 4 << 10
-	// maxHeaderBytes limits the header of a response.
+	// maxHeaderBytes limits the header of a response, together with the headers of
+	// the informational responses before it.
 	maxHeaderBytes = 64 << 10
+	// maxSkippedBody limits the body of a response to another request.
+	maxSkippedBody = 1 << 20
 	// maxUnrelatedResponses limits the responses to other requests that are
 	// skipped before the expected one.
 	maxUnrelatedResponses = 2
@@ -124,7 +127,7 @@
 		if matches(resp) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := Discard(resp.Body, maxSkippedBody); err != nil {
 			return nil, errors.Wrap(err, "skip a response to another request")
 		}
 		if resp.Close {
@@ -134,11 +137,23 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// Discard reads a body to its end. It fails if the body has more than limit bytes.
+func Discard(body io.Reader, limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
+	if err != nil {
+		return errors.Wrap(err, "discard a response body")
+	}
+	if n > limit {
+		return errors.Errorf("the response body is larger than %d bytes", limit)
+	}
+	return nil
+}
+
 // readFinalResponse reads the next response header and skips informational (1xx)
-// responses.
+// responses. It fails if all these headers together exceed maxHeaderBytes.
 func (c *Conn) readFinalResponse(method string) (*http.Response, error) {
+	c.limit.N = maxHeaderBytes
 	for {
-		c.limit.N = maxHeaderBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
--- a/serve/eventstream/eventstream.go
+++ b/serve/eventstream/eventstream.go
@@ -13,8 +13,9 @@
 	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
-// MaxEventBytes bounds the size of an event. Events hold a few tokens, so a
-// stream without the end of an event within this size is malformed.
+// MaxEventBytes bounds the bytes up to the end of the next event, with the comments
+// before it. Events hold a few tokens, so a stream without the end of an event within
+// this size is malformed.
 const MaxEventBytes = 1 << 20
 
 // Event is a complete event.
@@ -31,31 +32,55 @@
 	buffer []byte
 	// scanned is the length of the prefix that contains no end of an event.
 	scanned int
+	// comments is the length of the prefix that holds only comments.
+	comments int
 }
 
 // Write adds bytes of the stream.
 func (s *Splitter) Write(p []byte) { s.buffer = append(s.buffer, p...) }
 
-// Next returns the next complete event, or false if more bytes are needed. It
-// fails if an incomplete event is larger than MaxEventBytes.
+// Next returns the next complete event, or false if more bytes are needed. The event
+// includes the comments before it, which servers send as keep-alives. Next fails if
+// there is no end of an event within MaxEventBytes.
 func (s *Splitter) Next() (Event, bool, error) {
-	end := endOfEvent(s.buffer, s.scanned)
-	if end < 0 {
-		if len(s.buffer) > MaxEventBytes {
-			return Event{}, false, errkind.New(errkind.StreamIncomplete, "event exceeds %d bytes", MaxEventBytes)
+	for {
+		end := endOfEvent(s.buffer, s.scanned)
+		if end < 0 {
+			if len(s.buffer) > MaxEventBytes {
+				return Event{}, false, errkind.New(errkind.StreamIncomplete, "no end of an event within %d bytes", MaxEventBytes)
+			}
+			// The last three bytes may be the start of the separator.
+			s.scanned = max(len(s.buffer)-3, s.comments)
+			return Event{}, false, nil
 		}
-		// The last three bytes may be the start of the separator.
-		s.scanned = max(len(s.buffer)-3, 0)
-		return Event{}, false, nil
+		s.scanned = end
+		if !hasField(s.buffer[s.comments:end]) {
+			s.comments = end
+			continue
+		}
+		raw := s.buffer[:end]
+		s.buffer = s.buffer[end:]
+		s.scanned, s.comments = 0, 0
+		return Event{Raw: raw, ID: eventID(raw)}, true, nil
 	}
-	raw := s.buffer[:end]
-	s.buffer = s.buffer[end:]
-	s.scanned = 0
-	return Event{Raw: raw, ID: eventID(raw)}, true, nil
 }
 
-// Buffered returns the number of bytes that Next has not returned yet.
-func (s *Splitter) Buffered() int { return len(s.buffer) }
+// Comments returns the comments after the last event.
+func (s *Splitter) Comments() []byte { return s.buffer[:s.comments] }
+
+// Buffered returns the number of bytes of an incomplete event.
+func (s *Splitter) Buffered() int { return len(s.buffer) - s.comments }
+
+// hasField reports whether a block contains a field, not only comments.
+func hasField(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
 
 // endOfEvent returns the index after the first empty line that ends at or after
 // from, or -1. Lines end with LF or CRLF.
--- a/serve/eventstream/eventstream_test.go
+++ b/serve/eventstream/eventstream_test.go
@@ -55,6 +55,27 @@
 	require.True(t, errkind.Is(err, errkind.StreamIncomplete))
 }
 
+// Guards against comments that count as events, that are lost, or that keep a stream
+// alive without end.
+func TestComments(t *testing.T) {
+	events, ids, left := split(t, ": a\n\n:", "b\r\n\r\nid: 1\ndata: x\n\n: c\n\n", ": incomplete")
+	require.Equal(t, []string{": a\n\n:b\r\n\r\nid: 1\ndata: x\n\n"}, events)
+	require.Equal(t, []string{"1"}, ids)
+	require.Equal(t, len(": incomplete"), left)
+
+	var s eventstream.Splitter
+	comment := []byte(": keep-alive\n\n")
+	for sent := 0; sent <= eventstream.MaxEventBytes; sent += len(comment) {
+		_, ok, err := s.Next()
+		require.NoError(t, err)
+		require.False(t, ok)
+		s.Write(comment)
+	}
+	require.Greater(t, len(s.Comments()), 0)
+	_, _, err := s.Next()
+	require.True(t, errkind.Is(err, errkind.StreamIncomplete))
+}
+
 func event(id string) eventstream.Event { return eventstream.Event{ID: id} }
 
 // Guards against an event that the caller gets twice or never when a stream is
