Spread the traffic of the holder of a large group, and send maps as changes

Cause: on the large site no expert map was ever switched. The holder sends the whole map (9 KB) to 64 ranks at once and reads 9 KB of counts from each in every round, over a link of 6 Mbit/s; both take 0.8 s, and all calls time out after 160 ms.

Change: rankgroup/linkbudget decides how often ranks are read, whose counts are read and how many orders are sent at once, by the rate of the link. rankgroup/mapdelta gives a map as the changes of the one that the agent has, with the digests of both. The group is held further ahead the more ranks it has (7 ms a rank), because it paused 37 ms in each switch otherwise. The first plan waits for two observations an expert. Groups of more than 48 ranks switch only for a large saving.

Cause found by reading: changes left the experts of a rank in another order than the whole map, and in one switch some ranks got the one and some the other. The lists are in ascending order now, and an agent checks the digest of the result.

--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -18,6 +18,7 @@
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapdelta"
 	"github.com/filbertmux/filbertmux/rankgroup/switchover"
 )
 
@@ -45,9 +46,14 @@
 	callToken int64
 	calledAt  time.Time
 	// cancelled is the last cancelled switch of cancelledEpoch. This agent no longer
-	// forwards orders to arm the rank for it.
+	// forwards orders to arm the rank for it. When the agent starts, it counts each
+	// switch that may be in progress as cancelled.
 	cancelled      switchover.Cancellation
 	cancelledEpoch int64
+	// knownMap is the last whole map that the agent received and knownVersion its
+	// version, or 0. Holders send the changes of this map.
+	knownMap     mapdelta.Map
+	knownVersion int64
 }
 
 // identity identifies a rank within its group, and one run of its process.
@@ -114,6 +120,10 @@
 	if now == a.identity {
 		return
 	}
+	if a.identity.group == "" && now.group != "" {
+		a.cancelledEpoch = s.Report.Epoch
+		a.cancelled = switchover.CancellationAfterRestart(s.Report, maxLeadSteps(now.size))
+	}
 	a.identity = now
 	a.cacheValid = false
 	a.log.Info().Str("group", now.group).Int("rank", now.rank).Int("ranks", now.size).
@@ -168,7 +178,12 @@
 	if !a.admitOrder(o) {
 		return connect.NewResponse(&pb.OrderRankResponse{}), nil
 	}
-	reply, err := orderRank(ctx, a.rank, o, m.GetFence(), decodeLayers(m))
+	layers, err := a.receiveMap(m)
+	if err != nil {
+		a.log.Info().Err(err).Int64("version", o.Version).Msg("map refused; the holder has to send it whole")
+		return connect.NewResponse(&pb.OrderRankResponse{}), nil
+	}
+	reply, err := orderRank(ctx, a.rank, o, m.GetFence(), layers)
 	if err != nil {
 		return nil, connect.NewError(errkind.Of(err).Kind.Attributes().ConnectCode, err)
 	}
@@ -178,6 +193,42 @@
 	return connect.NewResponse(&pb.OrderRankResponse{Accepted: reply.Accepted, Fenced: reply.Fenced}), nil
 }
 
+// receiveMap returns the map of an order, or nil if it has none. The agent keeps the map
+// as the base of later changes. After an error it has no base.
+func (a *Agent) receiveMap(m *pb.OrderRankRequest) (mapdelta.Map, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	layers := decodeLayers(m)
+	if layers == nil && m.GetBaseVersion() > 0 {
+		var err error
+		if layers, err = a.applyChanges(m); err != nil {
+			a.knownVersion, a.knownMap = 0, nil
+			return nil, err
+		}
+	}
+	if layers == nil {
+		return nil, nil
+	}
+	if want := m.GetMapDigest(); want != 0 && layers.Digest() != want {
+		a.knownVersion, a.knownMap = 0, nil
+		return nil, errkind.New(errkind.InvalidMap, "map %d has another content than the holder planned", m.GetVersion())
+	}
+	a.knownVersion, a.knownMap = m.GetVersion(), layers
+	return layers, nil
+}
+
+// applyChanges returns the map that an order gives as changes of the known one.
+func (a *Agent) applyChanges(m *pb.OrderRankRequest) (mapdelta.Map, error) {
+	if m.GetBaseVersion() != a.knownVersion || a.knownMap.Digest() != m.GetBaseDigest() {
+		return nil, errkind.New(errkind.InvalidMap, "got changes of map %d, but the agent has map %d", m.GetBaseVersion(), a.knownVersion)
+	}
+	changes, err := decodeChanges(m.GetChanges())
+	if err != nil {
+		return nil, err
+	}
+	return a.knownMap.Apply(changes)
+}
+
 // recordCall records a call of a holder. It returns false if a newer holder has
 // called before. token is 0 for a caller that isn't the holder; its calls are not
 // recorded and always allowed.
@@ -247,6 +298,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r.Fence, r.Holder, r.Seen = a.issuerToken, a.issuerRank, a.callToken
+	r.KnownMap = a.knownVersion
 	if r.GetEpoch() == a.cancelledEpoch {
 		r.CancelledStep, r.CancelledVersion = a.cancelled.Step, a.cancelled.Version
 	}
@@ -287,26 +339,14 @@
 	switchover.Release: pb.RankOrderKind_RANK_ORDER_KIND_RELEASE,
 }
 
-// encodeOrder converts an order to its message. issuer is the holder in whose name
-// it is sent, and token the fencing token of the caller.
-func encodeOrder(
-	group string, o switchover.Order, issuer switchover.Holder, token int64, t *experts.Topology,
-) *pb.OrderRankRequest {
-	m := &pb.OrderRankRequest{
+// encodeOrder converts an order to its message, without the map. issuer is the holder
+// in whose name it is sent, and token the fencing token of the caller.
+func encodeOrder(group string, o switchover.Order, issuer switchover.Holder, token int64) *pb.OrderRankRequest {
+	return &pb.OrderRankRequest{
 		Group: group, Rank: uint32(o.Rank), Kind: orderKinds[o.Kind],
 		Epoch: o.Epoch, Version: o.Version, Step: o.Step,
 		Fence: issuer.Token, Holder: uint32(issuer.Rank), Token: token, Cancels: o.CancelsStep,
 	}
-	if o.Map == nil {
-		return m
-	}
-	m.Layers = uint32(len(o.Map.Layers))
-	for _, layer := range o.Map.Layers {
-		for rank := range t.Ranks() {
-			m.LayersRanks = append(m.LayersRanks, &pb.RankExperts{Experts: expertsOfRank(t, layer, rank)})
-		}
-	}
-	return m
 }
 
 // expertsOfRank lists the experts that a rank hosts in a layer. The list is never
@@ -336,14 +376,14 @@
 
 // decodeLayers returns the experts of the new map by layer and rank, or nil if the
 // message carries no valid map.
-func decodeLayers(m *pb.OrderRankRequest) [][][]int32 {
+func decodeLayers(m *pb.OrderRankRequest) mapdelta.Map {
 	layers := int(m.GetLayers())
 	lists := m.GetLayersRanks()
 	if layers == 0 || len(lists)%layers != 0 {
 		return nil
 	}
 	ranks := len(lists) / layers
-	out := make([][][]int32, layers)
+	out := make(mapdelta.Map, layers)
 	for i, l := range lists {
 		list := l.GetExperts()
 		if list == nil {
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -19,6 +20,8 @@
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/linkbudget"
+	"github.com/filbertmux/filbertmux/rankgroup/mapdelta"
 	"github.com/filbertmux/filbertmux/rankgroup/switchover"
 )
 
@@ -54,6 +57,8 @@
 	port    int
 	log     zerolog.Logger
 	client  *http.Client
+	link    linkbudget.Link
+	maps    *mapSender
 
 	engine *fleet.Engine
 	// eventGapObjective is the shortest objective for the time between two events of a
@@ -72,8 +77,8 @@
 	token int64
 	// leaving tells the agents that the holder gives up its role.
 	leaving bool
-	// counts requests the expert counts.
-	counts bool
+	// counts selects, by rank, the ranks whose expert counts are read. nil selects none.
+	counts []bool
 	// direct calls a rank directly if its agent doesn't respond.
 	direct bool
 	// timeout bounds the reading of a rank through its agent; 0 means agentTimeout.
@@ -82,24 +87,62 @@
 	skip []int
 }
 
+// readsCounts reports whether the expert counts of a rank are read.
+func (o callOptions) readsCounts(rank int) bool { return rank < len(o.counts) && o.counts[rank] }
+
+// outgoingOrder is an order with its message for an agent.
+type outgoingOrder struct {
+	switchover.Order
+	request *pb.OrderRankRequest
+	// layers is the whole map of the order, or nil. The message may hold only changes.
+	layers mapdelta.Map
+}
+
+// encodeOrders converts orders to messages. It returns as many orders with a map as the
+// link carries in time; the coordinator issues the others again.
+func (g *groupClient) encodeOrders(
+	orders []switchover.Order, issuer switchover.Holder, token int64, t *experts.Topology,
+) []outgoingOrder {
+	name, _, _ := g.agent.Identity()
+	var layers mapdelta.Map
+	out := make([]outgoingOrder, 0, len(orders))
+	sizes := make([]int, 0, len(orders))
+	for _, o := range orders {
+		e := outgoingOrder{Order: o, request: encodeOrder(name, o, issuer, token)}
+		if o.Map != nil {
+			if layers == nil {
+				layers = expertLists(t, o.Map) // all orders of a round have the same map
+				g.maps.add(o.Version, layers)
+			}
+			e.layers = layers
+			g.maps.encode(e.request, o.Rank, o.Version)
+		}
+		out = append(out, e)
+		sizes = append(sizes, proto.Size(e.request))
+	}
+	if layers == nil {
+		return out
+	}
+	return out[:g.link.Orders(agentTimeout, sizes)]
+}
+
 // sendOrders sends orders to the ranks concurrently.
 func (g *groupClient) sendOrders(
 	ctx context.Context, c *switchover.Coordinator, orders []switchover.Order, t *experts.Topology, opts callOptions,
 ) {
-	name, _, _ := g.agent.Identity()
 	issuer := c.Issuer()
-	replies := make([]*pb.OrderRankResponse, len(orders))
+	outgoing := g.encodeOrders(orders, issuer, opts.token, t)
+	replies := make([]*pb.OrderRankResponse, len(outgoing))
 	var wg sync.WaitGroup
-	for i, o := range orders {
-		request := encodeOrder(name, o, issuer, opts.token, t)
+	for i, o := range outgoing {
 		g.lastOrderAt[o.Rank] = clock.Now()
-		wg.Go(func() { replies[i] = g.sendOrder(ctx, o, request, opts) })
+		wg.Go(func() { replies[i] = g.sendOrder(ctx, o, opts) })
 	}
 	wg.Wait()
-	for i, o := range orders {
+	for i, o := range outgoing {
 		switch {
 		case replies[i].GetAccepted():
-			c.MarkAccepted(o)
+			c.MarkAccepted(o.Order)
 		case replies[i].GetFenced():
 			g.log.Warn().Int64("token", issuer.Token).Int("rank", o.Rank).Msg("order refused because a newer holder has issued orders")
 		}
@@ -108,10 +151,8 @@
 
 // sendOrder sends one order. It returns nil if the outcome is unknown; the next
 // report of the rank shows it.
-func (g *groupClient) sendOrder(
-	ctx context.Context, o switchover.Order, request *pb.OrderRankRequest, opts callOptions,
-) *pb.OrderRankResponse {
-	resp, err := g.routeOrder(ctx, o, request, opts)
+func (g *groupClient) sendOrder(ctx context.Context, o outgoingOrder, opts callOptions) *pb.OrderRankResponse {
+	resp, err := g.routeOrder(ctx, o, opts)
 	if err != nil {
 		g.log.Info().Err(err).Int("rank", o.Rank).Str("order", o.Kind.String()).Int64("version", o.Version).
 			Int64("step", o.Step).Msg("order got no response; its outcome is unknown")
@@ -126,13 +167,11 @@
 
 // routeOrder sends an order to the own rank through the local agent, and to another
 // rank through its agent or directly.
-func (g *groupClient) routeOrder(
-	ctx context.Context, o switchover.Order, request *pb.OrderRankRequest, opts callOptions,
-) (*pb.OrderRankResponse, error) {
+func (g *groupClient) routeOrder(ctx context.Context, o outgoingOrder, opts callOptions) (*pb.OrderRankResponse, error) {
 	call, cancel := context.WithTimeout(ctx, agentTimeout)
 	defer cancel()
 	if _, own, _ := g.agent.Identity(); own == o.Rank {
-		resp, err := g.agent.OrderRank(call, connect.NewRequest(request))
+		resp, err := g.agent.OrderRank(call, connect.NewRequest(o.request))
 		if err != nil {
 			return nil, err
 		}
@@ -146,7 +185,7 @@
 	// depends only on the instances of the holder and of the rank, and the loss of
 	// either one alone can't leave it in place.
 	if o.Kind != switchover.Hold {
-		resp, err := p.client.OrderRank(call, connect.NewRequest(request))
+		resp, err := p.client.OrderRank(call, connect.NewRequest(o.request))
 		if err == nil {
 			return resp.Msg, nil
 		}
@@ -154,7 +193,7 @@
 			return nil, err
 		}
 	}
-	reply, err := orderRank(ctx, p.rank, o, request.GetFence(), decodeLayers(request))
+	reply, err := orderRank(ctx, p.rank, o.Order, o.request.GetFence(), o.layers)
 	if err != nil {
 		return nil, err
 	}
@@ -180,7 +219,9 @@
 		})
 	}
 	wg.Wait()
-	return slices.DeleteFunc(responses, func(r *pb.ReadRankResponse) bool { return r == nil })
+	responses = slices.DeleteFunc(responses, func(r *pb.ReadRankResponse) bool { return r == nil })
+	g.maps.observe(responses)
+	return responses
 }
 
 func (g *groupClient) read(ctx context.Context, rank, own int, opts callOptions) (*pb.ReadRankResponse, error) {
@@ -191,13 +232,13 @@
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if rank == own {
-		return g.agent.read(call, opts.counts)
+		return g.agent.read(call, opts.readsCounts(rank))
 	}
 	p, ok := g.peers[rank]
 	if !ok {
 		return nil, errkind.New(errkind.NoBackendServer, "no agent of rank %d is known", rank)
 	}
-	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: opts.counts, Token: opts.token, Leaving: opts.leaving}))
+	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: opts.readsCounts(rank), Token: opts.token, Leaving: opts.leaving}))
 	if err != nil && opts.direct {
 		return g.readDirect(ctx, rank, p)
 	}
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -9,6 +9,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/linkbudget"
 	"github.com/filbertmux/filbertmux/rankgroup/switchover"
 )
 
@@ -31,11 +32,6 @@
 	failedReadsBeforeDirect = 1
 	// finishTimeout bounds the completion of a switch while the daemon stops.
 	finishTimeout = 600 * time.Millisecond
-	// leadTime is how far ahead of the newest step the group is held. Arming all
-	// ranks takes less time, so the group does not pause. leadTime is converted to at
-	// most maxLeadSteps steps.
-	leadTime     = 160 * time.Millisecond
-	maxLeadSteps = 3
 	// prepareTimeout bounds the copying of experts. Copying 12 experts of 780 MB
 	// takes 1.7 s over the usual link.
 	prepareTimeout = 6 * time.Second
@@ -67,6 +63,8 @@
 	moveCount     int
 	phase         switchover.Phase
 	stepTimes     stepTimer
+	// countReaders selects the ranks whose counts the next round reads.
+	countReaders linkbudget.Rotation
 	// failedReadRounds counts consecutive rounds in which a rank of a group that may
 	// be held could not be read.
 	failedReadRounds int
@@ -130,7 +128,7 @@
 	h.versionRaised = false
 	h.coordinator = switchover.New(switchover.Config{
 		Self:     switchover.Holder{Token: token, Rank: own},
-		HoldRank: (own + 1) % max(size, 1), Ranks: size, LeadSteps: maxLeadSteps,
+		HoldRank: (own + 1) % max(size, 1), Ranks: size, LeadSteps: maxLeadSteps(size),
 	})
 	h.group.refreshedAt = time.Time{}
 	h.phase = switchover.Unknown
@@ -153,7 +151,7 @@
 	// The reads also tell the agents that the group has a holder, so they are made
 	// even if the configuration isn't known yet.
 	responses := h.group.readAll(ctx, callOptions{
-		token: h.token, counts: idle, direct: h.failedReadRounds > failedReadsBeforeDirect,
+		token: h.token, counts: h.selectCountReaders(idle), direct: h.failedReadRounds > failedReadsBeforeDirect,
 	})
 	if h.yieldIfSuperseded(responses) {
 		return standbyInterval
@@ -176,7 +174,7 @@
 	h.failedReadRounds = 0
 	reports := decodeReports(responses)
 	h.stepTimes.observe(clock.Now(), reports[0].Step)
-	h.coordinator.SetLeadSteps(h.stepTimes.leadSteps())
+	h.coordinator.SetLeadSteps(h.stepTimes.leadSteps(len(reports)))
 	h.raiseVersion(reports)
 	orders := h.coordinator.Next(reports, inForce, h.version+1)
 	h.updatePhase()
@@ -187,6 +185,24 @@
 	return h.nextInterval()
 }
 
+// selectCountReaders returns the ranks whose expert counts are read in a round: none
+// during a switch, otherwise as many in turn as the link carries.
+func (h *holder) selectCountReaders(idle bool) []bool {
+	engine := h.group.engine
+	if !idle || engine == nil || engine.Experts == nil {
+		return nil
+	}
+	_, _, size := h.agent.Identity()
+	counts := engine.Experts.LayerSets * engine.Experts.ExpertsPerLayer
+	return h.countReaders.Select(size, h.group.link.CountReadings(h.readInterval(idleInterval), size, counts))
+}
+
+// readInterval returns the time between two readings of all ranks, at least interval.
+func (h *holder) readInterval(interval time.Duration) time.Duration {
+	_, _, size := h.agent.Identity()
+	return h.group.link.ReadInterval(interval, size)
+}
+
 // yieldIfSuperseded gives up the role of holder if an agent knows a newer holder. A
 // holder that can't reach the store learns of a newer one in no other way.
 func (h *holder) yieldIfSuperseded(responses []*pb.ReadRankResponse) bool {
@@ -245,13 +261,13 @@
 			h.coordinator.Abandon()
 			h.switchStart = clock.Now()
 		}
-		return copyInterval
+		return h.readInterval(copyInterval)
 	case switchover.Holding, switchover.Arming, switchover.Switching:
 		return switchInterval
 	case switchover.Unknown:
 		return readRetryInterval
 	default:
-		return idleInterval
+		return h.readInterval(idleInterval)
 	}
 }
 
--- /dev/null
+++ b/daemons/rankagent/mapsender.go
@@ -0,0 +1,102 @@
+package rankagent
+
+import (
+	"github.com/filbertmux/filbertmux/base/errkind"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapdelta"
+)
+
+// maxSentMaps is the number of maps that a holder keeps as bases of later changes.
+const maxSentMaps = 4
+
+// mapSender encodes expert maps for the agents of a group: as the changes of a map that
+// the agent has, or whole. It is not safe for concurrent use.
+type mapSender struct {
+	// sent holds the last maps that were sent, by version, and versions their versions
+	// in that order.
+	sent     map[int64]mapdelta.Map
+	versions []int64
+	// known is the version of the map that each agent has, by rank.
+	known map[int]int64
+}
+
+func newMapSender() *mapSender {
+	return &mapSender{sent: make(map[int64]mapdelta.Map), known: make(map[int]int64)}
+}
+
+// observe records which maps the agents have.
+func (s *mapSender) observe(responses []*pb.ReadRankResponse) {
+	for _, r := range responses {
+		s.known[int(r.GetRank())] = r.GetKnownMap()
+	}
+}
+
+// add records a map that is about to be sent.
+func (s *mapSender) add(version int64, m mapdelta.Map) {
+	if _, ok := s.sent[version]; !ok {
+		s.versions = append(s.versions, version)
+	}
+	s.sent[version] = m
+	if len(s.versions) > maxSentMaps {
+		delete(s.sent, s.versions[0])
+		s.versions = s.versions[1:]
+	}
+}
+
+// encode adds the map of a version to an order for a rank.
+func (s *mapSender) encode(m *pb.OrderRankRequest, rank int, version int64) {
+	target := s.sent[version]
+	m.MapDigest = target.Digest()
+	if base, ok := s.sent[s.known[rank]]; ok {
+		m.BaseVersion, m.BaseDigest = s.known[rank], base.Digest()
+		m.Changes = encodeChanges(len(target[0]), mapdelta.Diff(base, target))
+		return
+	}
+	m.Layers = uint32(len(target))
+	for _, layer := range target {
+		for _, list := range layer {
+			m.LayersRanks = append(m.LayersRanks, &pb.RankExperts{Experts: list})
+		}
+	}
+}
+
+// expertLists converts a map to the experts of each layer and rank.
+func expertLists(t *experts.Topology, m *experts.Map) mapdelta.Map {
+	lists := make(mapdelta.Map, len(m.Layers))
+	for i, layer := range m.Layers {
+		for rank := range t.Ranks() {
+			lists[i] = append(lists[i], expertsOfRank(t, layer, rank))
+		}
+	}
+	lists.Sort()
+	return lists
+}
+
+// encodeChanges converts the changes of a map with a number of ranks to their message.
+// Experts are encoded plus one, because 0 means none.
+func encodeChanges(ranks int, changes []mapdelta.Change) *pb.MapChanges {
+	m := &pb.MapChanges{Ranks: uint32(ranks)}
+	for _, c := range changes {
+		m.Lists = append(m.Lists, uint32(c.Layer*ranks+c.Rank))
+		m.Removed = append(m.Removed, uint32(c.Removed+1))
+		m.Added = append(m.Added, uint32(c.Added+1))
+	}
+	return m
+}
+
+func decodeChanges(m *pb.MapChanges) ([]mapdelta.Change, error) {
+	n, ranks := len(m.GetLists()), int(m.GetRanks())
+	if ranks == 0 || len(m.GetRemoved()) != n || len(m.GetAdded()) != n {
+		return nil, errkind.New(errkind.InvalidMap, "got %d changes with %d removed and %d added experts of %d ranks",
+			n, len(m.GetRemoved()), len(m.GetAdded()), ranks)
+	}
+	changes := make([]mapdelta.Change, n)
+	for i, list := range m.GetLists() {
+		changes[i] = mapdelta.Change{
+			Layer: int(list) / ranks, Rank: int(list) % ranks,
+			Removed: int32(m.GetRemoved()[i]) - 1, Added: int32(m.GetAdded()[i]) - 1,
+		}
+	}
+	return changes, nil
+}
--- a/daemons/rankagent/module.go
+++ b/daemons/rankagent/module.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/rankgroup/linkbudget"
 )
 
 // Role is the name of the daemon in logs and metrics.
@@ -97,7 +98,7 @@
 func newGroupClient(o Options, agent *Agent, store *platform.StoreClient) *groupClient {
 	return &groupClient{
 		agent: agent, store: store, service: o.Settings.BackendService, port: o.Settings.PeerPort,
-		log: o.Log, client: peerClient(), peers: make(map[int]peer), domains: make(map[int]string),
+		log: o.Log, client: peerClient(), link: linkbudget.Link{BytesPerSecond: o.Settings.LinkBytesPerSecond}, maps: newMapSender(), peers: make(map[int]peer), domains: make(map[int]string),
 		lastOrderAt: make(map[int]time.Time),
 	}
 }
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -33,12 +33,21 @@
 	// searchShare is the fraction of the layers that one plan may search and change.
 	// Layers with the largest excess load come first.
 	searchShare = 0.3
+	// minObservationsPerExpert is the mean number of observations of an expert in a
+	// layer before the first plan. Fewer of them say little about the loads, and the map
+	// would be worse than the initial one.
+	minObservationsPerExpert = 2
 	// slowdownThreshold is the slowdown above which a rank counts as slow.
 	slowdownThreshold = 1.1
 	// minSavedShare is the minimum saving of a plan as a fraction of planHorizon. Plans
 	// that save less are not worth a switch, because a switch in progress delays the
 	// reaction to a new mix of requests.
 	minSavedShare = 0.1
+	// minSavedShareLargeGroup is the same for groups of more than largeGroup ranks. The
+	// load of the most loaded of many ranks is mostly noise of the counts, which each new
+	// plan seems to reduce.
+	minSavedShareLargeGroup = 0.6
+	largeGroup              = 48
 	// minSavedShareShortGap is the same while the gaps between the events of the
 	// streams are short. A better map then has no benefit for the streams, and copies
 	// are billed.
@@ -59,6 +68,8 @@
 	tracker *experts.LoadTracker
 	// lastCounts holds the counts of each rank at its last reading, by rank.
 	lastCounts map[int]rankCounts
+	// observations is the mean number of observations of an expert in a layer.
+	observations float64
 }
 
 // rankCounts holds the expert counts of one rank since its start.
@@ -78,11 +89,14 @@
 	return c.counts[i]
 }
 
-// observe passes the increase of all ranks' counts since their last reading to the
-// tracker. The first counts of a rank cover the time since its start.
+// observe passes the increase of the ranks' counts since their last reading to the
+// tracker. It leaves out the ranks whose counts were not read. The first counts of a rank cover the time since its start.
 func (p *planner) observe(now time.Time, e *fleet.Experts, reports []*pb.ReadRankResponse) error {
 	sum := make([]float64, e.LayerSets*e.ExpertsPerLayer)
 	for _, r := range reports {
+		if len(r.GetCounts()) == 0 {
+			continue
+		}
 		if len(r.GetCounts()) != len(sum) {
 			return errkind.New(errkind.InvalidCounts, "got %d counts of rank %d, want %d", len(r.GetCounts()), r.GetRank(), len(sum))
 		}
@@ -92,6 +106,9 @@
 			sum[i] += float64(n-last.previous(r.GetBorn(), i, n)) / countsPerRequest
 		}
 	}
+	for _, n := range sum {
+		p.observations += n / float64(len(sum))
+	}
 	if p.tracker == nil {
 		p.tracker = experts.NewLoadTracker(e.LayerSets, e.ExpertsPerLayer, driftRate)
 	}
@@ -108,7 +125,7 @@
 func (p *planner) decide(
 	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map, eventGap float64,
 ) (experts.Decision, error) {
-	if p.tracker == nil {
+	if p.tracker == nil || p.observations < minObservationsPerExpert {
 		return experts.Decision{Reason: experts.Balanced}, nil
 	}
 	loads, err := p.tracker.Loads(now, maxCountAge)
@@ -119,6 +136,9 @@
 		Now: now, Topology: t, InForce: inForce, Loads: loads, Weights: experts.Weights{Skew: 1, Cost: 1},
 	})
 	minShare := minSavedShare
+	if t.Ranks() > largeGroup {
+		minShare = minSavedShareLargeGroup
+	}
 	if eventGap < shortGap {
 		minShare = minSavedShareShortGap
 	}
@@ -145,15 +165,20 @@
 	return s
 }
 
+// copySeconds returns the time for which a rank copies one expert, in seconds, or 0 if
+// it isn't known.
+func copySeconds(e *fleet.Experts) float64 {
+	if e.LinkMbps <= 0 {
+		return 0
+	}
+	return e.ExpertMegabytes * bitsPerByte / e.LinkMbps
+}
+
 // moveCost returns the time that copying one expert costs the group, because the copy
 // slows the steps and delays the new map. The ranks copy concurrently, so the cost is
 // divided by their number.
 func moveCost(e *fleet.Experts, ranks int) time.Duration {
-	if e.LinkMbps <= 0 {
-		return 0
-	}
-	seconds := e.ExpertMegabytes * bitsPerByte / e.LinkMbps
-	return time.Duration((1 + copyOverhead) * seconds / float64(ranks) * float64(time.Second))
+	return time.Duration((1 + copyOverhead) * copySeconds(e) / float64(ranks) * float64(time.Second))
 }
 
 // topology returns the topology of the group for the planner.
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -10,10 +10,12 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/mapdelta"
 	"github.com/filbertmux/filbertmux/rankgroup/switchover"
 )
 
@@ -220,9 +222,75 @@
 	topo := &experts.Topology{Experts: 4, SlotsPerRank: 3, Domains: []string{"a", "b"}}
 	m := &experts.Map{Layers: []experts.Layer{{0, 1, experts.EmptySlot, 2, 3, 0}, {3, 2, 1, 0, experts.EmptySlot, experts.EmptySlot}}}
 	o := switchover.Order{Rank: 1, Kind: switchover.Prepare, Epoch: 2, Version: 9, Map: m}
-	encoded := encodeOrder("g", o, switchover.Holder{Token: 5, Rank: 1}, 5, topo)
+	encoded := encodeOrder("g", o, switchover.Holder{Token: 5, Rank: 1}, 5)
+	sender := newMapSender()
+	sender.add(o.Version, expertLists(topo, m))
+	sender.encode(encoded, o.Rank, o.Version)
 	decoded := decodeOrder(encoded)
 	o.Map = nil
 	require.Equal(t, o, decoded)
-	require.Equal(t, [][][]int32{{{0, 1}, {2, 3, 0}}, {{3, 2, 1}, {0}}}, decodeLayers(encoded))
+	require.Equal(t, mapdelta.Map{{{0, 1}, {0, 2, 3}}, {{1, 2, 3}, {0}}}, decodeLayers(encoded))
+}
+
+// Guards against an agent that restarts and then has its rank armed for a switch that
+// it had cancelled before. Its rank doesn't check fencing tokens.
+func TestRestartedAgentRefusesToArm(t *testing.T) {
+	agent := NewAgent(nil, zerolog.Nop())
+	state := platform.RankState{Group: "g", Size: ranks, Report: switchover.Report{Epoch: 2, Step: 10}}
+	agent.updateIdentity(state)
+	held := state.Report.Step + 1 + maxLeadSteps(ranks)
+	arm := switchover.Order{Kind: switchover.Arm, Epoch: 2, Version: 5, Step: held}
+	require.False(t, agent.admitOrder(arm))
+	report := &pb.ReadRankResponse{Epoch: 2}
+	agent.addOrderState(report)
+	require.Equal(t, held, report.GetCancelledStep(), "the holder must learn that it has to cancel the switch")
+	require.Zero(t, report.GetCancelledVersion())
+	agent.admitOrder(switchover.Order{Kind: switchover.Prepare, Epoch: 2, Version: 9, CancelsStep: held})
+	agent.recordAccepted(switchover.Order{Epoch: 2, Version: 9, CancelsStep: held})
+	agent.addOrderState(report)
+	require.EqualValues(t, 9, report.GetCancelledVersion())
+
+	arm.Step++
+	require.True(t, agent.admitOrder(arm), "a later switch")
+	state.Report.Step = 100
+	agent.updateIdentity(state)
+	require.True(t, agent.admitOrder(arm), "only the start of the agent cancels switches")
+	require.True(t, agent.admitOrder(switchover.Order{Kind: switchover.Arm, Epoch: 3, Step: 1}), "a later epoch")
+}
+
+// Guards against a map that an agent assembles wrongly from changes, and against an
+// agent that never gets a map because it lacks the base of the changes.
+func TestMapsAreSentAsChanges(t *testing.T) {
+	sender, agent := newMapSender(), NewAgent(nil, zerolog.Nop())
+	first := mapdelta.Map{{{0, 1}, {2, 3}}, {{1}, {0, 2, 3}}}
+	second := mapdelta.Map{{{0, 1}, {1, 3}}, {{1, 3}, {0, 2}}}
+	send := func(version int64, m mapdelta.Map) (*pb.OrderRankRequest, mapdelta.Map, error) {
+		report := &pb.ReadRankResponse{}
+		agent.addOrderState(report)
+		sender.observe([]*pb.ReadRankResponse{report})
+		sender.add(version, m)
+		request := &pb.OrderRankRequest{Version: version}
+		sender.encode(request, 0, version)
+		received, err := agent.receiveMap(request)
+		return request, received, err
+	}
+	request, received, err := send(7, first)
+	require.NoError(t, err)
+	require.NotEmpty(t, request.GetLayersRanks())
+	require.Equal(t, first, received)
+
+	request, received, err = send(8, second)
+	require.NoError(t, err)
+	require.Empty(t, request.GetLayersRanks())
+	require.NotEmpty(t, request.GetChanges().GetLists())
+	require.Equal(t, second, received, "ranks that got the whole map compare the lists")
+
+	// The agent has another map of the version than the holder believes.
+	agent.knownMap = first
+	_, _, err = send(9, first)
+	require.Error(t, err)
+	request, received, err = send(9, first)
+	require.NoError(t, err)
+	require.NotEmpty(t, request.GetLayersRanks())
+	require.Equal(t, first, received)
 }
--- a/daemons/rankagent/recovery.go
+++ b/daemons/rankagent/recovery.go
@@ -110,7 +110,7 @@
 		return
 	}
 	_, own, size := r.agent.Identity()
-	c := switchover.New(switchover.Config{HoldRank: own, Ranks: size, LeadSteps: maxLeadSteps})
+	c := switchover.New(switchover.Config{HoldRank: own, Ranks: size, LeadSteps: maxLeadSteps(size)})
 	t := topology(engine.Experts, r.group.failureDomains())
 	start := clock.Now()
 	for range maxRecoveryRounds {
--- a/daemons/rankagent/steptimer.go
+++ b/daemons/rankagent/steptimer.go
@@ -7,6 +7,12 @@
 	stepTimeSmoothing = 0.4
 	// minObservedSpan is the shortest time over which steps are counted.
 	minObservedSpan = 150 * time.Millisecond
+	// minLeadTime is the least lead time, leadTimePerRank the lead time for each rank of
+	// a large group.
+	minLeadTime     = 160 * time.Millisecond
+	leadTimePerRank = 7 * time.Millisecond
+	// shortStep is the time of a step with few requests.
+	shortStep = 55 * time.Millisecond
 )
 
 // stepTimer measures the mean step time of the group, which equals the event gap of
@@ -48,11 +54,23 @@
 	return float64(s.mean) / float64(objective)
 }
 
+// leadTime returns how far ahead of the newest step a group is held. Arming all ranks
+// takes less time, so the group does not pause. The holder reads all ranks and sends
+// orders to them several times meanwhile, so the time grows with their number.
+func leadTime(ranks int) time.Duration {
+	return max(minLeadTime, time.Duration(ranks)*leadTimePerRank)
+}
+
+// maxLeadSteps returns the number of steps in leadTime if they are as short as they get.
+func maxLeadSteps(ranks int) int64 {
+	return int64((leadTime(ranks) + shortStep - 1) / shortStep)
+}
+
 // leadSteps returns the number of steps in leadTime, rounded up and at most
 // maxLeadSteps. It returns maxLeadSteps if the step time isn't known.
-func (s *stepTimer) leadSteps() int64 {
+func (s *stepTimer) leadSteps(ranks int) int64 {
 	if s.mean == 0 {
-		return maxLeadSteps
+		return maxLeadSteps(ranks)
 	}
-	return min(int64((leadTime+s.mean-1)/s.mean), maxLeadSteps)
+	return min(int64((leadTime(ranks)+s.mean-1)/s.mean), maxLeadSteps(ranks))
 }
