Limit batches by the event gap objective, and let late requests leave room

All requests that have queued meanwhile, late already, fill all slots at once. With 12 requests an engine takes 122 ms a pass, the objective is 120 ms, so the streams that arrive then are late as well.

Change: placement.BatchLimit keeps each server at the number of requests whose pass is expected within the objective, from the engine's figures and the measured gaps. Requests that can't be in time any more move to a queue of their own, start after the others, only up to half of a server, and wait 1.7 s at most, because callers leave after two seconds.

--- /dev/null
+++ b/balance/placement/batch_limit_test.go
@@ -0,0 +1,70 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/balance/placement"
+)
+
+// engine takes 47 ms for an empty pass and 122 ms for one with all slots.
+var engine = placement.BatchModel{
+	Slots: 12, PassTime: 46800 * time.Microsecond, PassTimePerRequest: 6250 * time.Microsecond,
+	GapObjective: 120 * time.Millisecond,
+}
+
+// burst plays a queue of streams that is always longer than the slots. It returns the
+// mean number of streams in a pass and the fraction of the passes within the objective.
+// Passes take factor times as long as the model says.
+func burst(limit *placement.BatchLimit, factor float64) (streams, inTime float64) {
+	const passes = 2000
+	for range passes {
+		n := limit.Requests()
+		if n == 0 {
+			n = engine.Slots
+		}
+		pass := time.Duration(factor * float64(engine.PassTime+time.Duration(n)*engine.PassTimePerRequest))
+		limit.Observe(pass, float64(n))
+		streams += float64(n) / passes
+		if pass <= engine.GapObjective {
+			inTime += 1.0 / passes
+		}
+	}
+	return streams, inTime
+}
+
+// Guards against a burst whose streams are all late because they fill all slots,
+// although most of them would be in time in a smaller batch.
+func TestBatchLimitKeepsBurstInTime(t *testing.T) {
+	unlimited := &placement.BatchLimit{}
+	_, inTime := burst(unlimited, 1.2)
+	require.Zero(t, inTime)
+	limited := &placement.BatchLimit{}
+	limited.SetModel(engine)
+	streams, inTime := burst(limited, 1.2)
+	require.Greater(t, inTime, 0.95)
+	require.Greater(t, streams, 0.65*float64(engine.Slots))
+}
+
+// Guards against slots that stay free although passes with all slots in use meet the
+// objective, and against a limit from a single long gap.
+func TestBatchLimitLeavesFastEnginesAlone(t *testing.T) {
+	limit := &placement.BatchLimit{}
+	m := engine
+	m.GapObjective = 180 * time.Millisecond
+	limit.SetModel(m)
+	limit.Observe(800*time.Millisecond, 4)
+	require.Zero(t, limit.Requests())
+	limit.SetModel(placement.BatchModel{Slots: 6})
+	require.Zero(t, limit.Requests(), "a service without streams")
+}
+
+// Guards against a group with a slow rank that serves next to nothing.
+func TestBatchLimitOfSlowGroup(t *testing.T) {
+	limit := &placement.BatchLimit{}
+	limit.SetModel(engine)
+	streams, _ := burst(limit, 12)
+	require.GreaterOrEqual(t, streams, 0.55*float64(engine.Slots))
+}
--- /dev/null
+++ b/balance/placement/late.go
@@ -0,0 +1,83 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
+)
+
+const (
+	// maxLateWait is the longest time that a request is queued. Callers of streams
+	// disconnect after two seconds without an event.
+	maxLateWait = 1700 * time.Millisecond
+	// lateShare is the fraction of a server's capacity up to which it gets late
+	// requests.
+	lateShare = 0.5
+)
+
+// Requests that are queued during the outage of a rank group become late: they have
+// waited longer than their objective allows. When the group serves again, they would
+// take all slots at once, and the requests that arrive then would wait and be late as
+// well. Late requests therefore have a queue of their own. They start after those that
+// can still be in time, and only on servers with spare capacity.
+
+// Ticket identifies a queued request.
+type Ticket[T any] struct {
+	queue  *fairqueue.Queue[waiting[T]]
+	queued *queuedTicket[T]
+}
+
+type queuedTicket[T any] = fairqueue.Ticket[waiting[T]]
+
+type waiting[T any] struct {
+	value   T
+	exclude []string
+	// lateUntil is how long the request may be queued once it is late. It is zero for a
+	// request that is refused instead.
+	lateUntil time.Time
+	ticket    *Ticket[T]
+}
+
+// expire refuses the requests whose time in their queue has passed, or moves them to
+// the queue of late requests.
+func (s *Scheduler[T]) expire(now time.Time) []Outcome[T] {
+	var out []Outcome[T]
+	for _, t := range s.queue.Expire(now) {
+		if !t.Value.lateUntil.After(now) {
+			out = append(out, s.refuseWaited(t))
+			continue
+		}
+		out = append(out, s.queueLate(now, t)...)
+	}
+	for _, t := range s.late.Expire(now) {
+		out = append(out, s.refuseWaited(t))
+	}
+	return out
+}
+
+func (s *Scheduler[T]) refuseWaited(t *queuedTicket[T]) Outcome[T] {
+	return s.refuse(t.Value.value, errkind.New(errkind.DeadlineUnreachable, "no slot became free within the maximum wait"))
+}
+
+// queueLate adds a request to the queue of late requests, and returns the refusal of
+// the request that finds no place there.
+func (s *Scheduler[T]) queueLate(now time.Time, t *queuedTicket[T]) []Outcome[T] {
+	item := t.Item
+	item.Deadline = t.Value.lateUntil
+	queued, displaced, err := s.late.Push(now, item)
+	if err != nil {
+		return []Outcome[T]{s.refuse(t.Value.value, errkind.Of(err))}
+	}
+	t.Value.ticket.queue, t.Value.ticket.queued = s.late, queued
+	return s.refuseDisplaced(displaced)
+}
+
+// refuseDisplaced returns the refusal of a request that was displaced from a queue, if
+// there is one.
+func (s *Scheduler[T]) refuseDisplaced(displaced *queuedTicket[T]) []Outcome[T] {
+	if displaced == nil {
+		return nil
+	}
+	return []Outcome[T]{s.refuse(displaced.Value.value, errkind.New(errkind.QueueFull, "displaced by more urgent work"))}
+}
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -74,8 +74,8 @@
 	Organisation string
 	// Cost is the expected work in tokens.
 	Cost float64
-	// MaxWait is the longest time that the request may be queued. During the
-	// outage of a rank group it may be queued longer.
+	// MaxWait is the longest time that the request may be queued to be in time. During
+	// the outage of a rank group it may be queued longer.
 	MaxWait time.Duration
 	// Exclude lists the servers on which the request was already tried.
 	Exclude []string
@@ -92,14 +92,6 @@
 	Err    *errkind.Error
 }
 
-// Ticket identifies a queued request.
-type Ticket[T any] = fairqueue.Ticket[waiting[T]]
-
-type waiting[T any] struct {
-	value   T
-	exclude []string
-}
-
 type server struct {
 	Server
 	// ownInFlight counts the requests of this gateway, peerInFlight those of all
@@ -127,13 +119,18 @@
 	// serverIDs holds the IDs of the listed servers in a fixed order, so that a
 	// pick depends on the random source and not on the iteration order of a map.
 	serverIDs []string
-	queue     *fairqueue.Queue[waiting[T]]
+	// queue holds the requests that can be in time, late those that can't any more.
+	queue *fairqueue.Queue[waiting[T]]
+	late  *fairqueue.Queue[waiting[T]]
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
 	// peerStaleness is the sum of the ages of the load reports of the other
 	// gateways; startRate is the rate at which this gateway starts requests.
 	peerStaleness time.Duration
 	startRate     decayingRate
+	// batchLimit is the number of requests that a server may have, or 0 for its slots
+	// and the depth of its queue.
+	batchLimit int
 	// meanCost and meanDuration are moving averages over finished requests.
 	meanCost     float64
 	meanDuration time.Duration
@@ -147,6 +144,7 @@
 		servers: make(map[string]*server),
 		outages: make(map[string]*outage),
 		queue:   fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
+		late:    fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
 	}
 }
 
@@ -180,6 +178,25 @@
 	}
 }
 
+// SetBatchLimit limits the requests on each server; 0 means no limit but its slots.
+func (s *Scheduler[T]) SetBatchLimit(requests int) { s.batchLimit = requests }
+
+// hasCapacity reports whether a server has the needed capacity.
+func (s *Scheduler[T]) hasCapacity(c *server, need capacityNeed) bool {
+	limit := c.Slots + s.config.ServerQueueDepth
+	if s.batchLimit > 0 && s.batchLimit < c.Slots {
+		limit = s.batchLimit
+	}
+	switch need {
+	case anyLoad:
+		return true
+	case spareSlot:
+		return c.inFlight() < max(int(lateShare*float64(limit)), 1)
+	default:
+		return c.inFlight() < limit
+	}
+}
+
 // SetPeerStaleness sets the sum of the ages of the other gateways' load reports.
 func (s *Scheduler[T]) SetPeerStaleness(sum time.Duration) { s.peerStaleness = sum }
 
@@ -203,6 +220,12 @@
 	return inFlight, slots
 }
 
+// MeanLoad returns the mean number of requests in flight on a listed server.
+func (s *Scheduler[T]) MeanLoad() float64 {
+	inFlight, _ := s.TotalLoad()
+	return float64(inFlight) / float64(max(len(s.serverIDs), 1))
+}
+
 // ServerLoad returns the requests in flight of all gateways on a server, and its
 // number of slots.
 func (s *Scheduler[T]) ServerLoad(id string) (inFlight, slots int) {
@@ -214,7 +237,7 @@
 }
 
 // QueueLen returns the number of queued requests.
-func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() }
+func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() + s.late.Len() }
 
 // Place assigns a request to a server, queues it or refuses it. If the request was
 // queued, Place returns a ticket, and the outcomes hold the refusal of the request
@@ -225,60 +248,55 @@
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
 	if s.queue.Len() == 0 {
-		if picked := s.pick(now, r.Exclude, true); picked != nil {
+		if picked := s.pick(now, r.Exclude, freeSlot); picked != nil {
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
 	}
-	maxWait := r.MaxWait
+	w := waiting[T]{value: r.Value, exclude: r.Exclude, ticket: &Ticket[T]{queue: s.queue}}
 	s.queue.SetRate(s.serviceRate())
-	if s.pick(now, r.Exclude, false) == nil {
+	if s.pick(now, r.Exclude, anyLoad) == nil {
 		outageWait, ok := s.outageWait(now, r.Exclude)
 		if !ok {
 			return nil, []Outcome[T]{s.refuseNoServer(now, r.Value)}
 		}
+		w.lateUntil = now.Add(min(outageWait, maxLateWait))
 		// The past rate doesn't predict the end of an outage.
-		maxWait = outageWait
 		s.queue.SetRate(0)
 	}
-	ticket, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
+	queued, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
 		Class:        r.Class,
 		Organisation: r.Organisation,
 		Cost:         r.Cost,
-		Deadline:     now.Add(maxWait),
-		Value:        waiting[T]{value: r.Value, exclude: r.Exclude},
+		Deadline:     now.Add(r.MaxWait),
+		Value:        w,
 	})
 	if err != nil {
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.Of(err))}
 	}
-	if displaced == nil {
-		return ticket, nil
-	}
-	full := errkind.New(errkind.QueueFull, "displaced by more urgent work")
-	return ticket, []Outcome[T]{s.refuse(displaced.Value.value, full)}
+	w.ticket.queued = queued
+	return w.ticket, s.refuseDisplaced(displaced)
 }
 
 // Dispatch assigns queued requests to servers with free capacity and refuses
 // those whose deadline has passed. It must be called after each change of the load,
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
-	var out []Outcome[T]
-	for _, t := range s.queue.Expire(now) {
-		err := errkind.New(errkind.DeadlineUnreachable, "no slot became free within the maximum wait")
-		out = append(out, s.refuse(t.Value.value, err))
+	out := s.expire(now)
+	for s.queue.Len() > 0 && s.pick(now, nil, freeSlot) != nil {
+		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot))
 	}
-	for s.queue.Len() > 0 && s.pick(now, nil, true) != nil {
-		t := s.queue.Pop()
-		out = append(out, s.startQueued(now, t))
+	for s.late.Len() > 0 && s.pick(now, nil, spareSlot) != nil {
+		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
 	}
 	return out
 }
 
-// startQueued starts a request that was taken from the queue. If the request was
-// already tried on all available servers, it is tried on one of them again.
-func (s *Scheduler[T]) startQueued(now time.Time, t *Ticket[T]) Outcome[T] {
+// startQueued starts a request that was taken from a queue. If the request was already
+// tried on all available servers, it is tried on one of them again.
+func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) Outcome[T] {
 	for _, exclude := range [][]string{t.Value.exclude, nil} {
-		for _, needCapacity := range []bool{true, false} {
-			if picked := s.pick(now, exclude, needCapacity); picked != nil {
+		for _, n := range []capacityNeed{need, anyLoad} {
+			if picked := s.pick(now, exclude, n); picked != nil {
 				return s.startOn(now, picked, t.Value.value)
 			}
 		}
@@ -287,7 +305,7 @@
 }
 
 // Cancel removes a request from the queue and reports whether it was still queued.
-func (s *Scheduler[T]) Cancel(t *Ticket[T]) bool { return s.queue.Cancel(t) }
+func (s *Scheduler[T]) Cancel(t *Ticket[T]) bool { return t.queue.Cancel(t.queued) }
 
 // Finish ends a request that was assigned to a server. took is the time to the end
 // of the response and cost the work in tokens; both are 0 if the request failed.
@@ -386,9 +404,20 @@
 	return float64(max(own, 1)) * s.meanCost / s.meanDuration.Seconds()
 }
 
-// pick returns a server with little relative load, or nil. With needCapacity, only
-// servers with a free slot, or with room in their queue, are considered.
-func (s *Scheduler[T]) pick(now time.Time, exclude []string, needCapacity bool) *server {
+// capacityNeed is the capacity that a request needs on a server.
+type capacityNeed uint8
+
+const (
+	// anyLoad means that the server may be full.
+	anyLoad capacityNeed = iota
+	// freeSlot means a free slot or room in the queue of the server.
+	freeSlot
+	// spareSlot means a slot beyond those that are kept for requests in time.
+	spareSlot
+)
+
+// pick returns a server with little relative load, or nil.
+func (s *Scheduler[T]) pick(now time.Time, exclude []string, need capacityNeed) *server {
 	var usable, coolingDown, avoided []*server
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
@@ -405,10 +434,10 @@
 	if len(usable)+len(coolingDown) == 0 {
 		usable = avoided
 	}
-	if picked := s.pickSpread(now, usable, needCapacity); picked != nil {
+	if picked := s.pickSpread(now, usable, need); picked != nil {
 		return picked
 	}
-	return s.pickSpread(now, coolingDown, needCapacity)
+	return s.pickSpread(now, coolingDown, need)
 }
 
 func (c *server) inFlight() int { return c.ownInFlight + c.peerInFlight }
--- a/balance/placement/spread.go
+++ b/balance/placement/spread.go
@@ -33,10 +33,10 @@
 // picks each server with a probability equal to its share of the unreported
 // requests (Dahlin, Interpreting stale load information, 1999). Without unreported
 // requests the least loaded server is picked.
-func (s *Scheduler[T]) pickSpread(now time.Time, servers []*server, needCapacity bool) *server {
+func (s *Scheduler[T]) pickSpread(now time.Time, servers []*server, need capacityNeed) *server {
 	var candidates []candidate
 	for _, c := range servers {
-		if needCapacity && c.inFlight() >= c.Slots+s.config.ServerQueueDepth {
+		if !s.hasCapacity(c, need) {
 			continue
 		}
 		candidates = append(candidates, s.candidate(now, c))
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -93,6 +93,10 @@
 	lastProgressAt time.Time
 	// eventGaps tracks the times between the events of this gateway's streams.
 	eventGaps placement.EventGaps
+	// batchLimit limits the requests on each server by these times.
+	batchLimit placement.BatchLimit
+	// meanLoad is the mean number of requests on a server at the last load report.
+	meanLoad float64
 	// meanTimeToFirstOutput is the moving average of the time to the first part
 	// of a response.
 	meanTimeToFirstOutput time.Duration
@@ -175,6 +179,7 @@
 	defer s.mu.Unlock()
 	s.scheduler.SetPeerLoad(func(id string) int { return load[loadshare.ServerKeyOf(id)] })
 	s.scheduler.SetPeerStaleness(staleness)
+	s.meanLoad = s.scheduler.MeanLoad()
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
@@ -300,6 +305,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.eventGaps.Observe(now, gap)
+	s.batchLimit.Observe(gap, s.meanLoad)
+	s.scheduler.SetBatchLimit(s.batchLimit.Requests())
+}
+
+// setEngine replaces the performance of the engines and the objective for the time
+// between two events of a stream.
+func (s *service) setEngine(e *fleet.Engine, gapObjective time.Duration) {
+	if e == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	steps := time.Duration(e.StepsPerPass)
+	s.batchLimit.SetModel(placement.BatchModel{
+		Slots: e.Slots, PassTime: steps * e.StepTime, PassTimePerRequest: steps * e.StepTimePerRequest, GapObjective: gapObjective,
+	})
+	s.scheduler.SetBatchLimit(s.batchLimit.Requests())
 }
 
 // canFinish reports whether a stream with this many remaining events can finish
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -49,6 +49,7 @@
 	svc := newService(name, s.failureDomain, s.retryConfig, rng, s.log)
 	s.byName[name] = svc
 	now := clock.Now()
+	svc.setEngineOf(state)
 	svc.setServers(now, state.UsableServers(name))
 	svc.setPeerLoad(now, s.peerLoad, s.staleness)
 	return svc
@@ -68,6 +69,7 @@
 func (s *serviceRegistry) refreshServers(state *ClusterState) {
 	now := clock.Now()
 	for _, svc := range s.all() {
+		svc.setEngineOf(state)
 		svc.setServers(now, state.UsableServers(svc.name))
 	}
 }
@@ -120,3 +122,10 @@
 	}
 	return load
 }
+
+// setEngineOf updates the engine of a service from the configuration.
+func (s *service) setEngineOf(state *ClusterState) {
+	if index := state.Index(); index != nil {
+		s.setEngine(index.Config.Services[s.name].Engine, index.Config.EventGapObjective(s.name))
+	}
+}
