Log the prompt parts of requests that lose their server, and reports of crashes

Now the line has the shared parts of the prompt, the request's ID and the events that it had got, reports are logged, and two counters count both. The field events of the request lines was never set and is now.

No decision changes.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -308,9 +308,15 @@
 // checkForCrash starts a check whether the server has crashed, unless the gateway
 // itself closed the connection.
 func (x *exchange) checkForCrash(watch *watchdog) {
-	if !watch.timedOut() && x.ctx.Err() == nil {
-		go x.g.crashes.checkServer(x.r.fingerprint(), x.server)
+	if watch.timedOut() || x.ctx.Err() != nil {
+		return
 	}
+	go x.g.crashes.checkServer(lostRequest{
+		id:          x.r.call.AttemptID,
+		fingerprint: x.r.fingerprint(),
+		promptParts: x.r.call.SharedPromptParts,
+		events:      x.r.trace.events,
+	}, x.server)
 }
 
 // drainAndReuse discards the body of a response that isn't forwarded, and returns
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -9,6 +9,7 @@
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/daemons/gateway/upstream"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
@@ -29,8 +30,9 @@
 // counts the crashes per request fingerprint and refuses requests that have crashed
 // too many servers. It is safe for concurrent use.
 type crashTracker struct {
-	pool *upstream.Pool
-	log  zerolog.Logger
+	pool    *upstream.Pool
+	metrics *telemetry.Metrics
+	log     zerolog.Logger
 	// broadcast reports a crash to the other gateways.
 	broadcast func(f quarantine.Fingerprint, crashID string)
 
@@ -38,9 +40,18 @@
 	counter *quarantine.CrashCounter
 }
 
-func newCrashTracker(pool *upstream.Pool, log zerolog.Logger) *crashTracker {
+// lostRequest is a request whose connection to its backend server broke.
+type lostRequest struct {
+	id          string
+	fingerprint quarantine.Fingerprint
+	promptParts []string
+	// events is the number of events that the caller had got.
+	events int
+}
+
+func newCrashTracker(pool *upstream.Pool, metrics *telemetry.Metrics, log zerolog.Logger) *crashTracker {
 	return &crashTracker{
-		pool: pool, log: log, counter: quarantine.NewCrashCounter(),
+		pool: pool, metrics: metrics, log: log, counter: quarantine.NewCrashCounter(),
 		broadcast: func(quarantine.Fingerprint, string) {},
 	}
 }
@@ -66,7 +77,7 @@
 // checkServer determines whether a server whose connection broke has crashed. A
 // server that accepts a new connection has not crashed, and the connection goes to
 // the pool.
-func (c *crashTracker) checkServer(f quarantine.Fingerprint, s fleet.Server) {
+func (c *crashTracker) checkServer(r lostRequest, s fleet.Server) {
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -76,13 +87,26 @@
 		return
 	}
 	crashID := s.ID + "@" + time.UnixMilli(s.StartedUnixMs).UTC().Format(time.RFC3339Nano)
+	f := r.fingerprint
 	if c.recordCrash(f, crashID) {
+		c.metrics.AddToCounter("crashes_detected", 1)
 		c.log.Warn().Err(err).Str("server", s.ID).Str("fingerprint", f.BodyHash).Str("organisation", f.Organisation).
+			Str("request_id", r.id).Strs("prompt_parts", r.promptParts).Int("events", r.events).
 			Msg("backend server lost with a request in flight")
 		c.broadcast(f, crashID)
 	}
 }
 
+// recordReport records a crash that another gateway has detected.
+func (c *crashTracker) recordReport(f quarantine.Fingerprint, crashID string) {
+	if !c.recordCrash(f, crashID) {
+		return
+	}
+	c.metrics.AddToCounter("crashes_reported", 1)
+	c.log.Info().Str("crash", crashID).Str("fingerprint", f.BodyHash).Str("organisation", f.Organisation).
+		Msg("another gateway lost a backend server with a request in flight")
+}
+
 // recordCrash records a crash that was detected by this or another gateway, and
 // reports whether it was unknown before. The crash ID consists of the server ID and
 // the start time of the process, so that a crash that several gateways report
--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
@@ -64,7 +65,7 @@
 	for range 2 {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		require.NoError(t, err)
-		g := New(settings(), NewClusterState(), nil, zerolog.Nop())
+		g := New(settings(), NewClusterState(), telemetry.NewMetrics(Role, "g1", zerolog.Nop()), zerolog.Nop())
 		p := newPeerExchange(conn, g, nil, zerolog.Nop())
 		defer func() { _ = conn.Close() }()
 		go p.receive()
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -53,7 +53,7 @@
 		state:         state,
 		services:      newServiceRegistry(s, rng, log),
 		pool:          pool,
-		crashes:       newCrashTracker(pool, log),
+		crashes:       newCrashTracker(pool, metrics, log),
 		gate:          drain.NewGate(),
 		metrics:       metrics,
 		log:           log,
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -90,7 +90,7 @@
 			p.receiveLoad(load)
 		}
 		if c := m.GetCrash(); c != nil {
-			p.crashes.recordCrash(quarantine.Fingerprint{
+			p.crashes.recordReport(quarantine.Fingerprint{
 				Service: c.GetService(), Organisation: c.GetOrganisation(), BodyHash: c.GetBodyHash(),
 			}, c.GetCrash())
 		}
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -205,6 +205,7 @@
 		x.svc.recordEventGap(now, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
+	x.r.trace.events = x.out.progress.Events()
 	watch.progress()
 	x.startEventStream(resp)
 	err := x.out.write(batch)
