--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -79,3 +79,58 @@
 	}
 	require.Eventually(t, func() bool { return gateways[1].crashes.check(bad) != nil }, 3*time.Second, 10*time.Millisecond)
 }
+
+// Guards against requests that share one part of their prompt, and nothing else, and
+// crash one server after another, and against refusing sound requests that share
+// another part with them.
+func TestPromptPartThatCrashesServers(t *testing.T) {
+	const (
+		bad            = "bad"
+		shared         = "shared"
+		poisonRequests = 10
+		// maxCrashes is the number of crashes by which the part has to be known, and
+		// maxLater the number of requests with it that may reach servers afterwards.
+		maxCrashes = 5
+		maxLater   = 3
+	)
+	f := newFixture(t)
+	servers := make([]*platformtest.Server, 24)
+	for i := range servers {
+		servers[i] = platformtest.NewServer(fmt.Sprintf("s%d", i))
+		defer servers[i].Close()
+		servers[i].CrashOnPromptPart(bad)
+		f.deploy.Register(servers[i].ID, platformtest.ModelService, servers[i].Address())
+	}
+	f.eventually(func() bool {
+		return len(f.gateway.state.UsableServers(platformtest.ModelService)) == len(servers)
+	})
+	for n := range poisonRequests {
+		own := fmt.Sprintf("own%d", n)
+		f.send(http.MethodPost, streamPath, "bad"+own, platformtest.WithPrompt(shared, bad, own))
+		f.deregisterCrashed(servers)
+		sound := f.send(http.MethodPost, streamPath, "good"+own, platformtest.WithPrompt(shared, own))
+		require.Equal(t, http.StatusOK, sound.status)
+		require.True(t, sound.complete)
+	}
+	require.LessOrEqual(t, f.deregisterCrashed(servers), maxCrashes+maxLater, "requests with the part that reached a server")
+	resp := f.send(http.MethodPost, streamPath, "last", platformtest.WithPrompt("other", bad, "own"))
+	require.Equal(t, http.StatusServiceUnavailable, resp.status)
+	require.NotEmpty(t, resp.header.Get("Retry-After"))
+}
+
+// deregisterCrashed removes the crashed servers from the model service, waits until
+// the gateway knows it, and returns their number.
+func (f *fixture) deregisterCrashed(servers []*platformtest.Server) int {
+	crashed := 0
+	for _, s := range servers {
+		if s.Crashed() {
+			crashed++
+			f.deploy.Deregister(s.ID)
+		}
+	}
+	f.gateway.requestServerRefresh()
+	f.eventually(func() bool {
+		return len(f.gateway.state.UsableServers(platformtest.ModelService)) == len(servers)-crashed
+	})
+	return crashed
+}
