Count crashes of backend servers by the parts of the prompt as well

Cause: crashes were counted by a hash of the whole request. Also, a request was checked only on arrival, so one that waited, or was sent again 3 ms after its server had crashed, reached the next server.

Ruled out: crashes that nobody notices (each loss of the window has a line), and reports that don't arrive (there was nothing to count in them).

Change: the counter has features of requests, the whole request and the shared parts of its prompt. A feature is refused once its crashes suffice and no other one explains them better; features that were never seen apart are refused only together, so that requests that share a sound part are served. Responses clear features at all gateways. Crashes beside others without the feature count less, because a lost failure domain is no evidence. A request is checked before each send, and one that is suspected waits for the check of its server before a retry. A refusal lasts 10 min instead of 1, because each try can cost a rank group seconds of service; afterwards one crash renews it.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -48,8 +48,9 @@
 	ctx, cancel := r.context(r.arrived)
 	defer cancel()
 	defer context.AfterFunc(g.abortCtx, cancel)()
-	f := r.fingerprint()
-	if err := g.crashes.check(f); err != nil {
+	r.lost = lostRequest{id: r.call.AttemptID, fingerprint: r.fingerprint(), promptParts: r.call.SharedPromptParts}
+	r.features = r.lost.features()
+	if err := g.crashes.check(r.features); err != nil {
 		return err
 	}
 	svc := g.services.get(r.service, g.state)
@@ -58,7 +59,6 @@
 		r.trace.attempts++
 		err := g.attempt(ctx, r, svc, out)
 		if err == nil {
-			g.crashes.recordSuccess(f)
 			return nil
 		}
 		err = r.recordExecution(err)
@@ -76,12 +76,27 @@
 		}
 		r.logFailedAttempt(g, err, d)
 		g.metrics.AddToCounter("retries", 1)
-		if !clock.Sleep(ctx, d.Delay) {
+		if !clock.Sleep(ctx, d.Delay) || !g.awaitCrashCheck(ctx, r) {
 			return withContextCause(ctx, err)
 		}
 	}
 }
 
+// awaitCrashCheck waits until it is known whether the server of the last attempt has
+// crashed, if the request may be the cause. Otherwise its retry could crash the next
+// server. It returns false if ctx has ended.
+func (g *Gateway) awaitCrashCheck(ctx context.Context, r *request) bool {
+	if r.crashCheck == nil || !g.crashes.suspects(r.features) {
+		return true
+	}
+	select {
+	case <-r.crashCheck:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // recordExecution records whether an attempt may have run, and returns err with
 // the execution state of the whole request. If an earlier attempt may have run,
 // that state remains unknown even if this attempt certainly did not run.
@@ -115,6 +130,10 @@
 	if err != nil {
 		return withContextCause(ctx, err)
 	}
+	if err := g.crashes.check(r.features); err != nil {
+		svc.release(placed, attemptResult{server: id, err: errkind.Of(err), notServerFault: true})
+		return err
+	}
 	r.trace.servers = append(r.trace.servers, id)
 	x := &exchange{g: g, r: r, svc: svc, out: out, startedAt: placed}
 	server, ok := g.state.Server(id)
@@ -190,8 +209,10 @@
 	startedAt time.Time
 	conn      *upstream.Conn
 	response  platform.ResponseHeader
-	// lastEventAt is when the last event arrived.
+	// lastEventAt is when the last event arrived, and events counts those of this
+	// server.
 	lastEventAt time.Time
+	events      int
 	// serverFull, wrongServer and groupDown are the reasons for a refusal by the
 	// server. wrongServer means that another server has the address now.
 	serverFull  bool
@@ -230,6 +251,7 @@
 		conn.Abort()
 		return err
 	}
+	x.g.crashes.recordResponse(x.r.features)
 	x.reuseConnection(resp)
 	return nil
 }
@@ -311,12 +333,14 @@
 	if watch.timedOut() || x.ctx.Err() != nil {
 		return
 	}
-	go x.g.crashes.checkServer(lostRequest{
-		id:          x.r.call.AttemptID,
-		fingerprint: x.r.fingerprint(),
-		promptParts: x.r.call.SharedPromptParts,
-		events:      x.r.trace.events,
-	}, x.server)
+	lost := x.r.lost
+	lost.events = x.r.trace.events
+	done := make(chan struct{})
+	x.r.crashCheck = done
+	go func() {
+		defer close(done)
+		x.g.crashes.checkServer(lost, x.server)
+	}()
 }
 
 // drainAndReuse discards the body of a response that isn't forwarded, and returns
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -26,15 +26,16 @@
 	crashRetryAfter = 10 * time.Second
 )
 
-// crashTracker detects poison requests, which crash their backend servers. It
-// counts the crashes per request fingerprint and refuses requests that have crashed
-// too many servers. It is safe for concurrent use.
+// crashTracker detects poison requests, which crash their backend servers. It finds
+// the feature that the requests in flight at the crashes share, and refuses requests
+// with it. It is safe for concurrent use.
 type crashTracker struct {
 	pool    *upstream.Pool
 	metrics *telemetry.Metrics
 	log     zerolog.Logger
-	// broadcast reports a crash to the other gateways.
-	broadcast func(f quarantine.Fingerprint, crashID string)
+	// reportCrash and reportResponse tell the other gateways.
+	reportCrash    func(r lostRequest, crashID string)
+	reportResponse func(features []quarantine.Feature)
 
 	mu      sync.Mutex
 	counter *quarantine.CrashCounter
@@ -49,29 +50,50 @@
 	events int
 }
 
+func (r lostRequest) features() []quarantine.Feature {
+	return quarantine.Features(r.fingerprint, r.promptParts)
+}
+
 func newCrashTracker(pool *upstream.Pool, metrics *telemetry.Metrics, log zerolog.Logger) *crashTracker {
 	return &crashTracker{
 		pool: pool, metrics: metrics, log: log, counter: quarantine.NewCrashCounter(),
-		broadcast: func(quarantine.Fingerprint, string) {},
+		reportCrash:    func(lostRequest, string) {},
+		reportResponse: func([]quarantine.Feature) {},
 	}
 }
 
-// check refuses a request that has crashed too many servers.
-func (c *crashTracker) check(f quarantine.Fingerprint) error {
+// check refuses a request with features that have crashed too many servers.
+func (c *crashTracker) check(features []quarantine.Feature) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.counter.Refuses(clock.Now(), f) {
+	if !c.counter.Refuses(clock.Now(), features) {
 		return nil
 	}
 	return errkind.New(errkind.SuspectRequest, "requests like this one crashed their backend servers").
 		WithRetryAfter(crashRetryAfter)
 }
 
-// recordSuccess records a complete response.
-func (c *crashTracker) recordSuccess(f quarantine.Fingerprint) {
+// suspects reports whether requests with one of the features were in flight at a
+// crash and none was answered since.
+func (c *crashTracker) suspects(features []quarantine.Feature) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counter.RecordResponse(f)
+	return c.counter.Suspects(features)
+}
+
+// recordResponse records a response that shows that a request with these features
+// doesn't crash its server. It tells the other gateways if they were suspected.
+func (c *crashTracker) recordResponse(features []quarantine.Feature) {
+	if cleared := c.clear(features); len(cleared) > 0 {
+		c.reportResponse(cleared)
+	}
+}
+
+// clear removes the suspicion of features and returns those that were suspected.
+func (c *crashTracker) clear(features []quarantine.Feature) []quarantine.Feature {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counter.RecordResponse(features)
 }
 
 // checkServer determines whether a server whose connection broke has crashed. A
@@ -87,23 +109,24 @@
 		return
 	}
 	crashID := s.ID + "@" + time.UnixMilli(s.StartedUnixMs).UTC().Format(time.RFC3339Nano)
-	f := r.fingerprint
-	if c.recordCrash(f, crashID) {
+	if c.recordCrash(r.features(), crashID) {
 		c.metrics.AddToCounter("crashes_detected", 1)
-		c.log.Warn().Err(err).Str("server", s.ID).Str("fingerprint", f.BodyHash).Str("organisation", f.Organisation).
-			Str("request_id", r.id).Strs("prompt_parts", r.promptParts).Int("events", r.events).
+		c.log.Warn().Err(err).Str("server", s.ID).Str("fingerprint", r.fingerprint.BodyHash).
+			Str("organisation", r.fingerprint.Organisation).Str("request_id", r.id).
+			Strs("prompt_parts", r.promptParts).Int("events", r.events).
 			Msg("backend server lost with a request in flight")
-		c.broadcast(f, crashID)
+		c.reportCrash(r, crashID)
 	}
 }
 
 // recordReport records a crash that another gateway has detected.
-func (c *crashTracker) recordReport(f quarantine.Fingerprint, crashID string) {
-	if !c.recordCrash(f, crashID) {
+func (c *crashTracker) recordReport(r lostRequest, crashID string) {
+	if !c.recordCrash(r.features(), crashID) {
 		return
 	}
 	c.metrics.AddToCounter("crashes_reported", 1)
-	c.log.Info().Str("crash", crashID).Str("fingerprint", f.BodyHash).Str("organisation", f.Organisation).
+	c.log.Info().Str("crash", crashID).Str("fingerprint", r.fingerprint.BodyHash).
+		Str("organisation", r.fingerprint.Organisation).Strs("prompt_parts", r.promptParts).
 		Msg("another gateway lost a backend server with a request in flight")
 }
 
@@ -111,18 +134,25 @@
 // reports whether it was unknown before. The crash ID consists of the server ID and
 // the start time of the process, so that a crash that several gateways report
 // counts once.
-func (c *crashTracker) recordCrash(f quarantine.Fingerprint, crashID string) bool {
+func (c *crashTracker) recordCrash(features []quarantine.Feature, crashID string) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := clock.Now()
-	isNew := c.counter.RecordCrash(now, f, crashID)
-	if isNew && c.counter.Refuses(now, f) {
-		c.log.Warn().Str("fingerprint", f.BodyHash).Str("service", f.Service).Str("organisation", f.Organisation).
-			Msg("request refused from now on: it was in flight when three backend servers were lost")
+	isNew, refusals := c.counter.RecordCrash(clock.Now(), crashID, features)
+	c.mu.Unlock()
+	for _, r := range refusals {
+		c.log.Warn().Strs("features", featureNames(r.Features)).Str("service", r.Features[0].Service).
+			Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
 	}
 	return isNew
 }
 
+func featureNames(features []quarantine.Feature) []string {
+	names := make([]string, len(features))
+	for i, f := range features {
+		names[i] = f.Kind.String() + " " + f.ID
+	}
+	return names
+}
+
 // fingerprint returns the fingerprint that this request shares with its retries and
 // duplicates.
 func (r *request) fingerprint() quarantine.Fingerprint {
--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -72,12 +72,18 @@
 		exchanges, gateways = append(exchanges, p), append(gateways, g)
 	}
 	exchanges[0].table.AddPeer(clock.Now(), exchanges[1].self)
-	bad := quarantine.NewFingerprint("m", "o", "POST", "/p", []byte("bad"))
+	bad := lostRequest{
+		fingerprint: quarantine.NewFingerprint("m", "o", "POST", "/p", []byte("bad")), promptParts: []string{"a"},
+	}
 	for crash := range 3 {
-		require.NoError(t, gateways[1].crashes.check(bad))
-		gateways[0].crashes.broadcast(bad, fmt.Sprintf("server-%d", crash))
+		require.NoError(t, gateways[1].crashes.check(bad.features()))
+		gateways[0].crashes.reportCrash(bad, fmt.Sprintf("server-%d", crash))
 	}
-	require.Eventually(t, func() bool { return gateways[1].crashes.check(bad) != nil }, 3*time.Second, 10*time.Millisecond)
+	refused := func() bool { return gateways[1].crashes.check(bad.features()) != nil }
+	require.Eventually(t, refused, 3*time.Second, 10*time.Millisecond)
+	// A response at one gateway clears the request at the other one as well.
+	gateways[0].crashes.reportResponse(bad.features())
+	require.Eventually(t, func() bool { return !refused() }, 3*time.Second, 10*time.Millisecond)
 }
 
 // Guards against requests that share one part of their prompt, and nothing else, and
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -29,12 +29,12 @@
 	// discoveryInterval is the time between reads of the gateways' addresses.
 	discoveryInterval = 30 * time.Second
 	maxDatagram       = 8 << 10
-	// crashSendCount is how many times a crash report is sent, and
-	// crashSendInterval the time between. Datagrams may be lost, and all gateways
+	// reportSendCount is how many times a report on crashes is sent, and
+	// reportSendInterval the time between. Datagrams may be lost, and all gateways
 	// have to know of a crash within the 3 s for which instances may be out of
 	// contact.
-	crashSendCount    = 3
-	crashSendInterval = 300 * time.Millisecond
+	reportSendCount    = 3
+	reportSendInterval = 300 * time.Millisecond
 )
 
 // peerExchange exchanges load and crash reports with the other gateways, and
@@ -65,7 +65,17 @@
 		log:         log,
 		table:       loadshare.New(self),
 	}
-	g.crashes.broadcast = func(f quarantine.Fingerprint, crashID string) { go p.broadcastCrash(f, crashID) }
+	g.crashes.reportCrash = func(r lostRequest, crashID string) {
+		go p.broadcast(&pb.Datagram{Kind: &pb.Datagram_Crash{Crash: &pb.CrashReport{
+			Service: r.fingerprint.Service, Organisation: r.fingerprint.Organisation, BodyHash: r.fingerprint.BodyHash,
+			Crash: crashID, PromptParts: r.promptParts,
+		}}})
+	}
+	g.crashes.reportResponse = func(features []quarantine.Feature) {
+		go p.broadcast(&pb.Datagram{Kind: &pb.Datagram_Response{Response: &pb.ResponseReport{
+			Features: quarantine.FeaturesToProto(features),
+		}}})
+	}
 	return p
 }
 
@@ -90,10 +100,16 @@
 			p.receiveLoad(load)
 		}
 		if c := m.GetCrash(); c != nil {
-			p.crashes.recordReport(quarantine.Fingerprint{
-				Service: c.GetService(), Organisation: c.GetOrganisation(), BodyHash: c.GetBodyHash(),
+			p.crashes.recordReport(lostRequest{
+				fingerprint: quarantine.Fingerprint{
+					Service: c.GetService(), Organisation: c.GetOrganisation(), BodyHash: c.GetBodyHash(),
+				},
+				promptParts: c.GetPromptParts(),
 			}, c.GetCrash())
 		}
+		if r := m.GetResponse(); r != nil {
+			p.crashes.clear(quarantine.FeaturesFromProto(r.GetFeatures()))
+		}
 		if report := m.GetPace(); report != nil {
 			p.services.avoidSlowRank(report.GetServer(), report.GetPace())
 		}
@@ -194,21 +210,19 @@
 	}
 }
 
-// broadcastCrash reports to the other gateways that a request was in flight when
-// its backend server crashed. crashID identifies the server and its process.
-func (p *peerExchange) broadcastCrash(f quarantine.Fingerprint, crashID string) {
-	report := &pb.CrashReport{Service: f.Service, Organisation: f.Organisation, BodyHash: f.BodyHash, Crash: crashID}
-	data, err := proto.Marshal(&pb.Datagram{Kind: &pb.Datagram_Crash{Crash: report}})
+// broadcast sends a report to the other gateways several times.
+func (p *peerExchange) broadcast(m *pb.Datagram) {
+	data, err := proto.Marshal(m)
 	if err != nil {
-		p.log.Error().Err(err).Msg("encoding a crash report failed")
+		p.log.Error().Err(err).Msg("encoding a report failed")
 		return
 	}
-	for range crashSendCount {
+	for range reportSendCount {
 		p.mu.Lock()
 		known := p.table.Peers()
 		p.mu.Unlock()
 		p.sendTo(known, data)
-		time.Sleep(crashSendInterval)
+		time.Sleep(reportSendInterval)
 	}
 }
 
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -29,6 +29,9 @@
 	maxResponse = 256 << 20
 	// readBufferSize is the size of one read from a backend server.
 	readBufferSize = 8 << 10
+	// provenEvents is the number of events after which a stream has not crashed its
+	// server. A server that crashes when it begins to write may send the first one.
+	provenEvents = 3
 	// clientWriteTimeout limits a write to a caller that doesn't read.
 	clientWriteTimeout = 10 * time.Second
 )
@@ -181,6 +184,7 @@
 // events count as progress: a server that sends nothing but comments is silent.
 func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
 	var batch []byte
+	accepted := 0
 	for {
 		e, ok, err := events.Next()
 		if err != nil {
@@ -189,12 +193,13 @@
 		if !ok {
 			break
 		}
-		accepted, err := x.out.progress.Accept(e)
+		isNext, err := x.out.progress.Accept(e)
 		if err != nil {
 			return err
 		}
-		if accepted {
+		if isNext {
 			batch = append(batch, e.Raw...)
+			accepted++
 		}
 	}
 	if len(batch) == 0 {
@@ -206,6 +211,7 @@
 	}
 	x.lastEventAt = now
 	x.r.trace.events = x.out.progress.Events()
+	x.recordEvents(accepted)
 	watch.progress()
 	x.startEventStream(resp)
 	err := x.out.write(batch)
@@ -213,6 +219,17 @@
 	return err
 }
 
+// recordEvents counts the events of this server. Those that prove that the request
+// doesn't crash it are recorded at once, because a long stream ends too late to clear
+// other requests that share its features.
+func (x *exchange) recordEvents(n int) {
+	before := x.events
+	x.events += n
+	if before < provenEvents && x.events >= provenEvents {
+		x.g.crashes.recordResponse(x.r.features)
+	}
+}
+
 // startEventStream writes the header of the response. A stream that is resumed on
 // another server keeps the header of the first one.
 func (x *exchange) startEventStream(resp *http.Response) {
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/quarantine"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
@@ -53,6 +54,13 @@
 	// was last confirmed as current.
 	configAge time.Duration
 	log       zerolog.Logger
+	// features are those by which the request is refused if they crash servers, and
+	// lost is what is reported if its server crashes.
+	features []quarantine.Feature
+	lost     lostRequest
+	// crashCheck is closed when the check of the last server whose connection broke
+	// has ended, or nil.
+	crashCheck <-chan struct{}
 	// trace is written to the log when the request ends.
 	trace trace
 }
--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -1,77 +1,355 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
-	// maxCountedCrashes is the number of crashes after which a request is refused.
-	maxCountedCrashes = 3
-	// crashRetention is how long crashes count after the last one. A refused
-	// request may run again afterwards, because the fault in the server may have
-	// been fixed.
-	crashRetention = time.Minute
-	// maxCountedFingerprints bounds the fingerprints held. The one with the oldest
-	// last crash is evicted first.
-	maxCountedFingerprints = 4096
+	// minEvidence is the evidence at which a feature is refused that explains its
+	// crashes better than any other feature. sureEvidence is enough if another one
+	// explains them as well.
+	minEvidence  = 3.0
+	sureEvidence = 5.0
+	// evidenceTolerance absorbs the rounding of the sum of shares.
+	evidenceTolerance = 1e-9
+	// burstWindow is the time within which crashes may have a common cause, such as
+	// the loss of a rack.
+	burstWindow = time.Second
+	// crashRetention is how long a crash counts.
+	crashRetention = time.Hour
+	// refusalPeriod is how long requests are refused after the last crash. They may
+	// run again afterwards, because the fault in the server may have been fixed. It is
+	// long because each try may cost a server, and a rank group with it.
+	refusalPeriod = 10 * time.Minute
+	// maxCountedFeatures, maxFeatureCrashes, maxCrashesHeld and maxRefusals bound the
+	// memory.
+	maxCountedFeatures = 4096
+	maxFeatureCrashes  = 16
+	maxCrashesHeld     = 512
+	maxRefusals        = 1024
 )
 
-// CrashCounter counts the crashes of backend servers per request in flight, for a
-// process that doesn't know which other requests ran on the server. A request
-// that was in flight at three crashes without a response in between is refused.
-// Another request that was in flight with it isn't refused, because it is answered
-// when it is retried, which resets its count.
+// CrashCounter finds out which feature of requests crashes backend servers, for a
+// process that doesn't know which other requests ran on a server.
+//
+// Each feature has the crashes at which a request with it was in flight since the
+// last response to such a request. The feature with the most crashes is refused. If
+// several features have the same crashes because all requests with one of them had
+// the other ones too, only requests with all of them are refused, so that requests
+// that share one of them are served.
+//
+// A crash counts less if other servers crashed at the same time without such a
+// request: a lost rack takes many servers with it, and a feature that many requests
+// have is in flight at some of them.
 type CrashCounter struct {
-	byFingerprint map[Fingerprint]*crashCount
+	features map[Feature]*featureCrashes
+	// crashes are the crashes of all services, oldest first.
+	crashes  []crash
+	refusals []Refusal
+}
+
+// featureCrashes is the state of a feature.
+type featureCrashes struct {
+	// crashes are those since the last response, answered those before, oldest first.
+	crashes  []crash
+	answered []crash
+	// companions are the features that each request with this one had at the crashes.
+	companions []Feature
 }
 
-type crashCount struct {
-	crashes   map[string]bool
-	lastCrash time.Time
+type crash struct {
+	id      string
+	service string
+	at      time.Time
+}
+
+// Refusal refuses the requests that have all of its features.
+type Refusal struct {
+	Features  []Feature
+	LastCrash time.Time
 }
 
 // NewCrashCounter returns an empty CrashCounter.
 func NewCrashCounter() *CrashCounter {
-	return &CrashCounter{byFingerprint: make(map[Fingerprint]*crashCount)}
+	return &CrashCounter{features: make(map[Feature]*featureCrashes)}
 }
 
-// RecordCrash records a crash with a request in flight. crashID identifies the
-// crash, so that reports from several processes count once. It reports whether the
-// crash was counted.
-func (cc *CrashCounter) RecordCrash(now time.Time, f Fingerprint, crashID string) bool {
-	c := cc.byFingerprint[f]
-	if c == nil || now.Sub(c.lastCrash) > crashRetention {
+// RecordCrash records that a request with these features was in flight at a crash of
+// its backend server. crashID identifies the crash, so that reports from several
+// processes count once. It reports whether the crash is new for any of the features,
+// and returns the refusals that follow from it.
+func (cc *CrashCounter) RecordCrash(now time.Time, crashID string, features []Feature) (isNew bool, made []Refusal) {
+	if len(features) == 0 {
+		return false, nil
+	}
+	cc.expire(now)
+	c := cc.holdCrash(now, crashID, features[0].Service)
+	for _, f := range features {
+		isNew = cc.feature(f).add(c, without(features, f)) || isNew
+	}
+	if !isNew {
+		return false, nil
+	}
+	for _, f := range cc.candidatesAt(c) {
+		if r, ok := cc.decide(f); ok && !cc.Refuses(now, r.Features) {
+			cc.AddRefusal(now, r)
+			made = append(made, r)
+		}
+	}
+	return true, made
+}
+
+// holdCrash returns the crash with this ID, which it records if it is new.
+func (cc *CrashCounter) holdCrash(now time.Time, id, service string) crash {
+	for _, c := range cc.crashes {
+		if c.id == id && c.service == service {
+			return c
+		}
+	}
+	c := crash{id: id, service: service, at: now}
+	if len(cc.crashes) >= maxCrashesHeld {
+		cc.crashes = slices.Delete(cc.crashes, 0, 1)
+	}
+	cc.crashes = append(cc.crashes, c)
+	return c
+}
+
+func (cc *CrashCounter) feature(f Feature) *featureCrashes {
+	s := cc.features[f]
+	if s == nil {
 		cc.evictOldest()
-		c = &crashCount{crashes: make(map[string]bool)}
-		cc.byFingerprint[f] = c
+		s = &featureCrashes{}
+		cc.features[f] = s
+	}
+	return s
+}
+
+// add adds a crash and reports whether it is new. others are the other features of
+// the request that was in flight.
+func (s *featureCrashes) add(c crash, others []Feature) bool {
+	if contains(s.answered, c) {
+		return false
+	}
+	if len(s.crashes) == 0 {
+		s.companions = others
+	} else {
+		s.companions = slices.DeleteFunc(s.companions, func(f Feature) bool { return !slices.Contains(others, f) })
+	}
+	if contains(s.crashes, c) {
+		return false
+	}
+	s.crashes = appendBounded(s.crashes, c)
+	return true
+}
+
+// candidatesAt returns the features with a crash that have enough crashes to be
+// refused, in a fixed order.
+func (cc *CrashCounter) candidatesAt(c crash) []Feature {
+	var list []Feature
+	for f, s := range cc.features {
+		if len(s.crashes) >= minEvidence && contains(s.crashes, c) {
+			list = append(list, f)
+		}
+	}
+	slices.SortFunc(list, compareFeatures)
+	return list
+}
+
+// decide returns the refusal of a feature if its crashes suffice and no other feature
+// explains them better.
+func (cc *CrashCounter) decide(f Feature) (Refusal, bool) {
+	s := cc.features[f]
+	evidence := cc.evidence(s) + evidenceTolerance
+	if evidence < minEvidence {
+		return Refusal{}, false
+	}
+	refused := []Feature{f}
+	ambiguous := false
+	for other, o := range cc.features {
+		if other == f || !covers(o.crashes, s.crashes) {
+			continue
+		}
+		alwaysWithOther := slices.Contains(s.companions, other)
+		otherAlwaysWithThis := slices.Contains(o.companions, f)
+		switch {
+		case len(o.crashes) > len(s.crashes), otherAlwaysWithThis && !alwaysWithOther:
+			return Refusal{}, false
+		case alwaysWithOther:
+			refused = append(refused, other)
+		default:
+			ambiguous = true
+		}
+	}
+	if ambiguous && evidence < sureEvidence {
+		return Refusal{}, false
+	}
+	slices.SortFunc(refused, compareFeatures)
+	return Refusal{Features: refused, LastCrash: s.crashes[len(s.crashes)-1].at}, true
+}
+
+// evidence is the sum over the crashes of a feature of its share in the crashes of
+// the service within burstWindow.
+func (cc *CrashCounter) evidence(s *featureCrashes) float64 {
+	sum := 0.0
+	for _, c := range s.crashes {
+		with, all := crashesNear(s.crashes, c), crashesNear(cc.crashes, c)
+		sum += float64(with) / float64(max(with, all))
+	}
+	return sum
+}
+
+// RecordResponse records a response to a request with these features, which shows
+// that none of them crashes servers. It returns those that were in flight at crashes.
+func (cc *CrashCounter) RecordResponse(features []Feature) []Feature {
+	var cleared []Feature
+	for _, f := range features {
+		if cc.clear(f) {
+			cleared = append(cleared, f)
+		}
+	}
+	return cleared
+}
+
+// clear removes a feature from the suspicion and reports whether it was suspected.
+func (cc *CrashCounter) clear(f Feature) bool {
+	cleared := false
+	if s := cc.features[f]; s != nil && len(s.crashes) > 0 {
+		for _, c := range s.crashes {
+			s.answered = appendBounded(s.answered, c)
+		}
+		s.crashes, s.companions = nil, nil
+		cleared = true
 	}
-	if c.crashes[crashID] || len(c.crashes) >= maxCountedCrashes {
+	for i, r := range cc.refusals {
+		if slices.Contains(r.Features, f) {
+			cc.refusals[i].Features = without(r.Features, f)
+			cleared = true
+		}
+	}
+	cc.refusals = slices.DeleteFunc(cc.refusals, func(r Refusal) bool { return len(r.Features) == 0 })
+	return cleared
+}
+
+// AddRefusal adds a refusal of this or another process. It reports whether it is new.
+func (cc *CrashCounter) AddRefusal(now time.Time, r Refusal) bool {
+	if len(r.Features) == 0 || now.Sub(r.LastCrash) > refusalPeriod {
 		return false
 	}
-	c.crashes[crashID], c.lastCrash = true, now
+	for i, known := range cc.refusals {
+		if hasAll(r.Features, known.Features) && hasAll(known.Features, r.Features) {
+			if r.LastCrash.After(known.LastCrash) {
+				cc.refusals[i].LastCrash = r.LastCrash
+			}
+			return false
+		}
+	}
+	if len(cc.refusals) >= maxRefusals {
+		cc.refusals = slices.Delete(cc.refusals, 0, 1)
+	}
+	cc.refusals = append(cc.refusals, r)
 	return true
 }
 
-// RecordResponse records that the request was answered in full and resets its count.
-func (cc *CrashCounter) RecordResponse(f Fingerprint) { delete(cc.byFingerprint, f) }
+// Refuses reports whether a request with these features is refused at now.
+func (cc *CrashCounter) Refuses(now time.Time, features []Feature) bool {
+	for _, r := range cc.refusals {
+		if now.Sub(r.LastCrash) <= refusalPeriod && hasAll(features, r.Features) {
+			return true
+		}
+	}
+	return false
+}
 
-// Refuses reports whether the request is refused at now.
-func (cc *CrashCounter) Refuses(now time.Time, f Fingerprint) bool {
-	c := cc.byFingerprint[f]
-	return c != nil && len(c.crashes) >= maxCountedCrashes && now.Sub(c.lastCrash) <= crashRetention
+// Suspects reports whether any of the features was in flight at a crash since the
+// last response to a request with it.
+func (cc *CrashCounter) Suspects(features []Feature) bool {
+	return slices.ContainsFunc(features, func(f Feature) bool {
+		s := cc.features[f]
+		return s != nil && len(s.crashes) > 0
+	})
 }
 
-// Len returns the number of fingerprints held.
-func (cc *CrashCounter) Len() int { return len(cc.byFingerprint) }
+// Len returns the number of features held.
+func (cc *CrashCounter) Len() int { return len(cc.features) }
 
+// expire drops the crashes and refusals that no longer count.
+func (cc *CrashCounter) expire(now time.Time) {
+	old := func(c crash) bool { return now.Sub(c.at) > crashRetention }
+	if len(cc.crashes) > 0 && old(cc.crashes[0]) {
+		cc.crashes = slices.DeleteFunc(cc.crashes, old)
+		for f, s := range cc.features {
+			s.crashes, s.answered = slices.DeleteFunc(s.crashes, old), slices.DeleteFunc(s.answered, old)
+			if len(s.crashes)+len(s.answered) == 0 {
+				delete(cc.features, f)
+			}
+		}
+	}
+	cc.refusals = slices.DeleteFunc(cc.refusals, func(r Refusal) bool { return now.Sub(r.LastCrash) > refusalPeriod })
+}
+
+// evictOldest makes room for a feature by removing the one with the oldest last crash.
 func (cc *CrashCounter) evictOldest() {
-	if len(cc.byFingerprint) < maxCountedFingerprints {
+	if len(cc.features) < maxCountedFeatures {
 		return
 	}
-	var oldest Fingerprint
+	var oldest Feature
 	var at time.Time
-	for f, c := range cc.byFingerprint {
-		if at.IsZero() || c.lastCrash.Before(at) || c.lastCrash.Equal(at) && f.BodyHash < oldest.BodyHash {
-			oldest, at = f, c.lastCrash
+	for f, s := range cc.features {
+		last := s.lastCrash()
+		if at.IsZero() || last.Before(at) || last.Equal(at) && compareFeatures(f, oldest) < 0 {
+			oldest, at = f, last
 		}
 	}
-	delete(cc.byFingerprint, oldest)
+	delete(cc.features, oldest)
+}
+
+func (s *featureCrashes) lastCrash() time.Time {
+	var last time.Time
+	for _, list := range [][]crash{s.crashes, s.answered} {
+		if n := len(list); n > 0 && list[n-1].at.After(last) {
+			last = list[n-1].at
+		}
+	}
+	return last
+}
+
+func appendBounded(list []crash, c crash) []crash {
+	if len(list) >= maxFeatureCrashes {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, c)
+}
+
+// contains compares crashes by their ID.
+func contains(list []crash, c crash) bool {
+	return slices.ContainsFunc(list, func(other crash) bool { return other.id == c.id && other.service == c.service })
+}
+
+// covers reports whether list has all crashes of other.
+func covers(list, other []crash) bool {
+	return !slices.ContainsFunc(other, func(c crash) bool { return !contains(list, c) })
+}
+
+func crashesNear(list []crash, c crash) int {
+	n := 0
+	for _, other := range list {
+		if other.service == c.service && other.at.Sub(c.at).Abs() <= burstWindow {
+			n++
+		}
+	}
+	return n
+}
+
+func without(features []Feature, f Feature) []Feature {
+	return slices.DeleteFunc(slices.Clone(features), func(other Feature) bool { return other == f })
+}
+
+func hasAll(features, wanted []Feature) bool {
+	return !slices.ContainsFunc(wanted, func(f Feature) bool { return !slices.Contains(features, f) })
+}
+
+func compareFeatures(a, b Feature) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID))
 }
--- a/serve/quarantine/message.go
+++ b/serve/quarantine/message.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"time"
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -46,3 +47,21 @@
 func FingerprintOf(call *pb.CallRequest) Fingerprint {
 	return NewFingerprint(call.GetService(), call.GetOrganisation(), call.GetMethod(), call.GetPath(), call.GetBody())
 }
+
+// FeaturesToProto converts features to protocol buffer messages.
+func FeaturesToProto(features []Feature) []*pb.RequestFeature {
+	messages := make([]*pb.RequestFeature, len(features))
+	for i, f := range features {
+		messages[i] = &pb.RequestFeature{Service: f.Service, Kind: uint32(f.Kind), Id: f.ID}
+	}
+	return messages
+}
+
+// FeaturesFromProto converts protocol buffer messages to features.
+func FeaturesFromProto(messages []*pb.RequestFeature) []Feature {
+	features := make([]Feature, len(messages))
+	for i, m := range messages {
+		features[i] = Feature{Service: m.GetService(), Kind: FeatureKind(min(m.GetKind(), math.MaxUint8)), ID: m.GetId()}
+	}
+	return features
+}
