Notice crashes in responses that end with their connection

A response may have neither a length nor chunks. The end of its connection is then the end of its body, for a server that crashes as well. The gateway took a stream without any event for a complete one, didn't check the server after an end within an event, and would have cleared the cause of a crash by the truncated response to it.

Change: such an end within an event, or before the first one, is a failure and starts the check for a crash. An end between two events stays a complete stream, as the protocol has it.

The own interface isn't affected: its streams end with [DONE].

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -251,7 +251,9 @@
 		conn.Abort()
 		return err
 	}
-	x.g.crashes.recordResponse(x.r.features)
+	if !isCloseDelimited(resp) {
+		x.g.crashes.recordResponse(x.r.features)
+	}
 	x.reuseConnection(resp)
 	return nil
 }
--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -99,17 +99,13 @@
 		maxCrashes = 5
 		maxLater   = 3
 	)
-	f := newFixture(t)
 	servers := make([]*platformtest.Server, 24)
 	for i := range servers {
 		servers[i] = platformtest.NewServer(fmt.Sprintf("s%d", i))
 		defer servers[i].Close()
 		servers[i].CrashOnPromptPart(bad)
-		f.deploy.Register(servers[i].ID, platformtest.ModelService, servers[i].Address())
 	}
-	f.eventually(func() bool {
-		return len(f.gateway.state.UsableServers(platformtest.ModelService)) == len(servers)
-	})
+	f := newModelFixture(t, servers...)
 	for n := range poisonRequests {
 		own := fmt.Sprintf("own%d", n)
 		f.send(http.MethodPost, streamPath, "bad"+own, platformtest.WithPrompt(shared, bad, own))
@@ -140,3 +136,55 @@
 	})
 	return crashed
 }
+
+// newModelFixture starts a gateway whose model service has the given servers.
+func newModelFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	for _, s := range servers {
+		f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
+	}
+	f.eventually(func() bool {
+		return len(f.gateway.state.UsableServers(platformtest.ModelService)) == len(servers)
+	})
+	return f
+}
+
+// Guards against a crash that goes unnoticed because the response has neither a length
+// nor chunks, so that its end looks like that of the connection.
+func TestCrashInsideCloseDelimitedStream(t *testing.T) {
+	s := platformtest.NewServer("s1", platformtest.CrashInsideEvent)
+	defer s.Close()
+	f := newModelFixture(t, s)
+	f.send(http.MethodPost, streamPath, "a1")
+	f.eventually(func() bool { return f.countLogs("backend server lost with a request in flight") == 1 })
+}
+
+// Guards against a stream without events that is passed on as complete although its
+// server may have crashed before the first one.
+func TestEmptyCloseDelimitedStream(t *testing.T) {
+	s := platformtest.NewServer("s1", platformtest.EmptyStream)
+	other := platformtest.NewServer("s2", platformtest.EmptyStream)
+	defer s.Close()
+	defer other.Close()
+	f := newModelFixture(t, s, other)
+	resp := f.send(http.MethodPost, streamPath, "a1")
+	require.Equal(t, http.StatusBadGateway, resp.status, "two servers sent nothing")
+	resp = f.send(http.MethodPost, streamPath, "a2")
+	require.True(t, resp.complete)
+	require.Equal(t, events(0), resp.body)
+}
+
+// Guards against a crash after the first events that clears its own cause, because the
+// end of the connection looks like the end of the response.
+func TestShortCloseDelimitedStreamClearsNothing(t *testing.T) {
+	s := platformtest.NewServer("s1", platformtest.TwoEventStream)
+	defer s.Close()
+	f := newModelFixture(t, s)
+	features := []quarantine.Feature{{Service: platformtest.ModelService, Kind: quarantine.PromptPart, ID: "part"}}
+	f.gateway.crashes.recordCrash(features, "crash")
+	require.True(t, f.send(http.MethodPost, streamPath, "a1", platformtest.WithPrompt("part", "own")).complete)
+	require.True(t, f.gateway.crashes.suspects(features))
+	require.True(t, f.send(http.MethodPost, streamPath, "a2", platformtest.WithPrompt("part", "own")).complete)
+	require.False(t, f.gateway.crashes.suspects(features), "a complete stream of six events clears the part")
+}
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -92,6 +92,12 @@
 	return x.relayBuffered(resp, watch)
 }
 
+// isCloseDelimited reports whether the end of the connection is the end of the body. A
+// server that crashes ends its connections as well.
+func isCloseDelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func isEventStream(h http.Header) bool {
 	media, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && media == "text/event-stream"
@@ -172,7 +178,7 @@
 			return err
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishEventStream(resp, &events)
+			return x.finishEventStream(resp, &events, watch)
 		}
 		if err != nil {
 			return x.responseTruncated(watch, err)
@@ -245,10 +251,15 @@
 }
 
 // finishEventStream handles the end of the body.
-func (x *exchange) finishEventStream(resp *http.Response, events *eventstream.Splitter) error {
+func (x *exchange) finishEventStream(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
 	if events.Buffered() > 0 {
+		x.checkForCrash(watch)
 		return errkind.New(errkind.StreamIncomplete, "the stream ended within an event")
 	}
+	if isCloseDelimited(resp) && x.events == 0 && x.out.progress.LastID() == "" {
+		x.checkForCrash(watch)
+		return errkind.New(errkind.StreamIncomplete, "the connection ended before the first event")
+	}
 	x.startEventStream(resp)
 	if len(events.Comments()) == 0 {
 		return nil
