Keep refusals of crashing requests in the metadata store

What callers would see: after a restart of gateways, or a loss of power, the same requests crash the same number of servers again, because a gateway knows only the crashes since its start.

Change: one gateway stores a refusal in the topic keyed.refusals and tells the others. Gateways read the topic at their start. A response that clears a feature withdraws or narrows the refusal there as well. The age of a stored refusal uses the wall clock, because other clocks aren't comparable between hosts.

TestRefusalsSurviveRestart fails without the read at the start ("a gateway that starts later refuses as well"). Weighed: datagrams to new gateways, which lose all if all gateways end together.

--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -36,6 +36,8 @@
 	// reportCrash and reportResponse tell the other gateways.
 	reportCrash    func(r lostRequest, crashID string)
 	reportResponse func(features []quarantine.Feature)
+	// keepRefusal stores a change of the refusals.
+	keepRefusal func(refusalChange)
 
 	mu      sync.Mutex
 	counter *quarantine.CrashCounter
@@ -59,6 +61,7 @@
 		pool: pool, metrics: metrics, log: log, counter: quarantine.NewCrashCounter(),
 		reportCrash:    func(lostRequest, string) {},
 		reportResponse: func([]quarantine.Feature) {},
+		keepRefusal:    func(refusalChange) {},
 	}
 }
 
@@ -84,18 +87,38 @@
 // recordResponse records a response that shows that a request with these features
 // doesn't crash its server. It tells the other gateways if they were suspected.
 func (c *crashTracker) recordResponse(features []quarantine.Feature) {
-	if cleared := c.clear(features); len(cleared) > 0 {
-		c.reportResponse(cleared)
+	cleared := c.clear(features)
+	if len(cleared.Features) == 0 {
+		return
+	}
+	c.reportResponse(cleared.Features)
+	for _, r := range cleared.Withdrawn {
+		c.log.Info().Strs("features", featureNames(r.Features)).Msg("requests with these features are no longer refused: one was answered")
+		c.keepRefusal(refusalChange{refusal: r, withdrawn: true})
+	}
+	for _, r := range cleared.Narrowed {
+		c.logRefusal(r)
+		c.keepRefusal(refusalChange{refusal: r})
 	}
 }
 
-// clear removes the suspicion of features and returns those that were suspected.
-func (c *crashTracker) clear(features []quarantine.Feature) []quarantine.Feature {
+// clear removes the suspicion of features.
+func (c *crashTracker) clear(features []quarantine.Feature) quarantine.Clearance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.counter.RecordResponse(features)
 }
 
+// addRefusal adds a refusal that another gateway has stored.
+func (c *crashTracker) addRefusal(r quarantine.Refusal) {
+	c.mu.Lock()
+	isNew := c.counter.AddRefusal(clock.Now(), r)
+	c.mu.Unlock()
+	if isNew {
+		c.logRefusal(r)
+	}
+}
+
 // checkServer determines whether a server whose connection broke has crashed. A
 // server that accepts a new connection has not crashed, and the connection goes to
 // the pool.
@@ -139,12 +162,17 @@
 	isNew, refusals := c.counter.RecordCrash(clock.Now(), crashID, features)
 	c.mu.Unlock()
 	for _, r := range refusals {
-		c.log.Warn().Strs("features", featureNames(r.Features)).Str("service", r.Features[0].Service).
-			Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
+		c.logRefusal(r)
+		c.keepRefusal(refusalChange{refusal: r})
 	}
 	return isNew
 }
 
+func (c *crashTracker) logRefusal(r quarantine.Refusal) {
+	c.log.Warn().Strs("features", featureNames(r.Features)).Str("service", r.Features[0].Service).
+		Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
+}
+
 func featureNames(features []quarantine.Feature) []string {
 	names := make([]string, len(features))
 	for i, f := range features {
--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
@@ -188,3 +191,50 @@
 	require.True(t, f.send(http.MethodPost, streamPath, "a2", platformtest.WithPrompt("part", "own")).complete)
 	require.False(t, f.gateway.crashes.suspects(features), "a complete stream of six events clears the part")
 }
+
+// startKeeper starts a gateway without servers that keeps its refusals in a store.
+func startKeeper(t *testing.T, store *platformtest.Store) *Gateway {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	g := New(settings(), NewClusterState(), telemetry.NewMetrics(Role, "g1", zerolog.Nop()), zerolog.Nop())
+	p := newPeerExchange(conn, g, platform.NewStoreClient(store.Address()), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.refusals.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = conn.Close()
+	})
+	return g
+}
+
+// Guards against gateways that forget at a restart what crashes servers: each of them
+// would let the same crashes happen again. Also guards against a refusal that lives on
+// in the store after a response has shown that it was wrong.
+func TestRefusalsSurviveRestart(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	first := startKeeper(t, store)
+	bad := []quarantine.Feature{{Service: "m", Kind: quarantine.PromptPart, ID: "bad"}}
+	for n := range 3 {
+		first.crashes.recordCrash(bad, fmt.Sprintf("server-%d", n))
+	}
+	refused := func(g *Gateway) func() bool { return func() bool { return g.crashes.check(bad) != nil } }
+	require.True(t, refused(first)())
+	storedRefusals := func() int {
+		records, _, err := platform.NewStoreClient(store.Address()).ReadNewest(t.Context(), platform.RefusalTopic)
+		require.NoError(t, err)
+		return len(slices.DeleteFunc(records, func(r platform.KeyedRecord) bool { return len(r.Value) == 0 }))
+	}
+	require.Eventually(t, func() bool { return storedRefusals() == 1 }, 3*time.Second, 10*time.Millisecond, "the refusal is stored")
+	second := startKeeper(t, store)
+	require.Eventually(t, refused(second), 3*time.Second, 10*time.Millisecond, "a gateway that starts later refuses as well")
+	second.crashes.recordResponse(bad)
+	require.False(t, refused(second)())
+	require.Eventually(t, func() bool { return storedRefusals() == 0 }, 3*time.Second, 10*time.Millisecond, "it is removed from the store")
+}
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -78,6 +78,7 @@
 	}})
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "discover gateways", Run: p.discover})
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "send load", Run: p.send})
+	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "keep refusals", Run: p.refusals.run})
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		go p.receive()
 		return nil
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -45,6 +45,7 @@
 	conn        *net.UDPConn
 	services    *serviceRegistry
 	crashes     *crashTracker
+	refusals    *refusalKeeper
 	store       *platform.StoreClient
 	log         zerolog.Logger
 
@@ -65,6 +66,7 @@
 		log:         log,
 		table:       loadshare.New(self),
 	}
+	p.refusals = newRefusalKeeper(store, g.crashes, func(m *pb.Datagram) { go p.broadcast(m) }, log)
 	g.crashes.reportCrash = func(r lostRequest, crashID string) {
 		go p.broadcast(&pb.Datagram{Kind: &pb.Datagram_Crash{Crash: &pb.CrashReport{
 			Service: r.fingerprint.Service, Organisation: r.fingerprint.Organisation, BodyHash: r.fingerprint.BodyHash,
@@ -110,6 +112,9 @@
 		if r := m.GetResponse(); r != nil {
 			p.crashes.clear(quarantine.FeaturesFromProto(r.GetFeatures()))
 		}
+		if r := m.GetRefusal(); r != nil {
+			p.refusals.receive(r)
+		}
 		if report := m.GetPace(); report != nil {
 			p.services.avoidSlowRank(report.GetServer(), report.GetPace())
 		}
--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -200,36 +200,62 @@
 	return sum
 }
 
+// Clearance is the effect of a response.
+type Clearance struct {
+	// Features are those that were in flight at crashes or refused before.
+	Features []Feature
+	// Withdrawn are the refusals that no longer hold, and Narrowed those that take
+	// their place with fewer features.
+	Withdrawn []Refusal
+	Narrowed  []Refusal
+}
+
 // RecordResponse records a response to a request with these features, which shows
-// that none of them crashes servers. It returns those that were in flight at crashes.
-func (cc *CrashCounter) RecordResponse(features []Feature) []Feature {
-	var cleared []Feature
+// that none of them crashes servers.
+func (cc *CrashCounter) RecordResponse(features []Feature) Clearance {
+	var cleared Clearance
 	for _, f := range features {
-		if cc.clear(f) {
-			cleared = append(cleared, f)
+		if s := cc.features[f]; s != nil && len(s.crashes) > 0 {
+			s.clear()
+			cleared.Features = append(cleared.Features, f)
 		}
 	}
+	if len(cc.refusals) > 0 {
+		cc.narrowRefusals(features, &cleared)
+	}
 	return cleared
 }
 
-// clear removes a feature from the suspicion and reports whether it was suspected.
-func (cc *CrashCounter) clear(f Feature) bool {
-	cleared := false
-	if s := cc.features[f]; s != nil && len(s.crashes) > 0 {
-		for _, c := range s.crashes {
-			s.answered = appendBounded(s.answered, c)
-		}
-		s.crashes, s.companions = nil, nil
-		cleared = true
+func (s *featureCrashes) clear() {
+	for _, c := range s.crashes {
+		s.answered = appendBounded(s.answered, c)
 	}
-	for i, r := range cc.refusals {
-		if slices.Contains(r.Features, f) {
-			cc.refusals[i].Features = without(r.Features, f)
-			cleared = true
+	s.crashes, s.companions = nil, nil
+}
+
+// narrowRefusals removes features from the refusals.
+func (cc *CrashCounter) narrowRefusals(features []Feature, cleared *Clearance) {
+	kept := cc.refusals[:0]
+	for _, r := range cc.refusals {
+		narrowed := Refusal{LastCrash: r.LastCrash}
+		for _, f := range r.Features {
+			if !slices.Contains(features, f) {
+				narrowed.Features = append(narrowed.Features, f)
+			} else if !slices.Contains(cleared.Features, f) {
+				cleared.Features = append(cleared.Features, f)
+			}
+		}
+		if len(narrowed.Features) < len(r.Features) {
+			cleared.Withdrawn = append(cleared.Withdrawn, r)
+			if len(narrowed.Features) > 0 {
+				cleared.Narrowed = append(cleared.Narrowed, narrowed)
+			}
+		}
+		if len(narrowed.Features) > 0 {
+			kept = append(kept, narrowed)
 		}
 	}
-	cc.refusals = slices.DeleteFunc(cc.refusals, func(r Refusal) bool { return len(r.Features) == 0 })
-	return cleared
+	cc.refusals = kept
 }
 
 // AddRefusal adds a refusal of this or another process. It reports whether it is new.
--- a/serve/quarantine/crashcounter_sim_test.go
+++ b/serve/quarantine/crashcounter_sim_test.go
@@ -167,7 +167,7 @@
 		return
 	}
 	delete(s.inFlight, id)
-	if cleared := s.counters[r.gateway].RecordResponse(r.features); len(cleared) > 0 {
+	if cleared := s.counters[r.gateway].RecordResponse(r.features).Features; len(cleared) > 0 {
 		s.broadcast(r.gateway, func(counter *quarantine.CrashCounter) { counter.RecordResponse(cleared) })
 	}
 }
