Count crashes by the parts of the prompt in the sidecar as well

Change: the entry sends the hashes of all messages but the last one, reports carry them, and each sidecar has a crash counter of features beside its registry of suspects. The report \"answered\" clears features at the other sidecars; older readers skip it.

--- a/daemons/entry/call.go
+++ b/daemons/entry/call.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
+	"github.com/zeebo/xxh3"
 
 	"github.com/filbertmux/filbertmux/balance/routing"
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -70,6 +72,20 @@
 	return prompt
 }
 
+// maxPromptParts bounds the prompt parts of a call.
+const maxPromptParts = 16
+
+// sharedParts returns the hashes of the first messages, which other requests may have
+// as well. The last message belongs to the request itself.
+func (c completionRequest) sharedParts() []string {
+	var parts []string
+	for _, m := range c.Messages[:min(len(c.Messages)-1, maxPromptParts)] {
+		sum := xxh3.Hash128(m.Content).Bytes()
+		parts = append(parts, hex.EncodeToString(sum[:]))
+	}
+	return parts
+}
+
 // authenticate returns the organisation whose key hash matches the bearer key.
 func (p *parser) authenticate(r *http.Request, view *table.View) (table.Organisation, error) {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
@@ -109,6 +125,7 @@
 	call.Path = completionsPath
 	call.Idempotent = true
 	call.Stream = completion.Stream
+	call.PromptParts = completion.sharedParts()
 	return &request{
 		call:   call,
 		prefix: routing.HashPrefix(org.Name, prompt, prefixBytes),
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -93,7 +93,7 @@
 	}
 	c.reportResponse(cleared.Features)
 	for _, r := range cleared.Withdrawn {
-		c.log.Info().Strs("features", featureNames(r.Features)).Msg("requests with these features are no longer refused: one was answered")
+		c.log.Info().Strs("features", quarantine.FeatureNames(r.Features)).Msg("requests with these features are no longer refused: one was answered")
 		c.keepRefusal(refusalChange{refusal: r, withdrawn: true})
 	}
 	for _, r := range cleared.Narrowed {
@@ -169,18 +169,10 @@
 }
 
 func (c *crashTracker) logRefusal(r quarantine.Refusal) {
-	c.log.Warn().Strs("features", featureNames(r.Features)).Str("service", r.Features[0].Service).
+	c.log.Warn().Strs("features", quarantine.FeatureNames(r.Features)).Str("service", r.Features[0].Service).
 		Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
 }
 
-func featureNames(features []quarantine.Feature) []string {
-	names := make([]string, len(features))
-	for i, f := range features {
-		names[i] = f.Kind.String() + " " + f.ID
-	}
-	return names
-}
-
 // fingerprint returns the fingerprint that this request shares with its retries and
 // duplicates.
 func (r *request) fingerprint() quarantine.Fingerprint {
--- a/daemons/gateway/refusals.go
+++ b/daemons/gateway/refusals.go
@@ -181,7 +181,7 @@
 // in the same order.
 func refusalKey(r quarantine.Refusal) string {
 	h := xxh3.New()
-	for _, name := range featureNames(r.Features) {
+	for _, name := range quarantine.FeatureNames(r.Features) {
 		_, _ = h.WriteString(r.Features[0].Service + "\x00" + name + "\x00")
 	}
 	sum := h.Sum128().Bytes()
--- a/daemons/sidecar/admission.go
+++ b/daemons/sidecar/admission.go
@@ -41,6 +41,8 @@
 
 	mu       sync.Mutex
 	registry *quarantine.Registry
+	// counter refuses requests with a prompt part that crashes servers.
+	counter  *quarantine.CrashCounter
 	tracker  *quarantine.ServerTracker
 	inFlight map[uint64]*admittedRequest
 	changed  chan struct{} // closed and replaced when a request ends
@@ -52,6 +54,8 @@
 // admittedRequest is one request in flight on the backend server.
 type admittedRequest struct {
 	id             uint64
+	fingerprint    quarantine.Fingerprint
+	promptParts    []string
 	crashesAtStart uint64 // number of crashes when the request was admitted
 	cancel         context.CancelCauseFunc
 }
@@ -61,6 +65,7 @@
 	return &admissionController{
 		backend: backend, idPrefix: idPrefix, now: now, log: log,
 		publish:  func([]quarantine.Report) {},
+		counter:  quarantine.NewCrashCounter(),
 		registry: registry, tracker: quarantine.NewServerTracker(registry),
 		inFlight: make(map[uint64]*admittedRequest), changed: make(chan struct{}), health: newHealthTracker(healthChart),
 	}
@@ -68,19 +73,27 @@
 
 // acquire waits until the request is admitted. An error proves that the request
 // did not run. The returned context is cancelled when the backend server crashes.
-func (c *admissionController) acquire(ctx context.Context, f quarantine.Fingerprint) (context.Context, *admittedRequest, error) {
+//
+// promptParts are the hashes of the parts of the prompt that other requests may have
+// as well.
+func (c *admissionController) acquire(
+	ctx context.Context, f quarantine.Fingerprint, promptParts []string,
+) (context.Context, *admittedRequest, error) {
 	if !c.checkAvailable(ctx) {
 		return nil, nil, unavailableError()
 	}
-	id := c.nextID()
+	r := &admittedRequest{id: c.nextID(), fingerprint: f, promptParts: promptParts}
 	for {
-		requestContext, r, changed, err := c.tryAcquire(ctx, id, f)
-		if r != nil || err != nil {
-			return requestContext, r, err
+		requestContext, changed, err := c.tryAcquire(ctx, r)
+		if err != nil {
+			return nil, nil, err
+		}
+		if requestContext != nil {
+			return requestContext, r, nil
 		}
 		if err := c.waitForChange(ctx, changed); err != nil {
 			c.mu.Lock()
-			c.tracker.CancelReservation(id)
+			c.tracker.CancelReservation(r.id)
 			c.mu.Unlock()
 			return nil, nil, err
 		}
@@ -94,25 +107,29 @@
 	return c.lastID
 }
 
-// tryAcquire returns neither a request nor an error if the request has to wait.
-// It then returns a channel that is closed on the next change.
-func (c *admissionController) tryAcquire(ctx context.Context, id uint64, f quarantine.Fingerprint) (context.Context, *admittedRequest, <-chan struct{}, error) {
+// tryAcquire returns the context of the admitted request. If the request has to wait,
+// it returns a channel that is closed on the next change.
+func (c *admissionController) tryAcquire(ctx context.Context, r *admittedRequest) (context.Context, <-chan struct{}, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.health.fire(eventRequestArrived) != actionAdmit {
-		c.tracker.CancelReservation(id)
-		return nil, nil, nil, unavailableError()
+		c.tracker.CancelReservation(r.id)
+		return nil, nil, unavailableError()
 	}
-	switch c.tracker.Admit(c.now(), id, f) {
+	if c.counter.Refuses(c.now(), quarantine.Features(r.fingerprint, r.promptParts)) {
+		c.tracker.CancelReservation(r.id)
+		return nil, nil, errkind.New(errkind.SuspectRequest, "requests with the same parts in their prompts crashed their backend servers")
+	}
+	switch c.tracker.Admit(c.now(), r.id, r.fingerprint) {
 	case quarantine.Refuse:
-		return nil, nil, nil, quarantine.RefusalError()
+		return nil, nil, quarantine.RefusalError()
 	case quarantine.Wait:
-		return nil, nil, c.changed, nil
+		return nil, c.changed, nil
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	r := &admittedRequest{id: id, crashesAtStart: c.crashes, cancel: cancel}
-	c.inFlight[id] = r
-	return ctx, r, nil, nil
+	ctx, r.cancel = context.WithCancelCause(ctx)
+	r.crashesAtStart = c.crashes
+	c.inFlight[r.id] = r
+	return ctx, nil, nil
 }
 
 func (c *admissionController) waitForChange(ctx context.Context, changed <-chan struct{}) error {
@@ -138,11 +155,28 @@
 	delete(c.inFlight, r.id)
 	report, ok := c.tracker.End(c.now(), r.id, answered, fmt.Sprintf("%s/answer/%d", c.idPrefix, r.id))
 	if ok {
+		report.PromptParts = r.promptParts
 		c.publish([]quarantine.Report{report})
 	}
+	if answered {
+		c.recordAnswer(r, ok)
+	}
 	c.notifyWaiters()
 }
 
+// recordAnswer clears the features of an answered request and reports it to the other
+// sidecars, unless a clearance of the suspect is reported already. The caller holds mu.
+func (c *admissionController) recordAnswer(r *admittedRequest, reported bool) {
+	cleared := c.counter.RecordResponse(quarantine.Features(r.fingerprint, r.promptParts))
+	if len(cleared.Features) == 0 || reported {
+		return
+	}
+	c.publish([]quarantine.Report{{
+		Op: quarantine.OpAnswered, EventID: fmt.Sprintf("%s/answer/%d", c.idPrefix, r.id),
+		Fingerprint: r.fingerprint, PromptParts: r.promptParts, Time: c.now(),
+	}})
+}
+
 // confirmCrash reports whether the backend server has crashed since the request
 // was admitted. It is called after the connection of the request broke, which may
 // also have another cause, so it makes a health check.
@@ -179,6 +213,8 @@
 	}
 	c.crashes++
 	reports := c.tracker.RecordCrash(c.now(), fmt.Sprintf("%s/crash/%d", c.idPrefix, c.crashes))
+	c.addPromptParts(reports)
+	c.countCrashes(reports)
 	c.log.Error().Err(cause).Int("in_flight", len(reports)).Msg("backend server crashed")
 	for _, r := range c.inFlight {
 		// cause is not wrapped: a refused connection of the health check would be
@@ -190,6 +226,19 @@
 	c.notifyWaiters()
 }
 
+// addPromptParts adds the parts of the prompts of the requests in flight. The caller
+// holds mu.
+func (c *admissionController) addPromptParts(reports []quarantine.Report) {
+	for i, report := range reports {
+		for _, r := range c.inFlight {
+			if r.fingerprint == report.Fingerprint {
+				reports[i].PromptParts = r.promptParts
+				break
+			}
+		}
+	}
+}
+
 // checkAvailable reports whether the backend server accepts requests. If it is
 // down, one caller makes a health check while the others are refused.
 func (c *admissionController) checkAvailable(ctx context.Context) bool {
@@ -262,6 +311,17 @@
 	for _, r := range reports {
 		c.registry.Apply(c.now(), r)
 	}
+	c.countCrashes(reports)
+}
+
+// countCrashes applies reports to the counter. The caller holds mu.
+func (c *admissionController) countCrashes(reports []quarantine.Report) {
+	for _, report := range reports {
+		for _, refusal := range c.counter.Apply(report) {
+			c.log.Warn().Strs("features", quarantine.FeatureNames(refusal.Features)).
+				Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
+		}
+	}
 }
 
 func (c *admissionController) reportsFor(f quarantine.Fingerprint) []quarantine.Report {
--- a/daemons/sidecar/admission_test.go
+++ b/daemons/sidecar/admission_test.go
@@ -48,7 +48,7 @@
 	h := &fakeHealthChecker{}
 	c := newAdmissionController(h, "inc", time.Now, zerolog.Nop())
 	f := quarantine.Fingerprint{Service: "svc", BodyHash: "x"}
-	requestContext, _, err := c.acquire(t.Context(), f)
+	requestContext, _, err := c.acquire(t.Context(), f, nil)
 	require.NoError(t, err)
 	h.set(&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
 	ctx, stop := context.WithCancel(t.Context())
@@ -60,7 +60,7 @@
 		t.Fatal("the request was not cancelled after the crash")
 	}
 	require.True(t, errkind.Is(context.Cause(requestContext), errkind.BackendFailed))
-	_, _, err = c.acquire(t.Context(), quarantine.Fingerprint{})
+	_, _, err = c.acquire(t.Context(), quarantine.Fingerprint{}, nil)
 	require.True(t, errkind.Is(err, errkind.BackendUnavailable), "%v", err)
 	require.Equal(t, uint64(1), c.crashCount(), "a failed health check of a server that is down was counted as a crash")
 	h.set(nil)
@@ -76,7 +76,7 @@
 func TestThreeLateChecksRefuseNewRequests(t *testing.T) {
 	h := &fakeHealthChecker{}
 	c := newAdmissionController(h, "inc", time.Now, zerolog.Nop())
-	requestContext, _, err := c.acquire(t.Context(), quarantine.Fingerprint{})
+	requestContext, _, err := c.acquire(t.Context(), quarantine.Fingerprint{}, nil)
 	require.NoError(t, err)
 	for _, late := range []bool{true, true, false, true, true} {
 		h.set(nil)
@@ -88,7 +88,7 @@
 	}
 	c.runPeriodicCheck(t.Context())
 	require.True(t, c.isDown())
-	_, _, err = c.acquire(t.Context(), quarantine.Fingerprint{})
+	_, _, err = c.acquire(t.Context(), quarantine.Fingerprint{}, nil)
 	require.True(t, errkind.Is(err, errkind.BackendUnavailable), "%v", err)
 	require.Zero(t, c.crashCount())
 	require.NoError(t, requestContext.Err())
--- a/daemons/sidecar/admit.go
+++ b/daemons/sidecar/admit.go
@@ -24,7 +24,7 @@
 		RequestId: call.GetId().GetRequestId(), Attempt: call.GetId().GetAttempt(), Incarnation: s.incarnation,
 	}
 	a := newAttempt(id, s.settings.ReplayBytes, cancel)
-	a.fingerprint = quarantine.FingerprintOf(call)
+	a.fingerprint, a.promptParts = quarantine.FingerprintOf(call), call.GetPromptParts()
 	s.admission.applyReports(quarantine.FromProto(call.GetSuspectReports()))
 	if err := s.registerAttempt(a); err != nil {
 		cancel()
--- a/daemons/sidecar/attempt.go
+++ b/daemons/sidecar/attempt.go
@@ -26,6 +26,7 @@
 type attempt struct {
 	id          *pb.AttemptId
 	fingerprint quarantine.Fingerprint
+	promptParts []string
 	cancel      context.CancelFunc
 
 	mu                sync.Mutex
--- a/daemons/sidecar/execute.go
+++ b/daemons/sidecar/execute.go
@@ -50,7 +50,7 @@
 // runAdmitted calls send once the request is admitted. If the backend server
 // crashes meanwhile, all requests in flight become suspects.
 func (s *Server) runAdmitted(ctx context.Context, a *attempt, send func(context.Context) error) error {
-	requestContext, r, err := s.admission.acquire(ctx, a.fingerprint)
+	requestContext, r, err := s.admission.acquire(ctx, a.fingerprint, a.promptParts)
 	if err != nil {
 		return err
 	}
--- a/daemons/sidecar/health_tracker_test.go
+++ b/daemons/sidecar/health_tracker_test.go
@@ -133,7 +133,7 @@
 // runRequest acquires and releases a request. If the server is down, this makes a
 // health check.
 func (m *modelTest) runRequest() {
-	_, request, err := m.admission.acquire(context.Background(), quarantine.Fingerprint{})
+	_, request, err := m.admission.acquire(context.Background(), quarantine.Fingerprint{}, nil)
 	if m.model.down {
 		m.model.applyCheck(m.checkResult)
 	}
--- a/daemons/sidecar/suspects_test.go
+++ b/daemons/sidecar/suspects_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -136,6 +137,57 @@
 	require.Equal(t, sends, answered)
 }
 
+// Guards against requests that share one message, and nothing else, and crash one
+// server after another, and against refusing requests that share another message with
+// them.
+func TestPromptPartCrashesFewServers(t *testing.T) {
+	const (
+		servers, requests = 6, 20
+		// maxCrashes is the number of crashes by which the part has to be known, and
+		// maxLater the number of requests with it that may reach servers afterwards.
+		maxCrashes, maxLater = 5, 3
+	)
+	var engines []*crashableEngine
+	var sidecars []*fixture
+	for range servers {
+		engine := newCrashableEngine(t, 0)
+		engines = append(engines, engine)
+		sidecars = append(sidecars, newFixtureAt(t, "http://"+engine.address))
+	}
+	// The sidecars exchange their reports as they do through the log.
+	for _, from := range sidecars {
+		from.server.admission.publish = func(reports []quarantine.Report) {
+			for _, to := range sidecars {
+				if to != from {
+					to.server.admission.applyReports(reports)
+				}
+			}
+		}
+	}
+	call := func(id string, parts ...string) *pb.CallRequest {
+		request := newChatCall(id, strings.Join(parts, " ")+" "+id)
+		request.PromptParts = parts
+		return request
+	}
+	for i := range requests {
+		target := sidecars[i%servers]
+		target.runWithReports(t, call(fmt.Sprintf("poison-%d", i), "shared", crashMarker))
+		for _, e := range engines {
+			e.start()
+		}
+		sound := target.runWithReports(t, call(fmt.Sprintf("sound-%d", i), "shared"))
+		require.NoError(t, sound.err)
+	}
+	crashes := 0
+	for _, e := range engines {
+		crashes += e.crashes
+	}
+	require.LessOrEqual(t, crashes, maxCrashes+maxLater)
+	last := sidecars[0].runWithReports(t, call("last", "other", crashMarker))
+	require.True(t, errkind.Is(last.err, errkind.SuspectRequest), "%v", last.err)
+	require.Equal(t, errkind.NotRun, errkind.Of(last.err).Execution)
+}
+
 // Guards against refusing a request that was in flight together with a crashing
 // one, and against admitting requests to a server that is down.
 func TestRequestsInFlightAtACrash(t *testing.T) {
@@ -222,7 +274,7 @@
 	b, err := newBackendClient("http://127.0.0.1:1")
 	require.NoError(t, err)
 	c := newAdmissionController(b, "inc", time.Now, zerolog.Nop())
-	ctx, r, err := c.acquire(context.Background(), quarantine.Fingerprint{})
+	ctx, r, err := c.acquire(context.Background(), quarantine.Fingerprint{}, nil)
 	require.NoError(t, err)
 	require.True(t, c.confirmCrash(r))
 	require.False(t, proxyhttp.IsDialError(context.Cause(ctx)))
--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -258,6 +258,19 @@
 	cc.refusals = kept
 }
 
+// Apply applies a report of a sidecar, which may be read twice. It returns the refusals
+// that follow from it.
+func (cc *CrashCounter) Apply(r Report) []Refusal {
+	switch r.Op {
+	case OpCrashed, OpCrashedAlone:
+		_, made := cc.RecordCrash(r.Time, r.EventID, r.Features())
+		return made
+	case OpCleared, OpAnswered:
+		cc.RecordResponse(r.Features())
+	}
+	return nil
+}
+
 // AddRefusal adds a refusal of this or another process. It reports whether it is new.
 func (cc *CrashCounter) AddRefusal(now time.Time, r Refusal) bool {
 	if len(r.Features) == 0 || now.Sub(r.LastCrash) > refusalPeriod {
--- a/serve/quarantine/feature.go
+++ b/serve/quarantine/feature.go
@@ -42,3 +42,12 @@
 	}
 	return features
 }
+
+// FeatureNames returns the names of features in logs.
+func FeatureNames(features []Feature) []string {
+	names := make([]string, len(features))
+	for i, f := range features {
+		names[i] = f.Kind.String() + " " + f.ID
+	}
+	return names
+}
--- a/serve/quarantine/message.go
+++ b/serve/quarantine/message.go
@@ -13,7 +13,7 @@
 	for _, r := range reports {
 		m := &pb.SuspectReport{
 			Op: string(r.Op), Crash: r.EventID, Service: r.Service, Organisation: r.Organisation,
-			BodyHash: r.BodyHash, TimeUnixNano: r.Time.UnixNano(),
+			BodyHash: r.BodyHash, TimeUnixNano: r.Time.UnixNano(), PromptParts: r.PromptParts,
 		}
 		if !r.RunStarted.IsZero() {
 			m.BeganUnixNano = r.RunStarted.UnixNano()
@@ -31,6 +31,7 @@
 		r := Report{
 			Op: Op(m.GetOp()), EventID: m.GetCrash(), Time: time.Unix(0, m.GetTimeUnixNano()),
 			Fingerprint: Fingerprint{Service: m.GetService(), Organisation: m.GetOrganisation(), BodyHash: m.GetBodyHash()},
+			PromptParts: m.GetPromptParts(),
 		}
 		if m.GetBeganUnixNano() != 0 {
 			r.RunStarted = time.Unix(0, m.GetBeganUnixNano())
--- a/serve/quarantine/quarantine.go
+++ b/serve/quarantine/quarantine.go
@@ -60,9 +60,14 @@
 	// OpCleared means that the request was answered while it was the only one in
 	// flight.
 	OpCleared Op = "cleared"
+	// OpAnswered means that the request was answered, with others in flight or not.
+	// It clears the features of the request in a CrashCounter, not the suspect.
+	OpAnswered Op = "answered"
 )
 
-func (o Op) known() bool { return o == OpCrashed || o == OpCrashedAlone || o == OpCleared }
+func (o Op) known() bool {
+	return o == OpCrashed || o == OpCrashedAlone || o == OpCleared || o == OpAnswered
+}
 
 // Report is an observation of a request, in a log record or in a message between
 // processes. EventID is unique for each crash or clearance, so that a report that
@@ -74,8 +79,14 @@
 	Fingerprint
 	Time       time.Time `json:"time"`            // time of the crash or the clearance
 	RunStarted time.Time `json:"began,omitempty"` // start of the run that cleared the request
+	// PromptParts are the hashes of the parts of the prompt that other requests may
+	// have as well.
+	PromptParts []string `json:"prompt_parts,omitempty"`
 }
 
+// Features returns the features of the request of a report.
+func (r Report) Features() []Feature { return Features(r.Fingerprint, r.PromptParts) }
+
 // record is a log record.
 type record struct {
 	Type    string   `json:"type"`
@@ -239,9 +250,10 @@
 	return r, true
 }
 
-// Apply applies a report from the log or from another process.
+// Apply applies a report from the log or from another process. It ignores
+// OpAnswered.
 func (reg *Registry) Apply(now time.Time, r Report) {
-	if now.Sub(r.Time) > reg.settings.Retention {
+	if r.Op == OpAnswered || now.Sub(r.Time) > reg.settings.Retention {
 		return
 	}
 	s := reg.suspects[r.Fingerprint]
