--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -95,6 +96,8 @@
 	eventGaps placement.EventGaps
 	// batchLimit limits the requests on each server by these times.
 	batchLimit placement.BatchLimit
+	// requestLimits holds the requests per second that servers state, by server ID.
+	requestLimits map[string]float64
 	// meanLoad is the mean number of requests on a server at the last load report.
 	meanLoad float64
 	// meanTimeToFirstOutput is the moving average of the time to the first part
@@ -124,6 +127,8 @@
 		liveness: liveness.New(),
 		budget:   retry.NewBudget(budget),
 		rng:      rng,
+
+		requestLimits: make(map[string]float64),
 	}
 }
 
@@ -161,6 +166,7 @@
 	}
 	s.outliers.Retain(func(id string) bool { return known[id] })
 	s.liveness.Retain(func(id string) bool { return known[id] })
+	maps.DeleteFunc(s.requestLimits, func(id string, _ float64) bool { return !known[id] })
 	var kept []placement.Server
 	for _, c := range s.outliers.Filter(now, candidates) {
 		l := byID[c.ID]
