Split files that have grown, and join a set-up that stands twice

Moves only: the exchange with one server from attempt.go, the refusals from crashcounter.go, the choice of a server from placement.go. The set-up of sidecars with engines that crash is one function in the tests.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -13,9 +13,7 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -383,47 +381,3 @@
 	}
 	return float64(max(own, 1)) * s.meanCost / s.meanDuration.Seconds()
 }
-
-// hasServer reports whether a server may get the request, now or later.
-func (s *Scheduler[T]) hasServer(now time.Time, exclude []string) bool {
-	return slices.ContainsFunc(s.serverIDs, func(id string) bool {
-		c := s.servers[id]
-		return !c.banned && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
-	})
-}
-
-// pick returns a server with little relative load that may start a request now, or nil.
-func (s *Scheduler[T]) pick(now time.Time, exclude []string, need capacityNeed) *server {
-	var usable, coolingDown, avoided []*server
-	for _, id := range s.serverIDs {
-		c := s.servers[id]
-		switch {
-		case c.banned || slices.Contains(exclude, id) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
-		case c.avoidUntil.After(now):
-			avoided = append(avoided, c)
-		case c.cooldownUntil.After(now):
-			coolingDown = append(coolingDown, c)
-		default:
-			usable = append(usable, c)
-		}
-	}
-	if len(usable)+len(coolingDown) == 0 {
-		usable = avoided
-	}
-	if picked := s.pickSpread(now, usable, need); picked != nil {
-		return picked
-	}
-	return s.pickSpread(now, coolingDown, need)
-}
-
-func (c *server) inFlight() int { return c.ownInFlight + c.peerInFlight }
-
-// currentSlowdown returns the measured slowdown, which decays towards 1 with its
-// age.
-func (c *server) currentSlowdown(now time.Time) float64 {
-	if c.slowdown == 1 {
-		return 1
-	}
-	halfLives := float64(now.Sub(c.slowdownAt)) / float64(slowdownHalfLife)
-	return 1 + (c.slowdown-1)*math.Exp2(-halfLives)
-}
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,16 +10,10 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/fleet"
-	"github.com/filbertmux/filbertmux/daemons/gateway/upstream"
-	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
 const (
-	// nonIdempotentReuseAge is the longest idle time after which a connection is
-	// reused for a non-idempotent request. A connection that turns out to be dead
-	// leaves the outcome of such a request unknown.
-	nonIdempotentReuseAge = 400 * time.Millisecond
 	// maxWaitShare is the part of the route's latency objective that a request
 	// may wait for a slot. The rest is left for the response.
 	maxWaitShare = 0.6
@@ -30,9 +23,6 @@
 	// slowStreamRetryAfter is the Retry-After value for a stream that can't finish
 	// before its deadline. A slow rank stays slow for seconds.
 	slowStreamRetryAfter = 2600 * time.Millisecond
-	// unreachableRetryAfter is the Retry-After value after a server could not be
-	// reached or refused a request.
-	unreachableRetryAfter = 200 * time.Millisecond
 )
 
 var (
@@ -195,193 +185,3 @@
 func notSentError(err error) *errkind.Error {
 	return errkind.Wrap(errkind.BackendUnavailable, err, "the request was not sent").WithRetryAfter(unreachableRetryAfter)
 }
-
-// exchange sends one attempt of a request to a backend server and relays the
-// response.
-type exchange struct {
-	// ctx ends at the deadline of the request or when it is cancelled.
-	ctx       context.Context //nolint:containedctx // an exchange lives for one call of run
-	g         *Gateway
-	r         *request
-	svc       *service
-	out       *responseWriter
-	server    fleet.Server
-	startedAt time.Time
-	conn      *upstream.Conn
-	response  platform.ResponseHeader
-	// lastEventAt is when the last event arrived, and events counts those of this
-	// server.
-	lastEventAt time.Time
-	events      int
-	// serverFull, wrongServer and groupDown are the reasons for a refusal by the
-	// server. wrongServer means that another server has the address now.
-	serverFull  bool
-	wrongServer bool
-	groupDown   bool
-}
-
-// run sends the request and relays the response. The error states whether the
-// request may have run.
-func (x *exchange) run(ctx context.Context) error {
-	conn, err := x.g.pool.Get(ctx, x.server.Address, x.maxReuseAge())
-	if err != nil {
-		return notSentError(err)
-	}
-	x.ctx, x.conn = ctx, conn
-	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
-	watch := newWatchdog(x)
-	defer watch.stop()
-	// A request counts as sent even if the server refuses it.
-	x.r.trace.sent++
-	if err := conn.Send(x.upstreamRequest()); err != nil {
-		return x.connectionFailed(watch, err)
-	}
-	resp, err := conn.ReadResponse(x.r.http.Method, x.matchesRequest) //nolint:bodyclose // the body ends with the connection
-	if err != nil {
-		return x.connectionFailed(watch, err)
-	}
-	x.response = platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
-	x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
-	if x.response.NotExecuted {
-		return x.serverRefused(resp)
-	}
-	watch.progress()
-	err = x.relay(resp, watch)
-	if err != nil {
-		conn.Abort()
-		return err
-	}
-	if !isCloseDelimited(resp) {
-		x.g.crashes.recordResponse(x.r.features)
-	}
-	x.reuseConnection(resp)
-	return nil
-}
-
-// maxReuseAge returns the longest idle time of a connection that may be reused.
-func (x *exchange) maxReuseAge() time.Duration {
-	if x.r.route.Retryable() {
-		return time.Hour
-	}
-	return nonIdempotentReuseAge
-}
-
-func (x *exchange) upstreamRequest() *upstream.Request {
-	return &upstream.Request{
-		Method: x.r.http.Method,
-		Target: x.r.target(),
-		Host:   x.r.http.Host,
-		Body:   x.r.body,
-		Header: platform.ForwardHeader(x.r.http.Header, platform.ForwardParams{
-			ServerID:     x.server.ID,
-			Organisation: x.r.organisation,
-			TimeLeft:     x.r.timeLeft(clock.Now()),
-			LastEventID:  x.out.progress.LastID(),
-			Priority:     x.r.priority,
-		}),
-	}
-}
-
-// target returns the path and query exactly as sent by the caller.
-func (r *request) target() string {
-	if r.http.URL.Host != "" {
-		return r.http.URL.RequestURI()
-	}
-	return r.http.RequestURI
-}
-
-// matchesRequest reports whether a response belongs to this request. A response
-// without an attempt ID is accepted only if its status is 300 or higher, because
-// refusals may lack it.
-func (x *exchange) matchesRequest(resp *http.Response) bool {
-	header := platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
-	if header.AttemptID == "" {
-		return resp.StatusCode >= http.StatusMultipleChoices
-	}
-	return header.AttemptID == x.r.call.AttemptID
-}
-
-// serverRefused handles a response by which the server states that it did not run
-// the request.
-func (x *exchange) serverRefused(resp *http.Response) error {
-	x.drainAndReuse(resp)
-	x.wrongServer = x.response.WrongServer
-	x.serverFull = !x.wrongServer && x.response.ServerAtFault == ""
-	x.groupDown = x.response.ServerAtFault != ""
-	if x.wrongServer {
-		x.g.requestServerRefresh()
-	}
-	err := errkind.New(errkind.BackendUnavailable, "the server did not run the request: status %d, server at fault %q",
-		resp.StatusCode, x.response.ServerAtFault)
-	return err.WithRetryAfter(unreachableRetryAfter)
-}
-
-// connectionFailed handles a connection that failed before the response header.
-func (x *exchange) connectionFailed(watch *watchdog, err error) error {
-	x.conn.Abort()
-	x.g.pool.CloseIdle(x.server.Address)
-	x.checkForCrash(watch)
-	if watch.timedOut() {
-		err = errServerSilent
-	}
-	e := errkind.Wrap(errkind.BackendFailed, err, "no response from the server")
-	e.Execution = errkind.Unknown
-	return e
-}
-
-// checkForCrash starts a check whether the server has crashed, unless the gateway
-// itself closed the connection.
-func (x *exchange) checkForCrash(watch *watchdog) {
-	if watch.timedOut() || x.ctx.Err() != nil {
-		return
-	}
-	lost := x.r.lost
-	lost.events = x.r.trace.events
-	done := make(chan struct{})
-	x.r.crashCheck = done
-	go func() {
-		defer close(done)
-		x.g.crashes.checkServer(lost, x.server)
-	}()
-}
-
-// drainAndReuse discards the body of a response that isn't forwarded, and returns
-// the connection to the pool if that succeeds.
-func (x *exchange) drainAndReuse(resp *http.Response) {
-	x.conn.SetDeadline(time.Now().Add(maxDiscardTime))
-	if err := upstream.Discard(resp.Body, maxDiscardedBody); err != nil {
-		x.conn.Abort()
-		return
-	}
-	x.reuseConnection(resp)
-}
-
-// reuseConnection returns the connection to the pool after the response was read
-// completely. It closes the connection if the server announced that it will.
-func (x *exchange) reuseConnection(resp *http.Response) {
-	if resp.Close || x.response.ConnectionClose {
-		x.conn.Close()
-		return
-	}
-	x.g.pool.Put(x.conn, x.response.IdleTimeout)
-}
-
-func (x *exchange) result(err error) attemptResult {
-	now := clock.Now()
-	res := attemptResult{
-		server: x.server.ID, serverFull: x.serverFull, wrongServer: x.wrongServer,
-		groupDown: x.groupDown, atFault: x.response.ServerAtFault,
-	}
-	if err != nil {
-		res.err = errkind.Of(err)
-		res.notServerFault = errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
-		return res
-	}
-	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
-	res.timeToFirstOutput = res.duration
-	if x.r.trace.timeToFirstEvent > 0 {
-		res.timeToFirstOutput = x.r.trace.timeToFirstEvent - x.startedAt.Sub(x.r.arrived)
-	}
-	return res
-}
--- a/daemons/sidecar/suspects_test.go
+++ b/daemons/sidecar/suspects_test.go
@@ -45,6 +45,19 @@
 	return c
 }
 
+// newCrashableSidecars returns n engines, each with a sidecar.
+func newCrashableSidecars(t *testing.T, n int) ([]*crashableEngine, []*fixture) {
+	t.Helper()
+	var engines []*crashableEngine
+	var sidecars []*fixture
+	for range n {
+		engine := newCrashableEngine(t, 0)
+		engines = append(engines, engine)
+		sidecars = append(sidecars, newFixtureAt(t, "http://"+engine.address))
+	}
+	return engines, sidecars
+}
+
 func (c *crashableEngine) start() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,13 +115,7 @@
 // is sent repeatedly, and against other requests that are refused because of it.
 func TestCrashingRequestCrashesAtMostTwoServers(t *testing.T) {
 	const servers, sends = 6, 100
-	var engines []*crashableEngine
-	var sidecars []*fixture
-	for range servers {
-		engine := newCrashableEngine(t, 0)
-		engines = append(engines, engine)
-		sidecars = append(sidecars, newFixtureAt(t, "http://"+engine.address))
-	}
+	engines, sidecars := newCrashableSidecars(t, servers)
 	var reports []*pb.SuspectReport
 	refused, answered := 0, 0
 	for i := range sends {
@@ -147,13 +154,7 @@
 		// maxLater the number of requests with it that may reach servers afterwards.
 		maxCrashes, maxLater = 5, 3
 	)
-	var engines []*crashableEngine
-	var sidecars []*fixture
-	for range servers {
-		engine := newCrashableEngine(t, 0)
-		engines = append(engines, engine)
-		sidecars = append(sidecars, newFixtureAt(t, "http://"+engine.address))
-	}
+	engines, sidecars := newCrashableSidecars(t, servers)
 	// The sidecars exchange their reports as they do through the log.
 	for _, from := range sidecars {
 		from.server.admission.publish = func(reports []quarantine.Report) {
--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -19,16 +19,10 @@
 	burstWindow = time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Hour
-	// refusalPeriod is how long requests are refused after the last crash. They may
-	// run again afterwards, because the fault in the server may have been fixed. It is
-	// long because each try may cost a server, and a rank group with it.
-	refusalPeriod = 10 * time.Minute
-	// maxCountedFeatures, maxFeatureCrashes, maxCrashesHeld and maxRefusals bound the
-	// memory.
+	// maxCountedFeatures, maxFeatureCrashes and maxCrashesHeld bound the memory.
 	maxCountedFeatures = 4096
 	maxFeatureCrashes  = 16
 	maxCrashesHeld     = 512
-	maxRefusals        = 1024
 )
 
 // CrashCounter finds out which feature of requests crashes backend servers, for a
@@ -65,12 +59,6 @@
 	at      time.Time
 }
 
-// Refusal refuses the requests that have all of its features.
-type Refusal struct {
-	Features  []Feature
-	LastCrash time.Time
-}
-
 // NewCrashCounter returns an empty CrashCounter.
 func NewCrashCounter() *CrashCounter {
 	return &CrashCounter{features: make(map[Feature]*featureCrashes)}
@@ -200,32 +188,6 @@
 	return sum
 }
 
-// Clearance is the effect of a response.
-type Clearance struct {
-	// Features are those that were in flight at crashes or refused before.
-	Features []Feature
-	// Withdrawn are the refusals that no longer hold, and Narrowed those that take
-	// their place with fewer features.
-	Withdrawn []Refusal
-	Narrowed  []Refusal
-}
-
-// RecordResponse records a response to a request with these features, which shows
-// that none of them crashes servers.
-func (cc *CrashCounter) RecordResponse(features []Feature) Clearance {
-	var cleared Clearance
-	for _, f := range features {
-		if s := cc.features[f]; s != nil && len(s.crashes) > 0 {
-			s.clear()
-			cleared.Features = append(cleared.Features, f)
-		}
-	}
-	if len(cc.refusals) > 0 {
-		cc.narrowRefusals(features, &cleared)
-	}
-	return cleared
-}
-
 func (s *featureCrashes) clear() {
 	for _, c := range s.crashes {
 		s.answered = appendBounded(s.answered, c)
@@ -233,31 +195,6 @@
 	s.crashes, s.companions = nil, nil
 }
 
-// narrowRefusals removes features from the refusals.
-func (cc *CrashCounter) narrowRefusals(features []Feature, cleared *Clearance) {
-	kept := cc.refusals[:0]
-	for _, r := range cc.refusals {
-		narrowed := Refusal{LastCrash: r.LastCrash}
-		for _, f := range r.Features {
-			if !slices.Contains(features, f) {
-				narrowed.Features = append(narrowed.Features, f)
-			} else if !slices.Contains(cleared.Features, f) {
-				cleared.Features = append(cleared.Features, f)
-			}
-		}
-		if len(narrowed.Features) < len(r.Features) {
-			cleared.Withdrawn = append(cleared.Withdrawn, r)
-			if len(narrowed.Features) > 0 {
-				cleared.Narrowed = append(cleared.Narrowed, narrowed)
-			}
-		}
-		if len(narrowed.Features) > 0 {
-			kept = append(kept, narrowed)
-		}
-	}
-	cc.refusals = kept
-}
-
 // Apply applies a report of a sidecar, which may be read twice. It returns the refusals
 // that follow from it.
 func (cc *CrashCounter) Apply(r Report) []Refusal {
@@ -271,36 +208,6 @@
 	return nil
 }
 
-// AddRefusal adds a refusal of this or another process. It reports whether it is new.
-func (cc *CrashCounter) AddRefusal(now time.Time, r Refusal) bool {
-	if len(r.Features) == 0 || now.Sub(r.LastCrash) > refusalPeriod {
-		return false
-	}
-	for i, known := range cc.refusals {
-		if hasAll(r.Features, known.Features) && hasAll(known.Features, r.Features) {
-			if r.LastCrash.After(known.LastCrash) {
-				cc.refusals[i].LastCrash = r.LastCrash
-			}
-			return false
-		}
-	}
-	if len(cc.refusals) >= maxRefusals {
-		cc.refusals = slices.Delete(cc.refusals, 0, 1)
-	}
-	cc.refusals = append(cc.refusals, r)
-	return true
-}
-
-// Refuses reports whether a request with these features is refused at now.
-func (cc *CrashCounter) Refuses(now time.Time, features []Feature) bool {
-	for _, r := range cc.refusals {
-		if now.Sub(r.LastCrash) <= refusalPeriod && hasAll(features, r.Features) {
-			return true
-		}
-	}
-	return false
-}
-
 // Suspects reports whether any of the features was in flight at a crash since the
 // last response to a request with it.
 func (cc *CrashCounter) Suspects(features []Feature) bool {
--- a/serve/quarantine/quarantine.go
+++ b/serve/quarantine/quarantine.go
@@ -4,7 +4,12 @@
 // The requests in flight at a crash become suspects. A suspect runs only as the
 // sole request on its server, so that a further crash can be attributed to it.
 // If it crashes the server again, it is refused from then on; if it is answered,
-// it is no longer a suspect.
+// it is no longer a suspect. That is for a process that sees all requests of a
+// server (Registry, ServerTracker).
+//
+// Different requests may share what crashes servers, such as a part of their prompt,
+// and a gateway sees only some of the requests of a server. For these, CrashCounter
+// finds the feature that explains the crashes.
 //
 // The types of this package are not safe for concurrent use.
 package quarantine
