--- a/daemons/entry/call.go
+++ b/daemons/entry/call.go
@@ -73,7 +73,7 @@
 }
 
 // maxPromptParts bounds the prompt parts of a call.
-const maxPromptParts = 16
+const maxPromptParts = 64
 
 // sharedParts returns the hashes of the first messages, which other requests may have
 // as well. The last message belongs to the request itself.
