Don't let two bad prompt parts hide each other

A crash counted less as soon as another server crashed within a second without the feature. Two bad parts that crash a server each at the same time would have needed six crashes each. Found by reading. Now only four and more crashes within a second count as a burst with a possible common cause.

TestCrashCounterTwoBadParts fails before (\"Should be true\" after three crashes each).

--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -14,8 +14,9 @@
 	sureEvidence = 5.0
 	// evidenceTolerance absorbs the rounding of the sum of shares.
 	evidenceTolerance = 1e-9
-	// burstWindow is the time within which crashes may have a common cause, such as
-	// the loss of a rack.
+	// minBurst is the number of crashes within burstWindow of each other that may have
+	// a common cause, such as the loss of a rack.
+	minBurst    = 4
 	burstWindow = time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Hour
@@ -34,7 +35,7 @@
 // the other ones too, only requests with all of them are refused, so that requests
 // that share one of them are served.
 //
-// A crash counts less if other servers crashed at the same time without such a
+// A crash counts less if several other servers crashed at the same time without such a
 // request: a lost rack takes many servers with it, and a feature that many requests
 // have is in flight at some of them.
 type CrashCounter struct {
@@ -177,12 +178,16 @@
 	return Refusal{Features: refused, LastCrash: s.crashes[len(s.crashes)-1].at}, true
 }
 
-// evidence is the sum over the crashes of a feature of its share in the crashes of
-// the service within burstWindow.
+// evidence is the number of crashes of a feature. A crash in a burst counts as the
+// share of the feature in the crashes of the burst.
 func (cc *CrashCounter) evidence(s *featureCrashes) float64 {
 	sum := 0.0
 	for _, c := range s.crashes {
 		with, all := crashesNear(s.crashes, c), crashesNear(cc.crashes, c)
+		if all < minBurst {
+			sum++
+			continue
+		}
 		sum += float64(with) / float64(max(with, all))
 	}
 	return sum
--- a/serve/quarantine/crashcounter_test.go
+++ b/serve/quarantine/crashcounter_test.go
@@ -117,6 +117,24 @@
 	require.False(t, counter.Refuses(counterStart, popular))
 }
 
+// Guards against two bad parts that hide each other, because each one's crashes come
+// with those of the other one.
+func TestCrashCounterTwoBadParts(t *testing.T) {
+	counter := quarantine.NewCrashCounter()
+	now := counterStart
+	for i := range 3 {
+		now = now.Add(5 * time.Second)
+		for _, part := range []string{"bad", "worse"} {
+			id := part + strconv.Itoa(i)
+			counter.RecordCrash(now, id, counterFeatures("body of "+id, "shared", part))
+		}
+		counter.RecordResponse(counterFeatures("sound"+strconv.Itoa(i), "shared"))
+	}
+	require.True(t, counter.Refuses(now, counterFeatures("new", "bad")))
+	require.True(t, counter.Refuses(now, counterFeatures("new", "worse")))
+	require.False(t, counter.Refuses(now, counterFeatures("new", "shared")))
+}
+
 // Guards against a part that crashes several servers at the same time and is only
 // refused after further crashes.
 func TestCrashCounterSimultaneousCrashes(t *testing.T) {
