--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -43,7 +44,13 @@
 	stop     func()
 }
 
-func hostOf(rank int) string { return fmt.Sprintf("127.0.7.%d", rank+1) }
+// hostOf returns the loopback address of a rank. The agents of a group share a port, so
+// their addresses differ. They also differ between processes, because several runs of
+// the tests may be on a machine.
+func hostOf(rank int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid/256%64, pid%256, rank+1)
+}
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, store: platformtest.NewStore(), group: platformtest.NewGroup(ranks, layers, perLayer)}
@@ -191,7 +198,7 @@
 	defer store.Close()
 	d := &platformtest.Deployment{Store: store, Host: "h.example"}
 	d.PublishConfig([]string{platformtest.Key}, nil)
-	d.RegisterRank("i-0", "127.0.7.1:1", 0, ranks)
+	d.RegisterRank("i-0", hostOf(0)+":1", 0, ranks)
 	agent := NewAgent(nil, zerolog.Nop())
 	agent.identity = identity{group: platformtest.GroupName, size: ranks}
 	o := Options{Log: zerolog.Nop(), Settings: platform.Settings{PeerPort: agentPort, BackendService: platformtest.ModelService}}
@@ -199,7 +206,7 @@
 	r.refresh(t.Context())
 	require.False(t, r.group.membersKnown())
 	for i := 1; i < ranks; i++ {
-		d.RegisterRank(fmt.Sprintf("i-%d", i), fmt.Sprintf("127.0.7.%d:1", i+1), i, ranks)
+		d.RegisterRank(fmt.Sprintf("i-%d", i), hostOf(i)+":1", i, ranks)
 	}
 	require.Eventually(t, func() bool {
 		r.refresh(t.Context())
