Keep the fakes of several test runs on a machine apart

Fixtures print their log on a failure now, and that shows the cause: with eight runs of the package at a time, the port of a fake that had crashed belonged to a fake of another run at once. The check for a crash then found a server that answers, or a request of another run crashed a fake that nobody of this run had asked.

--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -110,6 +110,9 @@
 	}()
 	f.server = httptest.NewServer(f.gateway)
 	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(f.logs.String())
+		}
 		cancel()
 		f.server.Close()
 		f.store.Close()
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"os"
 	"testing"
 	"time"
 
@@ -44,13 +43,9 @@
 	stop     func()
 }
 
-// hostOf returns the loopback address of a rank. The agents of a group share a port, so
-// their addresses differ. They also differ between processes, because several runs of
-// the tests may be on a machine.
-func hostOf(rank int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid/256%64, pid%256, rank+1)
-}
+// hostOf returns the address of a rank. The agents of a group share a port, so their
+// addresses differ.
+func hostOf(rank int) string { return platformtest.LoopbackHost(rank + 1) }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, store: platformtest.NewStore(), group: platformtest.NewGroup(ranks, layers, perLayer)}
