Remove servers that leave after an outage within the drain bound

Cause: for 2.1 s after an outage of the store, as seen by this gateway, every removal was delayed. The server was listed in the first read after the outage and left 0.25 s later. The log of the gateway shows it (\"missing after an outage of the store\" at 25.416 s, a request at 26.655 s, \"gone\" at 26.775 s); three other gateways removed it at 25.4 s.

Change: only what is missing in the first read after the outage keeps the whole delay. What is missing later is removed within the drain bound since the read before, and the next read comes early enough.

--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -30,9 +30,6 @@
 	// available again.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
-	// recoveryGrace is how long servers that are missing from the list after a
-	// store outage stay in use. Live servers register again within 2 s.
-	recoveryGrace = 2100 * time.Millisecond
 )
 
 // topicFollower reads a keyed topic: first the newest record of each key, then
@@ -187,19 +184,17 @@
 			clock.Sleep(ctx, f.backoff())
 			continue
 		}
-		if u.recovered {
-			removals.deferUntil(u.received.Add(recoveryGrace))
-		}
 		changes := decodeServers(u.records, log)
 		state.UpdateServers(func(s *fleet.Servers) {
-			removals.apply(s, changes, u.snapshot, u.received, log)
+			removals.apply(s, changes, u, bounds().DrainTime, log)
 		})
 		changed()
 		clock.Sleep(ctx, minServerInterval)
+		next := removals.untilNext(clock.Now(), serverInterval(bounds())-minServerInterval)
 		select {
 		case <-refresh:
 		case <-ctx.Done():
-		case <-time.After(serverInterval(bounds()) - minServerInterval):
+		case <-time.After(next):
 		}
 	}
 	return nil
