Don't take a refusal without a limit for the end of the limit

A refusal may come from a part of the server that doesn't state the limit, such as its queue. It ended the limit at all gateways until the next response stated it again.

TestRequestLimitOfServer has the case and failed before (\"no longer states a request limit\" once).

--- a/daemons/gateway/limits_test.go
+++ b/daemons/gateway/limits_test.go
@@ -48,6 +48,15 @@
 	require.LessOrEqual(t, float64(maxInWindow(arrivals)), limitTolerance*perSecond*limitWindow.Seconds()+limitExtra)
 	require.GreaterOrEqual(t, float64(len(arrivals)), perSecond, "the server takes some requests")
 
+	// A refusal without a limit, before which nothing ran, doesn't end it.
+	limited.SetBehaviours(platformtest.AtCapacity)
+	seen := len(limited.Arrivals())
+	f.eventually(func() bool {
+		require.Equal(t, 200, f.send(http.MethodGet, lookupPath, "c").status)
+		return len(limited.Arrivals()) > seen
+	})
+	require.Zero(t, f.countLogs("no longer states a request limit"))
+
 	limited.SetRequestLimit(0)
 	before := len(arrivals)
 	f.eventually(func() bool {
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -11,8 +11,12 @@
 )
 
 // recordRequestLimit records the request limit in a response, or that it has none.
-// sentAt is when the request was sent.
+// sentAt is when the request was sent. A refusal without a limit says nothing, because
+// what refuses a request may not be what states the limit.
 func (s *service) recordRequestLimit(sentAt time.Time, server string, h platform.ResponseHeader) {
+	if h.NotExecuted && !h.HasRequestLimit {
+		return
+	}
 	now := clock.Now()
 	statement := requestlimit.Statement{Limited: h.HasRequestLimit, Rate: h.RequestLimit, At: now}
 	if !h.HasRequestLimit {
