Answer 502 to a suspect that is refused after its server crashed

What callers would see: 422, which blames them, for a request whose first server crashed and whose retry is refused. Cause: the status of a refused suspect was only adjusted for requests that did not run; since the check before each send there are others.

Change: 502, because the request may have run.

TestSuspectWaitsForCrashCheckBeforeRetry fails before (422 instead of 502), and with the wait switched off (both servers crash).

--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -140,6 +140,23 @@
 	return crashed
 }
 
+// Guards against a retry that crashes the next server before the crash of the first one
+// is known.
+func TestSuspectWaitsForCrashCheckBeforeRetry(t *testing.T) {
+	s, other := platformtest.NewServer("s1"), platformtest.NewServer("s2")
+	defer s.Close()
+	defer other.Close()
+	s.CrashOnPromptPart("bad")
+	other.CrashOnPromptPart("bad")
+	f := newModelFixture(t, s, other)
+	bad := []quarantine.Feature{{Service: platformtest.ModelService, Kind: quarantine.PromptPart, ID: "bad"}}
+	f.gateway.crashes.recordCrash(bad, "first")
+	f.gateway.crashes.recordCrash(bad, "second")
+	resp := f.send(http.MethodPost, streamPath, "a1", platformtest.WithPrompt("bad", "own"))
+	require.Equal(t, http.StatusBadGateway, resp.status, "it may have run")
+	require.NotEqual(t, s.Crashed(), other.Crashed(), "only one server has crashed")
+}
+
 // newModelFixture starts a gateway whose model service has the given servers.
 func newModelFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
 	t.Helper()
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -199,7 +199,7 @@
 		// A request that crashes its backend servers is still well-formed, so a
 		// 4xx status, which blames the caller, would be wrong.
 		return http.StatusServiceUnavailable
-	case !notRun && impliesNotRun(status):
+	case !notRun && (impliesNotRun(status) || err.Kind == errkind.SuspectRequest):
 		return http.StatusBadGateway
 	default:
 		return status
