Log what made a stream late and where it waited

The line now has the wait at the server that sent the first event, the longest gap between two events for the caller, after how many events it came, and which objective was missed first.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -117,6 +117,7 @@
 	})
 	placed := clock.Now()
 	r.trace.waited += placed.Sub(startedAt)
+	r.trace.placedAt = placed
 	if err != nil {
 		return withContextCause(ctx, err)
 	}
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -122,7 +122,9 @@
 		Str("organisation", r.organisation).Int("priority", r.priority).
 		Strs("servers", t.servers).Int("sent", t.sent).Dur("waited_ms", t.waited)
 	if t.timeToFirstEvent > 0 {
-		line.Dur("first_event_ms", t.timeToFirstEvent).Int("events", t.events)
+		line.Dur("first_event_ms", t.timeToFirstEvent).Dur("server_wait_ms", t.serverWait).Int("events", t.events).
+			Dur("longest_gap_ms", t.longestGap).Int("longest_gap_after", t.longestGapAfter).
+			Str("late_by", t.lateBy(r.route.LatencyObjective, r.route.EventGapObjective))
 	}
 }
 
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -216,7 +216,7 @@
 		x.svc.recordEventGap(now, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
-	x.r.trace.events = x.out.progress.Events()
+	x.r.trace.recordEvents(now, x.out.progress.Events())
 	x.recordEvents(accepted)
 	watch.progress()
 	x.startEventStream(resp)
@@ -241,6 +241,7 @@
 func (x *exchange) startEventStream(resp *http.Response) {
 	if x.r.trace.timeToFirstEvent == 0 {
 		x.r.trace.timeToFirstEvent = clock.Now().Sub(x.r.arrived)
+		x.r.trace.serverWait = clock.Now().Sub(x.r.trace.placedAt)
 		x.g.metrics.ObserveFirstByte(x.r.labels(), x.r.trace.timeToFirstEvent)
 	}
 	if x.out.started {
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -73,6 +73,16 @@
 	waited           time.Duration
 	timeToFirstEvent time.Duration
 	events           int
+	// serverWait is the time from the placement at the server that sent the first
+	// event to that event. It includes the queue of the server.
+	serverWait time.Duration
+	// placedAt is when the last attempt got its server, lastEventAt when the caller
+	// last got an event, and longestGap the longest time between two events, after
+	// which longestGapAfter events had arrived.
+	placedAt        time.Time
+	lastEventAt     time.Time
+	longestGap      time.Duration
+	longestGapAfter int
 	// noRetryReason is why the last failed attempt was not retried.
 	noRetryReason retry.Reason
 	outcome       string
@@ -81,6 +91,27 @@
 	mayHaveRun bool
 }
 
+// recordEvents records that events arrived for the caller, which has got total events
+// with them.
+func (t *trace) recordEvents(now time.Time, total int) {
+	if gap := now.Sub(t.lastEventAt); !t.lastEventAt.IsZero() && gap > t.longestGap {
+		t.longestGap, t.longestGapAfter = gap, t.events
+	}
+	t.lastEventAt, t.events = now, total
+}
+
+// lateBy returns what made a stream late: "first_event", "gap", or "" if it is in time.
+func (t *trace) lateBy(firstObjective, gapObjective time.Duration) string {
+	switch {
+	case firstObjective > 0 && t.timeToFirstEvent > firstObjective:
+		return "first_event"
+	case gapObjective > 0 && t.longestGap > gapObjective:
+		return "gap"
+	default:
+		return ""
+	}
+}
+
 // labels returns the metric labels of the request.
 func (r *request) labels() telemetry.RequestLabels {
 	return telemetry.RequestLabels{Organisation: r.organisation, Class: className(r.priority), Service: r.service}
