Never write an error response into the middle of a stream

Cause: relay only rejected responses of status 300 and above once the response had started; any other response that is no event stream went to relayBuffered, which writes its header and body. Such a response now fails the attempt, and the connection to the caller is aborted if no further server continues the stream.

In entry a response that has started is never retried, so it can't happen there.

--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -83,10 +83,13 @@
 	if success && !x.response.Signed {
 		return errkind.New(errkind.BackendFailed, "response with status %d has no signature", resp.StatusCode)
 	}
-	if x.out.started && !success {
-		return errkind.New(errkind.BackendFailed, "status %d instead of the rest of a stream", resp.StatusCode)
+	isStream := success && x.r.route.Kind == fleet.Streaming && isEventStream(resp.Header)
+	if x.out.started && !isStream {
+		// Nothing of such a response may be written into the stream.
+		return errkind.New(errkind.BackendFailed, "status %d with content type %q instead of the rest of a stream",
+			resp.StatusCode, resp.Header.Get("Content-Type"))
 	}
-	if success && x.r.route.Kind == fleet.Streaming && isEventStream(resp.Header) {
+	if isStream {
 		return x.relayEvents(resp, watch)
 	}
 	return x.relayBuffered(resp, watch)
