Send no attempt once the caller has disconnected

Cause: a non-idempotent request must not be cancelled while a server may run it, so its context doesn't end with the caller. The same context also covered the wait for a slot, the wait before a retry and the dial. These now use a context that ends when the caller disconnects, for all kinds of routes.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -38,6 +38,8 @@
 	ctx, cancel := r.context(r.arrived)
 	defer cancel()
 	defer context.AfterFunc(g.abortCtx, cancel)()
+	waitCtx, cancelWait := r.waitContext(ctx)
+	defer cancelWait()
 	r.lost = lostRequest{id: r.call.AttemptID, fingerprint: r.fingerprint(), promptParts: r.call.SharedPromptParts}
 	r.features = r.lost.features()
 	if err := g.crashes.check(r.features); err != nil {
@@ -47,7 +49,7 @@
 	svc.recordFirstAttempt()
 	for {
 		r.trace.attempts++
-		err := g.attempt(ctx, r, svc, out)
+		err := g.attempt(ctx, waitCtx, r, svc, out)
 		if err == nil {
 			return nil
 		}
@@ -66,8 +68,8 @@
 		}
 		r.logFailedAttempt(g, err, d)
 		g.metrics.AddToCounter("retries", 1)
-		if !clock.Sleep(ctx, d.Delay) || !g.awaitCrashCheck(ctx, r) {
-			return withContextCause(ctx, err)
+		if !clock.Sleep(waitCtx, d.Delay) || !g.awaitCrashCheck(waitCtx, r) {
+			return withContextCause(waitCtx, err)
 		}
 	}
 }
@@ -101,14 +103,15 @@
 	return &e
 }
 
-// attempt waits for a slot and sends the request to one backend server.
-func (g *Gateway) attempt(ctx context.Context, r *request, svc *service, out *responseWriter) error {
+// attempt waits for a slot and sends the request to one backend server. waitCtx ends
+// when the request must not be sent any more.
+func (g *Gateway) attempt(ctx, waitCtx context.Context, r *request, svc *service, out *responseWriter) error {
 	startedAt := clock.Now()
 	if left := r.timeLeft(startedAt); !svc.canFinish(startedAt, r.eventsLeft(out), r.route.EventGapObjective, left) {
 		return errkind.New(errkind.DeadlineUnreachable, "%d events take longer than %s at the current rate",
 			r.eventsLeft(out), left).WithRetryAfter(slowStreamRetryAfter)
 	}
-	id, err := svc.acquire(ctx, placement.Request[*waiter]{
+	id, err := svc.acquire(waitCtx, placement.Request[*waiter]{
 		Class:        className(r.priority),
 		Organisation: r.organisation,
 		Cost:         r.cost(),
@@ -119,7 +122,7 @@
 	r.trace.waited += placed.Sub(startedAt)
 	r.trace.placedAt = placed
 	if err != nil {
-		return withContextCause(ctx, err)
+		return withContextCause(waitCtx, err)
 	}
 	if err := g.crashes.check(r.features); err != nil {
 		svc.release(placed, attemptResult{server: id, err: errkind.Of(err), notServerFault: true})
@@ -135,11 +138,11 @@
 		return notSentError(errors.New("the server is no longer registered"))
 	}
 	x.server = server
-	err = x.run(ctx)
+	err = x.run(ctx, waitCtx)
 	res := x.result(err)
 	svc.release(clock.Now(), res)
 	if err != nil {
-		return withContextCause(ctx, err)
+		return withContextCause(waitCtx, err)
 	}
 	return nil
 }
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -46,13 +46,24 @@
 	groupDown   bool
 }
 
-// run sends the request and relays the response. The error states whether the
-// request may have run.
-func (x *exchange) run(ctx context.Context) error {
-	conn, err := x.g.pool.Get(ctx, x.server.Address, x.maxReuseAge())
+// run sends the request and relays the response. waitCtx ends before ctx if the caller
+// disconnects; the request is not sent then. The error states whether the request may
+// have run.
+func (x *exchange) run(ctx, waitCtx context.Context) error {
+	conn, err := x.g.pool.Get(waitCtx, x.server.Address, x.maxReuseAge())
+	if err == nil && conn.LastID() == x.r.call.AttemptID {
+		// The server may repeat its last response, which could not be told from the
+		// response to this attempt.
+		conn.Close()
+		conn, err = x.g.pool.Get(waitCtx, x.server.Address, 0)
+	}
 	if err != nil {
 		return notSentError(err)
 	}
+	if waitCtx.Err() != nil {
+		conn.Close()
+		return notSentError(context.Cause(waitCtx))
+	}
 	x.ctx, x.conn = ctx, conn
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
@@ -95,6 +106,7 @@
 
 func (x *exchange) upstreamRequest() *upstream.Request {
 	return &upstream.Request{
+		ID:     x.r.call.AttemptID,
 		Method: x.r.http.Method,
 		Target: x.r.target(),
 		Host:   x.r.http.Host,
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -253,3 +253,15 @@
 	}
 	return context.WithTimeoutCause(parent, r.timeLeft(now), errDeadline)
 }
+
+// waitContext returns a context that ends with ctx and when the caller disconnects. No
+// request may be sent after that: its caller no longer waits for it, and may have sent it
+// again elsewhere.
+func (r *request) waitContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.http.Context(), cancel)
+	return waitCtx, func() {
+		stop()
+		cancel()
+	}
+}
--- a/daemons/gateway/upstream/conn.go
+++ b/daemons/gateway/upstream/conn.go
@@ -30,6 +30,8 @@
 
 // Request is a request to a backend server.
 type Request struct {
+	// ID identifies the request on its connection; see Conn.LastID.
+	ID     string
 	Method string
 	// Target is the path and query exactly as sent by the caller.
 	Target string
@@ -51,6 +53,7 @@
 	// reused means that the connection carried an earlier request.
 	reused bool
 	sent   bool
+	lastID string
 }
 
 func newConn(address string, conn net.Conn) *Conn {
@@ -91,9 +94,12 @@
 // Reused reports whether the connection carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// LastID returns the ID of the last request on the connection, or an empty string.
+func (c *Conn) LastID() string { return c.lastID }
+
 // Send writes a request.
 func (c *Conn) Send(r *Request) error {
-	c.sent = true
+	c.sent, c.lastID = true, r.ID
 	w := c.writer
 	// bufio.Writer keeps its first error and returns it from Flush.
 	_, _ = w.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
