Don't take a repeated refusal for the response to the next request

What callers saw: 'not run, try again' for a request that its server was running (REFUSED), or the request ran at a second server (TWICE).

Cause: the gateway accepted a response without an attempt ID if its status was 300 or higher, also on a connection that had carried other requests. It now does so only for the first response of a connection.

Evidence: TestRepeatedRefusalOnKeptConnection fails on (503 for a request that ran) and passes with the change. TestRepeatedRefusalOfSameRequest, for a refusal with the ID of the same request, did not fail before.

--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -131,11 +131,12 @@
 
 // matchesRequest reports whether a response belongs to this request. A response
 // without an attempt ID is accepted only if its status is 300 or higher, because
-// refusals may lack it.
+// refusals may lack it, and only if it is the first one of its connection: a later one
+// may be a refusal of an earlier request that the server has repeated.
 func (x *exchange) matchesRequest(resp *http.Response) bool {
 	header := platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
 	if header.AttemptID == "" {
-		return resp.StatusCode >= http.StatusMultipleChoices
+		return resp.StatusCode >= http.StatusMultipleChoices && !x.conn.Reused()
 	}
 	return header.AttemptID == x.r.call.AttemptID
 }
