Limit the requests of a rank group by its longest passes

Cause: the batch limit was an integer for each server, from a factor smoothed over the gaps of all groups together, which was bounded by 2 and scaled the whole pass. It allowed as many requests as were in time on average, so the streams that met the longer passes of the next seconds were late, and that is most streams.

Change: the limit counts the requests of a group over all gateways and is measured for each group. The factor scales what a request adds to a pass. The limit follows the long passes, two mean deviations above the mean, and the highest value of the last 5 s, because mixes of requests that no map fits yet return every few seconds.

The late share of a server's capacity is 0.45 instead of 0.5: the limit isn't rounded down for each server any more.

--- a/balance/placement/batch_limit.go
+++ b/balance/placement/batch_limit.go
@@ -1,25 +1,44 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// factorSmoothing is the weight of one gap in the measured factor.
 	factorSmoothing = 0.03
 	// initialFactor is the factor before the first gap. A group that has just formed has
 	// an unbalanced expert map.
-	initialFactor = 1.25
-	// minFactor and maxFactor bound the measured factor.
-	minFactor = 1.0
-	maxFactor = 2.0
+	initialFactor = 1.4
+	// maxFactor bounds the measured factor. A rank with four times the mean load of the
+	// experts makes a request cost 3.6 times as much.
+	maxFactor = 4.0
+	// peakHold is how long the highest factor stays in use, and peakHalfLife the time in
+	// which it then loses half of its distance to the current one. A stream that starts
+	// now is late if the passes become too long before it ends, and mixes of requests
+	// that no expert map fits yet return every few seconds. The limit therefore follows
+	// the longest passes of the last seconds and not those of the moment.
+	peakHold     = 5 * time.Second
+	peakHalfLife = 3 * time.Second
+	// stalledGap is the gap, relative to the objective, from which a gap shows an outage
+	// or a hold instead of the load.
+	stalledGap = 3.0
+	// longPassDeviations is how many mean deviations above the mean a long pass is. A
+	// stream is late if one of its 10 to 40 passes is too long.
+	longPassDeviations = 2.0
 	// minBatchShare is the least share of the slots that stays in use. With fewer
 	// requests, steps hardly get shorter.
 	minBatchShare = 0.6
+	// minObservedLoad is the least number of requests on a server from whose passes the
+	// factor is measured.
+	minObservedLoad = 1.0
 )
 
 // BatchModel is how long an engine takes for a pass, and how long it may take.
 type BatchModel struct {
 	Slots int
-	// PassTime is the time of a pass without requests. Each request adds
+	// PassTime is the time of a pass without requests. Each request on each server adds
 	// PassTimePerRequest.
 	PassTime           time.Duration
 	PassTimePerRequest time.Duration
@@ -28,59 +47,77 @@
 	GapObjective time.Duration
 }
 
-// passTime returns the time of a pass with a number of requests.
-func (m BatchModel) passTime(requests float64) float64 {
-	return float64(m.PassTime) + requests*float64(m.PassTimePerRequest)
-}
-
-// BatchLimit limits the requests on each server so that the gaps between the events of
-// the streams stay within their objective.
+// BatchLimit limits the requests of a rank group, or of a single server, so that the gaps
+// between the events of the streams stay within their objective.
 //
-// It is designed for bursts, and for the return of a rank group whose requests have
-// queued: they would fill all slots at once. Each further request makes the passes of
-// the whole group longer, and beyond some batch size every stream misses its objective.
-// Up to that size, the same requests are nearly all in time.
+// It is designed for bursts, for the return of a rank group whose requests have queued,
+// and for groups whose expert map doesn't fit the current requests. All ranks execute
+// each pass together, so each further request makes the passes of the whole group
+// longer, and beyond some number every stream misses its objective. Up to that number,
+// the same requests are nearly all in time.
 //
-// The zero value has no limit. A BatchLimit isn't safe for concurrent use.
+// A BatchLimit isn't safe for concurrent use.
 type BatchLimit struct {
-	model BatchModel
-	// factor is the smoothed time of a pass relative to the model, which knows neither
-	// prompts nor the loads of the experts.
-	factor float64
+	// factor is the smoothed time that a request adds to a pass, relative to the model,
+	// which knows neither prompts nor the loads of the experts. It is 0 before the first
+	// gap. deviation is the smoothed absolute deviation from it.
+	factor    float64
+	deviation float64
+	// peak is the highest factor of a long pass, last reached at peakAt.
+	peak   float64
+	peakAt time.Time
 }
 
-// SetModel replaces the model. The measured factor stays.
-func (l *BatchLimit) SetModel(m BatchModel) { l.model = m }
-
-// Observe records a gap between two events of a stream, while each server had the given
-// mean number of requests.
-func (l *BatchLimit) Observe(gap time.Duration, requests float64) {
-	expected := l.model.passTime(min(requests, float64(l.model.Slots)))
-	if expected <= 0 {
+// Observe records a gap between two events of a stream, while each server of the group had
+// the given mean number of requests.
+func (l *BatchLimit) Observe(now time.Time, m BatchModel, gap time.Duration, requests float64) {
+	requests = min(requests, float64(m.Slots))
+	if m.PassTimePerRequest <= 0 || requests < minObservedLoad || float64(gap) > stalledGap*float64(m.GapObjective) {
 		return
 	}
-	observed := min(max(float64(gap)/expected, minFactor), maxFactor)
-	l.factor = l.currentFactor() + factorSmoothing*(observed-l.currentFactor())
+	observed := float64(gap-m.PassTime) / (requests * float64(m.PassTimePerRequest))
+	observed = min(max(observed, 0), maxFactor)
+	if l.factor == 0 {
+		l.factor = initialFactor
+	}
+	difference := observed - l.factor
+	l.factor += factorSmoothing * difference
+	l.deviation += factorSmoothing * (math.Abs(difference) - l.deviation)
+	if long := l.longPass(); long >= l.currentPeak(now) {
+		l.peak, l.peakAt = long, now
+	}
 }
 
-func (l *BatchLimit) currentFactor() float64 {
+// longPass returns the current factor of a long pass.
+func (l *BatchLimit) longPass() float64 {
 	if l.factor == 0 {
 		return initialFactor
 	}
-	return l.factor
+	return l.factor + longPassDeviations*l.deviation
+}
+
+// currentPeak returns the factor of the long passes of the last seconds.
+func (l *BatchLimit) currentPeak(now time.Time) float64 {
+	current, age := l.longPass(), now.Sub(l.peakAt)
+	switch {
+	case l.peak <= current:
+		return current
+	case age <= peakHold:
+		return l.peak
+	default:
+		return current + (l.peak-current)*remaining(age-peakHold, peakHalfLife)
+	}
 }
 
-// Requests returns the number of requests that each server may have, or 0 for no limit.
-func (l *BatchLimit) Requests() int {
-	m := l.model
+// Requests returns the mean number of requests that the servers of the group may have, or
+// 0 for no limit but their slots.
+func (l *BatchLimit) Requests(now time.Time, m BatchModel) float64 {
 	if m.Slots == 0 || m.PassTimePerRequest <= 0 || m.GapObjective <= 0 {
 		return 0
 	}
-	pass := float64(m.GapObjective) / l.currentFactor()
-	fitting := int((pass - float64(m.PassTime)) / float64(m.PassTimePerRequest))
-	least := int(minBatchShare*float64(m.Slots) + 0.5)
-	if fitting >= m.Slots {
+	fitting := float64(m.GapObjective-m.PassTime) / (float64(m.PassTimePerRequest) * l.currentPeak(now))
+	if fitting >= float64(m.Slots) {
 		return 0
 	}
-	return max(fitting, least)
+	return max(fitting, minBatchShare*float64(m.Slots))
 }
--- a/balance/placement/batch_limit_test.go
+++ b/balance/placement/batch_limit_test.go
@@ -20,14 +20,20 @@
 // Passes take factor times as long as the model says.
 func burst(limit *placement.BatchLimit, factor float64) (streams, inTime float64) {
 	const passes = 2000
+	now := time.Unix(0, 0)
 	for range passes {
-		n := limit.Requests()
-		if n == 0 {
-			n = engine.Slots
+		n := float64(engine.Slots)
+		if limit != nil {
+			if requests := limit.Requests(now, engine); requests > 0 {
+				n = requests
+			}
 		}
-		pass := time.Duration(factor * float64(engine.PassTime+time.Duration(n)*engine.PassTimePerRequest))
-		limit.Observe(pass, float64(n))
-		streams += float64(n) / passes
+		pass := time.Duration(factor * (float64(engine.PassTime) + n*float64(engine.PassTimePerRequest)))
+		now = now.Add(pass)
+		if limit != nil {
+			limit.Observe(now, engine, pass, n)
+		}
+		streams += n / passes
 		if pass <= engine.GapObjective {
 			inTime += 1.0 / passes
 		}
@@ -38,12 +44,9 @@
 // Guards against a burst whose streams are all late because they fill all slots,
 // although most of them would be in time in a smaller batch.
 func TestBatchLimitKeepsBurstInTime(t *testing.T) {
-	unlimited := &placement.BatchLimit{}
-	_, inTime := burst(unlimited, 1.2)
+	_, inTime := burst(nil, 1.2)
 	require.Zero(t, inTime)
-	limited := &placement.BatchLimit{}
-	limited.SetModel(engine)
-	streams, inTime := burst(limited, 1.2)
+	streams, inTime := burst(&placement.BatchLimit{}, 1.2)
 	require.Greater(t, inTime, 0.95)
 	require.Greater(t, streams, 0.65*float64(engine.Slots))
 }
@@ -54,17 +57,17 @@
 	limit := &placement.BatchLimit{}
 	m := engine
 	m.GapObjective = 180 * time.Millisecond
-	limit.SetModel(m)
-	limit.Observe(800*time.Millisecond, 4)
-	require.Zero(t, limit.Requests())
-	limit.SetModel(placement.BatchModel{Slots: 6})
-	require.Zero(t, limit.Requests(), "a service without streams")
+	now := time.Unix(0, 0)
+	limit.Observe(now, m, 500*time.Millisecond, 4)
+	limit.Observe(now, m, 800*time.Millisecond, 4)
+	require.Zero(t, limit.Requests(now, m))
+	require.Zero(t, limit.Requests(now, placement.BatchModel{Slots: 6}), "a service without streams")
 }
 
 // Guards against a group with a slow rank that serves next to nothing.
 func TestBatchLimitOfSlowGroup(t *testing.T) {
-	limit := &placement.BatchLimit{}
-	limit.SetModel(engine)
-	streams, _ := burst(limit, 12)
-	require.GreaterOrEqual(t, streams, 0.55*float64(engine.Slots))
+	for _, factor := range []float64{2.5, 12} {
+		streams, _ := burst(&placement.BatchLimit{}, factor)
+		require.GreaterOrEqual(t, streams, 0.55*float64(engine.Slots))
+	}
 }
--- a/balance/placement/capacity.go
+++ b/balance/placement/capacity.go
@@ -12,27 +12,71 @@
 	spareSlot
 )
 
-// MeanLoad returns the mean number of requests in flight on a listed server.
-func (s *Scheduler[T]) MeanLoad() float64 {
-	inFlight, _ := s.TotalLoad()
-	return float64(inFlight) / float64(max(len(s.serverIDs), 1))
+// batch is the servers that execute their passes together: a rank group, or one server
+// without a group.
+type batch struct {
+	servers  int
+	inFlight int
 }
 
-// SetBatchLimit limits the requests on each server; 0 means no limit but its slots.
-func (s *Scheduler[T]) SetBatchLimit(requests int) { s.batchLimit = requests }
+// BatchKey identifies the batch of a server by its group and its ID.
+func BatchKey(group, id string) string {
+	if group == "" {
+		return id
+	}
+	return group
+}
 
-// hasCapacity reports whether a server has the needed capacity.
-func (s *Scheduler[T]) hasCapacity(c *server, need capacityNeed) bool {
-	limit := c.Slots + s.config.ServerQueueDepth
-	if s.batchLimit > 0 && s.batchLimit < c.Slots {
-		limit = s.batchLimit
+func (c *server) batchKey() string { return BatchKey(c.Group, c.ID) }
+
+// batches returns the batches of the listed servers by key.
+func (s *Scheduler[T]) batches() map[string]batch {
+	out := make(map[string]batch)
+	for _, id := range s.serverIDs {
+		c := s.servers[id]
+		b := out[c.batchKey()]
+		b.servers++
+		b.inFlight += c.inFlight()
+		out[c.batchKey()] = b
+	}
+	return out
+}
+
+// MeanLoads returns the mean number of requests in flight on the servers of each batch.
+func (s *Scheduler[T]) MeanLoads() map[string]float64 {
+	out := make(map[string]float64)
+	for key, b := range s.batches() {
+		out[key] = float64(b.inFlight) / float64(b.servers)
+	}
+	return out
+}
+
+// SetBatchLimit limits the mean number of requests on the servers of a batch; 0 means no
+// limit but their slots.
+func (s *Scheduler[T]) SetBatchLimit(key string, requests float64) {
+	if requests > 0 {
+		s.batchLimits[key] = requests
+		return
 	}
-	switch need {
-	case anyLoad:
+	delete(s.batchLimits, key)
+}
+
+// hasCapacity reports whether a server has the needed capacity.
+func (s *Scheduler[T]) hasCapacity(c *server, batches map[string]batch, need capacityNeed) bool {
+	if need == anyLoad {
 		return true
-	case spareSlot:
-		return c.inFlight() < max(int(lateShare*float64(limit)), 1)
-	default:
-		return c.inFlight() < limit
 	}
+	share, own := 1.0, c.Slots+s.config.ServerQueueDepth
+	limit, limited := s.batchLimits[c.batchKey()]
+	if limited {
+		own = c.Slots
+	}
+	if need == spareSlot {
+		share, own = lateShare, max(int(lateShare*float64(own)), 1)
+	}
+	if c.inFlight() >= own {
+		return false
+	}
+	b := batches[c.batchKey()]
+	return !limited || float64(b.inFlight+1) <= max(share*limit*float64(b.servers), 1)
 }
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -13,7 +13,7 @@
 	maxLateWait = 1700 * time.Millisecond
 	// lateShare is the fraction of a server's capacity up to which it gets late
 	// requests.
-	lateShare = 0.5
+	lateShare = 0.45
 )
 
 // Requests that are queued during the outage of a rank group become late: they have
--- a/balance/placement/late_test.go
+++ b/balance/placement/late_test.go
@@ -41,7 +41,7 @@
 		servers[i].Group = "g"
 	}
 	s.SetServers(servers)
-	s.SetBatchLimit(9)
+	s.SetBatchLimit("g", 9)
 	g := &groupReturn{
 		scheduler: s, waits: make(map[int]time.Duration), refused: make(map[int]bool), ends: make(map[int]runningRequest),
 	}
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -13,6 +13,7 @@
 package placement
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -127,9 +128,9 @@
 	// gateways; startRate is the rate at which this gateway starts requests.
 	peerStaleness time.Duration
 	startRate     decayingRate
-	// batchLimit is the number of requests that a server may have, or 0 for its slots
-	// and the depth of its queue.
-	batchLimit int
+	// batchLimits holds the mean number of requests that the servers of a batch may have,
+	// by batch. The others may use their slots and the depth of their queue.
+	batchLimits map[string]float64
 	// meanCost and meanDuration are moving averages over finished requests.
 	meanCost     float64
 	meanDuration time.Duration
@@ -142,8 +143,10 @@
 		rng:     rng,
 		servers: make(map[string]*server),
 		outages: make(map[string]*outage),
-		queue:   fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
-		late:    fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
+
+		batchLimits: make(map[string]float64),
+		queue:       fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
+		late:        fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
 	}
 }
 
@@ -168,6 +171,8 @@
 			delete(s.servers, id)
 		}
 	}
+	batches := s.batches()
+	maps.DeleteFunc(s.batchLimits, func(key string, _ float64) bool { return batches[key].servers == 0 })
 }
 
 // SetPeerLoad sets the requests in flight of all other gateways on each server.
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -216,7 +216,7 @@
 	}
 	now := clock.Now()
 	if !x.lastEventAt.IsZero() {
-		x.svc.recordEventGap(now, now.Sub(x.lastEventAt))
+		x.svc.recordEventGap(now, x.server.ID, now.Sub(x.lastEventAt))
 	}
 	x.lastEventAt = now
 	x.r.trace.recordEvents(now, x.out.progress.Events())
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -94,14 +95,17 @@
 	lastProgressAt time.Time
 	// eventGaps tracks the times between the events of this gateway's streams.
 	eventGaps placement.EventGaps
-	// batchLimit limits the requests on each server by these times.
-	batchLimit placement.BatchLimit
+	// batchLimits limits the requests of each batch of servers by these times, and
+	// batchModel is the performance of their engines.
+	batchLimits map[string]*placement.BatchLimit
+	batchModel  placement.BatchModel
 	// requestLimits holds the request limits that servers state.
 	requestLimits *requestlimit.Table
 	// paced means that the scheduler may have the pace of a limit.
 	paced bool
-	// meanLoad is the mean number of requests on a server at the last load report.
-	meanLoad float64
+	// meanLoads is the mean number of requests on the servers of each batch at the last
+	// load report.
+	meanLoads map[string]float64
 	// meanTimeToFirstOutput is the moving average of the time to the first part
 	// of a response.
 	meanTimeToFirstOutput time.Duration
@@ -131,6 +135,7 @@
 		rng:      rng,
 
 		requestLimits: requestlimit.New(),
+		batchLimits:   make(map[string]*placement.BatchLimit),
 	}
 }
 
@@ -176,6 +181,12 @@
 		})
 	}
 	s.scheduler.SetServers(kept)
+	s.meanLoads = s.scheduler.MeanLoads()
+	maps.DeleteFunc(s.batchLimits, func(key string, _ *placement.BatchLimit) bool {
+		_, listed := s.meanLoads[key]
+		return !listed
+	})
+	s.setBatchLimits(now)
 	s.retainRequestLimits(now)
 	s.deliver(s.scheduler.Dispatch(now))
 }
@@ -187,7 +198,8 @@
 	defer s.mu.Unlock()
 	s.scheduler.SetPeerLoad(func(id string) int { return load[loadshare.ServerKeyOf(id)] })
 	s.scheduler.SetPeerStaleness(staleness)
-	s.meanLoad = s.scheduler.MeanLoad()
+	s.meanLoads = s.scheduler.MeanLoads()
+	s.setBatchLimits(now)
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
@@ -308,28 +320,46 @@
 	}
 }
 
-// recordEventGap records the time between two events of a stream.
-func (s *service) recordEventGap(now time.Time, gap time.Duration) {
+// recordEventGap records the time between two events of a stream of a server.
+func (s *service) recordEventGap(now time.Time, server string, gap time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.eventGaps.Observe(now, gap)
-	s.batchLimit.Observe(gap, s.meanLoad)
-	s.scheduler.SetBatchLimit(s.batchLimit.Requests())
+	key := placement.BatchKey(s.groupByServer[server], server)
+	limit, ok := s.batchLimits[key]
+	if !ok {
+		limit = &placement.BatchLimit{}
+		s.batchLimits[key] = limit
+	}
+	limit.Observe(now, s.batchModel, gap, s.meanLoads[key])
+	s.scheduler.SetBatchLimit(key, limit.Requests(now, s.batchModel))
+}
+
+// setBatchLimits updates the limits of all batches, which change with time as well.
+func (s *service) setBatchLimits(now time.Time) {
+	var unmeasured placement.BatchLimit
+	for key := range s.meanLoads {
+		limit, ok := s.batchLimits[key]
+		if !ok {
+			limit = &unmeasured
+		}
+		s.scheduler.SetBatchLimit(key, limit.Requests(now, s.batchModel))
+	}
 }
 
 // setEngine replaces the performance of the engines and the objective for the time
 // between two events of a stream.
-func (s *service) setEngine(e *fleet.Engine, gapObjective time.Duration) {
+func (s *service) setEngine(now time.Time, e *fleet.Engine, gapObjective time.Duration) {
 	if e == nil {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	steps := time.Duration(e.StepsPerPass)
-	s.batchLimit.SetModel(placement.BatchModel{
+	s.batchModel = placement.BatchModel{
 		Slots: e.Slots, PassTime: steps * e.StepTime, PassTimePerRequest: steps * e.StepTimePerRequest, GapObjective: gapObjective,
-	})
-	s.scheduler.SetBatchLimit(s.batchLimit.Requests())
+	}
+	s.setBatchLimits(now)
 }
 
 // canFinish reports whether a stream with this many remaining events can finish
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -154,6 +154,6 @@
 // setEngineOf updates the engine of a service from the configuration.
 func (s *service) setEngineOf(state *ClusterState) {
 	if index := state.Index(); index != nil {
-		s.setEngine(index.Config.Services[s.name].Engine, index.Config.EventGapObjective(s.name))
+		s.setEngine(clock.Now(), index.Config.Services[s.name].Engine, index.Config.EventGapObjective(s.name))
 	}
 }
