Never reuse a connection from the sidecar to its backend server

Cause: idempotent calls shared kept connections, and the local backend server states no ID by which its responses could be told apart. All calls now use a connection of their own, as those of non-idempotent calls did. A connection to the same instance costs little.

Evidence: TestRepeatedRefusalReachesNoOtherCall fails before the change (503 instead of 200 for the second call). TestTruncatedHeadIsNoResponse passes before and after it: a head that breaks off is no response in the sidecar either.

TestCallUsesItsOwnConnection replaces TestNonIdempotentCallUsesItsOwnConnection: it counts the connections of both kinds of calls instead of reading a field of the client.

--- a/daemons/sidecar/backend.go
+++ b/daemons/sidecar/backend.go
@@ -16,9 +16,8 @@
 // backendClient sends calls to the local backend server. It is safe for
 // concurrent use.
 type backendClient struct {
-	baseURL         *url.URL
-	pooledClient    *http.Client
-	singleUseClient *http.Client
+	baseURL *url.URL
+	client  *http.Client
 }
 
 func newBackendClient(base string) (*backendClient, error) {
@@ -26,20 +25,19 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidSettings, err, "invalid backend URL")
 	}
-	return &backendClient{baseURL: u, pooledClient: newHTTPClient(false), singleUseClient: newHTTPClient(true)}, nil
+	return &backendClient{baseURL: u, client: newHTTPClient()}, nil
 }
 
-// newHTTPClient returns a client that does not follow redirects. With singleUse,
-// each call uses a new connection, because http.Transport retries a request with
-// an Idempotency-Key header when a reused connection breaks.
-func newHTTPClient(singleUse bool) *http.Client {
-	transport := &http.Transport{
-		DisableKeepAlives:   singleUse,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-	}
+// newHTTPClient returns a client that does not follow redirects. Each call uses a new
+// connection: http.Transport retries a request with an Idempotency-Key header when a
+// reused connection breaks, and a backend server may write the response to an earlier
+// call once more, which can't be told from the response to the next call.
+func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport:     transport,
+		// DisableKeepAlives would add "Connection: close" to the requests. A server of
+		// net/http then doesn't notice the end of a connection while it hasn't read the
+		// body, and a cancelled call would go on there.
+		Transport:     &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -51,11 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := b.singleUseClient
-	if call.GetIdempotent() {
-		client = b.pooledClient
-	}
-	resp, err := client.Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		return nil, backendError(ctx, err)
 	}
--- /dev/null
+++ b/daemons/sidecar/backend_test.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/serve/stream"
+)
+
+// rawBackend is a backend server that writes arbitrary bytes: the responses to the
+// requests of a connection, in order. It closes the connection after the last one.
+func rawBackend(t *testing.T, responses ...string) (url string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for _, response := range responses {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = fmt.Fprint(conn, response)
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// answer runs a call and returns the status and the body of its response.
+func (f *fixture) answer(t *testing.T, call *pb.CallRequest) (status int32, body string, r *stream.Receiver) {
+	t.Helper()
+	in, err := f.client.Call(t.Context(), connect.NewRequest(call))
+	require.NoError(t, err)
+	defer func() { _ = in.Close() }()
+	r = newReceiver(call.GetId().GetRequestId())
+	for !r.Finished() && in.Receive() {
+		for _, c := range r.Receive(time.Now(), in.Msg()) {
+			if c.GetHead() != nil {
+				status = c.GetHead().GetStatus()
+			}
+			body += string(c.GetData())
+		}
+	}
+	return status, body, r
+}
+
+// Guards against a caller that gets the refusal of an earlier call, which the backend
+// server wrote once more on a kept connection, while its own call runs.
+func TestRepeatedRefusalReachesNoOtherCall(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nrefused"
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	f := newFixtureAt(t, rawBackend(t, response, refusal+response))
+	for _, id := range []string{"r1", "r2", "r3"} {
+		status, body, _ := f.answer(t, newCall(id, true))
+		require.EqualValues(t, 200, status, id)
+		require.Equal(t, "ok", body, id)
+	}
+}
+
+// Guards against a response head that breaks off and counts as a complete response.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Type: text/plain\r\n\r\n"
+	for length := range len(head) {
+		f := newFixtureAt(t, rawBackend(t, head[:length]))
+		status, _, r := f.answer(t, newCall("r1", true))
+		require.Zero(t, status, "%q", head[:length])
+		require.Error(t, r.Err(), "%q", head[:length])
+	}
+}
--- a/daemons/sidecar/health.go
+++ b/daemons/sidecar/health.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.Internal, err, "create the health check request")
 	}
-	resp, err := b.singleUseClient.Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		return errkind.Wrap(errkind.BackendUnavailable, err, "health check failed")
 	}
--- a/daemons/sidecar/model.go
+++ b/daemons/sidecar/model.go
@@ -152,5 +152,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return b.singleUseClient.Do(req)
+	return b.client.Do(req)
 }
--- a/daemons/sidecar/server_test.go
+++ b/daemons/sidecar/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -187,12 +188,30 @@
 	require.Equal(t, int32(1), runs.Load())
 }
 
-// Guards against a reused connection for non-idempotent calls. When it breaks,
-// http.Transport retries requests with an Idempotency-Key header.
-func TestNonIdempotentCallUsesItsOwnConnection(t *testing.T) {
-	b, err := newBackendClient("http://127.0.0.1:1")
-	require.NoError(t, err)
-	require.True(t, b.singleUseClient.Transport.(*http.Transport).DisableKeepAlives)
+// Guards against a reused connection. When it breaks, http.Transport retries requests
+// with an Idempotency-Key header.
+func TestCallUsesItsOwnConnection(t *testing.T) {
+	var connections atomic.Int32
+	backend := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	backend.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	backend.Start()
+	defer backend.Close()
+	f := newFixtureAt(t, backend.URL)
+	connections.Store(0)
+	for _, id := range []string{"r1", "r2"} {
+		for _, idempotent := range []bool{true, false} {
+			call := newCall(fmt.Sprintf("%s-%t", id, idempotent), idempotent)
+			if !idempotent {
+				call.IdempotencyKey = newIdempotencyKey(t)
+			}
+			require.NoError(t, f.runToEnd(t, call).Err())
+		}
+	}
+	require.Equal(t, int32(4), connections.Load())
 }
 
 // Guards against execution status unknown for a call that the backend server did
