Send nothing to a server that states that it is leaving or wants a pause

Change: balance/statement holds what each server has stated, until the server is gone, has started again, or its pause is over. First attempts, retries, resumed streams, waiting requests and probes ask it. The last server of a service is no exception; if all want a pause that is longer than a request may wait, it is refused at once with the shortest one. The return is spread over a fifth of the pause.

--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -10,7 +10,7 @@
 func (s *Scheduler[T]) hasServer(now time.Time, exclude []string) bool {
 	return slices.ContainsFunc(s.serverIDs, func(id string) bool {
 		c := s.servers[id]
-		return !c.banned && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
+		return !c.gone() && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
 	})
 }
 
@@ -20,7 +20,7 @@
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
 		switch {
-		case c.banned || slices.Contains(exclude, id) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
+		case c.unusable(now) || slices.Contains(exclude, id) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
 		case c.avoidUntil.After(now):
 			avoided = append(avoided, c)
 		case c.cooldownUntil.After(now):
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -108,7 +108,11 @@
 	avoidUntil    time.Time
 	banned        bool
 	listed        bool
-	pace          pace
+	// leaving means that the server has stated that it is leaving, and pausedUntil until
+	// when it has stated to want no requests.
+	leaving     bool
+	pausedUntil time.Time
+	pace        pace
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -231,6 +235,9 @@
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
 	}
+	if refused, ok := s.refuseByPause(now, r); ok {
+		return nil, []Outcome[T]{refused}
+	}
 	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Exclude) {
 		return nil, []Outcome[T]{refused}
 	}
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -80,6 +80,7 @@
 	}
 	x.response = platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
 	x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
+	x.svc.recordStatements(x.server.ID, isSuccess(resp.StatusCode), x.response)
 	if x.response.NotExecuted {
 		return x.serverRefused(resp)
 	}
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -79,7 +79,7 @@
 
 // relay forwards the response to the caller.
 func (x *exchange) relay(resp *http.Response, watch *watchdog) error {
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	success := isSuccess(resp.StatusCode)
 	if success && !x.response.Signed {
 		return errkind.New(errkind.BackendFailed, "response with status %d has no signature", resp.StatusCode)
 	}
@@ -95,6 +95,8 @@
 	return x.relayBuffered(resp, watch)
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // isCloseDelimited reports whether the end of the connection is the end of the body. A
 // server that crashes ends its connections as well.
 func isCloseDelimited(resp *http.Response) bool {
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -15,6 +15,7 @@
 	"github.com/filbertmux/filbertmux/balance/membership"
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/balance/requestlimit"
+	"github.com/filbertmux/filbertmux/balance/statement"
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/infra"
@@ -99,8 +100,10 @@
 	// batchModel is the performance of their engines.
 	batchLimits map[string]*placement.BatchLimit
 	batchModel  placement.BatchModel
-	// requestLimits holds the request limits that servers state.
+	// requestLimits holds the request limits that servers state, and statements what else
+	// they state about themselves.
 	requestLimits *requestlimit.Table
+	statements    *statement.Table
 	// paced means that the scheduler may have the pace of a limit.
 	paced bool
 	// meanLoads is the mean number of requests on the servers of each batch at the last
@@ -135,6 +138,7 @@
 		rng:      rng,
 
 		requestLimits: requestlimit.New(),
+		statements:    statement.New(rng.Float64),
 		batchLimits:   make(map[string]*placement.BatchLimit),
 	}
 }
@@ -188,6 +192,7 @@
 	})
 	s.setBatchLimits(now)
 	s.retainRequestLimits(now)
+	s.retainStatements(list)
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
--- /dev/null
+++ b/daemons/gateway/statements.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/platform"
+)
+
+// recordStatements records what a server states about itself in a response. A response
+// of another server at the address, or a successful one that isn't signed, states nothing.
+func (s *service) recordStatements(server string, success bool, h platform.ResponseHeader) {
+	if h.WrongServer || success && !h.Signed {
+		return
+	}
+	if h.InvalidPause != "" {
+		s.log.Warn().Str("server", server).Str("value", h.InvalidPause).
+			Msg("backend server refuses requests for a time that can't be read")
+	}
+	if !h.Leaving && h.Pause <= 0 {
+		return
+	}
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h.Leaving && s.statements.RecordLeaving(server) {
+		s.log.Info().Str("server", server).Msg("backend server states that it is leaving; sending no more requests to it")
+	}
+	if s.statements.RecordPause(now, server, h.Pause) {
+		s.log.Info().Str("server", server).Dur("pause_ms", h.Pause).Msg("backend server wants no requests for a time")
+	}
+	s.applyStatements(server)
+}
+
+// retainStatements forgets the statements of servers that are no longer listed or have
+// started again. The caller holds the mutex.
+func (s *service) retainStatements(list []fleet.Server) {
+	started := make(map[string]int64, len(list))
+	for _, l := range list {
+		started[l.ID] = l.StartedUnixMs
+	}
+	s.statements.SetServers(started)
+	for id := range started {
+		s.applyStatements(id)
+	}
+}
+
+func (s *service) applyStatements(server string) {
+	s.scheduler.SetStated(server, s.statements.Leaving(server), s.statements.PausedUntil(server))
+}
+
+// isPaused reports whether a server wants no requests, including probes.
+func (s *service) isPaused(now time.Time, server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.PausedUntil(server).After(now)
+}
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -102,7 +102,11 @@
 	case liveness.Unresponsive:
 		return false
 	case liveness.NeedsProbe:
-		go w.probe()
+		if w.x.svc.isPaused(now, id) {
+			w.x.svc.recordProbe(now, id, nil) // it has just answered another request
+		} else {
+			go w.probe()
+		}
 	case liveness.Alive, liveness.Probing:
 	}
 	return true
