--- a/daemons/gateway/upstream/upstream_test.go
+++ b/daemons/gateway/upstream/upstream_test.go
@@ -139,7 +139,11 @@
 				return
 			}
 			_, _ = c.Read(make([]byte, 1024))
-			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n")
+			header := http.Header{"Content-Length": {"0"}}
+			platformtest.WithAttempt("a")(header)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			_ = header.Write(c)
+			_, _ = io.WriteString(c, "\r\n")
 			time.Sleep(10 * time.Millisecond)
 			_ = c.Close()
 		}
