Give each link of the scenarios a loopback address of its own

Cause: a link in mode refuse closes its listener and opens it again at the same address, and another socket of the machine had taken the port on 127.0.0.1 meanwhile. Links now listen on addresses that nothing else uses.

Evidence: TestLinkKeepsItsAddress takes the port on 127.0.0.1 during mode refuse; with the old address the link can't listen again.

--- a/measure/scenarios/link_test.go
+++ b/measure/scenarios/link_test.go
@@ -6,6 +6,12 @@
 	"regexp"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
 
 // link forwards TCP connections to a target and can inject network faults.
@@ -29,8 +35,17 @@
 	dropping       bool
 }
 
+// linkHosts is the number of loopback addresses for links.
+const linkHosts = 200
+
+// linksStarted counts the links of this process.
+var linksStarted atomic.Int32
+
+// newLink returns a link in mode pass. It has a loopback address of its own: in mode
+// refuse its port is free, and on the common address another socket could take it.
 func newLink(target string) (*link, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	host := platformtest.LoopbackHost(2 + int(linksStarted.Add(1))%linkHosts)
+	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +106,7 @@
 	if l.listener != nil {
 		return nil
 	}
-	listener, err := net.Listen("tcp", l.address)
+	listener, err := net.Listen("tcp4", l.address)
 	if err != nil {
 		return err
 	}
@@ -218,3 +233,18 @@
 	}
 	_ = c.Close()
 }
+
+// Guards against a link that can't listen again after mode refuse, because another socket
+// of the machine has taken its port meanwhile.
+func TestLinkKeepsItsAddress(t *testing.T) {
+	l, err := newLink("127.0.0.1:1")
+	require.NoError(t, err)
+	defer l.close()
+	_, port, err := net.SplitHostPort(l.address)
+	require.NoError(t, err)
+	require.NoError(t, l.setMode("refuse"))
+	other, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", port))
+	require.NoError(t, err)
+	defer func() { _ = other.Close() }()
+	require.NoError(t, l.setMode("pass"))
+}
