Add one new expert a rank and layer with each plan again

Cause: with all spare places, a plan of the 12 ranks of Kandy Rungs copies up to five experts of 780 MB a rank, 142 ms each, so its map is 0.9 s late and the passes are longer meanwhile.

In TestMapsFollowTheLoad the skew of 64 ranks is 1.16 instead of 1.19.

--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -24,6 +24,10 @@
 	// planHysteresis is the factor by which the saving of a plan must exceed its
 	// cost.
 	planHysteresis = 1.3
+	// newExpertsPerPlan is the maximum number of experts of a layer that one plan
+	// adds to a rank. Ranks copy experts one by one, so a small plan is in force
+	// sooner, and the next plan can follow.
+	newExpertsPerPlan = 1
 	// minObservationsPerExpert is the mean number of observations of an expert in a
 	// layer before the first plan. Fewer of them say little about the loads, and the map
 	// would be worse than the initial one.
@@ -195,7 +199,7 @@
 func topology(e *fleet.Experts, domains []string) *experts.Topology {
 	return &experts.Topology{
 		Experts: e.ExpertsPerLayer, SlotsPerRank: e.SlotsPerRank, Domains: domains,
-		MaxNewPerRank: e.MaxNewPerLayer,
+		MaxNewPerRank: min(e.MaxNewPerLayer, newExpertsPerPlan),
 	}
 }
 
