Never abort a connection that the next request may use

What callers saw: a 502 with an unknown outcome for a request whose server did nothing wrong.

Cause: the end of a request's context aborts its connection, and so does its watchdog. Both were stopped only when the exchange returned, after the connection was back in the pool. A caller that disconnects as soon as it has its response ends the context in between, and the abort hits the next request on the connection.

Change: both are stopped before the connection is pooled. If the abort may have begun, the connection is closed instead; a watchdog that was stopped does nothing.

Evidence: TestFinishedRequestDoesNotAbortTheNext fails with either rule switched off.

--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -34,6 +34,10 @@
 	server    fleet.Server
 	startedAt time.Time
 	conn      *upstream.Conn
+	watch     *watchdog
+	// stopAbort keeps the end of ctx from aborting the connection. It returns false if
+	// that may have happened already.
+	stopAbort func() bool
 	response  platform.ResponseHeader
 	// lastEventAt is when the last event arrived, and events counts those of this
 	// server.
@@ -65,9 +69,10 @@
 		return notSentError(context.Cause(waitCtx))
 	}
 	x.ctx, x.conn = ctx, conn
-	stop := context.AfterFunc(ctx, conn.Abort)
-	defer stop()
+	x.stopAbort = context.AfterFunc(ctx, conn.Abort)
+	defer x.stopAbort()
 	watch := newWatchdog(x)
+	x.watch = watch
 	defer watch.stop()
 	// A request counts as sent even if the server refuses it.
 	x.r.trace.sent++
@@ -198,9 +203,13 @@
 }
 
 // reuseConnection returns the connection to the pool after the response was read
-// completely. It closes the connection if the server announced that it will.
+// completely. It closes the connection if the server announced that it will, or if the
+// end of this request may abort it: its caller may disconnect as soon as it has the
+// response, and the next request would be on the connection by then.
 func (x *exchange) reuseConnection(resp *http.Response) {
-	if resp.Close || x.response.ConnectionClose {
+	mayBeAborted := !x.stopAbort()
+	x.watch.stop()
+	if mayBeAborted || x.watch.timedOut() || resp.Close || x.response.ConnectionClose {
 		x.conn.Close()
 		return
 	}
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -43,6 +43,7 @@
 	lastProgressAt time.Time
 	started        bool
 	fired          bool
+	stopped        bool
 }
 
 func newWatchdog(x *exchange) *watchdog {
@@ -74,8 +75,11 @@
 	now := clock.Now()
 	othersActive := now.Sub(w.x.svc.lastProgress()) < otherActivityWindow
 	w.mu.Lock()
-	silentFor, started := now.Sub(w.lastProgressAt), w.started
+	silentFor, started, stopped := now.Sub(w.lastProgressAt), w.started, w.stopped
 	w.mu.Unlock()
+	if stopped {
+		return
+	}
 	stream := w.x.r.route.Kind == fleet.Streaming
 	if silentFor >= w.limit && (!stream || othersActive && (started || !w.mayBeQueued(now))) {
 		w.fire()
@@ -87,6 +91,9 @@
 func (w *watchdog) fire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return // another request may use the connection
+	}
 	w.fired = true
 	w.x.conn.Abort()
 }
@@ -130,7 +137,11 @@
 	return w.fired
 }
 
+// stop ends the watch. The connection isn't aborted after it.
 func (w *watchdog) stop() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
