--- a/daemons/gateway/reuse_test.go
+++ b/daemons/gateway/reuse_test.go
@@ -12,8 +12,9 @@
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
 
-// finishedExchange returns an exchange whose response was read completely.
-func finishedExchange(t *testing.T, s *platformtest.Server, pool *upstream.Pool) (*exchange, *http.Response) {
+// finishExchange returns an exchange whose response was read completely. aborted means
+// that its context has ended since then.
+func finishExchange(t *testing.T, s *platformtest.Server, pool *upstream.Pool, aborted bool) *exchange {
 	t.Helper()
 	conn, err := pool.Get(context.Background(), s.Address(), time.Hour)
 	require.NoError(t, err)
@@ -24,9 +25,10 @@
 	resp, err := conn.ReadResponse(http.MethodGet, func(*http.Response) bool { return true }) //nolint:bodyclose // the body ends with the connection
 	require.NoError(t, err)
 	require.NoError(t, upstream.Discard(resp.Body, 1<<10))
-	x := &exchange{g: &Gateway{pool: pool}, conn: conn, stopAbort: func() bool { return true }}
+	x := &exchange{g: &Gateway{pool: pool}, conn: conn, stopAbort: func() bool { return !aborted }}
 	x.watch = &watchdog{x: x}
-	return x, resp
+	x.reuseConnection(resp)
+	return x
 }
 
 // Guards against a request that fails because the caller of the one before it on the same
@@ -35,16 +37,10 @@
 	s := platformtest.NewServer("s1")
 	defer s.Close()
 	pool := upstream.NewPool(time.Now)
-	x, resp := finishedExchange(t, s, pool)
-	x.reuseConnection(resp)
+	x := finishExchange(t, s, pool, false)
 	x.watch.fire()
-	next, resp := finishedExchange(t, s, pool)
-	require.True(t, next.conn.Reused())
-
-	// The caller has disconnected; the connection is aborted at any moment.
-	next.stopAbort = func() bool { return false }
-	next.reuseConnection(resp)
-	third, _ := finishedExchange(t, s, pool)
-	require.False(t, third.conn.Reused())
-	third.conn.Close()
+	x = finishExchange(t, s, pool, true)
+	require.True(t, x.conn.Reused())
+	x = finishExchange(t, s, pool, false)
+	require.False(t, x.conn.Reused(), "the connection before may be aborted at any moment")
 }
