Let the load change for good in the test without the store

Maps follow the counts of the last 0.3 s since, so a single burst is over before the next plan if a switch is in progress at that moment. The load now changes for good, which is what the test guards: the group must get a new map for it while the store is unavailable.

--- a/daemons/rankagent/election_test.go
+++ b/daemons/rankagent/election_test.go
@@ -74,10 +74,12 @@
 	f.store.SetFault(platformtest.Unavailable)
 	before := f.inForce()
 	time.Sleep(electionTimeout)
-	for r := range ranks {
-		f.group.AddCount(r, 5, 400_000_000)
-	}
-	f.eventually(func() bool { return f.inForce() > before })
+	f.eventually(func() bool {
+		for r := range ranks {
+			f.group.AddCount(r, 5, 4_000_000)
+		}
+		return f.inForce() > before
+	})
 	f.store.SetFault(platformtest.NoFault)
 }
 
