--- a/review/kit/case.go
+++ b/review/kit/case.go
@@ -158,3 +158,6 @@
 		<-p.done
 	}
 }
+
+// Pid returns the id of the process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
