--- a/review/3/main.go
+++ b/review/3/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -105,6 +106,9 @@
 	}
 	wg.Wait()
 	c.Logf("%d of %d streams ended as complete; %d of them without some pieces", complete, streams, wrong)
+	if complete == 0 {
+		return kit.NotRun, errors.New("no stream ended as complete")
+	}
 	if wrong > 0 {
 		c.Logf("ORDER is broken: in a stream a piece is missing")
 		return kit.Broken, nil
@@ -117,7 +121,7 @@
 func stream(c *kit.Case, address string, n int) (complete bool, missing []string) {
 	ch, err := kit.Dial(address)
 	if err != nil {
-		c.Logf("no channel: %v", err)
+		c.Disturbed("no channel", err)
 		return false, nil
 	}
 	defer ch.Close()
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -179,7 +179,7 @@
 func stream(c *kit.Case, address string, n int) (cut bool) {
 	ch, err := kit.Dial(address)
 	if err != nil {
-		c.Logf("no channel: %v", err)
+		c.Disturbed("no channel", err)
 		return false
 	}
 	defer ch.Close()
--- a/review/kit/case.go
+++ b/review/kit/case.go
@@ -38,6 +38,8 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*Process
+	// disturbed is set once something failed that isn't part of the disruption.
+	disturbed bool
 }
 
 // Run runs a case and exits with the code that it returns. folder is the folder of the
@@ -81,6 +83,10 @@
 			c.Logf("the case could not run: %v", r.err)
 			return NotRun
 		}
+		if r.code == Held && c.isDisturbed() {
+			c.Logf("the run says nothing: something failed that isn't part of the disruption")
+			return NotRun
+		}
 		c.Logf("exit code %d", r.code)
 		return r.code
 	case <-signals:
@@ -100,6 +106,21 @@
 	fmt.Print(line)
 }
 
+// Disturbed records that something failed that isn't part of the disruption. A run in which
+// the rule held shows nothing then.
+func (c *Case) Disturbed(what string, err error) {
+	c.Logf("%s: %v", what, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.disturbed = true
+}
+
+func (c *Case) isDisturbed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.disturbed
+}
+
 // Process is a process that the case started.
 type Process struct {
 	Name string
