--- a/daemons/gateway/broken_stream_test.go
+++ b/daemons/gateway/broken_stream_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
+	"github.com/filbertmux/filbertmux/serve/eventstream"
 )
 
 // Guards against an error response that is written into the middle of a stream, and
@@ -42,3 +47,58 @@
 		servers[1].Close()
 	}
 }
+
+// Guards against events that are dropped when the rest of the same read is malformed,
+// although a resumed stream goes on after them.
+func TestEventsBeforeMalformedRestAreForwarded(t *testing.T) {
+	s := platformtest.NewServer("s1")
+	defer s.Close()
+	f := newFixture(t, s)
+	recorder := httptest.NewRecorder()
+	x := &exchange{
+		g: f.gateway, svc: f.gateway.services.get(platformtest.ModelService, f.gateway.state),
+		r:   &request{route: &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}},
+		out: newResponseWriter(recorder, ""),
+	}
+	watch := newWatchdog(x)
+	defer watch.stop()
+	var read eventstream.Splitter
+	read.Write([]byte(events(4) + "data: " + strings.Repeat("x", eventstream.MaxEventBytes)))
+	require.Error(t, x.forwardEvents(&http.Response{StatusCode: http.StatusOK}, &read, watch))
+	require.Equal(t, events(4), recorder.Body.String())
+	require.Equal(t, "6", x.out.progress.LastID())
+}
+
+// pieces returns the pieces of a stream in the order in which they were received.
+func pieces(body string) []string {
+	var list []string
+	for line := range strings.Lines(body) {
+		if data, ok := strings.CutPrefix(line, "data: piece "); ok {
+			list = append(list, strings.Fields(data)...)
+		}
+	}
+	return list
+}
+
+// Guards against a stream that lacks its first events because the event IDs of its
+// server aren't consecutive.
+func TestStreamWithMultiTokenEvents(t *testing.T) {
+	s := platformtest.NewServer("m-s1")
+	other := platformtest.NewServer("m-s2")
+	defer s.Close()
+	defer other.Close()
+	f := newFixture(t)
+	f.deploy.Register(s.ID, platformtest.ModelService, s.Address())
+	f.deploy.Register(other.ID, platformtest.ModelService, other.Address())
+	f.eventually(func() bool { return len(f.gateway.state.UsableServers(platformtest.ModelService)) == 2 })
+	var want []string
+	for id := range platformtest.StreamEvents {
+		want = append(want, fmt.Sprint(id+1))
+	}
+	s.SetBehaviours(platformtest.MultiTokenEvents)
+	for n := 0; s.RequestCount() == 0; n++ {
+		resp := f.send(http.MethodPost, streamPath, fmt.Sprintf("a%d", n))
+		require.True(t, resp.complete)
+		require.Equal(t, want, pieces(resp.body))
+	}
+}
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -192,29 +192,13 @@
 }
 
 // forwardEvents writes the complete events that have arrived, in one write. Only
-// events count as progress: a server that sends nothing but comments is silent.
+// events count as progress: a server that sends nothing but comments is silent. Events
+// that arrived before an error are written as well: they count as passed on, so a stream
+// that is resumed goes on after them.
 func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
-	var batch []byte
-	accepted := 0
-	for {
-		e, ok, err := events.Next()
-		if err != nil {
-			return err
-		}
-		if !ok {
-			break
-		}
-		isNext, err := x.out.progress.Accept(e)
-		if err != nil {
-			return err
-		}
-		if isNext {
-			batch = append(batch, e.Raw...)
-			accepted++
-		}
-	}
+	batch, accepted, malformed := x.takeEvents(events)
 	if len(batch) == 0 {
-		return nil
+		return malformed
 	}
 	now := clock.Now()
 	if !x.lastEventAt.IsZero() {
@@ -225,9 +209,30 @@
 	x.recordEvents(accepted)
 	watch.progress()
 	x.startEventStream(resp)
-	err := x.out.write(batch)
+	if err := x.out.write(batch); err != nil {
+		return err
+	}
 	watch.progress() // the time that the caller takes to read doesn't count as silence
-	return err
+	return malformed
+}
+
+// takeEvents returns the bytes and the number of the complete events for the caller, up
+// to the first error.
+func (x *exchange) takeEvents(events *eventstream.Splitter) (batch []byte, accepted int, err error) {
+	for {
+		e, ok, err := events.Next()
+		if err != nil || !ok {
+			return batch, accepted, err
+		}
+		isNext, err := x.out.progress.Accept(e)
+		if err != nil {
+			return batch, accepted, err
+		}
+		if isNext {
+			batch = append(batch, e.Raw...)
+			accepted++
+		}
+	}
 }
 
 // recordEvents counts the events of this server. Those that prove that the request
