--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -224,11 +224,7 @@
 		if err != nil || !ok {
 			return batch, accepted, err
 		}
-		isNext, err := x.out.progress.Accept(e)
-		if err != nil {
-			return batch, accepted, err
-		}
-		if isNext {
+		if x.out.progress.Accept(e) {
 			batch = append(batch, e.Raw...)
 			accepted++
 		}
--- a/serve/eventstream/eventstream.go
+++ b/serve/eventstream/eventstream.go
@@ -113,21 +113,19 @@
 }
 
 // Progress decides which events of a stream are passed to the caller. A stream
-// that is resumed at another server must neither repeat nor skip an event.
+// that is resumed at another server must not repeat an event.
 type Progress struct {
 	lastID     string
 	lastNumber int64
-	// numericIDs is set while all ids were integers, consecutive while each one
-	// was its predecessor plus one.
-	numericIDs  bool
-	consecutive bool
-	events      int
+	// numericIDs is set while all ids were integers.
+	numericIDs bool
+	events     int
 }
 
 // NewProgress returns the progress of a stream of which the caller already has
 // the events up to lastID, which may be empty.
 func NewProgress(lastID string) *Progress {
-	p := &Progress{lastID: lastID, numericIDs: true, consecutive: true}
+	p := &Progress{lastID: lastID, numericIDs: true}
 	if n, err := strconv.ParseInt(lastID, 10, 64); err == nil {
 		p.lastNumber = n
 	}
@@ -142,29 +140,20 @@
 func (p *Progress) Events() int { return p.events }
 
 // Accept reports whether an event is passed to the caller. It returns false for
-// an event that the caller already has and an error if an event is missing before
-// it. Missing events are detected only from the third event on and only while all
-// ids are consecutive integers.
-func (p *Progress) Accept(e Event) (bool, error) {
+// an event that the caller already has. The ids of a stream increase, but not by one
+// each: an event may hold several tokens, so a jump doesn't mean that an event is
+// missing.
+func (p *Progress) Accept(e Event) bool {
 	if e.ID == "" {
 		p.events++
-		return true, nil
+		return true
 	}
 	n, err := strconv.ParseInt(e.ID, 10, 64)
-	if err != nil {
-		p.numericIDs = false
-	}
-	if p.numericIDs && p.lastID != "" {
-		if n <= p.lastNumber {
-			return false, nil
-		}
-		isNext := n == p.lastNumber+1
-		if !isNext && p.consecutive && p.events > 1 {
-			return false, errkind.New(errkind.StreamIncomplete, "event %d follows event %d", n, p.lastNumber)
-		}
-		p.consecutive = p.consecutive && isNext
+	p.numericIDs = p.numericIDs && err == nil
+	if p.numericIDs && p.lastID != "" && n <= p.lastNumber {
+		return false
 	}
 	p.lastID, p.lastNumber = e.ID, n
 	p.events++
-	return true, nil
+	return true
 }
