--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -266,6 +266,25 @@
 	return w.ticket, s.refuseDisplaced(displaced)
 }
 
+// HasFreeSlot reports whether TryPlace would assign a request.
+func (s *Scheduler[T]) HasFreeSlot(now time.Time, exclude []string) bool {
+	return s.queue.Len() == 0 && s.pick(now, exclude, freeSlot) != nil
+}
+
+// TryPlace assigns a request to a server with a free slot and returns its ID. It returns
+// false if there is none or if other requests are queued.
+func (s *Scheduler[T]) TryPlace(now time.Time, exclude []string) (server string, ok bool) {
+	if s.queue.Len() > 0 {
+		return "", false
+	}
+	picked := s.pick(now, exclude, freeSlot)
+	if picked == nil {
+		return "", false
+	}
+	var none T
+	return s.startOn(now, picked, none).Server, true
+}
+
 // Dispatch assigns queued requests to servers with free capacity and refuses
 // those whose deadline has passed. It must be called after each change of the load,
 // and also at regular intervals to detect passed deadlines.
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -47,13 +47,18 @@
 	}
 	svc := g.services.get(r.service, g.state)
 	svc.recordFirstAttempt()
+	var next *standby
 	for {
 		r.trace.attempts++
-		err := g.attempt(ctx, waitCtx, r, svc, out)
+		var err error
+		next, err = g.attempt(ctx, waitCtx, r, svc, out, next)
 		if err == nil {
 			return nil
 		}
 		err = r.recordExecution(err)
+		if next != nil {
+			continue
+		}
 		d := svc.decideRetry(clock.Now(), retry.Attempt{
 			Err:             err,
 			Number:          r.trace.attempts,
@@ -103,13 +108,44 @@
 	return &e
 }
 
-// attempt waits for a slot and sends the request to one backend server. waitCtx ends
-// when the request must not be sent any more.
-func (g *Gateway) attempt(ctx, waitCtx context.Context, r *request, svc *service, out *responseWriter) error {
+// attempt sends the request to one backend server: to that of the standby, or after a
+// wait for a slot. waitCtx ends when the request must not be sent any more. If the attempt
+// fails and the request continues on another standby, attempt returns that as well.
+func (g *Gateway) attempt(
+	ctx, waitCtx context.Context, r *request, svc *service, out *responseWriter, s *standby,
+) (next *standby, err error) {
+	var x *exchange
+	if s != nil {
+		x = s.x
+		r.trace.placedAt = x.startedAt
+		err = s.finish(waitCtx)
+	} else {
+		if x, err = g.place(waitCtx, r, svc, out); err != nil {
+			return nil, err
+		}
+		err = x.run(ctx, waitCtx)
+	}
+	if x.crashCheck != nil {
+		r.crashCheck = x.crashCheck
+	}
+	svc.release(clock.Now(), x.result(err))
+	next = x.takeStandby(waitCtx, err)
+	if err == nil {
+		return nil, nil
+	}
+	if next != nil {
+		r.logMove(g, err, x.server.ID, next)
+	}
+	return next, withContextCause(waitCtx, err)
+}
+
+// place waits for a slot on a backend server and returns an exchange with it.
+func (g *Gateway) place(waitCtx context.Context, r *request, svc *service, out *responseWriter) (*exchange, error) {
 	startedAt := clock.Now()
-	if left := r.timeLeft(startedAt); !svc.canFinish(startedAt, r.eventsLeft(out), r.route.EventGapObjective, left) {
-		return errkind.New(errkind.DeadlineUnreachable, "%d events take longer than %s at the current rate",
-			r.eventsLeft(out), left).WithRetryAfter(slowStreamRetryAfter)
+	events := out.progress.Events()
+	if left := r.timeLeft(startedAt); !svc.canFinish(startedAt, r.eventsLeft(events), r.route.EventGapObjective, left) {
+		return nil, errkind.New(errkind.DeadlineUnreachable, "%d events take longer than %s at the current rate",
+			r.eventsLeft(events), left).WithRetryAfter(slowStreamRetryAfter)
 	}
 	id, err := svc.acquire(waitCtx, placement.Request[*waiter]{
 		Class:        className(r.priority),
@@ -122,34 +158,34 @@
 	r.trace.waited += placed.Sub(startedAt)
 	r.trace.placedAt = placed
 	if err != nil {
-		return withContextCause(waitCtx, err)
+		return nil, withContextCause(waitCtx, err)
 	}
 	if err := g.crashes.check(r.features); err != nil {
 		svc.release(placed, attemptResult{server: id, err: errkind.Of(err), notServerFault: true})
-		return err
+		return nil, err
 	}
 	r.trace.servers = append(r.trace.servers, id)
-	x := &exchange{g: g, r: r, svc: svc, out: out, startedAt: placed}
 	server, ok := g.state.Server(id)
 	if !ok {
-		svc.release(placed, attemptResult{
-			server: id, err: errkind.New(errkind.BackendUnavailable, "no longer registered"), notServerFault: true,
-		})
-		return notSentError(errors.New("the server is no longer registered"))
+		svc.release(placed, notRegistered(id))
+		return nil, notSentError(errors.New("the server is no longer registered"))
 	}
-	x.server = server
-	err = x.run(ctx, waitCtx)
-	res := x.result(err)
-	svc.release(clock.Now(), res)
-	if err != nil {
-		return withContextCause(waitCtx, err)
+	return newExchange(exchange{
+		g: g, r: r, svc: svc, out: out, server: server, startedAt: placed,
+		lastEventID: out.progress.LastID(), eventsBefore: events,
+	}), nil
+}
+
+// notRegistered is the result of an attempt at a server that is no longer registered.
+func notRegistered(server string) attemptResult {
+	return attemptResult{
+		server: server, err: errkind.New(errkind.BackendUnavailable, "no longer registered"), notServerFault: true,
 	}
-	return nil
 }
 
-// eventsLeft estimates how many events of a stream are still to come. The engine
+// eventsLeft estimates how many events of a stream are still to come after some. The engine
 // sends one event per pass.
-func (r *request) eventsLeft(out *responseWriter) int {
+func (r *request) eventsLeft(events int) int {
 	engine := r.index.Config.Services[r.service].Engine
 	if r.route.Kind != fleet.Streaming || engine == nil {
 		return 0
@@ -158,7 +194,7 @@
 	if tokens == 0 {
 		tokens = r.call.MaxOutputTokens / 2
 	}
-	return max(tokens/engine.StepsPerPass-out.progress.Events(), 0)
+	return max(tokens/engine.StepsPerPass-events, 0)
 }
 
 // maxWait returns how long the request may wait for a slot.
--- a/daemons/gateway/broken_stream_test.go
+++ b/daemons/gateway/broken_stream_test.go
@@ -60,11 +60,10 @@
 		r:   &request{route: &fleet.Route{Kind: fleet.Streaming, Resumable: true, MaxAttempts: 2}},
 		out: newResponseWriter(recorder, ""),
 	}
-	watch := newWatchdog(x)
-	defer watch.stop()
+	x.watch = newWatchdog(x)
 	var read eventstream.Splitter
 	read.Write([]byte(events(4) + "data: " + strings.Repeat("x", eventstream.MaxEventBytes)))
-	require.Error(t, x.forwardEvents(&http.Response{StatusCode: http.StatusOK}, &read, watch))
+	require.Error(t, x.forwardEvents(&http.Response{StatusCode: http.StatusOK}, &read))
 	require.Equal(t, events(4), recorder.Body.String())
 	require.Equal(t, "6", x.out.progress.LastID())
 }
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -35,6 +35,13 @@
 	startedAt time.Time
 	conn      *upstream.Conn
 	watch     *watchdog
+	// lastEventID and eventsBefore are the ID of the last event and the number of events
+	// that the caller had when the exchange began.
+	lastEventID  string
+	eventsBefore int
+	// crashCheck is closed when the check whether the server has crashed has ended. It is
+	// nil if there was no reason for one.
+	crashCheck chan struct{}
 	// stopAbort keeps the end of ctx from aborting the connection. It returns false if
 	// that may have happened already.
 	stopAbort func() bool
@@ -50,10 +57,34 @@
 	groupDown   bool
 }
 
+// newExchange returns an exchange with a watchdog that isn't started.
+func newExchange(x exchange) *exchange {
+	x.watch = newWatchdog(&x)
+	return &x
+}
+
 // run sends the request and relays the response. waitCtx ends before ctx if the caller
 // disconnects; the request is not sent then. The error states whether the request may
 // have run.
 func (x *exchange) run(ctx, waitCtx context.Context) error {
+	if err := x.connect(ctx, waitCtx); err != nil {
+		return err
+	}
+	defer x.stopAbort()
+	// A request counts as sent even if the server refuses it.
+	x.r.trace.sent++
+	x.watch.start(waitCtx)
+	defer x.watch.stop()
+	resp, err := x.roundTrip() //nolint:bodyclose // the body ends with the connection
+	if err != nil {
+		return err
+	}
+	x.watch.progress()
+	return x.finish(resp)
+}
+
+// connect gets a connection to the server, which the end of ctx aborts.
+func (x *exchange) connect(ctx, waitCtx context.Context) error {
 	conn, err := x.g.pool.Get(waitCtx, x.server.Address, x.maxReuseAge())
 	if err == nil && conn.LastID() == x.r.call.AttemptID {
 		// The server may repeat its last response, which could not be told from the
@@ -70,29 +101,32 @@
 	}
 	x.ctx, x.conn = ctx, conn
 	x.stopAbort = context.AfterFunc(ctx, conn.Abort)
-	defer x.stopAbort()
-	watch := newWatchdog(x)
-	x.watch = watch
-	defer watch.stop()
-	// A request counts as sent even if the server refuses it.
-	x.r.trace.sent++
-	if err := conn.Send(x.upstreamRequest()); err != nil {
-		return x.connectionFailed(watch, err)
+	return nil
+}
+
+// roundTrip sends the request and reads the header of the response. A response by which
+// the server refuses the request is an error.
+func (x *exchange) roundTrip() (*http.Response, error) {
+	if err := x.conn.Send(x.upstreamRequest()); err != nil {
+		return nil, x.connectionFailed(err)
 	}
-	resp, err := conn.ReadResponse(x.r.http.Method, x.matchesRequest) //nolint:bodyclose // the body ends with the connection
+	resp, err := x.conn.ReadResponse(x.r.http.Method, x.matchesRequest)
 	if err != nil {
-		return x.connectionFailed(watch, err)
+		return nil, x.connectionFailed(err)
 	}
 	x.response = platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
 	x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
 	x.svc.recordStatements(x.server.ID, isSuccess(resp.StatusCode), x.response)
 	if x.response.NotExecuted {
-		return x.serverRefused(resp)
+		return nil, x.serverRefused(resp)
 	}
-	watch.progress()
-	err = x.relay(resp, watch)
-	if err != nil {
-		conn.Abort()
+	return resp, nil
+}
+
+// finish relays the response and gives the connection back.
+func (x *exchange) finish(resp *http.Response) error {
+	if err := x.relay(resp); err != nil {
+		x.conn.Abort()
 		return err
 	}
 	if !isCloseDelimited(resp) {
@@ -121,7 +155,7 @@
 			ServerID:     x.server.ID,
 			Organisation: x.r.organisation,
 			TimeLeft:     x.r.timeLeft(clock.Now()),
-			LastEventID:  x.out.progress.LastID(),
+			LastEventID:  x.lastEventID,
 			Priority:     x.r.priority,
 		}),
 	}
@@ -163,11 +197,11 @@
 }
 
 // connectionFailed handles a connection that failed before the response header.
-func (x *exchange) connectionFailed(watch *watchdog, err error) error {
+func (x *exchange) connectionFailed(err error) error {
 	x.conn.Abort()
 	x.g.pool.CloseIdle(x.server.Address)
-	x.checkForCrash(watch)
-	if watch.timedOut() {
+	x.checkForCrash()
+	if x.watch.hasMoved() {
 		err = errServerSilent
 	}
 	e := errkind.Wrap(errkind.BackendFailed, err, "no response from the server")
@@ -177,14 +211,14 @@
 
 // checkForCrash starts a check whether the server has crashed, unless the gateway
 // itself closed the connection.
-func (x *exchange) checkForCrash(watch *watchdog) {
-	if watch.timedOut() || x.ctx.Err() != nil {
+func (x *exchange) checkForCrash() {
+	if x.watch.hasMoved() || x.ctx.Err() != nil {
 		return
 	}
 	lost := x.r.lost
-	lost.events = x.r.trace.events
+	lost.events = x.eventsBefore + x.events
 	done := make(chan struct{})
-	x.r.crashCheck = done
+	x.crashCheck = done
 	go func() {
 		defer close(done)
 		x.g.crashes.checkServer(lost, x.server)
@@ -208,8 +242,8 @@
 // response, and the next request would be on the connection by then.
 func (x *exchange) reuseConnection(resp *http.Response) {
 	mayBeAborted := !x.stopAbort()
-	x.watch.stop()
-	if mayBeAborted || x.watch.timedOut() || resp.Close || x.response.ConnectionClose {
+	moved := !x.watch.stop()
+	if mayBeAborted || moved || resp.Close || x.response.ConnectionClose {
 		x.conn.Close()
 		return
 	}
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -78,21 +78,31 @@
 }
 
 // relay forwards the response to the caller.
-func (x *exchange) relay(resp *http.Response, watch *watchdog) error {
-	success := isSuccess(resp.StatusCode)
-	if success && !x.response.Signed {
+func (x *exchange) relay(resp *http.Response) error {
+	if err := x.validate(resp, x.out.started); err != nil {
+		return err
+	}
+	if x.isStream(resp) {
+		return x.relayEvents(resp)
+	}
+	return x.relayBuffered(resp)
+}
+
+// validate reports why a response can't be passed on: it isn't signed, or it can't be
+// written into a stream that has started.
+func (x *exchange) validate(resp *http.Response, started bool) error {
+	if isSuccess(resp.StatusCode) && !x.response.Signed {
 		return errkind.New(errkind.BackendFailed, "response with status %d has no signature", resp.StatusCode)
 	}
-	isStream := success && x.r.route.Kind == fleet.Streaming && isEventStream(resp.Header)
-	if x.out.started && !isStream {
-		// Nothing of such a response may be written into the stream.
+	if started && !x.isStream(resp) {
 		return errkind.New(errkind.BackendFailed, "status %d with content type %q instead of the rest of a stream",
 			resp.StatusCode, resp.Header.Get("Content-Type"))
 	}
-	if isStream {
-		return x.relayEvents(resp, watch)
-	}
-	return x.relayBuffered(resp, watch)
+	return nil
+}
+
+func (x *exchange) isStream(resp *http.Response) bool {
+	return isSuccess(resp.StatusCode) && x.r.route.Kind == fleet.Streaming && isEventStream(resp.Header)
 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
@@ -110,17 +120,19 @@
 
 // relayBuffered reads the complete response before it forwards any of it. A
 // response larger than maxBufferedResponse is forwarded as it arrives.
-func (x *exchange) relayBuffered(resp *http.Response, watch *watchdog) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedResponse+1))
+func (x *exchange) relayBuffered(resp *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(watchedBody{resp.Body, x.watch}, maxBufferedResponse+1))
 	if err != nil {
-		return x.responseTruncated(watch, err)
+		return x.responseTruncated(err)
+	}
+	if !x.watch.stop() {
+		return x.responseTruncated(errServerSilent)
 	}
-	watch.progress()
 	if x.retryableStatus(resp.StatusCode) {
 		return errkind.New(errkind.BackendFailed, "the server failed with status %d", resp.StatusCode)
 	}
 	if len(body) > maxBufferedResponse {
-		return x.relayLarge(resp, body, watch)
+		return x.relayLarge(resp, body)
 	}
 	length := len(body)
 	if x.r.http.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent {
@@ -143,8 +155,9 @@
 }
 
 // relayLarge forwards a response that is too large to buffer as it arrives. head
-// is the part read so far.
-func (x *exchange) relayLarge(resp *http.Response, head []byte, watch *watchdog) error {
+// is the part read so far. No other server can continue such a response, so however long
+// its server pauses, it ends only with the connection or the deadline.
+func (x *exchange) relayLarge(resp *http.Response, head []byte) error {
 	x.out.writeHeader(resp.StatusCode, resp.Header, int(resp.ContentLength))
 	x.r.trace.status = resp.StatusCode
 	if err := x.out.write(head); err != nil {
@@ -153,7 +166,7 @@
 	buffer := make([]byte, readBufferSize)
 	for total := len(head); ; {
 		n, err := resp.Body.Read(buffer)
-		watch.progress()
+		x.watch.progress()
 		if total += n; total > maxResponse {
 			return errkind.New(errkind.StreamIncomplete, "the response exceeds %d bytes", maxResponse)
 		}
@@ -166,27 +179,27 @@
 			return nil
 		}
 		if err != nil {
-			return x.responseTruncated(watch, err)
+			return x.responseTruncated(err)
 		}
 	}
 }
 
 // relayEvents forwards the complete events of a stream as they arrive.
-func (x *exchange) relayEvents(resp *http.Response, watch *watchdog) error {
+func (x *exchange) relayEvents(resp *http.Response) error {
 	x.out.resumable = x.r.route.Resumable
 	var events eventstream.Splitter
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Body.Read(buffer)
 		events.Write(buffer[:n])
-		if err := x.forwardEvents(resp, &events, watch); err != nil {
+		if err := x.forwardEvents(resp, &events); err != nil {
 			return err
 		}
 		if errors.Is(err, io.EOF) {
-			return x.finishEventStream(resp, &events, watch)
+			return x.finishEventStream(resp, &events)
 		}
 		if err != nil {
-			return x.responseTruncated(watch, err)
+			return x.responseTruncated(err)
 		}
 	}
 }
@@ -195,9 +208,17 @@
 // events count as progress: a server that sends nothing but comments is silent. Events
 // that arrived before an error are written as well: they count as passed on, so a stream
 // that is resumed goes on after them.
-func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
-	batch, accepted, malformed := x.takeEvents(events)
-	if len(batch) == 0 {
+func (x *exchange) forwardEvents(resp *http.Response, events *eventstream.Splitter) error {
+	arrived, malformed := takeEvents(events)
+	if len(arrived) == 0 {
+		return malformed
+	}
+	if !x.watch.beginWrite() {
+		return x.responseTruncated(errServerSilent)
+	}
+	defer x.watch.endWrite()
+	batch, accepted := x.acceptEvents(arrived)
+	if accepted == 0 {
 		return malformed
 	}
 	now := clock.Now()
@@ -207,28 +228,35 @@
 	x.lastEventAt = now
 	x.r.trace.recordEvents(now, x.out.progress.Events())
 	x.recordEvents(accepted)
-	watch.progress()
 	x.startEventStream(resp)
 	if err := x.out.write(batch); err != nil {
 		return err
 	}
-	watch.progress() // the time that the caller takes to read doesn't count as silence
 	return malformed
 }
 
-// takeEvents returns the bytes and the number of the complete events for the caller, up
-// to the first error.
-func (x *exchange) takeEvents(events *eventstream.Splitter) (batch []byte, accepted int, err error) {
+// takeEvents returns the complete events up to the first error.
+func takeEvents(events *eventstream.Splitter) ([]eventstream.Event, error) {
+	var list []eventstream.Event
 	for {
 		e, ok, err := events.Next()
 		if err != nil || !ok {
-			return batch, accepted, err
+			return list, err
 		}
+		list = append(list, e)
+	}
+}
+
+// acceptEvents returns the bytes and the number of the events that the caller doesn't have
+// yet.
+func (x *exchange) acceptEvents(events []eventstream.Event) (batch []byte, accepted int) {
+	for _, e := range events {
 		if x.out.progress.Accept(e) {
 			batch = append(batch, e.Raw...)
 			accepted++
 		}
 	}
+	return batch, accepted
 }
 
 // recordEvents counts the events of this server. Those that prove that the request
@@ -258,13 +286,13 @@
 }
 
 // finishEventStream handles the end of the body.
-func (x *exchange) finishEventStream(resp *http.Response, events *eventstream.Splitter, watch *watchdog) error {
+func (x *exchange) finishEventStream(resp *http.Response, events *eventstream.Splitter) error {
 	if events.Buffered() > 0 {
-		x.checkForCrash(watch)
+		x.checkForCrash()
 		return errkind.New(errkind.StreamIncomplete, "the stream ended within an event")
 	}
 	if isCloseDelimited(resp) && x.events == 0 && x.out.progress.LastID() == "" {
-		x.checkForCrash(watch)
+		x.checkForCrash()
 		return errkind.New(errkind.StreamIncomplete, "the connection ended before the first event")
 	}
 	x.startEventStream(resp)
@@ -275,9 +303,9 @@
 }
 
 // responseTruncated handles a connection that failed within the response body.
-func (x *exchange) responseTruncated(watch *watchdog, err error) error {
-	x.checkForCrash(watch)
-	if watch.timedOut() {
+func (x *exchange) responseTruncated(err error) error {
+	x.checkForCrash()
+	if x.watch.hasMoved() {
 		err = errServerSilent
 	}
 	return errkind.Wrap(errkind.StreamIncomplete, err, "the response was truncated")
--- a/daemons/gateway/reuse_test.go
+++ b/daemons/gateway/reuse_test.go
@@ -38,7 +38,7 @@
 	defer s.Close()
 	pool := upstream.NewPool(time.Now)
 	x := finishExchange(t, s, pool, false)
-	x.watch.fire()
+	x.watch.standbyOpened(&standby{x: &exchange{startedAt: time.Now()}})
 	x = finishExchange(t, s, pool, true)
 	require.True(t, x.conn.Reused())
 	x = finishExchange(t, s, pool, false)
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -29,73 +30,150 @@
 	otherActivityWindow = 250 * time.Millisecond
 )
 
-// watchdog aborts an exchange whose server is silent while others respond, if the
-// request can be retried on another server. A stream that may still be waiting in
-// the queue of its server is aborted before its first event only if the server
-// doesn't answer a probe either. On another server the stream would wait again, and
-// its prompt would be processed a second time.
+// watchdog watches the server of an exchange. While the server is silent and others
+// respond, it makes an attempt at another server, a standby. The exchange moves to the
+// standby once that has a response, unless its own server has sent something meanwhile. A
+// response that no other server can continue is left where it is: a server may pause a
+// request for as long as it likes, for example when its memory is short.
+//
+// A stream that may still be waiting in the queue of its server gets a standby before its
+// first event only if the server doesn't answer a probe either. On another server the
+// stream would wait again, and its prompt would be processed a second time.
 type watchdog struct {
 	x     *exchange
 	limit time.Duration
+	// ctx ends when the request must not be sent any more.
+	ctx context.Context //nolint:containedctx // a watchdog lives as long as its exchange
 
 	mu             sync.Mutex
 	timer          *time.Timer
 	lastProgressAt time.Time
 	started        bool
-	fired          bool
-	stopped        bool
+	// writing means that something that the server sent is being written to the caller.
+	// The time that the caller takes to read doesn't count as silence.
+	writing bool
+	// moved means that the standby has replaced the server, and its connection is aborted.
+	moved   bool
+	stopped bool
+	// lastEventID and events describe what the caller has of a stream.
+	lastEventID string
+	events      int
+	// standby is the newest standby, and earlier are those that have failed.
+	standby *standby
+	earlier []*standby
 }
 
 func newWatchdog(x *exchange) *watchdog {
-	w := &watchdog{x: x, lastProgressAt: clock.Now()}
-	if !x.r.route.Retryable() || x.r.trace.sent+1 >= x.r.route.MaxAttempts {
-		return w
-	}
-	w.limit = silenceLimit
-	if x.r.route.Kind != fleet.Streaming {
-		w.limit = plainSilenceFactor * x.r.route.LatencyObjective
-	}
-	if w.limit <= 0 {
-		return w
+	return &watchdog{x: x, lastEventID: x.lastEventID, events: x.eventsBefore}
+}
+
+// start begins the watch, if the request may be sent to another server.
+func (w *watchdog) start(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ctx, w.lastProgressAt = ctx, clock.Now()
+	w.limit = w.x.r.silenceLimit()
+	if w.limit <= 0 || !w.x.r.route.Retryable() || w.attemptsLeft() == 0 {
+		return
 	}
 	w.timer = time.AfterFunc(w.limit, w.check)
-	return w
 }
 
-// progress records that the server sent something.
-func (w *watchdog) progress() {
+// silenceLimit returns how long a server may be silent before another one is tried, or 0
+// for no limit.
+func (r *request) silenceLimit() time.Duration {
+	if r.route.Kind == fleet.Streaming {
+		return silenceLimit
+	}
+	return plainSilenceFactor * r.route.LatencyObjective
+}
+
+// attemptsLeft returns how many more servers the request may be sent to. The caller holds
+// the mutex.
+func (w *watchdog) attemptsLeft() int {
+	return w.x.r.route.MaxAttempts - w.x.r.trace.sent - len(w.earlier)
+}
+
+// progress records that the server sent something. It reports whether that is still
+// wanted, that is whether the exchange hasn't moved to the standby.
+func (w *watchdog) progress() bool {
 	now := clock.Now()
 	w.mu.Lock()
 	w.lastProgressAt, w.started = now, true
+	moved := w.moved
 	w.mu.Unlock()
 	w.x.svc.recordProgress(now, w.x.server.ID)
+	return !moved
+}
+
+// beginWrite records that events have arrived and are being written to the caller, until
+// endWrite. It reports whether they may be.
+func (w *watchdog) beginWrite() bool {
+	if !w.progress() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = !w.moved
+	return w.writing
+}
+
+// endWrite records what the caller has after a write.
+func (w *watchdog) endWrite() {
+	progress := w.x.out.progress
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing, w.lastProgressAt = false, clock.Now()
+	w.lastEventID, w.events = progress.LastID(), progress.Events()
 }
 
+// check runs when the silence limit may have passed.
 func (w *watchdog) check() {
 	now := clock.Now()
 	othersActive := now.Sub(w.x.svc.lastProgress()) < otherActivityWindow
 	w.mu.Lock()
-	silentFor, started, stopped := now.Sub(w.lastProgressAt), w.started, w.stopped
-	w.mu.Unlock()
-	if stopped {
+	defer w.mu.Unlock()
+	if w.stopped {
 		return
 	}
+	silentFor := now.Sub(w.lastProgressAt)
 	stream := w.x.r.route.Kind == fleet.Streaming
-	if silentFor >= w.limit && (!stream || othersActive && (started || !w.mayBeQueued(now))) {
-		w.fire()
-		return
+	if silentFor >= w.limit && !w.writing && (!stream || othersActive && (w.started || !w.mayBeQueued(now))) {
+		w.startStandby(now)
 	}
 	w.timer.Reset(max(w.limit-silentFor, otherActivityWindow))
 }
 
-func (w *watchdog) fire() {
+// startStandby makes an attempt at another server if it is certain that it can be made
+// now. The caller holds the mutex.
+func (w *watchdog) startStandby(now time.Time) {
+	if w.standby != nil || w.ctx.Err() != nil || w.attemptsLeft() == 0 {
+		return
+	}
+	exclude := withStandbys(w.x.r.trace.servers, w.earlier)
+	x, ok := w.x.newStandbyExchange(now, w.lastEventID, w.events, exclude)
+	if !ok {
+		return
+	}
+	w.standby = newStandby(w.ctx, x, w.events > 0, w.standbyOpened)
+}
+
+// standbyOpened moves the exchange to a standby that has a response, or ends the standby.
+func (w *watchdog) standbyOpened(s *standby) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
-		return // another request may use the connection
+	switch {
+	case w.stopped:
+		return // takeStandby decides
+	case s.err != nil:
+		w.standby, w.earlier = nil, append(w.earlier, s)
+	case w.writing || w.lastProgressAt.After(s.x.startedAt):
+		s.abandon()
+		w.standby, w.earlier = nil, append(w.earlier, s)
+	default:
+		w.moved = true
+		w.x.conn.Abort()
 	}
-	w.fired = true
-	w.x.conn.Abort()
 }
 
 // mayBeQueued reports whether the request may be waiting in the queue of a live
@@ -130,19 +208,43 @@
 	w.x.svc.recordProbe(clock.Now(), w.x.server.ID, err)
 }
 
-// timedOut reports whether the watchdog closed the connection.
-func (w *watchdog) timedOut() bool {
+// hasMoved reports whether the exchange has moved to its standby.
+func (w *watchdog) hasMoved() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fired
+	return w.moved
 }
 
-// stop ends the watch. The connection isn't aborted after it.
-func (w *watchdog) stop() {
+// stop ends the watch and reports whether the exchange still has its server. It doesn't
+// move after that.
+func (w *watchdog) stop() bool {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.stopped = true
-	w.mu.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	return !w.moved
+}
+
+// standbys returns the newest standby, if it hasn't failed, and the earlier ones. They don't
+// change after stop.
+func (w *watchdog) standbys() (newest *standby, earlier []*standby) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.standby, w.earlier
+}
+
+// watchedBody is a response body whose bytes count as progress.
+type watchedBody struct {
+	io.Reader
+	watch *watchdog
+}
+
+func (b watchedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 && !b.watch.progress() {
+		return 0, errServerSilent
+	}
+	return n, err
 }
