--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -148,6 +148,10 @@
 }
 
 func installConfig(r platform.KeyedRecord, state *ClusterState, u topicUpdate, log zerolog.Logger) bool {
+	if r.Err != nil {
+		log.Error().Err(r.Err).Str("key", r.Key).Msg("record of the configuration can't be read; ignoring it")
+		return false
+	}
 	if r.Key != platform.ConfigKey || len(r.Value) == 0 {
 		return true
 	}
@@ -200,18 +204,27 @@
 	return nil
 }
 
+// decodeServers returns the changes of the registrations. A record that can't be read names
+// no server to use: the server under its key counts as removed, and without a key it is
+// ignored.
 func decodeServers(records []platform.KeyedRecord, log zerolog.Logger) []fleet.ServerChange {
 	changes := make([]fleet.ServerChange, 0, len(records))
 	for _, r := range records {
-		change := fleet.ServerChange{ID: r.Key, Offset: r.Offset}
-		if len(r.Value) > 0 {
-			server, err := platform.DecodeServer(r.Key, r.Value)
-			if err != nil {
-				log.Warn().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; treating the server as removed")
-			}
-			change.Server = server
+		server, err := decodeServer(r)
+		if err != nil {
+			log.Warn().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; treating the server as removed")
+		}
+		if r.Key != "" {
+			changes = append(changes, fleet.ServerChange{ID: r.Key, Offset: r.Offset, Server: server})
 		}
-		changes = append(changes, change)
 	}
 	return changes
 }
+
+// decodeServer returns the registered server, or nil if it was removed.
+func decodeServer(r platform.KeyedRecord) (*fleet.Server, error) {
+	if r.Err != nil || len(r.Value) == 0 {
+		return nil, r.Err
+	}
+	return platform.DecodeServer(r.Key, r.Value)
+}
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -260,9 +260,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range records {
-		if len(r.Value) > 0 {
-			p.table.AddPeer(now, string(r.Value))
+		if r.Err == nil && len(r.Value) == 0 {
+			continue
+		}
+		address, err := platform.DecodeGatewayAddress(r)
+		if err != nil {
+			p.log.Warn().Err(err).Str("key", r.Key).Msg("address of a gateway can't be read")
+			continue
 		}
+		p.table.AddPeer(now, address)
 	}
 }
 
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -371,10 +371,14 @@
 	if err != nil {
 		return err
 	}
-	name, own, _ := g.agent.Identity()
+	name, own, size := g.agent.Identity()
 	for _, r := range records {
-		s, err := platform.DecodeServer(r.Key, r.Value)
-		if err != nil || s.Group != name || s.Service != g.service {
+		s, err := decodeRank(r)
+		if err != nil {
+			g.log.Debug().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; ignoring it")
+			continue
+		}
+		if s.Group != name || s.Service != g.service || s.Rank >= size {
 			continue // not a rank of this group
 		}
 		g.domains[s.Rank] = s.FailureDomain
@@ -385,6 +389,13 @@
 	return nil
 }
 
+func decodeRank(r platform.KeyedRecord) (*fleet.Server, error) {
+	if r.Err != nil {
+		return nil, r.Err
+	}
+	return platform.DecodeServer(r.Key, r.Value)
+}
+
 func (g *groupClient) addPeer(s *fleet.Server) {
 	host, _, err := net.SplitHostPort(s.Address)
 	if err != nil {
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -324,3 +324,27 @@
 	_, err = NewAgent(nil, zerolog.Nop()).receiveMap(&pb.OrderRankRequest{Kind: pb.RankOrderKind_RANK_ORDER_KIND_PREPARE})
 	require.Error(t, err, "a map is missing")
 }
+
+// Guards against an agent that ends, or takes an entry that another writer has left among
+// the servers for a rank of its group.
+func TestInvalidRegistrationsAreNoRanks(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	d := &platformtest.Deployment{Store: store, Host: "h.example"}
+	d.PublishConfig([]string{platformtest.Key}, nil)
+	d.RegisterRank("i-1", hostOf(1)+":1", 1, ranks)
+	agent := NewAgent(nil, zerolog.Nop())
+	agent.identity = identity{group: platformtest.GroupName, size: ranks}
+	o := Options{Log: zerolog.Nop(), Settings: platform.Settings{PeerPort: agentPort, BackendService: platformtest.ModelService}}
+	g := newGroupClient(o, agent, platform.NewStoreClient(store.Address()))
+	for rank := range ranks {
+		for name, entry := range platformtest.InvalidRegistrations(platformtest.ModelService, rank, ranks) {
+			store.Put(platform.ServerTopic, fmt.Sprintf("z odd %d %.100s", rank, name), []byte(entry))
+		}
+	}
+	d.RegisterRank("z-4", hostOf(4)+":1", ranks+1, 0)
+	require.NoError(t, g.refresh(t.Context(), false))
+	require.False(t, g.membersKnown())
+	require.Len(t, g.peers, 1)
+	require.Equal(t, hostOf(1)+":1", g.peers[1].address)
+}
--- a/daemons/rankagent/slowdown.go
+++ b/daemons/rankagent/slowdown.go
@@ -67,11 +67,17 @@
 	p.refreshedAt = now
 	p.gateways = p.gateways[:0]
 	for _, r := range records {
-		address, err := net.ResolveUDPAddr("udp4", string(r.Value))
-		if err != nil || address.Port == 0 {
-			continue // the gateway has withdrawn its address
+		address, err := platform.DecodeGatewayAddress(r)
+		if err != nil {
+			p.log.Debug().Err(err).Str("key", r.Key).Msg("no address of a gateway")
+			continue
+		}
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			p.log.Warn().Err(err).Str("gateway", address).Msg("gateway has an invalid address")
+			continue
 		}
-		p.gateways = append(p.gateways, address)
+		p.gateways = append(p.gateways, to)
 	}
 }
 
