--- a/base/infra/http.go
+++ b/base/infra/http.go
@@ -54,6 +54,8 @@
 type instanceCache struct {
 	etag      string
 	instances []Instance
+	// err is an InvalidEntriesError or nil.
+	err error
 }
 
 var (
@@ -121,18 +123,18 @@
 	}
 	switch {
 	case resp.status == http.StatusNotModified && cached.etag != "":
-		return slices.Clone(cached.instances), nil
+		return slices.Clone(cached.instances), cached.err
 	case resp.status != http.StatusOK:
 		return nil, resp.asError()
 	}
 	list := instanceCache{etag: resp.header.Get("ETag")}
-	if err := json.Unmarshal(resp.body, &list.instances); err != nil {
-		return nil, errkind.Wrap(errkind.PlatformUnavailable, err, "decode instance list")
+	if list.instances, list.err = decodeInstances(resp.body); list.instances == nil {
+		return nil, list.err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cache = list
-	return slices.Clone(list.instances), nil
+	return slices.Clone(list.instances), list.err
 }
 
 func (c *HTTPClient) loadCache() instanceCache {
--- a/base/infra/platform.go
+++ b/base/infra/platform.go
@@ -76,6 +76,8 @@
 // InstanceList is the platform's list of instances, which lags behind their actual
 // state.
 type InstanceList interface {
+	// Instances reads the list. After an InvalidEntriesError the returned instances are
+	// the valid ones.
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
--- a/config/tablecli/commands.go
+++ b/config/tablecli/commands.go
@@ -151,10 +151,15 @@
 // printInstances requests the table offset of each instance once and prints which
 // instances have not reported the given offset.
 func printInstances(ctx context.Context, list infra.InstanceList, poller *offsetPoller, offset infra.Offset, out io.Writer) error {
-	instances, err := list.Instances(ctx)
+	instances, invalid, err := infra.ValidInstances(ctx, list)
 	if err != nil {
 		return err
 	}
+	if invalid != nil {
+		if _, err := fmt.Fprintf(out, "ignored: %v\n", invalid); err != nil {
+			return err
+		}
+	}
 	late := poller.pollLate(ctx, instances, offset)
 	if _, err = fmt.Fprintf(out, "in force on %d of %d instance(s)\n", len(instances)-len(late), len(instances)); err != nil || len(late) == 0 {
 		return err
--- a/config/tablecli/publish.go
+++ b/config/tablecli/publish.go
@@ -86,7 +86,7 @@
 	var late []string
 	listed := false
 	for {
-		instances, err := list.Instances(ctx)
+		instances, _, err := infra.ValidInstances(ctx, list)
 		if err == nil {
 			listed = true
 			late = poller.pollLate(ctx, instances, offset)
--- a/daemons/daemon/instances.go
+++ b/daemons/daemon/instances.go
@@ -19,6 +19,8 @@
 	timeout  time.Duration
 	log      zerolog.Logger
 	latest   atomic.Pointer[[]infra.Instance]
+	// invalid describes the invalid entries of the last list.
+	invalid atomic.Pointer[string]
 }
 
 // NewInstanceWatcher returns a watcher that has not read the list yet. interval
@@ -43,14 +45,26 @@
 func (i *InstanceWatcher) Refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, i.timeout)
 	defer cancel()
-	list, err := i.list.Instances(ctx)
+	list, invalid, err := infra.ValidInstances(ctx, i.list)
 	if err != nil {
 		return err
 	}
+	i.logInvalid(invalid)
 	i.latest.Store(&list)
 	return nil
 }
 
+// logInvalid logs invalid entries once, until they change.
+func (i *InstanceWatcher) logInvalid(invalid *infra.InvalidEntriesError) {
+	text := ""
+	if invalid != nil {
+		text = invalid.Error()
+	}
+	if last := i.invalid.Swap(&text); text != "" && (last == nil || *last != text) {
+		i.log.Warn().Err(invalid).Msg("ignoring invalid entries of the instance list")
+	}
+}
+
 // Latest returns the list of the last successful read, or nil before the first
 // one. The list must not be modified. Each read stores a new pointer, so callers
 // can compare pointers to detect a new list.
--- a/measure/standin/platform_test.go
+++ b/measure/standin/platform_test.go
@@ -76,7 +76,7 @@
 func TestInstanceListLags(t *testing.T) {
 	ctx := context.Background()
 	p, client, clock := newPlatform(t, standin.PlatformConfig{ListLag: 3 * time.Second})
-	p.SetInstances([]infra.Instance{{ID: "a", State: infra.StateLive}})
+	p.SetInstances([]infra.Instance{{ID: "a", Address: "a:1", State: infra.StateLive}})
 	got, err := client.Instances(ctx)
 	require.NoError(t, err)
 	require.Empty(t, got)
@@ -108,7 +108,7 @@
 	transport := &countingTransport{}
 	client, err := infra.NewHTTPClient(server.URL, &http.Client{Transport: transport})
 	require.NoError(t, err)
-	p.SetInstances([]infra.Instance{{ID: "a", State: infra.StateLive}})
+	p.SetInstances([]infra.Instance{{ID: "a", Address: "a:1", State: infra.StateLive}})
 	first, err := client.Instances(ctx)
 	require.NoError(t, err)
 	sent := transport.bytes
@@ -117,7 +117,7 @@
 	require.NoError(t, err)
 	require.Equal(t, first, second)
 	require.Equal(t, sent, transport.bytes)
-	p.SetInstances([]infra.Instance{{ID: "a", State: infra.StateLeaving}})
+	p.SetInstances([]infra.Instance{{ID: "a", Address: "a:1", State: infra.StateLeaving}})
 	third, err := client.Instances(ctx)
 	require.NoError(t, err)
 	require.Equal(t, infra.StateLeaving, third[0].State)
