--- a/daemons/entry/entry_test.go
+++ b/daemons/entry/entry_test.go
@@ -243,3 +243,23 @@
 	<-f.entry.gate.Stopped()
 	require.Equal(t, 1, sidecar.callCount())
 }
+
+// Guards against a request in flight at the end of the drain timeout that gets no response,
+// or one that states that it did not run although it may have.
+func TestRequestsAtEndOfDrainAreAnswered(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	f := newFixture(t, newFakeSidecar(t, "a", func(*connect.ServerStream[pb.Chunk], *stream.Sender) {
+		close(started)
+		<-release
+	}))
+	answered := make(chan reply, 1)
+	go func() { answered <- f.createOrder(t) }()
+	<-started
+	f.entry.gate.Terminate()
+	f.entry.Abort()
+	r := <-answered
+	require.NoError(t, r.err)
+	require.GreaterOrEqual(t, r.status, http.StatusBadRequest)
+	require.Equal(t, "unknown", r.errorDetail(t).Execution)
+}
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -27,6 +27,7 @@
 
 var (
 	errDeadline     = errors.New("deadline exceeded")
+	errShutdown     = errors.New("the grace period of this process has ended")
 	errServerSilent = errors.New("the server sent nothing within the silence limit")
 )
 
@@ -37,7 +38,9 @@
 func (g *Gateway) forward(r *request, out *responseWriter) error {
 	ctx, cancel := r.context(r.arrived)
 	defer cancel()
-	defer context.AfterFunc(g.abortCtx, cancel)()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(g.abortCtx, func() { abort(errShutdown) })()
 	waitCtx, cancelWait := r.waitContext(ctx)
 	defer cancelWait()
 	r.lost = lostRequest{id: r.call.AttemptID, fingerprint: r.fingerprint(), promptParts: r.call.SharedPromptParts}
@@ -212,8 +215,11 @@
 	}
 	known := errkind.Of(err)
 	kind := errkind.Canceled
-	if errors.Is(cause, errDeadline) {
+	switch {
+	case errors.Is(cause, errDeadline):
 		kind = errkind.BackendTimeout
+	case errors.Is(cause, errShutdown):
+		kind = errkind.Leaving
 	}
 	e := errkind.Wrap(kind, err, cause.Error())
 	e.Execution = known.Execution
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -121,16 +121,20 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
-	if err := g.gate.Enter(); err != nil {
+	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
-		g.writeError(w, &request{http: hr}, errkind.Of(err))
+	}
+	err := g.gate.Enter()
+	if err != nil {
+		g.refuse(w, hr, errkind.Of(err).WithRetryAfter(leavingRetryAfter))
 		return
 	}
 	defer g.gate.Exit()
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	r, err := g.prepare(w, hr)
+	if err == nil && g.gate.IsDraining() {
+		// Its body arrived so late that the response may not be complete in time.
+		err = errkind.New(errkind.Leaving, "this process is shutting down").WithRetryAfter(leavingRetryAfter)
+	}
 	if err != nil {
 		g.writeError(w, r, errkind.Of(err))
 		return
@@ -140,6 +144,14 @@
 	g.finish(r, out, errkind.Of(err))
 }
 
+// refuse sends an error response to a request that is not read any further.
+func (g *Gateway) refuse(w http.ResponseWriter, hr *http.Request, err *errkind.Error) {
+	r := &request{http: hr, arrived: clock.Now()}
+	// A header that can't be decoded only means that the response lacks the id.
+	r.call, _ = platform.DecodeRequestHeader(hr.Header)
+	g.writeError(w, r, err)
+}
+
 // finish logs the outcome of a request and sends an error response if no
 // response was started.
 func (g *Gateway) finish(r *request, out *responseWriter, err *errkind.Error) {
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -147,21 +147,28 @@
 	}
 }
 
-// shutdown stops the gateway gracefully. It reports unready, keeps serving until
-// the platform sends no new connections, then waits for the requests in flight.
-// Shortly before the end of the grace period it aborts those that remain.
+// shutdown stops the gateway gracefully. It reports unready and keeps serving until the
+// platform sends no new connections. From then on it refuses requests, which another
+// gateway can serve in full, and waits for those in flight. Shortly before the end of the
+// grace period it aborts those that remain.
 func (g *Gateway) shutdown(f *frontend) error {
 	start := time.Now()
+	grace := g.bounds.Load().TerminationGrace
 	g.draining.Store(true)
 	g.log.Info().Int("in_flight", g.gate.InFlight()).Msg("leaving")
-	time.Sleep(min(readinessPropagation, g.bounds.Load().TerminationGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(g.bounds.Load().TerminationGrace-abortMargin))
-	defer cancel()
-	err := f.shutdown(ctx)
-	if err != nil {
+	time.Sleep(min(readinessPropagation, grace/2))
+	f.stopAccepting()
+	g.gate.Terminate()
+	select {
+	case <-g.gate.Stopped():
+	case <-time.After(time.Until(start.Add(grace - abortMargin))):
 		g.log.Warn().Int("in_flight", g.gate.InFlight()).Msg("aborting the requests in flight at the end of the grace period")
 		g.abort()
-		time.Sleep(abortMargin / 2)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), abortMargin/2)
+	defer cancel()
+	if err := f.shutdown(ctx); err != nil {
+		g.log.Warn().Err(err).Int("in_flight", g.gate.InFlight()).Msg("connections of callers are still open")
 	}
 	g.log.Info().Dur("took_ms", time.Since(start)).Msg("stopped")
 	return nil
--- a/daemons/gateway/server.go
+++ b/daemons/gateway/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +27,11 @@
 	// apart, plus their delay.
 	readinessPropagation = 2600 * time.Millisecond
 	// abortMargin is how long before SIGKILL the remaining requests are aborted,
-	// so that their callers see the connections close.
+	// so that their callers get an error or see the connections close.
 	abortMargin = 500 * time.Millisecond
+	// leavingRetryAfter is the Retry-After value of requests that are refused during a
+	// shutdown. It is short because another gateway can serve the request at once.
+	leavingRetryAfter = 100 * time.Millisecond
 	// adminTimeout limits requests for readiness and metrics.
 	adminTimeout = 5 * time.Second
 )
@@ -100,13 +104,20 @@
 	return queue
 }
 
-// shutdown closes the listener and the idle connections, then waits for the
-// requests in flight until ctx ends.
-func (f *frontend) shutdown(ctx context.Context) error {
+// stopAccepting closes the listener and the idle connections. The others close after their
+// next response.
+func (f *frontend) stopAccepting() {
 	_ = f.listener.Close()
-	f.mu.Lock()
-	servers := f.servers
-	f.mu.Unlock()
+	for _, s := range f.currentServers() {
+		s.SetKeepAlivesEnabled(false)
+	}
+}
+
+// shutdown closes all connections without a request, and waits until the last responses
+// have been sent or ctx ends.
+func (f *frontend) shutdown(ctx context.Context) error {
+	f.stopAccepting()
+	servers := f.currentServers()
 	var group sync.WaitGroup
 	errs := make([]error, len(servers))
 	for i, s := range servers {
@@ -116,6 +127,12 @@
 	return errors.Join(errs...)
 }
 
+func (f *frontend) currentServers() []*http.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.servers)
+}
+
 // connQueue is a net.Listener whose connections are passed in by push.
 type connQueue struct {
 	addr   net.Addr
--- a/daemons/gateway/shutdown_test.go
+++ b/daemons/gateway/shutdown_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +47,116 @@
 	require.Error(t, err)
 }
 
+// shutdownFixture is a gateway with a listener of its own that is shutting down.
+type shutdownFixture struct {
+	*fixture
+	address string
+	started time.Time
+	done    chan error
+}
+
+// startShutdown begins the shutdown of the gateway after before has run.
+func startShutdown(t *testing.T, f *fixture, before func(address string)) *shutdownFixture {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	front := newFrontend(listener, f.gateway, zerolog.Nop())
+	go front.accept(func() fleet.Limits { return fleet.Limits{} })
+	s := &shutdownFixture{fixture: f, address: listener.Addr().String(), done: make(chan error, 1)}
+	f.server.URL = "http://" + s.address
+	before(s.address)
+	s.started = time.Now()
+	go func() { s.done <- f.gateway.shutdown(front) }()
+	return s
+}
+
+// waitUntilClosed waits until the gateway accepts no more connections.
+func (s *shutdownFixture) waitUntilClosed() {
+	s.eventually(func() bool {
+		conn, err := net.Dial("tcp4", s.address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	})
+}
+
+// bookingHeader is the head of a request that may run once, with a body of five bytes.
+func bookingHeader(id string) string {
+	h := http.Header{}
+	platformtest.WithAttempt(id)(h)
+	platformtest.WithKey(platformtest.Key)(h)
+	platformtest.WithDeadline("8000")(h)
+	var b strings.Builder
+	b.WriteString("POST " + bookingPath + " HTTP/1.1\r\nHost: " + host + "\r\nContent-Length: 5\r\n")
+	_ = h.Write(&b)
+	return b.String() + "\r\n"
+}
+
+// Guards against a request that is passed on late in the grace period and then cut without
+// a response: on a connection that was opened before the shutdown, and with a body that
+// arrives late.
+func TestLateRequestsInShutdownAreRefused(t *testing.T) {
+	for name, early := range map[string]string{"late request": "", "late body": bookingHeader("a1")} {
+		t.Run(name, func(t *testing.T) {
+			s := platformtest.NewServer("s1")
+			defer s.Close()
+			s.SetDelay(1300 * time.Millisecond)
+			fixture := newFixture(t, s)
+			inFlight := make(chan response, 1)
+			var conn net.Conn
+			f := startShutdown(t, fixture, func(address string) {
+				go func() {
+					r, _ := fixture.trySend(t.Context(), http.MethodPost, bookingPath, "in-flight")
+					inFlight <- r
+				}()
+				fixture.eventually(func() bool { return s.RequestCount() == 1 })
+				var err error
+				conn, err = net.Dial("tcp4", address)
+				require.NoError(t, err)
+				_, err = conn.Write([]byte(early))
+				require.NoError(t, err)
+			})
+			defer func() { _ = conn.Close() }()
+			f.waitUntilClosed()
+			_, err := conn.Write([]byte((bookingHeader("a1") + "hello")[len(early):]))
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Equal(t, "a1", platformtest.AttemptID(resp.Header))
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+			require.Less(t, time.Since(f.started), bounds().TerminationGrace-abortMargin)
+			require.Equal(t, http.StatusOK, (<-inFlight).status)
+			require.Equal(t, 1, s.RequestCount())
+			require.NoError(t, <-f.done)
+		})
+	}
+}
+
+// Guards against requests in flight at the end of the grace period that get no response,
+// and against one that states that a request did not run although it may have.
+func TestRequestsAtEndOfGracePeriodAreAnswered(t *testing.T) {
+	s := platformtest.NewServer("s1", platformtest.NoResponse)
+	defer s.Close()
+	fixture := newFixture(t, s)
+	responses := make(chan response, 2)
+	send := func(id string) {
+		r, err := fixture.trySend(t.Context(), http.MethodPost, bookingPath, id, platformtest.WithDeadline("8000"))
+		if err != nil {
+			t.Log(err)
+		}
+		responses <- r
+	}
+	f := startShutdown(t, fixture, func(string) {
+		go send("running")
+		fixture.eventually(func() bool { return s.RequestCount() == 1 })
+	})
+	require.Equal(t, http.StatusBadGateway, (<-responses).status)
+	require.NoError(t, <-f.done)
+	require.Less(t, time.Since(f.started), bounds().TerminationGrace)
+}
+
 // Guards against applying the limits of an older configuration to new
 // connections.
 func TestNewConnectionsUseCurrentLimits(t *testing.T) {
