--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	go test ./config/table -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZTIME)
 	go test ./rankgroup/experts -run '^$$' -fuzz FuzzDecide -fuzztime $(FUZZTIME)
 	go test ./serve/eventstream -run '^$$' -fuzz FuzzSplitter -fuzztime $(FUZZTIME)
+	go test ./daemons/gateway -run '^$$' -fuzz FuzzRoute -fuzztime $(FUZZTIME)
 	go test ./daemons/gateway/upstream -run '^$$' -fuzz FuzzReadResponse -fuzztime $(FUZZTIME)
 	for f in FuzzRecords FuzzEntries FuzzSettings FuzzCall; do \
 		go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -161,14 +161,6 @@
 	}
 }
 
-// target returns the path and query exactly as sent by the caller.
-func (r *request) target() string {
-	if r.http.URL.Host != "" {
-		return r.http.URL.RequestURI()
-	}
-	return r.http.RequestURI
-}
-
 // matchesRequest reports whether a response belongs to this request. A response
 // without an attempt ID is accepted only if its status is 300 or higher, because
 // refusals may lack it, and only if it is the first one of its connection: a later one
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -115,7 +115,7 @@
 		line.Int64("config_version", r.index.Config.Version).Dur("config_age_ms", r.configAge)
 	}
 	if r.route == nil {
-		line.Str("host", r.http.Host).Str("path", r.http.URL.Path)
+		line.Str("host", r.http.Host).Str("path", r.path())
 		return
 	}
 	line.Str("route", r.route.Name).Str("kind", r.route.Kind.String()).Str("service", r.service).
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -131,6 +132,23 @@
 // timeLeft returns the time until the deadline.
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
+// target returns the path and query as they are sent to backend servers, exactly as the
+// caller sent them.
+func (r *request) target() string {
+	if r.http.URL.Host != "" {
+		return r.http.URL.RequestURI()
+	}
+	return r.http.RequestURI
+}
+
+// path returns the path of the target, with its escapes. The route is selected by it and
+// not by the unescaped path: an escaped slash must not lead to another route than the one
+// that backend servers see.
+func (r *request) path() string {
+	path, _, _ := strings.Cut(r.target(), "?")
+	return path
+}
+
 // prepare reads a request, authenticates it and selects its route and service.
 // After an error the request has not run.
 func (g *Gateway) prepare(w http.ResponseWriter, hr *http.Request) (*request, error) {
@@ -158,7 +176,7 @@
 // rejection (401 or 404) requires a configuration that is known to be recent.
 func (r *request) resolve(silence time.Duration, bounds *platform.Bounds) error {
 	recent := silence <= bounds.ConfigApplyTime
-	route, ok := r.index.Route(r.http.Host, r.http.URL.Path)
+	route, ok := r.index.Route(r.http.Host, r.path())
 	if !ok {
 		if !recent {
 			return staleConfigError("no matching route, but the configuration may be out of date")
--- a/daemons/gateway/server.go
+++ b/daemons/gateway/server.go
@@ -86,6 +86,8 @@
 		Handler:        f.handler,
 		MaxHeaderBytes: limits.MaxHeaderBytes,
 		ErrorLog:       nil,
+		// "OPTIONS *" has no route, like any other request without one.
+		DisableGeneralOptionsHandler: true,
 	}
 	if limits.HeaderTimeout > 0 {
 		server.ReadHeaderTimeout = limits.HeaderTimeout + headerSlack
