--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -50,10 +50,12 @@
 	// server.
 	lastEventAt time.Time
 	events      int
-	// serverFull, wrongServer and groupDown are the reasons for a refusal by the
-	// server. wrongServer means that another server has the address now.
+	// serverFull, wrongServer, unsuitable and groupDown are the reasons for a refusal.
+	// wrongServer means that another server has the address now, unsuitable that the
+	// server doesn't have what this request expects.
 	serverFull  bool
 	wrongServer bool
+	unsuitable  bool
 	groupDown   bool
 }
 
@@ -116,7 +118,10 @@
 	}
 	x.response = platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
 	x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
-	x.svc.recordStatements(x.server.ID, isSuccess(resp.StatusCode), x.response)
+	x.wrongServer = x.response.Misdirected && !x.response.RefusedBy(x.server.ID)
+	if !x.wrongServer {
+		x.svc.recordStatements(x.server.ID, isSuccess(resp.StatusCode), x.response)
+	}
 	if x.response.NotExecuted {
 		return nil, x.serverRefused(resp)
 	}
@@ -177,11 +182,15 @@
 // the request.
 func (x *exchange) serverRefused(resp *http.Response) error {
 	x.drainAndReuse(resp)
-	x.wrongServer = x.response.WrongServer
-	x.serverFull = !x.wrongServer && x.response.ServerAtFault == ""
-	x.groupDown = x.response.ServerAtFault != ""
-	if x.wrongServer {
+	switch {
+	case x.wrongServer:
 		x.g.requestServerRefresh()
+	case x.response.Misdirected:
+		x.unsuitable = true
+	case x.response.ServerAtFault == "":
+		x.serverFull = true
+	default:
+		x.groupDown = true
 	}
 	err := errkind.New(errkind.BackendUnavailable, "the server did not run the request: status %d, server at fault %q",
 		resp.StatusCode, x.response.ServerAtFault)
@@ -250,7 +259,7 @@
 	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = x.unsuitable || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/statements.go
+++ b/daemons/gateway/statements.go
@@ -8,10 +8,10 @@
 	"github.com/filbertmux/filbertmux/platform"
 )
 
-// recordStatements records what a server states about itself in a response. A response
-// of another server at the address, or a successful one that isn't signed, states nothing.
+// recordStatements records what a server states about itself in its response. A
+// successful response that isn't signed states nothing.
 func (s *service) recordStatements(server string, success bool, h platform.ResponseHeader) {
-	if h.WrongServer || success && !h.Signed {
+	if success && !h.Signed {
 		return
 	}
 	if h.InvalidPause != "" {
