--- a/balance/placement/outage.go
+++ b/balance/placement/outage.go
@@ -71,7 +71,7 @@
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
 		o, ok := s.outages[c.Group]
-		if !ok || c.gone() || slices.Contains(exclude, id) {
+		if !ok || c.gone(now) || slices.Contains(exclude, id) {
 			continue
 		}
 		wait = max(wait, maxOutageWait-now.Sub(o.startedAt))
--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -10,7 +10,7 @@
 func (s *Scheduler[T]) hasServer(now time.Time, exclude []string) bool {
 	return slices.ContainsFunc(s.serverIDs, func(id string) bool {
 		c := s.servers[id]
-		return !c.gone() && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
+		return !c.gone(now) && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
 	})
 }
 
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -51,6 +51,9 @@
 	// Group is the rank group of the server, or empty. The servers of a group
 	// serve only while all of them work.
 	Group string
+	// Incarnation identifies a run of the server at an address. What was observed of
+	// another incarnation doesn't count.
+	Incarnation string
 }
 
 // Config holds the parameters of a Scheduler.
@@ -103,10 +106,10 @@
 	slowdownAt time.Time
 	// Until cooldownUntil the server gets requests only if all others are in
 	// cooldown or full. Until avoidUntil it gets requests only if there is no
-	// other server. A banned server gets none.
+	// other server. Until bannedUntil it gets none.
 	cooldownUntil time.Time
 	avoidUntil    time.Time
-	banned        bool
+	bannedUntil   time.Time
 	listed        bool
 	// leaving means that the server has stated that it is leaving, and pausedUntil until
 	// when it has stated to want no requests.
@@ -167,6 +170,9 @@
 			srv = &server{slowdown: 1}
 			s.servers[l.ID] = srv
 		}
+		if srv.Incarnation != l.Incarnation {
+			srv.forget()
+		}
 		srv.Server, srv.listed = l, true
 		s.serverIDs = append(s.serverIDs, l.ID)
 	}
@@ -367,14 +373,22 @@
 	}
 }
 
-// Ban keeps all requests away from a server for as long as it is listed. It is
-// used when another server has taken over its address.
-func (s *Scheduler[T]) Ban(id string) {
-	if srv, ok := s.servers[id]; ok {
-		srv.banned = true
+// Ban keeps all requests away from a server until the given time, or until another
+// incarnation of it is listed. It is used when another server has taken over its address.
+func (s *Scheduler[T]) Ban(id string, until time.Time) {
+	if srv, ok := s.servers[id]; ok && until.After(srv.bannedUntil) {
+		srv.bannedUntil = until
 	}
 }
 
+// forget drops what was observed of another incarnation of the server. Its requests in
+// flight still count.
+func (c *server) forget() {
+	c.slowdown, c.slowdownAt = 1, time.Time{}
+	c.cooldownUntil, c.avoidUntil, c.bannedUntil = time.Time{}, time.Time{}, time.Time{}
+	c.leaving, c.pausedUntil = false, time.Time{}
+}
+
 func (s *Scheduler[T]) startOn(now time.Time, picked *server, value T) Outcome[T] {
 	picked.ownInFlight++
 	picked.pace.start(now)
--- a/balance/placement/placement_test.go
+++ b/balance/placement/placement_test.go
@@ -166,13 +166,33 @@
 	s.SetCooldown("s1", start.Add(time.Second))
 	s.SetCooldown("s2", start.Add(time.Second))
 	require.NotEmpty(t, place(t, s, start, request(7)))
-	s.Ban("s0")
-	s.Ban("s1")
+	s.Ban("s0", start.Add(time.Minute))
+	s.Ban("s1", start.Add(time.Minute))
 	for i := range 2 {
 		require.Equal(t, "s2", place(t, s, start, request(10+i)))
 	}
 }
 
+// Servers get each other's addresses after a loss of power, and one refuses requests for
+// the other until the list is right. A ban must end with the address or the run of the
+// server, and after a while in any case: the server may be back at its address.
+func TestBanEnds(t *testing.T) {
+	s := scheduler(0, 0)
+	list := serverList(1, 4)
+	list[0].Incarnation = "a"
+	s.SetServers(list)
+	until := start.Add(time.Second)
+	s.Ban("s0", until)
+	s.SetServers(list)
+	_, out := s.Place(start, request(1))
+	require.Error(t, out[0].Err)
+	require.Equal(t, "s0", place(t, s, until, request(2)))
+	s.Ban("s0", until.Add(time.Minute))
+	list[0].Incarnation = "b"
+	s.SetServers(list)
+	require.Equal(t, "s0", place(t, s, until, request(3)))
+}
+
 func groupScheduler(n int) *placement.Scheduler[int] {
 	s := scheduler(0, 0)
 	servers := serverList(n, 4)
@@ -265,7 +285,7 @@
 	ticket, out := s.Place(start, request(3))
 	require.NotNil(t, ticket, "the request is queued for the other server")
 	require.Empty(t, out)
-	s.Ban("s1")
+	s.Ban("s1", start.Add(time.Minute))
 	require.Len(t, s.Dispatch(start), 1, "there is no other server")
 	s = scheduler(1, 1)
 	s.Avoid("s0", start.Add(time.Second))
--- a/balance/placement/stated.go
+++ b/balance/placement/stated.go
@@ -17,11 +17,12 @@
 
 // unusable reports whether a server gets no requests now, whatever the others do.
 func (c *server) unusable(now time.Time) bool {
-	return c.gone() || c.pausedUntil.After(now)
+	return c.gone(now) || c.pausedUntil.After(now)
 }
 
-// gone reports whether a server gets no more requests.
-func (c *server) gone() bool { return c.banned || c.leaving }
+// gone reports whether a server gets no requests because it is leaving or has lost its
+// address.
+func (c *server) gone(now time.Time) bool { return c.leaving || c.bannedUntil.After(now) }
 
 // refuseByPause refuses a request if all servers that it may use want no requests for
 // longer than it may wait.
@@ -29,7 +30,7 @@
 	shortest := farFuture
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.gone() || slices.Contains(r.Exclude, id) || s.groupBlocked(now, c.Group) {
+		if c.gone(now) || slices.Contains(r.Exclude, id) || s.groupBlocked(now, c.Group) {
 			continue
 		}
 		shortest = min(shortest, max(c.pausedUntil.Sub(now), 0))
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -28,6 +28,11 @@
 	notServerFault bool
 }
 
+// wrongServerBan is how long a server gets no requests after another one has answered at its
+// address, unless the list shows a new address or start of the server before. The list is
+// usually right within a few seconds, but stays late while the store is away.
+const wrongServerBan = 5 * time.Second
+
 // release frees the slot of a finished attempt and updates the health of its
 // server.
 func (s *service) release(now time.Time, r attemptResult) {
@@ -41,8 +46,9 @@
 	case r.err == nil:
 		s.outliers.RecordSuccess(r.server)
 	case r.wrongServer:
-		s.scheduler.Ban(r.server)
-		s.log.Warn().Str("server", r.server).Msg("another server has taken over the address; sending no more requests to this server")
+		s.scheduler.Ban(r.server, now.Add(wrongServerBan))
+		s.log.Warn().Str("server", r.server).Dur("for_ms", wrongServerBan).
+			Msg("another server has taken over the address; sending no requests to this server until it has another one")
 	case r.groupDown:
 		if s.scheduler.MarkGroupDown(now, s.groupByServer[r.server]) {
 			s.log.Warn().Str("group", s.groupByServer[r.server]).Str("server", r.server).Str("at_fault", r.atFault).
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -90,6 +90,8 @@
 	// addresses to server IDs.
 	groupByServer   map[string]string
 	serverByAddress map[string]string
+	// incarnations holds the incarnation of each server.
+	incarnations map[string]string
 	// slowRankReportedAt is when a slow rank was last reported.
 	slowRankReportedAt time.Time
 	// lastProgressAt is when any server last sent a part of a response.
@@ -175,13 +177,19 @@
 		s.groupByServer[l.ID] = l.Group
 		s.serverByAddress[l.Address] = l.ID
 	}
-	s.outliers.Retain(func(id string) bool { return known[id] })
-	s.liveness.Retain(func(id string) bool { return known[id] })
+	incarnations := make(map[string]string, len(list))
+	for _, l := range list {
+		incarnations[l.ID] = incarnationOf(l)
+	}
+	unchanged := func(id string) bool { return known[id] && s.incarnations[id] == incarnations[id] }
+	s.outliers.Retain(unchanged)
+	s.liveness.Retain(unchanged)
+	s.incarnations = incarnations
 	var kept []placement.Server
 	for _, c := range s.outliers.Filter(now, candidates) {
 		l := byID[c.ID]
 		kept = append(kept, placement.Server{
-			ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots, Group: l.Group,
+			ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
 		})
 	}
 	s.scheduler.SetServers(kept)
@@ -196,6 +204,11 @@
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
+// incarnationOf identifies a run of a server at an address.
+func incarnationOf(s fleet.Server) string {
+	return s.Address + "@" + strconv.FormatInt(s.StartedUnixMs, 10)
+}
+
 // setPeerLoad replaces the load that the other gateways put on each server.
 // staleness is the sum of the ages of their reports.
 func (s *service) setPeerLoad(now time.Time, load map[loadshare.ServerKey]int, staleness time.Duration) {
