--- a/balance/statement/statement.go
+++ b/balance/statement/statement.go
@@ -13,9 +13,12 @@
 import "time"
 
 const (
-	// MaxPause bounds the time for which a server may want no requests. A server that
-	// states a longer one is asked again then.
-	MaxPause = 30 * time.Second
+	// MaxPause bounds the time for which a server may want no requests. A longer one can't
+	// be meant, and the server is asked again then.
+	MaxPause = 24 * time.Hour
+	// retention is how long the statements of a server are kept that isn't listed. Its
+	// registration may be missing for a while, or be unreadable.
+	retention = 10 * time.Minute
 	// returnSpread is the longest time by which the return to a server is delayed,
 	// relative to the pause, and maxReturnSpread bounds it. Without the spread, all
 	// gateways would return at the same moment.
@@ -37,6 +40,8 @@
 	// pausedUntil is the end of the last pause. It is from a monotonic clock, so that a
 	// clock that is set doesn't change it.
 	pausedUntil time.Time
+	// unlistedAt is when the server was first missing from the list, or zero.
+	unlistedAt time.Time
 }
 
 // New returns an empty table. random returns a number in [0, 1).
@@ -44,11 +49,21 @@
 	return &Table{servers: make(map[string]*server), random: random}
 }
 
-// SetServers replaces the listed servers, with the start time of each one. Servers that
-// aren't listed any more, or that have started again, have stated nothing.
-func (t *Table) SetServers(startedUnixMs map[string]int64) {
+// SetServers replaces the listed servers, with the start time of each one in Unix
+// milliseconds, or 0. A server that has started again has stated nothing. One that isn't
+// listed keeps its statements for a while, if its start time tells whether it is the same
+// run that returns.
+func (t *Table) SetServers(now time.Time, startedUnixMs map[string]int64) {
 	for id, s := range t.servers {
-		if started, ok := startedUnixMs[id]; !ok || started != s.startedUnixMs {
+		started, listed := startedUnixMs[id]
+		switch {
+		case listed && started != s.startedUnixMs, !listed && s.startedUnixMs == 0:
+			delete(t.servers, id)
+		case listed:
+			s.unlistedAt = time.Time{}
+		case s.unlistedAt.IsZero():
+			s.unlistedAt = now
+		case now.Sub(s.unlistedAt) > retention:
 			delete(t.servers, id)
 		}
 	}
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -200,7 +200,7 @@
 	})
 	s.setBatchLimits(now)
 	s.retainRequestLimits(now)
-	s.retainStatements(list)
+	s.retainStatements(now, list)
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
--- a/daemons/gateway/statements.go
+++ b/daemons/gateway/statements.go
@@ -33,14 +33,14 @@
 	s.applyStatements(server)
 }
 
-// retainStatements forgets the statements of servers that are no longer listed or have
-// started again. The caller holds the mutex.
-func (s *service) retainStatements(list []fleet.Server) {
+// retainStatements forgets the statements of servers that have started again or are gone for
+// long. The caller holds the mutex.
+func (s *service) retainStatements(now time.Time, list []fleet.Server) {
 	started := make(map[string]int64, len(list))
 	for _, l := range list {
 		started[l.ID] = l.StartedUnixMs
 	}
-	s.statements.SetServers(started)
+	s.statements.SetServers(now, started)
 	for id := range started {
 		s.applyStatements(id)
 	}
