--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -46,9 +46,10 @@
 	// that may have happened already.
 	stopAbort func() bool
 	response  platform.ResponseHeader
-	// lastEventAt is when the last event arrived, and events counts those of this
-	// server.
+	// lastEventAt is when the last event arrived. arrived counts the events of this server,
+	// and events those of them that the caller didn't have.
 	lastEventAt time.Time
+	arrived     int
 	events      int
 	// serverFull, wrongServer, unsuitable and groupDown are the reasons for a refusal.
 	// wrongServer means that another server has the address now, unsuitable that the
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -213,6 +213,7 @@
 	if len(arrived) == 0 {
 		return malformed
 	}
+	x.arrived += len(arrived)
 	if !x.watch.beginWrite() {
 		return x.responseTruncated(errServerSilent)
 	}
@@ -291,7 +292,7 @@
 		x.checkForCrash()
 		return errkind.New(errkind.StreamIncomplete, "the stream ended within an event")
 	}
-	if isCloseDelimited(resp) && x.events == 0 && x.out.progress.LastID() == "" {
+	if isCloseDelimited(resp) && x.arrived == 0 {
 		x.checkForCrash()
 		return errkind.New(errkind.StreamIncomplete, "the connection ended before the first event")
 	}
