--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -159,11 +159,10 @@
 	}
 	r.call = call
 	r.log = g.log.With().Str(telemetry.RequestIDField, call.AttemptID).Logger()
-	if r.index = g.state.Index(); r.index == nil {
+	var silence time.Duration
+	if r.index, r.configAge, silence = g.state.Config(r.arrived); r.index == nil {
 		return r, staleConfigError("no configuration has been read yet")
 	}
-	var silence time.Duration
-	r.configAge, silence = g.state.ConfigFreshness(r.arrived)
 	if err := r.resolve(silence, g.bounds.Load()); err != nil {
 		return r, err
 	}
--- a/daemons/gateway/state.go
+++ b/daemons/gateway/state.go
@@ -30,14 +30,23 @@
 // Index returns the current configuration, or nil if none was read yet.
 func (s *ClusterState) Index() *fleet.Index { return s.index.Load() }
 
+// Config returns the current configuration, or nil if none was read yet, with the time
+// since it was last known to be the newest one and the time since the last response of the
+// store. The configuration is at least as new as these times say: it is read after them,
+// and installed before it is confirmed.
+func (s *ClusterState) Config(now time.Time) (index *fleet.Index, age, silence time.Duration) {
+	age, silence = s.ConfigFreshness(now)
+	return s.index.Load(), age, silence
+}
+
 // InstallConfig makes c the current configuration and reports true, unless the
-// current one has the same or a higher version.
+// current one has the same or a higher version. One goroutine calls it.
 func (s *ClusterState) InstallConfig(c *fleet.Config) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if old := s.index.Load(); old != nil && old.Config.Version >= c.Version {
 		return false
 	}
+	// The index of many organisations takes a while, and requests ask for the freshness
+	// meanwhile, so it is built without the mutex.
 	s.index.Store(fleet.NewIndex(c))
 	return true
 }
