--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -33,7 +33,8 @@
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	go func() {
 		defer close(s.done)
-		if s.resp, s.err = s.open(started); s.err != nil {
+		s.resp, s.err = s.open(started) //nolint:bodyclose // the body ends with the connection
+		if s.err != nil {
 			s.release(s.err)
 		}
 		opened(s)
@@ -41,20 +42,10 @@
 	return s
 }
 
-// open sends the request and reads the header of the response. It fails if the response
-// can't continue the request.
+// open gets a response that can continue the request, with its header read. After an error
+// the standby has ended.
 func (s *standby) open(started bool) (*http.Response, error) {
-	x := s.x
-	if err := x.connect(s.ctx, s.ctx); err != nil {
-		return nil, err
-	}
-	resp, err := x.roundTrip()
-	if err == nil {
-		err = x.validate(resp, started)
-	}
-	if err == nil && resp.StatusCode >= http.StatusInternalServerError {
-		err = errkind.New(errkind.BackendFailed, "the server failed with status %d", resp.StatusCode)
-	}
+	resp, err := s.roundTrip(started)
 	if err == nil {
 		return resp, nil
 	}
@@ -65,6 +56,23 @@
 	return nil, err
 }
 
+func (s *standby) roundTrip(started bool) (*http.Response, error) {
+	if err := s.x.connect(s.ctx, s.ctx); err != nil {
+		return nil, err
+	}
+	resp, err := s.x.roundTrip()
+	if err != nil {
+		return nil, err
+	}
+	if err := s.x.validate(resp, started); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return nil, errkind.New(errkind.BackendFailed, "the server failed with status %d", resp.StatusCode)
+	}
+	return resp, nil
+}
+
 // abandon ends a standby that has a response.
 func (s *standby) abandon() {
 	s.cancel()
