--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 GOPLS := go run golang.org/x/tools/gopls@v0.23.0
 BIN := $(CURDIR)/bin
 
-.PHONY: check fmt fmt-check lint vet build test demo generate soak fuzz rename
+.PHONY: check fmt fmt-check lint vet build test demo generate soak fuzz rename review
 
 check: fmt-check vet lint build test demo
 
@@ -61,6 +61,10 @@
 	for f in FuzzRecords FuzzEntries FuzzSettings FuzzCall; do \
 		go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
 
+# The cases of the independent review, with a line for each. A run takes about 70 s.
+review:
+	./.ci/review
+
 # Needs protoc; the generated code is committed, so a build does not.
 generate:
 	mkdir -p $(BIN)
