--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -344,51 +344,6 @@
 	s.meanCost += meanSmoothing * (cost - s.meanCost)
 }
 
-// ObserveSlowdown records the duration of a request on a server relative to the
-// usual duration of such a request.
-func (s *Scheduler[T]) ObserveSlowdown(now time.Time, id string, observed float64) {
-	srv, ok := s.servers[id]
-	if !ok {
-		return
-	}
-	current := srv.currentSlowdown(now)
-	srv.slowdown = min(max(current+slowdownSmoothing*(observed-current), minSlowdown), maxSlowdown)
-	srv.slowdownAt = now
-}
-
-// SetCooldown keeps requests away from a server until the given time, unless all
-// other servers are in cooldown or full.
-func (s *Scheduler[T]) SetCooldown(id string, until time.Time) {
-	if srv, ok := s.servers[id]; ok && until.After(srv.cooldownUntil) {
-		srv.cooldownUntil = until
-	}
-}
-
-// Avoid keeps requests away from a server until the given time, unless there is
-// no other server. Unlike SetCooldown, it does so also when all others are full,
-// because requests on a slow rank delay those of its whole group.
-func (s *Scheduler[T]) Avoid(id string, until time.Time) {
-	if srv, ok := s.servers[id]; ok && until.After(srv.avoidUntil) {
-		srv.avoidUntil = until
-	}
-}
-
-// Ban keeps all requests away from a server until the given time, or until another
-// incarnation of it is listed. It is used when another server has taken over its address.
-func (s *Scheduler[T]) Ban(id string, until time.Time) {
-	if srv, ok := s.servers[id]; ok && until.After(srv.bannedUntil) {
-		srv.bannedUntil = until
-	}
-}
-
-// forget drops what was observed of another incarnation of the server. Its requests in
-// flight still count.
-func (c *server) forget() {
-	c.slowdown, c.slowdownAt = 1, time.Time{}
-	c.cooldownUntil, c.avoidUntil, c.bannedUntil = time.Time{}, time.Time{}, time.Time{}
-	c.leaving, c.pausedUntil = false, time.Time{}
-}
-
 func (s *Scheduler[T]) startOn(now time.Time, picked *server, value T) Outcome[T] {
 	picked.ownInFlight++
 	picked.pace.start(now)
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -308,107 +306,3 @@
 	}
 	return true
 }
-
-// failureDomains returns the failure domain of each rank.
-func (g *groupClient) failureDomains() []string {
-	_, _, size := g.agent.Identity()
-	list := make([]string, size)
-	for rank := range list {
-		list[rank] = g.domains[rank]
-	}
-	return list
-}
-
-// membersKnown reports whether the engine and all ranks of the group are known.
-// Ranks register one by one when a deployment starts.
-func (g *groupClient) membersKnown() bool {
-	_, _, size := g.agent.Identity()
-	return g.engine != nil && size > 0 && len(g.domains) >= size
-}
-
-// refresh reads the members of the group and the engine from the store, unless they
-// were read within the refresh interval. missing reports that a rank could not be
-// read, which shortens the interval.
-func (g *groupClient) refresh(ctx context.Context, missing bool) error {
-	interval := refreshInterval
-	if !g.membersKnown() || missing {
-		interval = incompleteRefreshInterval
-	}
-	now := clock.Now()
-	if !g.refreshedAt.IsZero() && now.Sub(g.refreshedAt) < interval {
-		return nil
-	}
-	g.refreshedAt = now
-	if g.engine == nil {
-		if err := g.readEngine(ctx); err != nil {
-			return err
-		}
-	}
-	return g.readPeers(ctx)
-}
-
-func (g *groupClient) readEngine(ctx context.Context) error {
-	records, _, err := g.store.ReadNewest(ctx, platform.ConfigTopic)
-	if err != nil {
-		return err
-	}
-	for _, r := range records {
-		if r.Key != platform.ConfigKey {
-			continue
-		}
-		c, err := platform.DecodeConfig(r.Value)
-		if err != nil {
-			return err
-		}
-		g.engine = c.Services[g.service].Engine
-		g.eventGapObjective = c.EventGapObjective(g.service)
-	}
-	return nil
-}
-
-func (g *groupClient) readPeers(ctx context.Context) error {
-	records, _, err := g.store.ReadNewest(ctx, platform.ServerTopic)
-	if err != nil {
-		return err
-	}
-	name, own, size := g.agent.Identity()
-	for _, r := range records {
-		s, err := decodeRank(r)
-		if err != nil {
-			g.log.Debug().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; ignoring it")
-			continue
-		}
-		if s.Group != name || s.Service != g.service || s.Rank >= size {
-			continue // not a rank of this group
-		}
-		g.domains[s.Rank] = s.FailureDomain
-		if s.Rank != own {
-			g.addPeer(s)
-		}
-	}
-	return nil
-}
-
-func decodeRank(r platform.KeyedRecord) (*fleet.Server, error) {
-	if r.Err != nil {
-		return nil, r.Err
-	}
-	return platform.DecodeServer(r.Key, r.Value)
-}
-
-func (g *groupClient) addPeer(s *fleet.Server) {
-	host, _, err := net.SplitHostPort(s.Address)
-	if err != nil {
-		return // can't happen: DecodeServer has checked the address
-	}
-	address := net.JoinHostPort(host, strconv.Itoa(g.port))
-	if p := g.peers[s.Rank]; p.agent == address && p.address == s.Address {
-		return
-	}
-	g.peers[s.Rank] = peer{
-		address: s.Address,
-		agent:   address,
-		client:  filbertmuxv1connect.NewRankAgentServiceClient(g.client, "http://"+address),
-		rank:    platform.NewRankClient(s.Address),
-	}
-}
