--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -157,8 +157,10 @@
 	g.draining.Store(true)
 	g.log.Info().Int("in_flight", g.gate.InFlight()).Msg("leaving")
 	time.Sleep(min(readinessPropagation, grace/2))
-	f.stopAccepting()
+	// A request may arrive on an idle connection that is being closed. It must not be passed
+	// on, so the gate closes first.
 	g.gate.Terminate()
+	f.stopAccepting()
 	select {
 	case <-g.gate.Stopped():
 	case <-time.After(time.Until(start.Add(grace - abortMargin))):
--- a/daemons/gateway/shutdown_test.go
+++ b/daemons/gateway/shutdown_test.go
@@ -134,6 +134,54 @@
 	}
 }
 
+// closeListener calls closed when one of its connections is closed.
+type closeListener struct {
+	net.Listener
+	closed func()
+}
+
+type closeConn struct {
+	net.Conn
+	closed func()
+}
+
+func (l closeListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return closeConn{conn, l.closed}, err
+}
+
+func (c closeConn) Close() error {
+	c.closed()
+	return c.Conn.Close()
+}
+
+// Guards against a request that is passed on although it arrives on an idle connection while
+// the shutdown closes it.
+func TestIdleConnectionsCloseAfterGate(t *testing.T) {
+	s := platformtest.NewServer("s1")
+	defer s.Close()
+	f := newFixture(t, s)
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	draining := make(chan bool, 1)
+	front := newFrontend(closeListener{tcp, func() { draining <- f.gateway.gate.IsDraining() }}, f.gateway, zerolog.Nop())
+	go front.accept(func() fleet.Limits { return fleet.Limits{} })
+	conn, err := net.Dial("tcp4", tcp.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(bookingHeader("a1") + "hello"))
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	done := make(chan error, 1)
+	go func() { done <- f.gateway.shutdown(front) }()
+	require.True(t, <-draining)
+	require.NoError(t, <-done)
+}
+
 // Guards against requests in flight at the end of the grace period that get no response,
 // and against one that states that a request did not run although it may have.
 func TestRequestsAtEndOfGracePeriodAreAnswered(t *testing.T) {
