--- /dev/null
+++ b/balance/placement/constraint.go
@@ -0,0 +1,20 @@
+package placement
+
+import "slices"
+
+// Constraint limits the servers that may run a request.
+type Constraint struct {
+	// Exclude lists the servers on which the request was already tried.
+	Exclude []string
+	// Regions lists the regions in which the request may run; nil means all. A server
+	// whose region isn't known is in none of them.
+	Regions []string
+}
+
+// allows reports whether a server may run the request.
+func (c Constraint) allows(s *server) bool {
+	return !slices.Contains(c.Exclude, s.ID) && (c.Regions == nil || slices.Contains(c.Regions, s.Region))
+}
+
+// withoutExclusions returns the constraint of a request that may be tried on a server again.
+func (c Constraint) withoutExclusions() Constraint { return Constraint{Regions: c.Regions} }
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -31,8 +31,8 @@
 type queuedTicket[T any] = fairqueue.Ticket[waiting[T]]
 
 type waiting[T any] struct {
-	value   T
-	exclude []string
+	value      T
+	constraint Constraint
 	// lateUntil is how long the request may be queued once it is late. It is zero for a
 	// request that is refused instead.
 	lateUntil time.Time
--- a/balance/placement/outage.go
+++ b/balance/placement/outage.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -66,12 +65,12 @@
 
 // outageWait returns how long a request that no server can take may wait for the
 // end of an outage. It returns false if no recent outage is the reason.
-func (s *Scheduler[T]) outageWait(now time.Time, exclude []string) (time.Duration, bool) {
+func (s *Scheduler[T]) outageWait(now time.Time, constraint Constraint) (time.Duration, bool) {
 	wait := time.Duration(0)
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
 		o, ok := s.outages[c.Group]
-		if !ok || c.gone(now) || slices.Contains(exclude, id) {
+		if !ok || c.gone(now) || !constraint.allows(c) {
 			continue
 		}
 		wait = max(wait, maxOutageWait-now.Sub(o.startedAt))
--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -60,7 +59,7 @@
 	earliest, perSecond := farFuture, 0.0
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.unusable(now) || slices.Contains(r.Exclude, id) || s.groupBlocked(now, c.Group) {
+		if c.unusable(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
 			continue
 		}
 		if c.pace.interval == 0 {
--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -7,20 +7,20 @@
 )
 
 // hasServer reports whether a server may get the request, now or later.
-func (s *Scheduler[T]) hasServer(now time.Time, exclude []string) bool {
+func (s *Scheduler[T]) hasServer(now time.Time, constraint Constraint) bool {
 	return slices.ContainsFunc(s.serverIDs, func(id string) bool {
 		c := s.servers[id]
-		return !c.gone(now) && !slices.Contains(exclude, id) && !s.groupBlocked(now, c.Group)
+		return !c.gone(now) && constraint.allows(c) && !s.groupBlocked(now, c.Group)
 	})
 }
 
 // pick returns a server with little relative load that may start a request now, or nil.
-func (s *Scheduler[T]) pick(now time.Time, exclude []string, need capacityNeed) *server {
+func (s *Scheduler[T]) pick(now time.Time, constraint Constraint, need capacityNeed) *server {
 	var usable, coolingDown, avoided []*server
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
 		switch {
-		case c.unusable(now) || slices.Contains(exclude, id) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
+		case c.unusable(now) || !constraint.allows(c) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
 		case c.avoidUntil.After(now):
 			avoided = append(avoided, c)
 		case c.cooldownUntil.After(now):
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -47,7 +47,9 @@
 type Server struct {
 	ID            string
 	FailureDomain string
-	Slots         int
+	// Region is the region of the failure domain, or empty if it isn't known.
+	Region string
+	Slots  int
 	// Group is the rank group of the server, or empty. The servers of a group
 	// serve only while all of them work.
 	Group string
@@ -79,8 +81,7 @@
 	// MaxWait is the longest time that the request may be queued to be in time. During
 	// the outage of a rank group it may be queued longer.
 	MaxWait time.Duration
-	// Exclude lists the servers on which the request was already tried.
-	Exclude []string
+	Constraint
 	// Value identifies the request to the caller of the Scheduler.
 	Value T
 }
@@ -237,20 +238,20 @@
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
 	if s.queue.Len() == 0 {
-		if picked := s.pick(now, r.Exclude, freeSlot); picked != nil {
+		if picked := s.pick(now, r.Constraint, freeSlot); picked != nil {
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
 	}
 	if refused, ok := s.refuseByPause(now, r); ok {
 		return nil, []Outcome[T]{refused}
 	}
-	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Exclude) {
+	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Constraint) {
 		return nil, []Outcome[T]{refused}
 	}
-	w := waiting[T]{value: r.Value, exclude: r.Exclude, ticket: &Ticket[T]{queue: s.queue}}
+	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: s.queue}}
 	s.queue.SetRate(s.serviceRate())
-	if !s.hasServer(now, r.Exclude) {
-		outageWait, ok := s.outageWait(now, r.Exclude)
+	if !s.hasServer(now, r.Constraint) {
+		outageWait, ok := s.outageWait(now, r.Constraint)
 		if !ok {
 			return nil, []Outcome[T]{s.refuseNoServer(now, r.Value)}
 		}
@@ -273,17 +274,17 @@
 }
 
 // HasFreeSlot reports whether TryPlace would assign a request.
-func (s *Scheduler[T]) HasFreeSlot(now time.Time, exclude []string) bool {
-	return s.queue.Len() == 0 && s.pick(now, exclude, freeSlot) != nil
+func (s *Scheduler[T]) HasFreeSlot(now time.Time, c Constraint) bool {
+	return s.queue.Len() == 0 && s.pick(now, c, freeSlot) != nil
 }
 
 // TryPlace assigns a request to a server with a free slot and returns its ID. It returns
 // false if there is none or if other requests are queued.
-func (s *Scheduler[T]) TryPlace(now time.Time, exclude []string) (server string, ok bool) {
+func (s *Scheduler[T]) TryPlace(now time.Time, c Constraint) (server string, ok bool) {
 	if s.queue.Len() > 0 {
 		return "", false
 	}
-	picked := s.pick(now, exclude, freeSlot)
+	picked := s.pick(now, c, freeSlot)
 	if picked == nil {
 		return "", false
 	}
@@ -296,10 +297,10 @@
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
 	out := s.expire(now)
-	for s.queue.Len() > 0 && s.pick(now, nil, freeSlot) != nil {
+	for s.queue.Len() > 0 && s.pick(now, Constraint{}, freeSlot) != nil {
 		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot))
 	}
-	for s.late.Len() > 0 && s.pick(now, nil, spareSlot) != nil {
+	for s.late.Len() > 0 && s.pick(now, Constraint{}, spareSlot) != nil {
 		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
 	}
 	return out
@@ -308,9 +309,9 @@
 // startQueued starts a request that was taken from a queue. If the request was already
 // tried on all available servers, it is tried on one of them again.
 func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) Outcome[T] {
-	for _, exclude := range [][]string{t.Value.exclude, nil} {
+	for _, c := range []Constraint{t.Value.constraint, t.Value.constraint.withoutExclusions()} {
 		for _, n := range []capacityNeed{need, anyLoad} {
-			if picked := s.pick(now, exclude, n); picked != nil {
+			if picked := s.pick(now, c, n); picked != nil {
 				return s.startOn(now, picked, t.Value.value)
 			}
 		}
--- a/balance/placement/stated.go
+++ b/balance/placement/stated.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -30,7 +29,7 @@
 	shortest := farFuture
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.gone(now) || slices.Contains(r.Exclude, id) || s.groupBlocked(now, c.Group) {
+		if c.gone(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
 			continue
 		}
 		shortest = min(shortest, max(c.pausedUntil.Sub(now), 0))
--- a/daemons/gateway/beliefs_test.go
+++ b/daemons/gateway/beliefs_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/balance/membership"
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/internal/seeds"
@@ -117,7 +118,7 @@
 	}
 	m.svc.mu.Lock()
 	defer m.svc.mu.Unlock()
-	_, ok := m.svc.scheduler.TryPlace(m.now, exclude)
+	_, ok := m.svc.scheduler.TryPlace(m.now, placement.Constraint{Exclude: exclude})
 	return ok
 }
 
--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/serve/retry"
@@ -107,7 +108,7 @@
 	id, ok := x.svc.reserveStandby(now, retry.Attempt{
 		Err:    errkind.Wrap(errkind.StreamIncomplete, errServerSilent, "the response pauses"),
 		Number: r.trace.attempts, Idempotent: true, Deadline: r.deadline,
-	}, exclude)
+	}, placement.Constraint{Exclude: exclude})
 	if !ok {
 		return nil, false
 	}
@@ -123,15 +124,15 @@
 	}), true
 }
 
-// reserveStandby takes a retry from the budget and a free slot on a server that isn't
-// excluded, or neither of them.
-func (s *service) reserveStandby(now time.Time, a retry.Attempt, exclude []string) (server string, ok bool) {
+// reserveStandby takes a retry from the budget and a free slot on a server that the
+// constraint allows, or neither of them.
+func (s *service) reserveStandby(now time.Time, a retry.Attempt, c placement.Constraint) (server string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.scheduler.HasFreeSlot(now, exclude) || !s.budget.Decide(now, a, s.rng).Retry {
+	if !s.scheduler.HasFreeSlot(now, c) || !s.budget.Decide(now, a, s.rng).Retry {
 		return "", false
 	}
-	return s.scheduler.TryPlace(now, exclude)
+	return s.scheduler.TryPlace(now, c)
 }
 
 // takeStandby returns the standby that continues the request after its exchange has ended
--- /dev/null
+++ b/measure/untrusted/process_test.go
@@ -0,0 +1,167 @@
+package untrusted
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// startTimeout bounds each wait for a process. It is far above the time that a
+	// start takes, so that a busy host causes no failures.
+	startTimeout = 60 * time.Second
+	pollInterval = 20 * time.Millisecond
+)
+
+// program is the path of the filbertmux program. It is built without the race detector,
+// which would multiply the memory of the processes.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "filbertmux-untrusted")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "filbertmux")
+	build := exec.Command("go", "build", "-o", program, "github.com/filbertmux/filbertmux/cmd/filbertmux")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%s: %s", err, out))
+	}
+	return m.Run()
+}
+
+// process is a running filbertmux process.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *logBuffer
+	done chan struct{}
+}
+
+// logBuffer collects the output of a process.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// startProcess starts a process that is killed at the end of the test.
+func startProcess(t *testing.T, name string, environment []string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, log: &logBuffer{}, done: make(chan struct{})}
+	p.cmd = exec.Command(program, args...)
+	p.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + t.TempDir()}, environment...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if t.Failed() {
+			text := p.log.String()
+			t.Logf("last lines of %s:\n%s", name, text[max(0, len(text)-4000):])
+		}
+	})
+	return p
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+var listeningLog = regexp.MustCompile(`"address":"([^"]+)"[^\n]*"listening"`)
+
+// address waits until the process listens and returns the address.
+func (p *process) address(t *testing.T) string {
+	t.Helper()
+	var address string
+	eventually(t, func() bool {
+		require.True(t, p.alive(), "%s ended: %s", p.name, p.log)
+		m := listeningLog.FindStringSubmatch(p.log.String())
+		if m != nil {
+			address = m[1]
+		}
+		return m != nil
+	})
+	return address
+}
+
+// peakMemoryMB returns the highest resident memory of the process, in MiB.
+func (p *process) peakMemoryMB(t *testing.T) int {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	require.NoError(t, err)
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.Atoi(strings.Fields(value)[0])
+			require.NoError(t, err)
+			return kb >> 10
+		}
+	}
+	t.Fatal("the peak of the resident memory isn't known")
+	return 0
+}
+
+// sockets returns the number of open sockets of the process.
+func (p *process) sockets(t *testing.T) int {
+	t.Helper()
+	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	count := 0
+	for _, e := range entries {
+		// A descriptor that was closed meanwhile has no target.
+		if target, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(target, "socket:") {
+			count++
+		}
+	}
+	return count
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(startTimeout); !condition(); time.Sleep(pollInterval) {
+		require.True(t, time.Now().Before(end), "the condition doesn't hold after %s", startTimeout)
+	}
+}
