Keep sets of ranks of any size in the planner of expert maps

Change: rankgroup/rankset, a set as a slice of words and a table of sets in one allocation, in all places that shifted bits by a rank. Groups have up to 1,024 ranks.

TestGroupSizes fails before with 'topology has 65 ranks, allowed are 1 to 64'.

--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -64,7 +64,7 @@
 	Service    string `name:"service" validate:"required,max=64" help:"Service that the backend server runs."`
 	Group      string `name:"group" validate:"max=64" help:"Rank group of the backend server, if any."`
 	Ranks      []int  `name:"ranks" validate:"required_with=Group,max=64,dive,min=0" help:"Ranks of the group that the backend server hosts."`
-	GroupRanks int    `name:"group-ranks" validate:"required_with=Group,min=0,max=64" help:"Number of ranks in the group."`
+	GroupRanks int    `name:"group-ranks" validate:"required_with=Group,min=0,max=1024" help:"Number of ranks in the group."`
 	RankURL    string `name:"rank-url" validate:"required_with=Group,omitempty,http_url" help:"URL of the rank commands of the backend server."`
 
 	GroupTiming `embed:""`
--- a/measure/bench/capacity/coordinator.go
+++ b/measure/bench/capacity/coordinator.go
@@ -57,5 +57,5 @@
 	for i := range load {
 		load[i] /= sum
 	}
-	return timePerCall(func() { experts.PlanLayer(t, m.Layers[0], load, 0) }), nil
+	return timePerCall(func() { experts.PlanLayer(t, m.Layers[0], load, nil) }), nil
 }
--- a/measure/bench/experts/policy.go
+++ b/measure/bench/experts/policy.go
@@ -52,7 +52,7 @@
 			if planner.Skew(next.Layers[l].RankLoads(v.topology, load)) <= threshold {
 				continue
 			}
-			next.Layers[l] = planner.ReplanLayer(v.topology, next.Layers[l], load, 0)
+			next.Layers[l] = planner.ReplanLayer(v.topology, next.Layers[l], load, nil)
 			changed = true
 		}
 		if !changed {
--- a/measure/bench/experts/run.go
+++ b/measure/bench/experts/run.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	for l := range m.Layers {
-		m.Layers[l] = planner.ReplanLayer(r.topology, m.Layers[l], load[l], 0)
+		m.Layers[l] = planner.ReplanLayer(r.topology, m.Layers[l], load[l], nil)
 	}
 	r.inForce = m
 	return nil
--- a/rankgroup/experts/decide.go
+++ b/rankgroup/experts/decide.go
@@ -6,6 +6,7 @@
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/invariant"
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 // Weights holds the planner weights of a service, as set in the table.
@@ -217,11 +218,11 @@
 }
 
 // frozenRanks returns the set of slow ranks, whose slots may not change.
-func frozenRanks(states []RankState) uint64 {
-	var set uint64
+func frozenRanks(states []RankState) rankset.Set {
+	set := rankset.New(len(states))
 	for rank, state := range states {
 		if state == Slow {
-			set |= 1 << rank
+			set.Add(rank)
 		}
 	}
 	return set
--- a/rankgroup/experts/experts_test.go
+++ b/rankgroup/experts/experts_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -61,14 +62,17 @@
 		topo := topology(ranks, count, slots)
 		m, err := experts.UniformMap(topo, 1)
 		require.NoError(rt, err)
-		frozen := rapid.Uint64Range(0, 1<<ranks-1).Draw(rt, "frozen")
+		frozen := rankset.New(ranks)
+		for _, rank := range rapid.SliceOf(rapid.IntRange(0, ranks-1)).Draw(rt, "frozen") {
+			frozen.Add(rank)
+		}
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 0))
 		load := zipf(rng, count, rng.Float64()*2)
-		for _, plan := range []func(*experts.Topology, experts.Layer, []float64, uint64) experts.Layer{experts.PlanLayer, experts.ReplanLayer} {
+		for _, plan := range []func(*experts.Topology, experts.Layer, []float64, rankset.Set) experts.Layer{experts.PlanLayer, experts.ReplanLayer} {
 			next := experts.Map{Layers: []experts.Layer{plan(topo, m.Layers[0], load, frozen)}}
 			require.NoError(rt, next.Validate(topo))
 			for slot, e := range next.Layers[0] {
-				if frozen>>topo.RankOf(slot)&1 == 1 {
+				if frozen.Has(topo.RankOf(slot)) {
 					require.Equal(rt, m.Layers[0][slot], e)
 				}
 			}
@@ -78,6 +82,25 @@
 	})
 }
 
+// Guards against groups that get no plan because of their number of ranks, above all at
+// the sizes that fill a word of a set of ranks.
+func TestGroupSizes(t *testing.T) {
+	for _, ranks := range []int{1, 2, 63, 64, 65, 72, 320, 1024} {
+		topo := topology(ranks, min(2*ranks, experts.MaxExperts), 3)
+		require.NoError(t, topo.Validate(), "%d ranks", ranks)
+		m, err := experts.UniformMap(topo, 1)
+		require.NoError(t, err)
+		load := zipf(rand.New(rand.NewPCG(uint64(ranks), 0)), topo.Experts, 0.6)
+		next := experts.Map{Layers: []experts.Layer{experts.PlanLayer(topo, m.Layers[0], load, nil)}}
+		require.NoError(t, next.Validate(topo), "%d ranks", ranks)
+		before, after := experts.Skew(m.Layers[0].RankLoads(topo, load)), experts.Skew(next.Layers[0].RankLoads(topo, load))
+		require.LessOrEqual(t, after, before, "%d ranks", ranks)
+		if ranks > 2 {
+			require.Less(t, after, before, "%d ranks", ranks)
+		}
+	}
+}
+
 // Guards against a skew that is 5% or more above its lower bound at the design size.
 func TestPlanIsNearLowerBound(t *testing.T) {
 	topo := topology(32, 256, 9)
@@ -85,7 +108,7 @@
 	require.NoError(t, err)
 	for seed := range uint64(20) {
 		load := zipf(rand.New(rand.NewPCG(seed, 0)), 256, 0.8)
-		next := experts.PlanLayer(topo, m.Layers[0], load, 0)
+		next := experts.PlanLayer(topo, m.Layers[0], load, nil)
 		ratio := experts.Skew(next.RankLoads(topo, load)) / experts.SkewLowerBound(topo, load)
 		require.Less(t, ratio, 1.05, "seed %d", seed)
 	}
@@ -273,6 +296,6 @@
 	require.NoError(b, err)
 	load := zipf(rand.New(rand.NewPCG(1, 0)), 256, 0.8)
 	for b.Loop() {
-		experts.PlanLayer(topo, m.Layers[0], load, 0)
+		experts.PlanLayer(topo, m.Layers[0], load, nil)
 	}
 }
--- a/rankgroup/experts/layout.go
+++ b/rankgroup/experts/layout.go
@@ -1,8 +1,9 @@
 package experts
 
 import (
-	"math/bits"
 	"slices"
+
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 // layout is a layer under construction, with its derived loads.
@@ -12,17 +13,17 @@
 	load  []float64
 	slots Layer
 	// hosts is the set of ranks that host each expert.
-	hosts []uint64
+	hosts rankset.Table
 	// initialHosts is the same for the layer from which moves are counted.
-	initialHosts []uint64
+	initialHosts rankset.Table
 	rankLoad     []float64
 	// frozen is the set of ranks whose slots may not change.
-	frozen uint64
+	frozen rankset.Set
 	// baseLoad is added to the load of each rank; nil without slow ranks. It is
 	// chosen so that ranks with equal load, including baseLoad, take the same time.
 	baseLoad []float64
 	// domainOf maps a rank to the set of ranks in its failure domain.
-	domainOf []uint64
+	domainOf []rankset.Set
 	// risk is the fraction by which the load of a replica is raised if that load equals
 	// the mean rank load. For smaller replicas, the fraction is proportional to their
 	// load. See riskFactor.
@@ -41,10 +42,10 @@
 	now, more, fewer float64
 }
 
-func newLayout(t *Topology, slots Layer, load []float64, frozen uint64) *layout {
+func newLayout(t *Topology, slots Layer, load []float64, frozen rankset.Set) *layout {
 	w := &layout{topo: t, load: load, slots: slices.Clone(slots), frozen: frozen}
 	w.hosts = hostSets(t, slots)
-	w.initialHosts = slices.Clone(w.hosts)
+	w.initialHosts = w.hosts.Clone()
 	w.rankLoad = make([]float64, t.Ranks())
 	w.replicaLoad = make([]replicaLoad, t.Experts)
 	w.domainOf = domainSets(t)
@@ -72,12 +73,15 @@
 }
 
 // domainSets returns the set of ranks in the failure domain of each rank.
-func domainSets(t *Topology) []uint64 {
-	byName := make(map[string]uint64)
+func domainSets(t *Topology) []rankset.Set {
+	byName := make(map[string]rankset.Set)
 	for rank, d := range t.Domains {
-		byName[d] |= 1 << rank
+		if byName[d] == nil {
+			byName[d] = rankset.New(t.Ranks())
+		}
+		byName[d].Add(rank)
 	}
-	sets := make([]uint64, t.Ranks())
+	sets := make([]rankset.Set, t.Ranks())
 	for rank, d := range t.Domains {
 		sets[rank] = byName[d]
 	}
@@ -87,16 +91,16 @@
 // recompute derives the hosts and the rank loads from the slots. It also removes
 // rounding errors that incremental updates accumulate.
 func (w *layout) recompute() {
-	clear(w.hosts)
+	w.hosts.Clear()
 	clear(w.rankLoad)
 	copy(w.rankLoad, w.baseLoad)
 	for slot, e := range w.slots {
 		if e != EmptySlot {
-			w.hosts[e] |= 1 << w.topo.RankOf(slot)
+			w.hostsOf(e).Add(w.topo.RankOf(slot))
 		}
 	}
-	for e, hosts := range w.hosts {
-		n := bits.OnesCount64(hosts)
+	for e := range w.replicaLoad {
+		n := w.hosts.Of(e).Len()
 		if l := &w.replicaLoad[e]; l.replicas != n {
 			*l = replicaLoad{n, w.loadWithReplicas(Expert(e), n), w.loadWithReplicas(Expert(e), n+1), w.loadWithReplicas(Expert(e), n-1)}
 		}
@@ -141,13 +145,16 @@
 	return sum(w.rankLoad) / float64(w.topo.Ranks()) * SkewLowerBound(w.topo, w.load) * (1 + PackTolerance)
 }
 
-func (w *layout) hosted(e Expert, rank int) bool { return w.hosts[e]>>rank&1 == 1 }
+// hostsOf returns the set of ranks that host e.
+func (w *layout) hostsOf(e Expert) rankset.Set { return w.hosts.Of(int(e)) }
 
-func (w *layout) isFrozen(rank int) bool { return w.frozen>>rank&1 == 1 }
+func (w *layout) hosted(e Expert, rank int) bool { return w.hosts.Has(int(e), rank) }
+
+func (w *layout) isFrozen(rank int) bool { return w.frozen.Has(rank) }
 
 // fetches returns 1 if e on rank must be fetched, and 0 otherwise.
 func (w *layout) fetches(e Expert, rank int) int {
-	if e == EmptySlot || w.initialHosts[e]>>rank&1 == 1 {
+	if e == EmptySlot || w.initialHosts.Has(int(e), rank) {
 		return 0
 	}
 	return 1
@@ -183,9 +190,6 @@
 }
 
 // inOneDomain reports whether a set of at least two ranks is in one failure domain.
-func (w *layout) inOneDomain(hosts uint64) bool {
-	if bits.OnesCount64(hosts) < 2 {
-		return false
-	}
-	return hosts&^w.domainOf[bits.TrailingZeros64(hosts)] == 0
+func (w *layout) inOneDomain(hosts rankset.Set) bool {
+	return hosts.Len() > 1 && hosts.Within(w.domainOf[hosts.First()])
 }
--- a/rankgroup/experts/match.go
+++ b/rankgroup/experts/match.go
@@ -2,12 +2,14 @@
 
 import (
 	"math"
-	"math/bits"
+	"slices"
+
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 // matchRanks renumbers the ranks of a planned layer so that as many experts as
 // possible stay on their rank in the layer in force. Frozen ranks keep their number.
-func matchRanks(t *Topology, inForce, planned Layer, frozen uint64) Layer {
+func matchRanks(t *Topology, inForce, planned Layer, frozen rankset.Set) Layer {
 	hosts := hostSets(t, inForce)
 	n := t.Ranks()
 	cost := make([][]float64, n)
@@ -27,13 +29,13 @@
 // matchCost returns the number of experts to fetch if the slots planned for rank from
 // go to rank to. If that would renumber a frozen rank, it returns a cost higher than
 // that of any other choice.
-func matchCost(t *Topology, hosts []uint64, planned Layer, from, to int, frozen uint64) float64 {
-	if from != to && (frozen>>from|frozen>>to)&1 == 1 {
+func matchCost(t *Topology, hosts rankset.Table, planned Layer, from, to int, frozen rankset.Set) float64 {
+	if from != to && (frozen.Has(from) || frozen.Has(to)) {
 		return float64(t.Slots())
 	}
 	cost := 0
 	for _, e := range planned[from*t.SlotsPerRank : (from+1)*t.SlotsPerRank] {
-		if e != EmptySlot && hosts[e]>>to&1 == 0 {
+		if e != EmptySlot && !hosts.Has(int(e), to) {
 			cost++
 		}
 	}
@@ -142,7 +144,7 @@
 func (w *layout) spreadOverDomains() {
 	for slot, e := range w.slots {
 		rank := w.topo.RankOf(slot)
-		if e == EmptySlot || w.fetches(e, rank) == 0 || !w.inOneDomain(w.hosts[e]) {
+		if e == EmptySlot || w.fetches(e, rank) == 0 || !w.inOneDomain(w.hostsOf(e)) {
 			continue
 		}
 		w.spreadReplica(slot, rank, e)
@@ -155,7 +157,7 @@
 	limit := maxOf(w.rankLoad)
 	for other, f := range w.slots {
 		target := w.topo.RankOf(other)
-		if f == EmptySlot || f == e || w.domainOf[rank]>>target&1 == 1 || w.fetches(f, target) == 0 {
+		if f == EmptySlot || f == e || w.domainOf[rank].Has(target) || w.fetches(f, target) == 0 {
 			continue
 		}
 		if w.hosted(e, target) || w.hosted(f, rank) {
@@ -165,8 +167,10 @@
 		if w.rankLoad[rank]-d > limit || w.rankLoad[target]+d > limit {
 			continue
 		}
-		moved := w.hosts[f]&^(1<<target) | 1<<rank
-		if bits.OnesCount64(moved) > 1 && w.inOneDomain(moved) {
+		moved := slices.Clone(w.hostsOf(f))
+		moved.Remove(target)
+		moved.Add(rank)
+		if w.inOneDomain(moved) {
 			continue
 		}
 		w.slots[slot], w.slots[other] = f, e
--- a/rankgroup/experts/planner.go
+++ b/rankgroup/experts/planner.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 // riskFactor raises the load of each replica in proportion to its share of the load of
@@ -31,7 +33,7 @@
 	settings Settings
 	input    Input
 	// frozen is the set of ranks whose slots may not change.
-	frozen uint64
+	frozen rankset.Set
 	// budget is the maximum number of moves, and remaining what is left of it.
 	budget     int
 	remaining  int
@@ -41,7 +43,7 @@
 	searched []int
 }
 
-func newPlanner(s Settings, in Input, frozen uint64, budget int) *planner {
+func newPlanner(s Settings, in Input, frozen rankset.Set, budget int) *planner {
 	return &planner{settings: s, input: in, frozen: frozen, budget: budget, remaining: budget}
 }
 
--- a/rankgroup/experts/refine.go
+++ b/rankgroup/experts/refine.go
@@ -1,9 +1,6 @@
 package experts
 
-import (
-	"math"
-	"math/bits"
-)
+import "math"
 
 // maxRefineSteps limits the duration of the search in one layer. With a limit of 160
 // steps, a first plan for 256 experts took up to 23 ms. A layer that needs more steps
@@ -120,8 +117,8 @@
 	for e := range s.replicateGain {
 		l := &s.replicaLoad[e]
 		s.replicateGain[e], s.releaseLoss[e] = 0, 0
-		for hosts := s.hosts[e]; hosts != 0; hosts &= hosts - 1 {
-			load := s.rankLoad[bits.TrailingZeros64(hosts)]
+		for rank := range s.hosts.Of(e).All() {
+			load := s.rankLoad[rank]
 			before := s.squaredExcess(load)
 			s.replicateGain[e] += before - s.squaredExcess(load-l.now+l.more)
 			if l.replicas > 1 {
--- a/rankgroup/experts/refine_replicate.go
+++ b/rankgroup/experts/refine_replicate.go
@@ -1,5 +1,7 @@
 package experts
 
+import "github.com/filbertmux/filbertmux/rankgroup/rankset"
+
 // tryReplicate considers further replicas of the experts of the hot rank.
 func (s *search) tryReplicate(hot int) {
 	first, end := s.slotsOf(hot)
@@ -40,7 +42,7 @@
 type vacancy struct {
 	slot, rank int
 	// hosts is the set of ranks that host the replaced expert.
-	hosts uint64
+	hosts rankset.Set
 	// excessBefore is the squared excess of the rank, and loadWithout its load
 	// without the replaced replica.
 	excessBefore, loadWithout float64
@@ -60,7 +62,7 @@
 		return v
 	}
 	l := &s.replicaLoad[f]
-	v.hosts, v.loadWithout, v.hostIncrease = s.hosts[f], load-l.now, l.fewer-l.now
+	v.hosts, v.loadWithout, v.hostIncrease = s.hostsOf(f), load-l.now, l.fewer-l.now
 	v.releaseLoss = s.releaseLoss[f] - (s.squaredExcess(load+v.hostIncrease) - v.excessBefore)
 	v.savedMoves = s.fetches(f, rank)
 	return v
@@ -72,7 +74,8 @@
 		return
 	}
 	gain := s.replicateGain[e] + v.excessBefore - s.squaredExcess(v.loadWithout+s.replicaLoad[e].more)
-	if s.hosts[e]&v.hosts == 0 {
+	shared := v.hosts.Intersects(s.hostsOf(e))
+	if !shared {
 		gain -= v.releaseLoss
 	}
 	moves := s.fetches(e, v.rank) - v.savedMoves
@@ -81,11 +84,11 @@
 	if gain <= 0 || scoreOf(gain+gain*domainPreference, moves) <= s.best.score {
 		return
 	}
-	if s.hosts[e]&v.hosts != 0 {
+	if shared {
 		gain = s.replaceGain(v, e)
 	}
 	// Among changes of equal gain, one that adds a second failure domain is preferred.
-	if s.inOneDomain(s.hosts[e]) && !s.inOneDomain(s.hosts[e]|1<<v.rank) {
+	if hosts := s.hostsOf(e); s.inOneDomain(hosts) && !s.domainOf[hosts.First()].Has(v.rank) {
 		gain += gain * domainPreference
 	}
 	s.consider(change{slot: v.slot, expert: e}, gain, moves)
@@ -100,16 +103,19 @@
 func (s *search) replaceGain(v *vacancy, e Expert) float64 {
 	l := &s.replicaLoad[e]
 	gain := v.excessBefore - s.squaredExcess(v.loadWithout+l.more)
-	eachRank((s.hosts[e]|v.hosts)&^(1<<v.rank), func(rank int) {
+	for rank := range rankset.AllOfEither(s.hostsOf(e), v.hosts) {
+		if rank == v.rank {
+			continue
+		}
 		before := s.rankLoad[rank]
 		after := before
 		if s.hosted(e, rank) {
 			after -= l.now - l.more
 		}
-		if v.hosts>>rank&1 == 1 {
+		if v.hosts.Has(rank) {
 			after += v.hostIncrease
 		}
 		gain += s.squaredExcess(before) - s.squaredExcess(after)
-	})
+	}
 	return gain
 }
--- a/rankgroup/experts/replan.go
+++ b/rankgroup/experts/replan.go
@@ -1,6 +1,10 @@
 package experts
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
+)
 
 // PackTolerance is the relative amount by which the planner lets the maximum rank load
 // exceed its lower bound. With 1%, the p99 skew was 0.2 points higher while the mix of
@@ -10,7 +14,7 @@
 // PlanLayer returns a layer that minimises the maximum rank load for the given loads.
 // Among the placements found, it prefers one that needs few moves from the layer in
 // force. The slots of frozen ranks don't change.
-func PlanLayer(t *Topology, inForce Layer, load []float64, frozen uint64) Layer {
+func PlanLayer(t *Topology, inForce Layer, load []float64, frozen rankset.Set) Layer {
 	target := targetLoad(t, load)
 	w := newLayout(t, inForce, load, frozen)
 	refine(w, target)
@@ -27,7 +31,7 @@
 
 // ReplanLayer computes a layer from scratch, and then renumbers its ranks so that few
 // experts have to move. The slots of frozen ranks don't change.
-func ReplanLayer(t *Topology, inForce Layer, load []float64, frozen uint64) Layer {
+func ReplanLayer(t *Topology, inForce Layer, load []float64, frozen rankset.Set) Layer {
 	return replanLayer(t, inForce, load, frozen, targetLoad(t, load))
 }
 
@@ -37,7 +41,7 @@
 	return mean * SkewLowerBound(t, load) * (1 + PackTolerance)
 }
 
-func replanLayer(t *Topology, inForce Layer, load []float64, frozen uint64, target float64) Layer {
+func replanLayer(t *Topology, inForce Layer, load []float64, frozen rankset.Set, target float64) Layer {
 	packed := pack(t, inForce, load, frozen)
 	w := newLayout(t, packed, load, frozen)
 	refine(w, target)
@@ -62,7 +66,7 @@
 
 // pack places the replicas in descending order of load, each on the least loaded rank
 // that has a free slot and does not host the expert yet.
-func pack(t *Topology, inForce Layer, load []float64, frozen uint64) Layer {
+func pack(t *Topology, inForce Layer, load []float64, frozen rankset.Set) Layer {
 	w := newLayout(t, clearUnfrozen(t, inForce, frozen), load, frozen)
 	counts := replicaCounts(load, t.Slots(), t.Ranks())
 	free := freeSlots(w)
@@ -75,7 +79,7 @@
 		}
 		first, _ := w.slotsOf(rank)
 		w.slots[first+t.SlotsPerRank-free[rank]] = r.expert
-		w.hosts[r.expert] |= 1 << rank
+		w.hostsOf(r.expert).Add(rank)
 		w.rankLoad[rank] += r.load
 		free[rank]--
 	}
@@ -83,11 +87,11 @@
 }
 
 // clearUnfrozen returns a copy of a layer in which only the frozen ranks host experts.
-func clearUnfrozen(t *Topology, l Layer, frozen uint64) Layer {
+func clearUnfrozen(t *Topology, l Layer, frozen rankset.Set) Layer {
 	out := make(Layer, len(l))
 	for slot, e := range l {
 		out[slot] = EmptySlot
-		if frozen>>t.RankOf(slot)&1 == 1 {
+		if frozen.Has(t.RankOf(slot)) {
 			out[slot] = e
 		}
 	}
@@ -112,9 +116,7 @@
 	var singles, extras []replica
 	for e, n := range counts {
 		load := w.load[e] / float64(n)
-		have := 0
-		eachRank(w.hosts[e], func(int) { have++ })
-		for i := have; i < n; i++ {
+		for i := w.hosts.Of(e).Len(); i < n; i++ {
 			r := replica{expert: Expert(e), load: load}
 			if i == 0 {
 				singles = append(singles, r)
@@ -155,4 +157,6 @@
 }
 
 // addsDomain reports whether no replica of e is in the failure domain of a rank.
-func (w *layout) addsDomain(e Expert, rank int) bool { return w.hosts[e]&w.domainOf[rank] == 0 }
+func (w *layout) addsDomain(e Expert, rank int) bool {
+	return !w.hostsOf(e).Intersects(w.domainOf[rank])
+}
--- a/rankgroup/experts/types.go
+++ b/rankgroup/experts/types.go
@@ -7,16 +7,16 @@
 package experts
 
 import (
-	"math/bits"
 	"slices"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
 )
 
 // Limits of the planner.
 const (
-	// MaxRanks is the number of ranks that fit in a uint64 bit set.
-	MaxRanks = 64
+	// MaxRanks is the maximum number of ranks of a group.
+	MaxRanks = 1024
 	// MaxExperts is the maximum number of experts of one layer.
 	MaxExperts = 1024
 	// MaxSlotsPerRank is the maximum number of expert slots of one rank in one layer.
@@ -111,7 +111,7 @@
 	if len(l) != t.Slots() {
 		return errkind.New(errkind.InvalidMap, "layer %d has %d slots, the group has %d", index, len(l), t.Slots())
 	}
-	hosts := make([]uint64, t.Experts)
+	hosts := rankset.NewTable(t.Experts, t.Ranks())
 	for slot, e := range l {
 		if e == EmptySlot {
 			continue
@@ -119,14 +119,14 @@
 		if e < 0 || int(e) >= t.Experts {
 			return errkind.New(errkind.InvalidMap, "layer %d slot %d hosts expert %d, the layer has %d experts", index, slot, e, t.Experts)
 		}
-		bit := uint64(1) << t.RankOf(slot)
-		if hosts[e]&bit != 0 {
-			return errkind.New(errkind.InvalidMap, "layer %d rank %d hosts expert %d twice", index, t.RankOf(slot), e)
+		rank := t.RankOf(slot)
+		if hosts.Has(int(e), rank) {
+			return errkind.New(errkind.InvalidMap, "layer %d rank %d hosts expert %d twice", index, rank, e)
 		}
-		hosts[e] |= bit
+		hosts.Of(int(e)).Add(rank)
 	}
-	for e, h := range hosts {
-		if h == 0 {
+	for e := range t.Experts {
+		if hosts.Of(e).Len() == 0 {
 			return errkind.New(errkind.InvalidMap, "layer %d has no slot for expert %d", index, e)
 		}
 	}
@@ -136,7 +136,7 @@
 // RankLoads returns the load of each rank of a valid layer. The load of an
 // expert is split evenly over its replicas.
 func (l Layer) RankLoads(t *Topology, load []float64) []float64 {
-	return newLayout(t, l, load, 0).rankLoad
+	return newLayout(t, l, load, nil).rankLoad
 }
 
 // UniformMap returns the map that places the experts in order and gives the spare
@@ -194,7 +194,7 @@
 	hosts := hostSets(t, from)
 	var moves []Move
 	for slot, e := range to {
-		if e == EmptySlot || hosts[e]>>t.RankOf(slot)&1 == 1 {
+		if e == EmptySlot || hosts.Has(int(e), t.RankOf(slot)) {
 			continue
 		}
 		moves = append(moves, Move{Layer: index, Slot: slot, Rank: t.RankOf(slot), Expert: e})
@@ -216,19 +216,12 @@
 }
 
 // hostSets returns the set of ranks that host each expert.
-func hostSets(t *Topology, l Layer) []uint64 {
-	hosts := make([]uint64, t.Experts)
+func hostSets(t *Topology, l Layer) rankset.Table {
+	hosts := rankset.NewTable(t.Experts, t.Ranks())
 	for slot, e := range l {
 		if e != EmptySlot {
-			hosts[e] |= 1 << t.RankOf(slot)
+			hosts.Of(int(e)).Add(t.RankOf(slot))
 		}
 	}
 	return hosts
 }
-
-// eachRank calls f for each rank in the set, in ascending order.
-func eachRank(set uint64, f func(rank int)) {
-	for ; set != 0; set &= set - 1 {
-		f(bits.TrailingZeros64(set))
-	}
-}
