Let urgency decide between competing callers

Cause: an organisation's priority hid that of the route, requests waited for 0.6 of their objective although servers need half of it, so urgent ones were started late and patient ones refused early, and each gateway started requests by the same old reports, so that the load swung around the batch limit and the slots went to whichever gateway came first.

Change: classes by the priority of the organisation and then of the route; a wait budget from the measured time to the first output; headroom that a class leaves to the more urgent ones; near the limit, each gateway changes its load by its share only; the limit aims at 0.96 of the objective, and there is none while the objective can't be met. Batches are counted as requests start and end instead of on each pick.

Also: one slow response makes a server at most half as slow again (TestSlowdownNeeds- SeveralResponses fails before), and differences of less than 5 ms count little.

--- a/balance/placement/batch_limit.go
+++ b/balance/placement/batch_limit.go
@@ -26,9 +26,16 @@
 	// longPassDeviations is how many mean deviations above the mean a long pass is. A
 	// stream is late if one of its 10 to 40 passes is too long.
 	longPassDeviations = 2.0
+	// objectiveShare is the part of the objective at which the longest passes are aimed. The
+	// next pass may be a little longer than all recent ones, for example because a server
+	// copies experts, and a single pass beyond the objective makes all streams late.
+	objectiveShare = 0.96
 	// minBatchShare is the least share of the slots that stays in use. With fewer
 	// requests, steps hardly get shorter.
 	minBatchShare = 0.6
+	// unattainableAfter is how long all gaps have to exceed the objective until it counts as
+	// unattainable. A new expert map is in force sooner.
+	unattainableAfter = 1500 * time.Millisecond
 	// minObservedLoad is the least number of requests on a server from whose passes the
 	// factor is measured.
 	minObservedLoad = 1.0
@@ -66,12 +73,16 @@
 	// lastPeak that of the window before it.
 	peak, lastPeak float64
 	windowStart    time.Time
+	// exceededSince is when the first of the gaps that all exceed the objective was
+	// observed, or zero; observedAt is the time of the last gap.
+	exceededSince, observedAt time.Time
 }
 
 // Observe records a gap between two events of a stream, while each server of the group had
 // the given mean number of requests.
 func (l *BatchLimit) Observe(now time.Time, m BatchModel, gap time.Duration, requests float64) {
 	requests = min(requests, float64(m.Slots))
+	l.observeObjective(now, m.GapObjective, gap)
 	if m.PassTimePerRequest <= 0 || requests < minObservedLoad || float64(gap) > stalledGap*float64(m.GapObjective) {
 		return
 	}
@@ -92,6 +103,24 @@
 	l.peak = max(l.peak, l.longPass())
 }
 
+// observeObjective records whether a gap exceeds the objective.
+func (l *BatchLimit) observeObjective(now time.Time, objective, gap time.Duration) {
+	l.observedAt = now
+	switch {
+	case gap <= objective:
+		l.exceededSince = time.Time{}
+	case l.exceededSince.IsZero():
+		l.exceededSince = now
+	}
+}
+
+// unattainable reports whether no stream has met the objective for a while although the
+// limit was in force, for example because of a slow rank. A limit has no use then: late
+// responses are of more use to callers than refusals.
+func (l *BatchLimit) unattainable(now time.Time) bool {
+	return !l.exceededSince.IsZero() && now.Sub(l.exceededSince) >= unattainableAfter && now.Sub(l.observedAt) < unattainableAfter
+}
+
 // longPass returns the current factor of a long pass.
 func (l *BatchLimit) longPass() float64 {
 	if l.factor == 0 {
@@ -115,10 +144,10 @@
 // Requests returns the mean number of requests that the servers of the group may have, or
 // 0 for no limit but their slots.
 func (l *BatchLimit) Requests(now time.Time, m BatchModel) float64 {
-	if m.Slots == 0 || m.PassTimePerRequest <= 0 || m.GapObjective <= 0 {
+	if m.Slots == 0 || m.PassTimePerRequest <= 0 || m.GapObjective <= 0 || l.unattainable(now) {
 		return 0
 	}
-	fitting := float64(m.GapObjective-m.PassTime) / (float64(m.PassTimePerRequest) * l.currentPeak(now))
+	fitting := (objectiveShare*float64(m.GapObjective) - float64(m.PassTime)) / (float64(m.PassTimePerRequest) * l.currentPeak(now))
 	if fitting >= float64(m.Slots) {
 		return 0
 	}
--- a/balance/placement/batch_limit_test.go
+++ b/balance/placement/batch_limit_test.go
@@ -71,3 +71,49 @@
 		require.GreaterOrEqual(t, streams, 0.55*float64(engine.Slots))
 	}
 }
+
+// Guards against refusals for the sake of an objective that no request can meet: with a rank
+// that is many times slower, passes are too long whatever the limit is.
+func TestNoBatchLimitWhileUnattainable(t *testing.T) {
+	var limit placement.BatchLimit
+	now := time.Unix(0, 0)
+	observe := func(gap time.Duration, passes int) {
+		for range passes {
+			now = now.Add(gap)
+			limit.Observe(now, engine, gap, 7)
+		}
+	}
+	observe(140*time.Millisecond, 8)
+	require.NotZero(t, limit.Requests(now, engine), "a map that doesn't fit yet")
+	observe(450*time.Millisecond, 4)
+	require.Zero(t, limit.Requests(now, engine))
+	observe(80*time.Millisecond, 1)
+	require.NotZero(t, limit.Requests(now, engine), "the rank is fast again")
+}
+
+// Guards against streams that are all late because of single passes that are a little longer
+// than the others, such as those in which a server copies experts.
+func TestBatchLimitLeavesMargin(t *testing.T) {
+	var limit placement.BatchLimit
+	now := time.Unix(0, 0)
+	const passes, warmUp = 1000, 100
+	tooLong := 0
+	for i := range passes {
+		n := limit.Requests(now, engine)
+		if n == 0 {
+			n = float64(engine.Slots)
+		}
+		gap := time.Duration(1.2 * (float64(engine.PassTime) + n*float64(engine.PassTimePerRequest)))
+		if i%150 == 149 {
+			gap += gap * 3 / 100
+		}
+		if i > warmUp && gap > engine.GapObjective {
+			tooLong++
+		}
+		now = now.Add(gap)
+		for range 20 {
+			limit.Observe(now, engine, gap, n)
+		}
+	}
+	require.Zero(t, tooLong)
+}
--- a/balance/placement/capacity.go
+++ b/balance/placement/capacity.go
@@ -1,22 +1,28 @@
 package placement
 
-// capacityNeed is the capacity that a request needs on a server.
-type capacityNeed uint8
-
-const (
+// capacityNeed is the capacity that a request needs.
+type capacityNeed struct {
 	// anyLoad means that the server may be full.
-	anyLoad capacityNeed = iota
+	anyLoad bool
+	// share is the fraction of the capacity of a server up to which the request may use
+	// it, and headroom the fraction of the capacity of all servers that it leaves free.
+	share, headroom float64
+}
+
+var (
+	anyLoad = capacityNeed{anyLoad: true}
 	// freeSlot means a free slot or room in the queue of the server.
-	freeSlot
+	freeSlot = capacityNeed{share: 1}
 	// spareSlot means a slot beyond those that are kept for requests in time.
-	spareSlot
+	spareSlot = capacityNeed{share: lateShare}
 )
 
 // batch is the servers that execute their passes together: a rank group, or one server
 // without a group.
 type batch struct {
-	servers  int
-	inFlight int
+	servers int
+	// inFlight counts the requests of all gateways, own those of this one.
+	inFlight, own int
 }
 
 // BatchKey identifies the batch of a server by its group and its ID.
@@ -29,23 +35,35 @@
 
 func (c *server) batchKey() string { return BatchKey(c.Group, c.ID) }
 
-// batches returns the batches of the listed servers by key.
-func (s *Scheduler[T]) batches() map[string]batch {
-	out := make(map[string]batch)
+// countBatches counts the requests on the batches of the listed servers.
+func (s *Scheduler[T]) countBatches() {
+	s.batches = make(map[string]batch, len(s.batches))
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		b := out[c.batchKey()]
+		b := s.batches[c.batchKey()]
 		b.servers++
 		b.inFlight += c.inFlight()
-		out[c.batchKey()] = b
+		b.own += c.ownInFlight
+		s.batches[c.batchKey()] = b
 	}
-	return out
+}
+
+// addOwn adds n requests of this gateway to a server.
+func (s *Scheduler[T]) addOwn(c *server, n int) {
+	c.ownInFlight += n
+	if !c.listed {
+		return
+	}
+	b := s.batches[c.batchKey()]
+	b.inFlight += n
+	b.own += n
+	s.batches[c.batchKey()] = b
 }
 
 // MeanLoads returns the mean number of requests in flight on the servers of each batch.
 func (s *Scheduler[T]) MeanLoads() map[string]float64 {
 	out := make(map[string]float64)
-	for key, b := range s.batches() {
+	for key, b := range s.batches {
 		out[key] = float64(b.inFlight) / float64(b.servers)
 	}
 	return out
@@ -62,21 +80,18 @@
 }
 
 // hasCapacity reports whether a server has the needed capacity.
-func (s *Scheduler[T]) hasCapacity(c *server, batches map[string]batch, need capacityNeed) bool {
-	if need == anyLoad {
+func (s *Scheduler[T]) hasCapacity(c *server, need capacityNeed) bool {
+	if need.anyLoad {
 		return true
 	}
-	share, own := 1.0, c.Slots+s.config.ServerQueueDepth
+	own := c.Slots + s.config.ServerQueueDepth
 	limit, limited := s.batchLimits[c.batchKey()]
 	if limited {
 		own = c.Slots
 	}
-	if need == spareSlot {
-		share, own = lateShare, max(int(lateShare*float64(own)), 1)
-	}
-	if c.inFlight() >= own {
+	if c.inFlight() >= max(int(need.share*float64(own)), 1) {
 		return false
 	}
-	b := batches[c.batchKey()]
-	return !limited || float64(b.inFlight+1) <= max(share*limit*float64(b.servers), 1)
+	b := s.batches[c.batchKey()]
+	return !limited || s.withinLimit(c.batchKey(), b, max(need.share*limit*float64(b.servers), 1))
 }
--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -10,7 +10,8 @@
 		return
 	}
 	current := srv.currentSlowdown(now)
-	srv.slowdown = min(max(current+slowdownSmoothing*(observed-current), minSlowdown), maxSlowdown)
+	step := min(slowdownSmoothing*(observed-current), maxSlowdownStep)
+	srv.slowdown = min(max(current+step, minSlowdown), maxSlowdown)
 	srv.slowdownAt = now
 }
 
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -33,6 +33,10 @@
 type waiting[T any] struct {
 	value      T
 	constraint Constraint
+	// queuedAt is when the request was queued, and maxWait how long it may wait to be in
+	// time.
+	queuedAt time.Time
+	maxWait  time.Duration
 	// lateUntil is how long the request may be queued once it is late. It is zero for a
 	// request that is refused instead.
 	lateUntil time.Time
@@ -44,6 +48,7 @@
 func (s *Scheduler[T]) expire(now time.Time) []Outcome[T] {
 	var out []Outcome[T]
 	for _, t := range s.queue.Expire(now) {
+		s.recordWait(now, t.Class, t.Value.maxWait, t.Value.maxWait)
 		if !t.Value.lateUntil.After(now) {
 			out = append(out, s.refuseWaited(t))
 			continue
--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -32,6 +32,9 @@
 	if len(usable)+len(coolingDown) == 0 {
 		usable = avoided
 	}
+	if !s.leavesHeadroom(usable, need.headroom) {
+		return nil
+	}
 	if picked := s.pickSpread(now, usable, need); picked != nil {
 		return picked
 	}
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -27,6 +27,9 @@
 	slowdownHalfLife = 3 * time.Second
 	// slowdownSmoothing is the weight of a new measurement.
 	slowdownSmoothing = 0.3
+	// maxSlowdownStep is the most by which one measurement raises the slowdown. A single
+	// slow response, for example the first one of a process, says little about a server.
+	maxSlowdownStep = 0.5
 	// minSlowdown and maxSlowdown bound the measured slowdown of a server.
 	minSlowdown = 0.5
 	maxSlowdown = 8.0
@@ -136,6 +139,15 @@
 	// gateways; startRate is the rate at which this gateway starts requests.
 	peerStaleness time.Duration
 	startRate     decayingRate
+	// gateways is the number of live gateways, and ownLoads the load that this one puts on
+	// each batch.
+	gateways int
+	ownLoads map[string]*ownLoad
+	// headrooms holds what less urgent classes leave to each class, by the position of the
+	// class.
+	headrooms []headroom
+	// batches holds the batches of the listed servers by key.
+	batches map[string]batch
 	// batchLimits holds the mean number of requests that the servers of a batch may have,
 	// by batch. The others may use their slots and the depth of their queue.
 	batchLimits map[string]float64
@@ -153,6 +165,7 @@
 		outages: make(map[string]*outage),
 
 		batchLimits: make(map[string]float64),
+		ownLoads:    make(map[string]*ownLoad),
 		queue:       fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
 		late:        fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
 	}
@@ -182,8 +195,16 @@
 			delete(s.servers, id)
 		}
 	}
-	batches := s.batches()
-	maps.DeleteFunc(s.batchLimits, func(key string, _ float64) bool { return batches[key].servers == 0 })
+	s.countBatches()
+	maps.DeleteFunc(s.batchLimits, func(key string, _ float64) bool { return s.batches[key].servers == 0 })
+	maps.DeleteFunc(s.ownLoads, func(key string, _ *ownLoad) bool { return s.batches[key].servers == 0 })
+}
+
+// SetClasses replaces the priority classes. Queued requests keep their class by name.
+func (s *Scheduler[T]) SetClasses(classes []fairqueue.Class) {
+	s.config.Classes, s.headrooms = classes, nil
+	s.queue.SetClasses(classes)
+	s.late.SetClasses(classes)
 }
 
 // SetPeerLoad sets the requests in flight of all other gateways on each server.
@@ -191,6 +212,7 @@
 	for id, srv := range s.servers {
 		srv.peerInFlight = load(id)
 	}
+	s.countBatches()
 }
 
 // SetPeerStaleness sets the sum of the ages of the other gateways' load reports.
@@ -237,8 +259,9 @@
 	if len(s.serverIDs) == 0 {
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
-	if s.queue.Len() == 0 {
-		if picked := s.pick(now, r.Constraint, freeSlot); picked != nil {
+	s.observeOwnLoad(now)
+	if s.goesFirst(r.Class) {
+		if picked := s.pick(now, r.Constraint, s.needOf(now, r.Class)); picked != nil {
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
 	}
@@ -248,7 +271,7 @@
 	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Constraint) {
 		return nil, []Outcome[T]{refused}
 	}
-	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: s.queue}}
+	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: s.queue}, queuedAt: now, maxWait: r.MaxWait}
 	s.queue.SetRate(s.serviceRate())
 	if !s.hasServer(now, r.Constraint) {
 		outageWait, ok := s.outageWait(now, r.Constraint)
@@ -267,6 +290,7 @@
 		Value:        w,
 	})
 	if err != nil {
+		s.recordWait(now, r.Class, r.MaxWait, r.MaxWait)
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.Of(err))}
 	}
 	w.ticket.queued = queued
@@ -296,9 +320,16 @@
 // those whose deadline has passed. It must be called after each change of the load,
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
+	s.observeOwnLoad(now)
 	out := s.expire(now)
-	for s.queue.Len() > 0 && s.pick(now, Constraint{}, freeSlot) != nil {
-		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot))
+	for {
+		need, ok := s.nextNeed(now)
+		if !ok || s.pick(now, Constraint{}, need) == nil {
+			break
+		}
+		next := s.queue.Pop()
+		s.recordWait(now, next.Class, now.Sub(next.Value.queuedAt), next.Value.maxWait)
+		out = append(out, s.startQueued(now, next, need))
 	}
 	for s.late.Len() > 0 && s.pick(now, Constraint{}, spareSlot) != nil {
 		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
@@ -329,7 +360,7 @@
 	if !ok {
 		return
 	}
-	srv.ownInFlight--
+	s.addOwn(srv, -1)
 	s.clearProbe(srv)
 	if !srv.listed && srv.ownInFlight == 0 {
 		delete(s.servers, id)
@@ -346,7 +377,7 @@
 }
 
 func (s *Scheduler[T]) startOn(now time.Time, picked *server, value T) Outcome[T] {
-	picked.ownInFlight++
+	s.addOwn(picked, 1)
 	picked.pace.start(now)
 	s.startRate.add(now)
 	if o, ok := s.outages[picked.Group]; ok {
--- a/balance/placement/placement_test.go
+++ b/balance/placement/placement_test.go
@@ -327,3 +327,17 @@
 	s.Finish(server, time.Second, 1)
 	require.Empty(t, s.Dispatch(start))
 }
+
+// Guards against a server that gets no requests for seconds because of a single slow
+// response, and against one that is slow all the time and isn't avoided.
+func TestSlowdownNeedsSeveralResponses(t *testing.T) {
+	s := scheduler(2, 4)
+	s.ObserveSlowdown(start, "s0", 18)
+	s.SetPeerLoad(loads(map[string]int{"s1": 1}))
+	require.Equal(t, "s0", place(t, s, start, request(1)), "one slow response counts less than a request in flight")
+	for range 10 {
+		s.ObserveSlowdown(start, "s0", 18)
+	}
+	s.SetPeerLoad(loads(map[string]int{"s1": 3}))
+	require.Equal(t, "s1", place(t, s, start, request(2)))
+}
--- a/balance/placement/spread.go
+++ b/balance/placement/spread.go
@@ -35,9 +35,8 @@
 // requests the least loaded server is picked.
 func (s *Scheduler[T]) pickSpread(now time.Time, servers []*server, need capacityNeed) *server {
 	var candidates []candidate
-	batches := s.batches()
 	for _, c := range servers {
-		if !s.hasCapacity(c, batches, need) {
+		if !s.hasCapacity(c, need) {
 			continue
 		}
 		candidates = append(candidates, s.candidate(now, c))
--- a/config/fleet/index.go
+++ b/config/fleet/index.go
@@ -12,6 +12,7 @@
 	// routesByHost holds the routes of each host, the longest prefix first.
 	routesByHost       map[string][]*Route
 	organisationsByKey map[string]*Organisation
+	urgencies          map[string][]Urgency
 }
 
 // NewIndex returns the index of c. The caller must not modify c afterwards.
@@ -20,6 +21,7 @@
 		Config:             c,
 		routesByHost:       make(map[string][]*Route),
 		organisationsByKey: make(map[string]*Organisation),
+		urgencies:          c.Urgencies(),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -54,6 +56,10 @@
 	return nil, false
 }
 
+// Urgencies returns the urgencies that the requests of a service may have, the most urgent
+// one first.
+func (x *Index) Urgencies(service string) []Urgency { return x.urgencies[service] }
+
 // RequiresKey reports whether requests of the route must carry a key.
 func (x *Index) RequiresKey(r *Route) bool {
 	return x.Config.Organisations != nil && !r.Public
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -14,12 +14,9 @@
 )
 
 const (
-	// maxWaitShare is the part of the route's latency objective that a request
-	// may wait for a slot. The rest is left for the response.
-	maxWaitShare = 0.6
-	// minWait is the lower limit of maxWait. It takes effect for routes without
-	// an objective.
-	minWait = 100 * time.Millisecond
+	// waitWithoutObjective is how long a request of a route without an objective may wait
+	// for a slot.
+	waitWithoutObjective = 100 * time.Millisecond
 	// slowStreamRetryAfter is the Retry-After value for a stream that can't finish
 	// before its deadline. A slow rank stays slow for seconds.
 	slowStreamRetryAfter = 2600 * time.Millisecond
@@ -151,10 +148,10 @@
 			r.eventsLeft(events), left).WithRetryAfter(slowStreamRetryAfter)
 	}
 	id, err := svc.acquire(waitCtx, placement.Request[*waiter]{
-		Class:        className(r.priority),
+		Class:        r.urgency.String(),
 		Organisation: r.organisation,
 		Cost:         r.cost(),
-		MaxWait:      r.maxWait(startedAt),
+		MaxWait:      r.maxWait(startedAt, svc),
 		Constraint:   placement.Constraint{Exclude: r.trace.servers},
 	})
 	placed := clock.Now()
@@ -201,9 +198,12 @@
 }
 
 // maxWait returns how long the request may wait for a slot.
-func (r *request) maxWait(now time.Time) time.Duration {
-	share := time.Duration(maxWaitShare * float64(r.route.LatencyObjective))
-	return min(max(share, minWait), r.timeLeft(now))
+func (r *request) maxWait(now time.Time, svc *service) time.Duration {
+	budget := waitWithoutObjective
+	if r.route.LatencyObjective > 0 {
+		budget = svc.waitBudget(r.route.LatencyObjective, now.Sub(r.arrived))
+	}
+	return min(budget, r.timeLeft(now))
 }
 
 // withContextCause replaces err by the cause of the context if the context has
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/clock"
@@ -162,7 +163,7 @@
 			Organisation: x.r.organisation,
 			TimeLeft:     x.r.timeLeft(clock.Now()),
 			LastEventID:  x.lastEventID,
-			Priority:     x.r.priority,
+			Priority:     slices.Index(x.r.index.Urgencies(x.r.service), x.r.urgency),
 		}),
 	}
 }
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -119,7 +119,7 @@
 		return
 	}
 	line.Str("route", r.route.Name).Str("kind", r.route.Kind.String()).Str("service", r.service).
-		Str("organisation", r.organisation).Int("priority", r.priority).
+		Str("organisation", r.organisation).Stringer("class", r.urgency).
 		Strs("servers", t.servers).Int("sent", t.sent).Dur("waited_ms", t.waited)
 	if t.timeToFirstEvent > 0 {
 		line.Dur("first_event_ms", t.timeToFirstEvent).Dur("server_wait_ms", t.serverWait).Int("events", t.events).
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -121,13 +121,22 @@
 	return inFlight >= slots
 }
 
+// outputNoise is added to times that are compared with each other. Differences below it come
+// from the network and the scheduling of processes and not from a slow server.
+const outputNoise = 5 * time.Millisecond
+
 // recordTimeToFirstOutput reports the time to the first part of a response,
 // relative to the moving average, to the scheduler and updates the average.
 func (s *service) recordTimeToFirstOutput(now time.Time, server string, first time.Duration) {
-	if s.meanTimeToFirstOutput > 0 {
-		s.scheduler.ObserveSlowdown(now, server, float64(first)/float64(s.meanTimeToFirstOutput))
-		s.meanTimeToFirstOutput += time.Duration(firstOutputSmoothing * float64(first-s.meanTimeToFirstOutput))
-		return
+	if mean := s.outputTimes.Mean(); mean > 0 {
+		s.scheduler.ObserveSlowdown(now, server, float64(first+outputNoise)/float64(mean+outputNoise))
 	}
-	s.meanTimeToFirstOutput = first
+	s.outputTimes.Observe(first)
+}
+
+// waitBudget returns how long a request that arrived some time ago may wait for a slot.
+func (s *service) waitBudget(objective, elapsed time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outputTimes.WaitBudget(objective, elapsed)
 }
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -49,7 +49,7 @@
 	index    *fleet.Index
 	// organisation owns the API key; empty for routes without a key.
 	organisation string
-	priority     int
+	urgency      fleet.Urgency
 	service      string
 	// configAge is how long before the arrival of the request the configuration
 	// was last confirmed as current.
@@ -115,7 +115,7 @@
 
 // labels returns the metric labels of the request.
 func (r *request) labels() telemetry.RequestLabels {
-	return telemetry.RequestLabels{Organisation: r.organisation, Class: className(r.priority), Service: r.service}
+	return telemetry.RequestLabels{Organisation: r.organisation, Class: r.urgency.String(), Service: r.service}
 }
 
 // cost returns the expected work in prompt tokens. Generating an output token
@@ -183,7 +183,7 @@
 		return errkind.New(errkind.UnknownRoute, "no route for this host and path")
 	}
 	r.route = route
-	r.priority = route.Priority
+	r.urgency = fleet.UrgencyOf(route, nil)
 	r.service = pickTarget(route.Targets, rand.Float64())
 	if !r.index.RequiresKey(route) {
 		return nil
@@ -199,9 +199,7 @@
 		return errkind.New(errkind.Unauthenticated, "unknown API key")
 	}
 	r.organisation = organisation.Name
-	if organisation.HasPriority {
-		r.priority = organisation.Priority
-	}
+	r.urgency = fleet.UrgencyOf(route, organisation)
 	return nil
 }
 
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -57,6 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requestLimits.SetGateways(self, peers)
+	s.scheduler.SetGateways(len(peers) + 1)
 	s.applyRequestLimits(now)
 }
 
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,11 +32,11 @@
 	serverQueueDepth = 1
 	// queueCapacity limits the requests that wait for one service.
 	queueCapacity = 512
-	// priorityClassCount is the number of priority classes. priorityClassReserve
-	// is the fraction of the service that is reserved for each class, except the
-	// most urgent one, while the class has requests.
-	priorityClassCount   = 10
-	priorityClassReserve = 0.05
+	// classReserve is the fraction of the service that is reserved for each class, except
+	// the most urgent one, while the class has requests. All reserves together are at most
+	// maxTotalReserve.
+	classReserve    = 0.05
+	maxTotalReserve = 0.45
 	// retryBudgetShare is the fraction of the shared retry budget that the
 	// gateways use. The rest covers gateways that restart with a full budget and
 	// requests that are counted in another window.
@@ -60,9 +61,6 @@
 	// failureCooldown is the time without new requests for a server after a
 	// failed attempt.
 	failureCooldown = 700 * time.Millisecond
-	// firstOutputSmoothing is the weight of one response in the moving average of
-	// the time to the first output.
-	firstOutputSmoothing = 0.05
 	// slowRankSlowdown is the slowdown from which a rank counts as slow. A slow
 	// rank gets requests only if all ranks are slow.
 	slowRankSlowdown = 1.3
@@ -111,9 +109,10 @@
 	// meanLoads is the mean number of requests on the servers of each batch at the last
 	// load report.
 	meanLoads map[string]float64
-	// meanTimeToFirstOutput is the moving average of the time to the first part
-	// of a response.
-	meanTimeToFirstOutput time.Duration
+	// outputTimes tracks the time to the first part of a response.
+	outputTimes placement.OutputTimes
+	// urgencies are those of the priority classes of the scheduler.
+	urgencies []fleet.Urgency
 }
 
 // waiter is a request that waits for a slot.
@@ -131,7 +130,6 @@
 		scheduler: placement.New[*waiter](placement.Config{
 			FailureDomain:    failureDomain,
 			ServerQueueDepth: serverQueueDepth,
-			Classes:          priorityClasses(),
 			QueueCapacity:    queueCapacity,
 		}, rng),
 		outliers: membership.NewOutlierDetector(membership.DefaultOutlierConfig()),
@@ -145,18 +143,26 @@
 	}
 }
 
-func priorityClasses() []fairqueue.Class {
-	list := make([]fairqueue.Class, priorityClassCount)
-	for i := range list {
-		list[i] = fairqueue.Class{Name: className(i), Reserve: priorityClassReserve}
+// setClasses replaces the priority classes, one for each urgency, the most urgent one first.
+func (s *service) setClasses(urgencies []fleet.Urgency) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Equal(urgencies, s.urgencies) {
+		return
 	}
-	list[0].Reserve = 0
-	return list
+	s.urgencies = slices.Clone(urgencies)
+	s.scheduler.SetClasses(classesOf(urgencies))
 }
 
-// className returns the class name of a priority in queues, logs and metrics.
-func className(priority int) string {
-	return "p" + strconv.Itoa(min(max(priority, 0), priorityClassCount-1))
+func classesOf(urgencies []fleet.Urgency) []fairqueue.Class {
+	list := make([]fairqueue.Class, len(urgencies))
+	for i, u := range urgencies {
+		list[i] = fairqueue.Class{Name: u.String()}
+		if i > 0 {
+			list[i].Reserve = min(classReserve, maxTotalReserve/float64(len(urgencies)))
+		}
+	}
+	return list
 }
 
 // setServers replaces the registered servers of the service.
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -53,7 +53,7 @@
 	svc := newService(name, s.failureDomain, s.retryConfig, rng, s.log)
 	s.byName[name] = svc
 	now := clock.Now()
-	svc.setEngineOf(state)
+	svc.configure(state)
 	svc.setServers(now, state.UsableServers(name))
 	svc.setPeerLoad(now, s.peerLoad, s.staleness)
 	svc.setGateways(now, s.self, s.peers)
@@ -74,7 +74,7 @@
 func (s *serviceRegistry) refreshServers(state *ClusterState) {
 	now := clock.Now()
 	for _, svc := range s.all() {
-		svc.setEngineOf(state)
+		svc.configure(state)
 		svc.setServers(now, state.UsableServers(svc.name))
 	}
 }
@@ -151,9 +151,11 @@
 	return load
 }
 
-// setEngineOf updates the engine of a service from the configuration.
-func (s *service) setEngineOf(state *ClusterState) {
+// configure updates the engine and the priority classes of a service from the
+// configuration.
+func (s *service) configure(state *ClusterState) {
 	if index := state.Index(); index != nil {
 		s.setEngine(clock.Now(), index.Config.Services[s.name].Engine, index.Config.EventGapObjective(s.name))
+		s.setClasses(index.Urgencies(s.name))
 	}
 }
--- a/serve/fairqueue/fairqueue.go
+++ b/serve/fairqueue/fairqueue.go
@@ -266,6 +266,16 @@
 	return q.serve(next, byReserve)
 }
 
+// Next returns the class of the item that Pop would return, and whether its turn comes from
+// the reserve of the class. It returns false if the queue is empty.
+func (q *Queue[T]) Next() (class string, byReserve, ok bool) {
+	next, byReserve := q.nextClass()
+	if next == nil {
+		return "", false, false
+	}
+	return next.Name, byReserve, true
+}
+
 // PopHighestClass is like Pop, but returns only items of the highest class. It is
 // used to fill slots that are kept for that class, so that its items don't wait
 // for a slot held by a long-running request of a lower class.
