--- a/config/fleet/fleet.go
+++ b/config/fleet/fleet.go
@@ -67,6 +67,8 @@
 	Public bool
 	// Resumable streams may be continued at another backend server.
 	Resumable bool
+	// Regions lists the regions in which the requests may run; nil means all.
+	Regions []string
 }
 
 // Retryable reports whether a request of the route may run more than once.
@@ -141,6 +143,9 @@
 	// Priority overrides that of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions lists the regions in which the requests of the organisation may run; nil
+	// means all.
+	Regions []string
 }
 
 // Limits bounds the requests and connections of callers.
