Place no requests on evacuated servers, and queue requests by their regions

Cause: placement knew no evacuated failure domains. A queued request that is bound to regions was started on a full server there, or refused, as soon as a server in any region had a free slot; and it held up all requests behind it.

Change: Scheduler.SetEvacuated treats the servers of these domains as those that leave, and refuses the queued requests for which no server is left. Refusals name the evacuation or the regions, with the longest Retry-After. Limits of batches and the load of the service count only the servers that get requests. Dispatch passes over queued requests whose regions have no capacity (fairqueue.PopFunc); a new request waits only behind a queued one that can start. Without regions nothing is scanned, and without an evacuation a pick costs one flag a server.

--- a/balance/placement/capacity.go
+++ b/balance/placement/capacity.go
@@ -29,11 +29,15 @@
 
 func (c *server) batchKey() string { return BatchKey(c.Group, c.ID) }
 
-// batches returns the batches of the listed servers by key.
+// batches returns the batches of the listed servers by key. The limit of a batch is for the
+// mean over the servers that get requests, so those that are evacuated don't count.
 func (s *Scheduler[T]) batches() map[string]batch {
 	out := make(map[string]batch)
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
+		if c.evacuated {
+			continue
+		}
 		b := out[c.batchKey()]
 		b.servers++
 		b.inFlight += c.inFlight()
--- /dev/null
+++ b/balance/placement/evacuation.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
+)
+
+// SetEvacuated sets the evacuated failure domains. Their servers get no requests, even if
+// there are no others. Requests that are in flight there stay counted until they finish.
+// SetEvacuated returns the refusals of the queued requests for which no server is left. The
+// caller must call Dispatch afterwards.
+func (s *Scheduler[T]) SetEvacuated(now time.Time, domains []string) []Outcome[T] {
+	s.evacuated = domains
+	for _, c := range s.servers {
+		c.evacuated = slices.Contains(domains, c.FailureDomain)
+	}
+	return append(s.refuseUnservable(now, s.queue), s.refuseUnservable(now, s.late)...)
+}
+
+// refuseUnservable refuses the queued requests that no server can take, now or later.
+func (s *Scheduler[T]) refuseUnservable(now time.Time, q *fairqueue.Queue[waiting[T]]) []Outcome[T] {
+	unservable := q.RemoveFunc(func(w waiting[T]) bool {
+		c := w.constraint.withoutExclusions()
+		_, outage := s.outageWait(now, c)
+		return !outage && !s.hasServer(now, c)
+	})
+	var out []Outcome[T]
+	for _, t := range unservable {
+		out = append(out, s.refuseNoServer(now, t.Value.constraint, t.Value.value))
+	}
+	return out
+}
+
+// DomainLoad returns the number of listed servers in a failure domain, and the requests of
+// this gateway that are in flight there.
+func (s *Scheduler[T]) DomainLoad(domain string) (servers, inFlight int) {
+	for _, c := range s.servers {
+		if c.FailureDomain != domain {
+			continue
+		}
+		if c.listed {
+			servers++
+		}
+		inFlight += c.ownInFlight
+	}
+	return servers, inFlight
+}
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -15,6 +15,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -117,6 +118,8 @@
 	leaving     bool
 	pausedUntil time.Time
 	pace        pace
+	// evacuated means that the failure domain of the server is evacuated.
+	evacuated bool
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -130,6 +133,11 @@
 	// queue holds the requests that can be in time, late those that can't any more.
 	queue *fairqueue.Queue[waiting[T]]
 	late  *fairqueue.Queue[waiting[T]]
+	// hasRegions is set once a request was bound to regions. Until then no queued request
+	// can be passed over.
+	hasRegions bool
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
 	// peerStaleness is the sum of the ages of the load reports of the other
@@ -175,6 +183,7 @@
 			srv.forget()
 		}
 		srv.Server, srv.listed = l, true
+		srv.evacuated = slices.Contains(s.evacuated, l.FailureDomain)
 		s.serverIDs = append(s.serverIDs, l.ID)
 	}
 	for id, srv := range s.servers {
@@ -207,9 +216,12 @@
 }
 
 // TotalLoad returns the requests in flight of all gateways and the number of
-// slots, summed over all listed servers.
+// slots, summed over all listed servers that aren't evacuated.
 func (s *Scheduler[T]) TotalLoad() (inFlight, slots int) {
 	for _, id := range s.serverIDs {
+		if s.servers[id].evacuated {
+			continue
+		}
 		inFlight += s.servers[id].inFlight()
 		slots += s.servers[id].Slots
 	}
@@ -237,7 +249,8 @@
 	if len(s.serverIDs) == 0 {
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
-	if s.queue.Len() == 0 {
+	s.hasRegions = s.hasRegions || r.Regions != nil
+	if !s.mustQueue(now) {
 		if picked := s.pick(now, r.Constraint, freeSlot); picked != nil {
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
@@ -253,7 +266,7 @@
 	if !s.hasServer(now, r.Constraint) {
 		outageWait, ok := s.outageWait(now, r.Constraint)
 		if !ok {
-			return nil, []Outcome[T]{s.refuseNoServer(now, r.Value)}
+			return nil, []Outcome[T]{s.refuseNoServer(now, r.Constraint, r.Value)}
 		}
 		w.lateUntil = now.Add(min(outageWait, maxLateWait))
 		// The past rate doesn't predict the end of an outage.
@@ -275,13 +288,13 @@
 
 // HasFreeSlot reports whether TryPlace would assign a request.
 func (s *Scheduler[T]) HasFreeSlot(now time.Time, c Constraint) bool {
-	return s.queue.Len() == 0 && s.pick(now, c, freeSlot) != nil
+	return !s.mustQueue(now) && s.pick(now, c, freeSlot) != nil
 }
 
 // TryPlace assigns a request to a server with a free slot and returns its ID. It returns
-// false if there is none or if other requests are queued.
+// false if there is none or if other requests have to start first.
 func (s *Scheduler[T]) TryPlace(now time.Time, c Constraint) (server string, ok bool) {
-	if s.queue.Len() > 0 {
+	if s.mustQueue(now) {
 		return "", false
 	}
 	picked := s.pick(now, c, freeSlot)
@@ -297,11 +310,11 @@
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
 	out := s.expire(now)
-	for s.queue.Len() > 0 && s.pick(now, Constraint{}, freeSlot) != nil {
-		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot))
+	for t := s.popQueued(now, s.queue, freeSlot); t != nil; t = s.popQueued(now, s.queue, freeSlot) {
+		out = append(out, s.startQueued(now, t, freeSlot))
 	}
-	for s.late.Len() > 0 && s.pick(now, Constraint{}, spareSlot) != nil {
-		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
+	for t := s.popQueued(now, s.late, spareSlot); t != nil; t = s.popQueued(now, s.late, spareSlot) {
+		out = append(out, s.startQueued(now, t, spareSlot))
 	}
 	return out
 }
@@ -316,7 +329,7 @@
 			}
 		}
 	}
-	return s.refuseNoServer(now, t.Value.value)
+	return s.refuseNoServer(now, t.Value.constraint, t.Value.value)
 }
 
 // Cancel removes a request from the queue and reports whether it was still queued.
--- a/balance/placement/stated.go
+++ b/balance/placement/stated.go
@@ -19,9 +19,11 @@
 	return c.gone(now) || c.pausedUntil.After(now)
 }
 
-// gone reports whether a server gets no requests because it is leaving or has lost its
-// address.
-func (c *server) gone(now time.Time) bool { return c.leaving || c.bannedUntil.After(now) }
+// gone reports whether a server gets no requests because it is leaving, has lost its
+// address or is evacuated.
+func (c *server) gone(now time.Time) bool {
+	return c.leaving || c.evacuated || c.bannedUntil.After(now)
+}
 
 // refuseByPause refuses a request if all servers that it may use want no requests for
 // longer than it may wait.
--- a/serve/fairqueue/fairqueue.go
+++ b/serve/fairqueue/fairqueue.go
@@ -8,11 +8,13 @@
 //
 // The package is deterministic: the time is passed in, and it has no
 // goroutines and no I/O. A Queue is not safe for concurrent use. Push, Pop and
-// Cancel take O(log n + number of classes).
+// Cancel take O(log n + number of classes); the methods that look for an item take
+// O(n log n).
 package fairqueue
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -263,7 +265,44 @@
 	if next == nil {
 		return nil
 	}
-	return q.serve(next, byReserve)
+	return q.serve(next.head(), byReserve)
+}
+
+// PopFunc is like Pop, but passes over the items whose value accept doesn't accept. It
+// returns nil if it accepts none.
+func (q *Queue[T]) PopFunc(accept func(T) bool) *Ticket[T] {
+	next, byReserve := q.nextClass()
+	if next == nil {
+		return nil
+	}
+	if t := next.first(accept); t != nil {
+		return q.serve(t, byReserve)
+	}
+	for _, c := range q.classes {
+		if t := c.first(accept); t != nil {
+			return q.serve(t, false)
+		}
+	}
+	return nil
+}
+
+// ContainsFunc reports whether match returns true for the value of a waiting item.
+func (q *Queue[T]) ContainsFunc(match func(T) bool) bool {
+	return slices.ContainsFunc(q.classes, func(c *class[T]) bool { return c.first(match) != nil })
+}
+
+// RemoveFunc removes and returns the items for whose values match returns true.
+func (q *Queue[T]) RemoveFunc(match func(T) bool) []*Ticket[T] {
+	var removed []*Ticket[T]
+	for _, c := range q.classes {
+		for _, t := range c.inOrder() {
+			if match(t.Value) {
+				q.remove(t)
+				removed = append(removed, t)
+			}
+		}
+	}
+	return removed
 }
 
 // PopHighestClass is like Pop, but returns only items of the highest class. It is
@@ -274,12 +313,13 @@
 	if first.byStart.Len() == 0 {
 		return nil
 	}
-	return q.serve(first, false)
+	return q.serve(first.head(), false)
 }
 
-func (q *Queue[T]) serve(served *class[T], byReserve bool) *Ticket[T] {
-	f := served.byStart.items[0]
-	t := f.items.Front().Value.(*Ticket[T])
+// serve removes an item that is served now.
+func (q *Queue[T]) serve(t *Ticket[T], byReserve bool) *Ticket[T] {
+	f := t.flow
+	served := f.class
 	for _, c := range q.classes {
 		if c.backlog > 0 {
 			c.reserveCredit += c.Reserve * t.Cost
@@ -288,7 +328,8 @@
 	if byReserve {
 		served.reserveCredit -= t.Cost
 	}
-	served.virtualTime = f.startTag
+	// The start tag of an organisation that was passed over may lie in the past.
+	served.virtualTime = max(served.virtualTime, f.startTag)
 	f.finishTag = f.startTag + t.Cost/f.weight
 	f.startTag = f.finishTag
 	q.remove(t)
@@ -306,8 +347,7 @@
 			next = c
 			continue
 		}
-		head := c.byStart.items[0].items.Front().Value.(*Ticket[T])
-		if c.Reserve > 0 && c.reserveCredit >= head.Cost {
+		if c.Reserve > 0 && c.reserveCredit >= c.head().Cost {
 			return c, true
 		}
 	}
--- a/serve/fairqueue/fairqueue_test.go
+++ b/serve/fairqueue/fairqueue_test.go
@@ -185,3 +185,86 @@
 		}
 	})
 }
+
+// Guards against items that stay although they may be served or are to be removed, and
+// against items that are lost or served twice because others were passed over.
+func TestPopFuncAndRemoveFunc(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, waiting := fairqueue.New[int](64, classes), map[int]bool{}
+		for n := range 60 {
+			modulus := rapid.IntRange(1, 4).Draw(t, "modulus")
+			accept := func(v int) bool { return v%modulus == 0 }
+			accepted := 0
+			for v := range waiting {
+				if accept(v) {
+					accepted++
+				}
+			}
+			require.Equal(t, accepted > 0, q.ContainsFunc(accept))
+			var left []*fairqueue.Ticket[int]
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				left = q.RemoveFunc(accept)
+				require.Len(t, left, accepted)
+			case 1, 2, 3, 4:
+				if popped := q.PopFunc(accept); popped != nil {
+					left = append(left, popped)
+				}
+				require.Len(t, left, min(accepted, 1))
+			default:
+				class := rapid.SampledFrom(classes).Draw(t, "class").Name
+				organisation := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation")
+				_, _, err := q.Push(start, item{Class: class, Organisation: organisation, Cost: float64(1 + n%7), Value: n})
+				require.NoError(t, err)
+				waiting[n] = true
+			}
+			for _, l := range left {
+				require.True(t, waiting[l.Value] && accept(l.Value))
+				delete(waiting, l.Value)
+			}
+			require.Equal(t, len(waiting), q.Len())
+		}
+	})
+}
+
+// Guards against another order of service where all items are accepted.
+func TestPopFuncKeepsOrder(t *testing.T) {
+	q, other := fairqueue.New[int](64, classes), fairqueue.New[int](64, classes)
+	for n := range 60 {
+		i := item{Class: classes[n%3].Name, Organisation: fmt.Sprint("o", n%4), Cost: float64(1 + n%7), Value: n}
+		for _, to := range []*queue{q, other} {
+			_, _, err := to.Push(start, i)
+			require.NoError(t, err)
+		}
+	}
+	for q.Len() > 0 {
+		require.Equal(t, q.Pop().Value, other.PopFunc(func(int) bool { return true }).Value)
+	}
+}
+
+// Guards against an organisation that gets the whole service for a while because another
+// one was passed over, and is then served with its old place in the order.
+func TestPassedOverItemsDontDistortShares(t *testing.T) {
+	q := fairqueue.New[int](100, classes)
+	push := func(organisation string, value int) {
+		_, _, err := q.Push(start, item{Class: "desk", Organisation: organisation, Cost: 10, Value: value})
+		require.NoError(t, err)
+	}
+	const passedOver, busy, late = 0, 1, 2
+	push("a", passedOver)
+	for range 40 {
+		push("busy", busy)
+	}
+	for range 20 {
+		require.Equal(t, busy, q.PopFunc(func(v int) bool { return v != passedOver }).Value)
+	}
+	require.Equal(t, passedOver, q.Pop().Value)
+	for range 20 {
+		push("late", late)
+	}
+	served := map[int]int{}
+	for range 10 {
+		served[q.Pop().Value]++
+	}
+	require.Equal(t, map[int]int{busy: 5, late: 5}, served)
+}
--- a/serve/fairqueue/flow.go
+++ b/serve/fairqueue/flow.go
@@ -1,8 +1,11 @@
 package fairqueue
 
 import (
+	"cmp"
 	"container/heap"
 	"container/list"
+	"slices"
+	"strings"
 )
 
 // indexedHeap is a binary heap whose items store their index, so that an item
@@ -98,6 +101,40 @@
 	}
 }
 
+// head returns the item that is served next. The class isn't empty.
+func (c *class[T]) head() *Ticket[T] { return c.byStart.items[0].items.Front().Value.(*Ticket[T]) }
+
+// first returns the first item in the order of service whose value is accepted, or nil.
+func (c *class[T]) first(accept func(T) bool) *Ticket[T] {
+	if c.byStart.Len() == 0 {
+		return nil
+	}
+	if t := c.head(); accept(t.Value) {
+		return t
+	}
+	for _, t := range c.inOrder() {
+		if accept(t.Value) {
+			return t
+		}
+	}
+	return nil
+}
+
+// inOrder returns the waiting items by organisation, the one that is served next first.
+func (c *class[T]) inOrder() []*Ticket[T] {
+	flows := slices.Clone(c.byStart.items)
+	slices.SortFunc(flows, func(a, b *flow[T]) int {
+		return cmp.Or(cmp.Compare(a.startTag, b.startTag), strings.Compare(a.name, b.name))
+	})
+	items := make([]*Ticket[T], 0, c.size)
+	for _, f := range flows {
+		for e := f.items.Front(); e != nil; e = e.Next() {
+			items = append(items, e.Value.(*Ticket[T]))
+		}
+	}
+	return items
+}
+
 func (c *class[T]) setWeight(f *flow[T], weight float64) {
 	if f.items.Len() > 0 {
 		c.activeWeight += weight - f.weight
