Send nothing to evacuated failure domains

Cause: gateways ignored the records of the operators beside the configuration.

Change: the reads of the configuration apply the evacuations as well, before a first configuration is installed. Placement gets the evacuated domains for first attempts, retries, resumed streams, standbys and queued requests; a request that waited for its connection meanwhile isn't sent, which is no fault of its server; full servers there aren't probed. Requests in flight run to their end. Log lines and gauges tell when an evacuation begins and ends and when the last request there has ended. Evacuated servers don't count among those of which a part may be ejected. Without an evacuation, the check before a request is sent is one atomic load.

An evacuation of a domain that isn't known is logged and holds if servers register there, since a server that is used wrongly is worse than a name that is kept.

Tests changed: the fixture starts a gateway in a function of its own, so that a test can start another one on the same store.

--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -51,6 +51,8 @@
 	lastEventAt time.Time
 	arrived     int
 	events      int
+	// evacuated means that the request was not sent because its server is evacuated.
+	evacuated bool
 	// serverFull, wrongServer, unsuitable and groupDown are the reasons for a refusal.
 	// wrongServer means that another server has the address now, unsuitable that the
 	// server doesn't have what this request expects.
@@ -102,6 +104,12 @@
 		conn.Close()
 		return notSentError(context.Cause(waitCtx))
 	}
+	if x.g.evacuations.includes(x.server.FailureDomain) {
+		// The evacuation began during the wait for the connection.
+		conn.Close()
+		x.evacuated = true
+		return notSentError(errEvacuated)
+	}
 	x.ctx, x.conn = ctx, conn
 	x.stopAbort = context.AfterFunc(ctx, conn.Abort)
 	return nil
@@ -260,7 +268,7 @@
 	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = x.unsuitable || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = x.unsuitable || x.evacuated || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
@@ -70,6 +71,7 @@
 		StablePeriod: 3 * time.Second, DrainTime: 2 * time.Second, TerminationGrace: 2 * time.Second,
 		ConfigApplyTime:  2 * time.Second,
 		StrictRevocation: true, RevocationTime: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 200,
+		EvacuationTime: 5 * time.Second,
 	}
 }
 
@@ -79,48 +81,65 @@
 }
 
 func settings() platform.Settings {
-	return platform.Settings{Instance: "g1", FailureDomain: "zone-1", Bounds: bounds()}
+	return platform.Settings{
+		Instance: "g1", FailureDomain: "zone-1", Bounds: bounds(),
+		Regions: fleet.Regions{"zone-1": "region-1", "zone-2": "region-1", "zone-3": "region-2"},
+	}
 }
 
 // newFixture starts a gateway whose plain service has the given servers. It waits
 // until the gateway is ready.
 func newFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: platformtest.NewStore(), logs: &logBuffer{}}
+	f := &fixture{t: t, store: platformtest.NewStore()}
+	t.Cleanup(f.store.Close)
 	f.deploy = &platformtest.Deployment{Store: f.store, Host: host}
 	f.deploy.PublishConfig([]string{platformtest.Key}, nil)
 	for _, s := range servers {
 		f.deploy.Register(s.ID, platformtest.PlainService, s.Address())
 		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.ModelAddress())
 	}
-	log := zerolog.New(zerolog.SyncWriter(f.logs))
+	f.startGateway()
+	f.eventually(func() bool { ready, _ := f.gateway.Ready(); return ready })
+	return f
+}
+
+// startGateway starts a gateway that reads from the store. It ends with the test.
+func (f *fixture) startGateway() {
+	t := f.t
+	f.logs = &logBuffer{}
+	logs := f.logs
+	log := zerolog.New(zerolog.SyncWriter(logs))
 	state := NewClusterState()
-	f.gateway = New(settings(), state, telemetry.NewMetrics(Role, "g1", log), log)
+	gateway := New(settings(), state, telemetry.NewMetrics(Role, "g1", log), log)
 	client := platform.NewStoreClient(f.store.Address())
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{}, 2)
+	done := make(chan struct{}, 3)
 	go func() {
-		_ = FollowConfig(ctx, client, state, log)
+		_ = FollowConfig(ctx, client, state, log, gateway.evacuations.applyRead)
 		done <- struct{}{}
 	}()
 	go func() {
-		_ = FollowServers(ctx, client, state, log, f.gateway.bounds.Load, f.gateway.serverRefresh,
-			func() { f.gateway.services.refreshServers(state) })
+		_ = gateway.evacuations.watch(ctx)
 		done <- struct{}{}
 	}()
-	f.server = httptest.NewServer(f.gateway)
+	go func() {
+		_ = FollowServers(ctx, client, state, log, gateway.bounds.Load, gateway.serverRefresh,
+			func() { gateway.services.refreshServers(state) })
+		done <- struct{}{}
+	}()
+	server := httptest.NewServer(gateway)
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Log(f.logs.String())
+			t.Log(logs.String())
 		}
 		cancel()
-		f.server.Close()
-		f.store.Close()
-		<-done
-		<-done
+		server.Close()
+		for range cap(done) {
+			<-done
+		}
 	})
-	f.eventually(func() bool { ready, _ := f.gateway.Ready(); return ready })
-	return f
+	f.gateway, f.server = gateway, server
 }
 
 func (f *fixture) eventually(condition func() bool) {
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -55,6 +55,8 @@
 	records []platform.KeyedRecord
 	// snapshot means that records holds all keys, not only the changed ones.
 	snapshot bool
+	// next is the offset at which the next read begins.
+	next int64
 	// sent and received are the times of the request and of the response.
 	sent     time.Time
 	received time.Time
@@ -80,6 +82,7 @@
 	}
 	u.recovered = f.recordRecovery()
 	f.next, f.snapshot = next, false
+	u.next = next
 	return u, nil
 }
 
@@ -122,8 +125,12 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
-// FollowConfig keeps the configuration in state up to date until ctx ends.
-func FollowConfig(ctx context.Context, store *platform.StoreClient, state *ClusterState, log zerolog.Logger) error {
+// FollowConfig keeps the configuration in state up to date until ctx ends. It calls
+// applyEvacuations with each read of the topic, which holds the evacuations as well.
+func FollowConfig(
+	ctx context.Context, store *platform.StoreClient, state *ClusterState, log zerolog.Logger,
+	applyEvacuations func(topicUpdate),
+) error {
 	f := newTopicFollower(store, platform.ConfigTopic, log)
 	for ctx.Err() == nil {
 		u, err := f.read(ctx, configPollTimeout)
@@ -131,6 +138,9 @@
 			clock.Sleep(ctx, f.backoff())
 			continue
 		}
+		// No request is served before the first configuration is installed, so none is sent
+		// to a failure domain that was evacuated before.
+		applyEvacuations(u)
 		ok := true
 		for _, r := range u.records {
 			ok = installConfig(r, state, u, log) && ok
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -42,6 +42,8 @@
 	wasReady atomic.Bool
 	// serverRefresh triggers an early read of the server list.
 	serverRefresh chan struct{}
+	// evacuations holds the failure domains whose servers get no requests.
+	evacuations *evacuationTracker
 }
 
 // New returns a gateway that serves from state, which may still be empty.
@@ -62,6 +64,7 @@
 		abortCtx:      abortCtx,
 		abort:         abort,
 	}
+	g.evacuations = newEvacuationTracker(s.Regions, g.services, metrics, log)
 	g.bounds.Store(&s.Bounds)
 	return g
 }
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -61,8 +61,9 @@
 
 func followMetadata(lc fx.Lifecycle, o Options, g *Gateway, store *platform.StoreClient, state *ClusterState) {
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "follow configuration", Run: func(ctx context.Context) error {
-		return FollowConfig(ctx, store, state, o.Log)
+		return FollowConfig(ctx, store, state, o.Log, g.evacuations.applyRead)
 	}})
+	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "watch evacuations", Run: g.evacuations.watch})
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "follow servers", Run: func(ctx context.Context) error {
 		return FollowServers(ctx, store, state, o.Log, g.bounds.Load, g.serverRefresh, func() {
 			g.services.refreshServers(state)
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -77,8 +78,9 @@
 // service assigns the requests of one service to its backend servers. It is safe
 // for concurrent use.
 type service struct {
-	name string
-	log  zerolog.Logger
+	name    string
+	log     zerolog.Logger
+	regions fleet.Regions
 
 	mu        sync.Mutex
 	scheduler *placement.Scheduler[*waiter]
@@ -92,6 +94,8 @@
 	serverByAddress map[string]string
 	// incarnations holds the incarnation of each server.
 	incarnations map[string]string
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
 	// slowRankReportedAt is when a slow rank was last reported.
 	slowRankReportedAt time.Time
 	// lastProgressAt is when any server last sent a part of a response.
@@ -165,11 +169,19 @@
 	defer s.mu.Unlock()
 	known := make(map[string]bool, len(list))
 	candidates := make([]membership.Server, 0, len(list))
+	// Servers without requests prove nothing about the others, so the evacuated ones aren't
+	// among those of which a part may be ejected.
+	var evacuated []membership.Server
 	byID := make(map[string]fleet.Server, len(list))
 	for _, l := range list {
 		known[l.ID] = true
 		byID[l.ID] = l
-		candidates = append(candidates, membership.Server{Instance: infra.Instance{ID: l.ID}})
+		server := membership.Server{Instance: infra.Instance{ID: l.ID}}
+		if slices.Contains(s.evacuated, l.FailureDomain) {
+			evacuated = append(evacuated, server)
+			continue
+		}
+		candidates = append(candidates, server)
 	}
 	s.groupByServer = make(map[string]string, len(list))
 	s.serverByAddress = make(map[string]string, len(list))
@@ -186,10 +198,11 @@
 	s.liveness.Retain(unchanged)
 	s.incarnations = incarnations
 	var kept []placement.Server
-	for _, c := range s.outliers.Filter(now, candidates) {
+	for _, c := range append(s.outliers.Filter(now, candidates), evacuated...) {
 		l := byID[c.ID]
 		kept = append(kept, placement.Server{
-			ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
+			ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
+			Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
 		})
 	}
 	s.scheduler.SetServers(kept)
@@ -204,6 +217,25 @@
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
+// setEvacuated replaces the evacuated failure domains.
+func (s *service) setEvacuated(now time.Time, domains []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = domains
+	s.deliver(s.scheduler.SetEvacuated(now, domains))
+	s.meanLoads = s.scheduler.MeanLoads()
+	s.setBatchLimits(now)
+	s.deliver(s.scheduler.Dispatch(now))
+}
+
+// domainLoad returns the number of servers in a failure domain, and the requests of this
+// gateway that are in flight there.
+func (s *service) domainLoad(domain string) (servers, inFlight int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.DomainLoad(domain)
+}
+
 // incarnationOf identifies a run of a server at an address.
 func incarnationOf(s fleet.Server) string {
 	return s.Address + "@" + strconv.FormatInt(s.StartedUnixMs, 10)
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -10,6 +10,7 @@
 	"github.com/filbertmux/filbertmux/balance/loadshare"
 	"github.com/filbertmux/filbertmux/balance/requestlimit"
 	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
@@ -17,6 +18,7 @@
 // serviceRegistry holds the services by name. It is safe for concurrent use.
 type serviceRegistry struct {
 	failureDomain string
+	regions       fleet.Regions
 	retryExtra    float64
 	rng           *rand.Rand
 	log           zerolog.Logger
@@ -32,11 +34,13 @@
 	// is the sum of the ages of their reports.
 	peerLoad  map[loadshare.ServerKey]int
 	staleness time.Duration
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
 }
 
 func newServiceRegistry(s platform.Settings, rng *rand.Rand, log zerolog.Logger) *serviceRegistry {
 	return &serviceRegistry{
-		failureDomain: s.FailureDomain, retryExtra: s.Bounds.RetryExtra, retryConfig: retryConfig(s.Bounds),
+		failureDomain: s.FailureDomain, regions: s.Regions, retryExtra: s.Bounds.RetryExtra, retryConfig: retryConfig(s.Bounds),
 		rng: rng, log: log, byName: make(map[string]*service),
 	}
 }
@@ -53,6 +57,8 @@
 	svc := newService(name, s.failureDomain, s.retryConfig, rng, s.log)
 	s.byName[name] = svc
 	now := clock.Now()
+	svc.regions = s.regions
+	svc.setEvacuated(now, s.evacuated)
 	svc.setEngineOf(state)
 	svc.setServers(now, state.UsableServers(name))
 	svc.setPeerLoad(now, s.peerLoad, s.staleness)
@@ -91,6 +97,27 @@
 	}
 }
 
+// setEvacuated replaces the evacuated failure domains.
+func (s *serviceRegistry) setEvacuated(domains []string) {
+	s.mu.Lock()
+	s.evacuated = domains
+	s.mu.Unlock()
+	now := clock.Now()
+	for _, svc := range s.all() {
+		svc.setEvacuated(now, domains)
+	}
+}
+
+// domainLoad returns the number of servers in a failure domain, and the requests of this
+// gateway that are in flight there.
+func (s *serviceRegistry) domainLoad(domain string) (servers, inFlight int) {
+	for _, svc := range s.all() {
+		ofService, requests := svc.domainLoad(domain)
+		servers, inFlight = servers+ofService, inFlight+requests
+	}
+	return servers, inFlight
+}
+
 // avoidSlowRank handles a slowdown report of a rank agent. address is the address
 // of the rank's backend server.
 func (s *serviceRegistry) avoidSlowRank(address string, slowdown float64) {
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -183,6 +183,10 @@
 	if !w.x.svc.atCapacity(id) {
 		return false
 	}
+	if w.x.g.evacuations.includes(w.x.server.FailureDomain) {
+		// It gets no probes either. Its queue empties, as no requests follow.
+		return true
+	}
 	switch w.x.svc.serverLiveness(now, id) {
 	case liveness.Unresponsive:
 		return false
