Tell gateways that can't read the store of evacuations

Cause: the store may refuse some instances, or be out of their reach, while it accepts the records of the operators. Such a gateway would go on sending to an evacuated domain.

Change: load reports carry the evacuated domains and the offset up to which the sender knows the records (fields 9 and 10). A gateway adopts what a report with a higher offset says, passes it on, and returns to its own reads as soon as they have caught up, or when a read that was sent later finds nothing more. Cost: 2 bytes a report without evacuations, and a name and about 5 bytes for each evacuated domain.

--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -46,6 +46,7 @@
 	services    *serviceRegistry
 	crashes     *crashTracker
 	refusals    *refusalKeeper
+	evacuations *evacuationTracker
 	store       *platform.StoreClient
 	log         zerolog.Logger
 
@@ -62,6 +63,7 @@
 		conn:        conn,
 		services:    g.services,
 		crashes:     g.crashes,
+		evacuations: g.evacuations,
 		store:       store,
 		log:         log,
 		table:       loadshare.New(self),
@@ -142,6 +144,7 @@
 	peerLoad, staleness := p.table.PeerLoad(now), p.table.Staleness(now)
 	p.mu.Unlock()
 	if fresh {
+		p.evacuations.receive(m)
 		p.services.setPeerLimits(decodeLimits(now, m.GetLimits()))
 		p.services.setPeerLoad(peerLoad, staleness)
 	}
@@ -194,6 +197,7 @@
 		m.InFlight = append(m.InFlight, uint32(n))
 	}
 	m.Limits = encodeLimits(now, p.services.ownLimits(now))
+	p.evacuations.report(m)
 	data, err := proto.Marshal(&pb.Datagram{Kind: &pb.Datagram_Load{Load: m}})
 	if err != nil {
 		p.log.Error().Err(err).Msg("encoding a load report failed")
