Keep requests within the regions of their route and organisation

Cause: routes and organisations may list the regions in which their requests may be served. The gateway ignored that.

Change: each request carries the regions that both lists allow, in the constraint of its first attempt, retries, resumed streams, standbys and its place in the queue.

--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -155,7 +155,7 @@
 		Organisation: r.organisation,
 		Cost:         r.cost(),
 		MaxWait:      r.maxWait(startedAt),
-		Constraint:   placement.Constraint{Exclude: r.trace.servers},
+		Constraint:   r.constraint(r.trace.servers),
 	})
 	placed := clock.Now()
 	r.trace.waited += placed.Sub(startedAt)
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
@@ -51,6 +52,8 @@
 	organisation string
 	priority     int
 	service      string
+	// regions lists the regions in which the request may run; nil means all.
+	regions []string
 	// configAge is how long before the arrival of the request the configuration
 	// was last confirmed as current.
 	configAge time.Duration
@@ -129,6 +132,11 @@
 	return float64(r.call.PromptTokens + outputTokenCost*output)
 }
 
+// constraint returns the servers on which the request may run, other than the given ones.
+func (r *request) constraint(exclude []string) placement.Constraint {
+	return placement.Constraint{Exclude: exclude, Regions: r.regions}
+}
+
 // timeLeft returns the time until the deadline.
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
@@ -184,6 +192,7 @@
 	}
 	r.route = route
 	r.priority = route.Priority
+	r.regions = route.Regions
 	r.service = pickTarget(route.Targets, rand.Float64())
 	if !r.index.RequiresKey(route) {
 		return nil
@@ -199,6 +208,7 @@
 		return errkind.New(errkind.Unauthenticated, "unknown API key")
 	}
 	r.organisation = organisation.Name
+	r.regions = fleet.AllowedRegions(route.Regions, organisation.Regions)
 	if organisation.HasPriority {
 		r.priority = organisation.Priority
 	}
--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -108,7 +108,7 @@
 	id, ok := x.svc.reserveStandby(now, retry.Attempt{
 		Err:    errkind.Wrap(errkind.StreamIncomplete, errServerSilent, "the response pauses"),
 		Number: r.trace.attempts, Idempotent: true, Deadline: r.deadline,
-	}, placement.Constraint{Exclude: exclude})
+	}, r.constraint(exclude))
 	if !ok {
 		return nil, false
 	}
