--- a/balance/placement/capacity.go
+++ b/balance/placement/capacity.go
@@ -35,11 +35,16 @@
 
 func (c *server) batchKey() string { return BatchKey(c.Group, c.ID) }
 
-// countBatches counts the requests on the batches of the listed servers.
+// countBatches counts the requests on the batches of the listed servers. The limit of a batch
+// is for the mean over the servers that get requests, so those that are evacuated don't
+// count.
 func (s *Scheduler[T]) countBatches() {
 	s.batches = make(map[string]batch, len(s.batches))
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
+		if c.evacuated {
+			continue
+		}
 		b := s.batches[c.batchKey()]
 		b.servers++
 		b.inFlight += c.inFlight()
@@ -51,7 +56,7 @@
 // addOwn adds n requests of this gateway to a server.
 func (s *Scheduler[T]) addOwn(c *server, n int) {
 	c.ownInFlight += n
-	if !c.listed {
+	if !c.listed || c.evacuated {
 		return
 	}
 	b := s.batches[c.batchKey()]
--- a/balance/placement/headroom.go
+++ b/balance/placement/headroom.go
@@ -22,6 +22,9 @@
 	longWaitShare = 0.2
 )
 
+// anyClass stands for a request without a class, which counts as the least urgent one.
+const anyClass = ""
+
 // Each gateway has its own queue, and a slot that becomes free goes to the gateway that
 // takes it first. The load reports of the other gateways are some hundred ms old, so all
 // gateways start requests at the same time and then none for a while. Without headroom,
--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -9,7 +9,7 @@
 	if !ok {
 		return
 	}
-	current := srv.currentSlowdown(now)
+	current := srv.decayedSlowdown(now)
 	step := min(slowdownSmoothing*(observed-current), maxSlowdownStep)
 	srv.slowdown = min(max(current+step, minSlowdown), maxSlowdown)
 	srv.slowdownAt = now
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -15,6 +15,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -30,6 +31,10 @@
 	// maxSlowdownStep is the most by which one measurement raises the slowdown. A single
 	// slow response, for example the first one of a process, says little about a server.
 	maxSlowdownStep = 0.5
+	// slowdownTolerance is the difference from the usual duration that doesn't count. Without
+	// it, all requests of an idle service go to the server whose last response was a little
+	// faster.
+	slowdownTolerance = 0.1
 	// minSlowdown and maxSlowdown bound the measured slowdown of a server.
 	minSlowdown = 0.5
 	maxSlowdown = 8.0
@@ -120,6 +125,8 @@
 	leaving     bool
 	pausedUntil time.Time
 	pace        pace
+	// evacuated means that the failure domain of the server is evacuated.
+	evacuated bool
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -133,6 +140,11 @@
 	// queue holds the requests that can be in time, late those that can't any more.
 	queue *fairqueue.Queue[waiting[T]]
 	late  *fairqueue.Queue[waiting[T]]
+	// hasRegions is set once a request was bound to regions. Until then no queued request
+	// can be passed over.
+	hasRegions bool
+	// evacuated lists the evacuated failure domains.
+	evacuated []string
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
 	// peerStaleness is the sum of the ages of the load reports of the other
@@ -188,6 +200,7 @@
 			srv.forget()
 		}
 		srv.Server, srv.listed = l, true
+		srv.evacuated = slices.Contains(s.evacuated, l.FailureDomain)
 		s.serverIDs = append(s.serverIDs, l.ID)
 	}
 	for id, srv := range s.servers {
@@ -229,9 +242,12 @@
 }
 
 // TotalLoad returns the requests in flight of all gateways and the number of
-// slots, summed over all listed servers.
+// slots, summed over all listed servers that aren't evacuated.
 func (s *Scheduler[T]) TotalLoad() (inFlight, slots int) {
 	for _, id := range s.serverIDs {
+		if s.servers[id].evacuated {
+			continue
+		}
 		inFlight += s.servers[id].inFlight()
 		slots += s.servers[id].Slots
 	}
@@ -260,7 +276,8 @@
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
 	s.observeOwnLoad(now)
-	if s.goesFirst(r.Class) {
+	s.hasRegions = s.hasRegions || r.Regions != nil
+	if !s.mustQueue(now, r.Class) {
 		if picked := s.pick(now, r.Constraint, s.needOf(now, r.Class)); picked != nil {
 			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
 		}
@@ -276,7 +293,7 @@
 	if !s.hasServer(now, r.Constraint) {
 		outageWait, ok := s.outageWait(now, r.Constraint)
 		if !ok {
-			return nil, []Outcome[T]{s.refuseNoServer(now, r.Value)}
+			return nil, []Outcome[T]{s.refuseNoServer(now, r.Constraint, r.Value)}
 		}
 		w.lateUntil = now.Add(min(outageWait, maxLateWait))
 		// The past rate doesn't predict the end of an outage.
@@ -299,13 +316,13 @@
 
 // HasFreeSlot reports whether TryPlace would assign a request.
 func (s *Scheduler[T]) HasFreeSlot(now time.Time, c Constraint) bool {
-	return s.queue.Len() == 0 && s.pick(now, c, freeSlot) != nil
+	return !s.mustQueue(now, anyClass) && s.pick(now, c, freeSlot) != nil
 }
 
 // TryPlace assigns a request to a server with a free slot and returns its ID. It returns
-// false if there is none or if other requests are queued.
+// false if there is none or if other requests have to start first.
 func (s *Scheduler[T]) TryPlace(now time.Time, c Constraint) (server string, ok bool) {
-	if s.queue.Len() > 0 {
+	if s.mustQueue(now, anyClass) {
 		return "", false
 	}
 	picked := s.pick(now, c, freeSlot)
@@ -322,17 +339,12 @@
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
 	s.observeOwnLoad(now)
 	out := s.expire(now)
-	for {
-		need, ok := s.nextNeed(now)
-		if !ok || s.pick(now, Constraint{}, need) == nil {
-			break
-		}
-		next := s.queue.Pop()
-		s.recordWait(now, next.Class, now.Sub(next.Value.queuedAt), next.Value.maxWait)
-		out = append(out, s.startQueued(now, next, need))
+	for t, need := s.popNext(now); t != nil; t, need = s.popNext(now) {
+		s.recordWait(now, t.Class, now.Sub(t.Value.queuedAt), t.Value.maxWait)
+		out = append(out, s.startQueued(now, t, need))
 	}
-	for s.late.Len() > 0 && s.pick(now, Constraint{}, spareSlot) != nil {
-		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
+	for t := s.popQueued(now, s.late, spareSlot); t != nil; t = s.popQueued(now, s.late, spareSlot) {
+		out = append(out, s.startQueued(now, t, spareSlot))
 	}
 	return out
 }
@@ -347,7 +359,7 @@
 			}
 		}
 	}
-	return s.refuseNoServer(now, t.Value.value)
+	return s.refuseNoServer(now, t.Value.constraint, t.Value.value)
 }
 
 // Cancel removes a request from the queue and reports whether it was still queued.
--- a/balance/placement/placement_test.go
+++ b/balance/placement/placement_test.go
@@ -341,3 +341,17 @@
 	s.SetPeerLoad(loads(map[string]int{"s1": 3}))
 	require.Equal(t, "s1", place(t, s, start, request(2)))
 }
+
+// Guards against an idle service whose requests all go to one server because its last
+// responses were a little faster than those of the others.
+func TestSmallDifferencesAreIgnored(t *testing.T) {
+	s := scheduler(2, 4)
+	used := map[string]int{}
+	for i := range 100 {
+		id := place(t, s, start, request(i))
+		used[id]++
+		s.Finish(id, time.Second, 100)
+		s.ObserveSlowdown(start, id, 0.95)
+	}
+	require.Greater(t, min(used["s0"], used["s1"]), 25)
+}
