Decode what the platform states about cold servers and engine memory

The time that a server stays cold stood in its registration without a use.

Server.WarmUpRemaining is now ColdRemaining, as the glossary calls such a server, with ColdUntil on the clock of the gateway. A record that is read again, as after an outage of the store, doesn't start that time anew: TestColdTimeCountsFromFirstRead fails without it.

Nothing uses the fields yet.

--- a/config/fleet/fleet.go
+++ b/config/fleet/fleet.go
@@ -96,6 +96,9 @@
 	// responses.
 	MeanPromptTokens int
 	MeanOutputTokens int
+	// MemoryTokens is the number of tokens of context that the memory of a server holds,
+	// over all its requests, or 0 if it isn't stated. A server with more crashes.
+	MemoryTokens int
 	// Experts is nil for engines without expert maps.
 	Experts *Experts
 }
@@ -132,6 +135,17 @@
 	MaxConnections int
 	// Engine is nil for services without models.
 	Engine *Engine
+	// Cold describes the servers that have just started or have become cold.
+	Cold ColdStart
+}
+
+// ColdStart describes the cold servers of a service.
+type ColdStart struct {
+	// Duration is how long a server is cold after its start.
+	Duration time.Duration
+	// RequestsPerSecond is the rate that a cold server takes from all gateways together,
+	// or 0 if its servers take as many as warm ones. With many more it crashes.
+	RequestsPerSecond float64
 }
 
 // Organisation is an organisation with its API keys.
--- a/config/fleet/fleet_test.go
+++ b/config/fleet/fleet_test.go
@@ -77,6 +77,22 @@
 	require.Equal(t, []string{"a", "b", "c"}, s.IDs())
 }
 
+// Guards against a server that counts as cold again whenever its registration is read once
+// more, as after an outage of the store.
+func TestColdTimeCountsFromFirstRead(t *testing.T) {
+	var s fleet.Servers
+	read := func(offset int64, coldUntil time.Time) time.Time {
+		server := &fleet.Server{ID: "a", Service: "m", ColdUntil: coldUntil}
+		s.Apply([]fleet.ServerChange{{ID: "a", Server: server, Offset: offset}})
+		got, _ := s.Get("a")
+		return got.ColdUntil
+	}
+	first, later := start.Add(3*time.Second), start.Add(9*time.Second)
+	require.Equal(t, first, read(4, first))
+	require.Equal(t, first, read(4, later))
+	require.Equal(t, later, read(5, later))
+}
+
 // Only requests of idempotent and resumable routes may be retried.
 func TestRepeatable(t *testing.T) {
 	require.False(t, (&fleet.Route{}).Retryable())
--- a/config/fleet/servers.go
+++ b/config/fleet/servers.go
@@ -21,8 +21,11 @@
 	// StartedUnixMs is the start time of the process in Unix milliseconds, or 0. A
 	// server that restarts with the same ID has lost all its state.
 	StartedUnixMs int64
-	// WarmUpRemaining is how much longer the server is slow after its start.
-	WarmUpRemaining time.Duration
+	// ColdRemaining is how much longer the server is cold, as of its registration.
+	// ColdUntil is when that ends on the clock of this process. It is zero unless
+	// ColdRemaining is above 0.
+	ColdRemaining time.Duration
+	ColdUntil     time.Time
 	// Group is the rank group of the server, or empty. Rank is the number of the
 	// server in the group, and GroupSize the number of ranks.
 	Group     string
@@ -59,7 +62,12 @@
 			delete(s.byID, c.ID)
 			continue
 		}
-		s.byID[c.ID] = registration{Server: *c.Server, offset: c.Offset}
+		server := *c.Server
+		if old, ok := s.byID[c.ID]; ok && old.offset == c.Offset {
+			// The same record was read again. The server has become warm meanwhile.
+			server.ColdUntil = old.ColdUntil
+		}
+		s.byID[c.ID] = registration{Server: server, offset: c.Offset}
 	}
 }
 
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -188,7 +188,7 @@
 			clock.Sleep(ctx, f.backoff())
 			continue
 		}
-		changes := decodeServers(u.records, log)
+		changes := decodeServers(u.records, u.received, log)
 		state.UpdateServers(func(s *fleet.Servers) {
 			removals.apply(s, changes, u, bounds().DrainTime, log)
 		})
@@ -206,14 +206,17 @@
 
 // decodeServers returns the changes of the registrations. A record that can't be read names
 // no server to use: the server under its key counts as removed, and without a key it is
-// ignored.
-func decodeServers(records []platform.KeyedRecord, log zerolog.Logger) []fleet.ServerChange {
+// ignored. received is when the records were read.
+func decodeServers(records []platform.KeyedRecord, received time.Time, log zerolog.Logger) []fleet.ServerChange {
 	changes := make([]fleet.ServerChange, 0, len(records))
 	for _, r := range records {
 		server, err := decodeServer(r)
 		if err != nil {
 			log.Warn().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; treating the server as removed")
 		}
+		if server != nil && server.ColdRemaining > 0 {
+			server.ColdUntil = received.Add(server.ColdRemaining)
+		}
 		if r.Key != "" {
 			changes = append(changes, fleet.ServerChange{ID: r.Key, Offset: r.Offset, Server: server})
 		}
