Divide the rate of cold servers among all gateways that may exist

Cause: a cold server takes a stated number of requests a second from all gateways together and crashes far above it. requestlimit divided only rates that servers state themselves, among the live gateways.

Change: a second source of a limit, ColdLimit. The requests that a server may get within a second are dealt to the gateways in the order of their ranks by rendezvous hashing, and each gateway spaces its share evenly.

Weighed: spacing at rate x overage on average for servers that aren't known to be cold. At 24 gateways each may send two requests within a second, so 48 where 47 are allowed. It remains for small services with more gateways than requests, at the rate without overage.

--- a/balance/loadshare/loadshare.go
+++ b/balance/loadshare/loadshare.go
@@ -66,10 +66,16 @@
 type Table struct {
 	self  string
 	peers map[string]*peer
+	// listed holds the other gateways in the list of the gateways as last read, or nil if
+	// it hasn't been read. heardAt is when the last report of each sender arrived.
+	listed  map[string]bool
+	heardAt map[string]time.Time
 }
 
 // New returns a table without peers for the gateway at address self.
-func New(self string) *Table { return &Table{self: self, peers: make(map[string]*peer)} }
+func New(self string) *Table {
+	return &Table{self: self, peers: make(map[string]*peer), heardAt: make(map[string]time.Time)}
+}
 
 // AddPeer adds the peer at an address. For a known peer it restarts the period after
 // which a silent peer is removed.
@@ -99,6 +105,7 @@
 	if r.Incarnation < last.Incarnation || r.Incarnation == last.Incarnation && r.Sequence <= last.Sequence {
 		return false
 	}
+	t.heardAt[r.Sender] = now
 	if r.Leaving {
 		delete(t.peers, r.Sender)
 		return true
@@ -144,6 +151,34 @@
 	return live
 }
 
+// SetListed replaces the list of the gateways, which has been read as a whole. A gateway that
+// is missing in it and has been silent for longer than forgetAfter is no longer known.
+func (t *Table) SetListed(now time.Time, addresses []string) {
+	t.listed = make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		if address != t.self {
+			t.listed[address] = true
+		}
+	}
+	maps.DeleteFunc(t.heardAt, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
+}
+
+// KnownPeers returns the sorted addresses of all peers that may be running: those in the
+// list of the gateways and those that have sent reports, the silent ones included. listed
+// means that the list has been read.
+func (t *Table) KnownPeers() (addresses []string, listed bool) {
+	for address := range t.heardAt {
+		if !t.listed[address] {
+			addresses = append(addresses, address)
+		}
+	}
+	for address := range t.listed {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses, t.listed != nil
+}
+
 // DuePeers returns the sorted addresses to which a report must be sent now, and
 // records that it is sent. Silent peers are due only every silentPeerInterval. It
 // removes peers that have been silent for longer than forgetAfter.
--- a/balance/loadshare/loadshare_test.go
+++ b/balance/loadshare/loadshare_test.go
@@ -72,3 +72,28 @@
 	require.Greater(t, sent, 80)
 	require.Empty(t, table.DuePeers(start.Add(3*time.Minute)))
 }
+
+// Guards against a count of the gateways that shrinks because some are silent or cut off, or
+// have left and will be back: what they may send must not be given to others.
+func TestKnownPeersOutlastSilence(t *testing.T) {
+	table := loadshare.New("self")
+	known := func() []string {
+		addresses, _ := table.KnownPeers()
+		return addresses
+	}
+	table.Receive(start, report("a", 1, 1, 3))
+	_, listed := table.KnownPeers()
+	require.False(t, listed)
+	table.SetListed(start, []string{"self", "b"})
+	_, listed = table.KnownPeers()
+	require.True(t, listed)
+	leaving := report("a", 1, 2, 0)
+	leaving.Leaving = true
+	table.Receive(start, leaving)
+	later := start.Add(time.Hour)
+	table.DuePeers(later)
+	require.Equal(t, []string{"a", "b"}, known(), "the store is down, so the list isn't read")
+	table.Receive(later, report("c", 1, 1, 0))
+	table.SetListed(later, []string{"b"})
+	require.Equal(t, []string{"b", "c"}, known(), "a is gone from the list")
+}
--- a/balance/requestlimit/requestlimit.go
+++ b/balance/requestlimit/requestlimit.go
@@ -1,7 +1,8 @@
-// Package requestlimit divides the request rate that a backend server states among the
-// gateways that send to it.
+// Package requestlimit divides the request rate that a backend server takes among the
+// gateways that send to it. A rate has one of two sources: the server states it, or it is
+// the rate that the configuration states for the cold servers of its service (ColdLimit).
 //
-// It is designed for a few servers in need among many gateways: a server may take two
+// The division of stated rates is designed for a few servers in need among many gateways: a server may take two
 // requests per second from hundreds of gateways together, so that an even share would
 // be one request in minutes each, and the first request of each gateway would already
 // exceed the limit. So a few gateways, about one for each request per second, share the
@@ -12,10 +13,15 @@
 // heard from a server for a while, because those that may use it have no requests, all
 // gateways share its rate evenly, so that one of them finds out.
 //
+// The division of the cold rate is designed for servers that crash above it and that may
+// become cold without notice, and for gateways that are cut off from each other. It relies
+// on no news: silent gateways keep their share.
+//
 // The package is deterministic and does no I/O. A Table isn't safe for concurrent use.
 package requestlimit
 
 import (
+	"maps"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -52,6 +58,16 @@
 	self     string
 	peers    []string
 	byServer map[loadshare.ServerKey]*limit
+
+	cold        ColdLimit
+	serverCount int
+	// known holds the other gateways that may be running, live or not.
+	known  []string
+	listed bool
+	// coldRanks holds the rank of this gateway among all known ones by server, and
+	// coldUntil until when servers are known to be cold.
+	coldRanks map[loadshare.ServerKey]int
+	coldUntil map[loadshare.ServerKey]time.Time
 }
 
 type limit struct {
@@ -62,11 +78,20 @@
 
 // New returns a table without limits and without other gateways.
 func New() *Table {
-	return &Table{byServer: make(map[loadshare.ServerKey]*limit)}
+	return &Table{
+		byServer:  make(map[loadshare.ServerKey]*limit),
+		coldRanks: make(map[loadshare.ServerKey]int),
+		coldUntil: make(map[loadshare.ServerKey]time.Time),
+	}
 }
 
 // SetGateways sets the name of this gateway and replaces those of the other live ones.
-func (t *Table) SetGateways(self string, peers []string) { t.self, t.peers = self, peers }
+func (t *Table) SetGateways(self string, peers []string) {
+	if self != t.self {
+		clear(t.coldRanks)
+	}
+	t.self, t.peers = self, peers
+}
 
 // Observe records a statement in a response to this gateway, and reports whether the
 // limit of the server has changed.
@@ -122,16 +147,25 @@
 
 // Retain forgets the servers for which known returns false.
 func (t *Table) Retain(known func(loadshare.ServerKey) bool) {
-	for server := range t.byServer {
-		if !known(server) {
-			delete(t.byServer, server)
-		}
-	}
+	maps.DeleteFunc(t.byServer, func(server loadshare.ServerKey, _ *limit) bool { return !known(server) })
+	maps.DeleteFunc(t.coldRanks, func(server loadshare.ServerKey, _ int) bool { return !known(server) })
+	maps.DeleteFunc(t.coldUntil, func(server loadshare.ServerKey, _ time.Time) bool { return !known(server) })
 }
 
-// Interval returns the time between two requests of this gateway to a server. It
-// returns 0 if the server has no limit, and false if the gateway sends it no requests.
+// Interval returns the time between two requests of this gateway to a server, by the
+// stricter of its limits. It returns 0 if the server has none, and false if the gateway
+// sends it no requests.
 func (t *Table) Interval(now time.Time, server loadshare.ServerKey) (time.Duration, bool) {
+	stated, statedAllowed := t.statedInterval(now, server)
+	cold, coldAllowed := t.coldInterval(now, server)
+	if !statedAllowed || !coldAllowed {
+		return 0, false
+	}
+	return max(stated, cold), true
+}
+
+// statedInterval is Interval for the limit that the server states.
+func (t *Table) statedInterval(now time.Time, server loadshare.ServerKey) (time.Duration, bool) {
 	l := t.byServer[server]
 	if l == nil || !l.Limited {
 		return 0, true
@@ -141,26 +175,26 @@
 	count := min(max(int(rate/ratePerGateway), 1), gateways)
 	if now.Sub(l.At) > silentAfter {
 		count = gateways
-	} else if !t.chosen(server, count) {
+	} else if t.rank(server, t.peers) >= count {
 		return 0, false
 	}
 	return time.Duration(float64(count) / rate * float64(time.Second)), true
 }
 
-// Empty reports whether no server has stated a limit.
-func (t *Table) Empty() bool { return len(t.byServer) == 0 }
+// Empty reports whether no server has a limit.
+func (t *Table) Empty() bool { return len(t.byServer) == 0 && t.cold.PerSecond <= 0 }
 
-// chosen reports whether this gateway is one of the count gateways that send requests
-// to a server.
-func (t *Table) chosen(server loadshare.ServerKey, count int) bool {
+// rank returns the number of gateways that come before this one in the order in which
+// gateways are chosen for a server.
+func (t *Table) rank(server loadshare.ServerKey, others []string) int {
 	own := score(t.self, server)
 	above := 0
-	for _, name := range t.peers {
+	for _, name := range others {
 		if other := score(name, server); other > own || other == own && name < t.self {
 			above++
 		}
 	}
-	return above < count
+	return above
 }
 
 func score(gateway string, server loadshare.ServerKey) uint64 {
