Keep the pace of a server until a request is sent

Cause: the pace of a server limited when requests start, not when they are sent. With a connection that takes longer than the interval, two requests were sent together; a server that wasn't listed for a moment got a new pace; probes didn't count.

Change: Scheduler.ConfirmSend right before a request is sent, AllowProbe for probes, and a server keeps its pace while it isn't listed. A refusal that a pace caused wraps its reason. A server that is known to be cold counts as loaded with two requests more, so that it gets less work while warm ones have room.

--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -39,10 +39,18 @@
 	}
 }
 
+// SetCold sets until when a server is known to be cold.
+func (s *Scheduler[T]) SetCold(id string, until time.Time) {
+	if srv, ok := s.servers[id]; ok {
+		srv.coldUntil = until
+	}
+}
+
 // forget drops what was observed of another incarnation of the server. Its requests in
 // flight still count.
 func (c *server) forget() {
 	c.slowdown, c.slowdownAt = 1, time.Time{}
 	c.cooldownUntil, c.avoidUntil, c.bannedUntil = time.Time{}, time.Time{}, time.Time{}
 	c.leaving, c.pausedUntil = false, time.Time{}
+	c.coldUntil = time.Time{}
 }
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -45,19 +45,21 @@
 	var out []Outcome[T]
 	for _, t := range s.queue.Expire(now) {
 		if !t.Value.lateUntil.After(now) {
-			out = append(out, s.refuseWaited(t))
+			out = append(out, s.refuseWaited(now, t))
 			continue
 		}
 		out = append(out, s.queueLate(now, t)...)
 	}
 	for _, t := range s.late.Expire(now) {
-		out = append(out, s.refuseWaited(t))
+		out = append(out, s.refuseWaited(now, t))
 	}
 	return out
 }
 
-func (s *Scheduler[T]) refuseWaited(t *queuedTicket[T]) Outcome[T] {
-	return s.refuse(t.Value.value, errkind.New(errkind.DeadlineUnreachable, "no slot became free within the maximum wait"))
+func (s *Scheduler[T]) refuseWaited(now time.Time, t *queuedTicket[T]) Outcome[T] {
+	err := errkind.New(errkind.DeadlineUnreachable, "no slot became free within the maximum wait")
+	err.Err = s.heldByPace(now, t.Value.constraint)
+	return s.refuse(t.Value.value, err)
 }
 
 // queueLate adds a request to the queue of late requests, and returns the refusal of
--- a/balance/placement/pace_test.go
+++ b/balance/placement/pace_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
@@ -75,3 +76,83 @@
 	require.True(t, errkind.Is(out[0].Err, errkind.NoBackendServer))
 	require.Equal(t, errkind.NotRun, out[0].Err.Execution)
 }
+
+// Guards against requests that reach a server closer to each other than its pace allows:
+// their connections took different times, or the server was not listed for a moment.
+func TestPaceHoldsUntilRequestIsSent(t *testing.T) {
+	const interval = 500 * time.Millisecond
+	s := scheduler(1, 4)
+	s.SetPace(start, "s0", interval, true)
+	first := start.Add(interval)
+	place(t, s, first, request(1))
+	second := first.Add(interval)
+	place(t, s, second, request(2))
+	sent := second.Add(50 * time.Millisecond)
+	require.True(t, s.ConfirmSend(sent, "s0"), "the second connection is ready first")
+	require.False(t, s.ConfirmSend(sent.Add(interval-time.Millisecond), "s0"))
+	s.Finish("s0", 0, 0)
+	s.Finish("s0", 0, 0)
+	s.SetServers(nil)
+	s.SetServers(serverList(1, 4))
+	s.SetPace(sent, "s0", interval, true)
+	for _, after := range []time.Duration{0, interval - time.Millisecond} {
+		require.False(t, s.HasFreeSlot(sent.Add(after), placement.Constraint{}), after)
+		require.False(t, s.AllowProbe(sent.Add(after), "s0"), after)
+	}
+	require.True(t, s.AllowProbe(sent.Add(interval), "s0"))
+	require.False(t, s.HasFreeSlot(sent.Add(interval), placement.Constraint{}), "the probe counts")
+	_, ok := s.TryPlace(sent.Add(2*interval), placement.Constraint{})
+	require.True(t, ok)
+	require.False(t, s.HasFreeSlot(sent.Add(2*interval), placement.Constraint{}), "the standby counts")
+	s.SetPace(sent, "s0", 0, false)
+	require.False(t, s.ConfirmSend(sent.Add(time.Hour), "s0"), "other gateways use the server now")
+}
+
+// Guards against a refusal that doesn't tell that the protection of cold servers is its
+// cause, at once and after a wait, and against one that blames it for full servers.
+func TestRefusalNamesColdServers(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	s := scheduler(1, 4)
+	s.SetPace(start, "s0", interval, true)
+	s.SetPaceReason("s0", placement.ErrCold)
+	now := start.Add(interval)
+	place(t, s, now, request(1))
+	hurried := request(2)
+	hurried.MaxWait = interval / 2
+	_, out := s.Place(now, hurried)
+	require.ErrorIs(t, out[0].Err, placement.ErrCold)
+
+	overtaken, urgent := request(3), request(4)
+	overtaken.MaxWait, urgent.Class = 3*interval/2, "urgent"
+	for _, r := range []placement.Request[int]{overtaken, urgent} {
+		ticket, _ := s.Place(now, r)
+		require.NotNil(t, ticket)
+	}
+	require.Len(t, s.Dispatch(now.Add(interval)), 1)
+	out = s.Dispatch(now.Add(overtaken.MaxWait + time.Millisecond))
+	require.Equal(t, 3, out[0].Value)
+	require.ErrorIs(t, out[0].Err, placement.ErrCold)
+
+	s.SetPeerLoad(loads(map[string]int{"s0": 5}))
+	now = now.Add(time.Second)
+	ticket, _ := s.Place(now, request(5))
+	require.NotNil(t, ticket)
+	out = s.Dispatch(now.Add(time.Second))
+	require.NotErrorIs(t, out[0].Err, placement.ErrCold)
+}
+
+// Guards against a cold server that gets as much as a warm one while those have room, and
+// against one that gets nothing.
+func TestColdServerGetsLessWork(t *testing.T) {
+	s := scheduler(2, 8)
+	s.SetCold("s0", start.Add(time.Second))
+	counts := make(map[string]int)
+	for n := range 8 {
+		counts[place(t, s, start, request(n))]++
+	}
+	require.Equal(t, map[string]int{"s0": 3, "s1": 5}, counts)
+	for n := range 4 {
+		counts[place(t, s, start.Add(time.Second), request(n))]++
+	}
+	require.Equal(t, map[string]int{"s0": 6, "s1": 6}, counts)
+}
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -33,6 +33,9 @@
 	// crossDomainPenalty is added to the load of a server in another failure
 	// domain, in requests. It is so small that it decides only between equal loads.
 	crossDomainPenalty = 0.3
+	// coldPenalty is added to the load of a server that is known to be cold, in requests.
+	// Such a server is slow, so it gets less work while warm ones have room.
+	coldPenalty = 2.0
 	// meanSmoothing is the weight of a finished request in the moving averages
 	// that predict waits.
 	meanSmoothing = 0.1
@@ -117,6 +120,8 @@
 	leaving     bool
 	pausedUntil time.Time
 	pace        pace
+	// coldUntil is until when the server is known to be cold.
+	coldUntil time.Time
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -178,7 +183,7 @@
 		s.serverIDs = append(s.serverIDs, l.ID)
 	}
 	for id, srv := range s.servers {
-		if !srv.listed && srv.ownInFlight == 0 {
+		if s.removable(srv) {
 			delete(s.servers, id)
 		}
 	}
@@ -331,7 +336,7 @@
 	}
 	srv.ownInFlight--
 	s.clearProbe(srv)
-	if !srv.listed && srv.ownInFlight == 0 {
+	if s.removable(srv) {
 		delete(s.servers, id)
 	}
 	if took <= 0 {
--- a/balance/placement/spread.go
+++ b/balance/placement/spread.go
@@ -10,8 +10,8 @@
 // candidate is a server that may get the request.
 type candidate struct {
 	server *server
-	// inFlight is the number of requests on the server, including the penalty for
-	// another failure domain. serviceTime is the time per request relative to the
+	// inFlight is the number of requests on the server, including the penalties for
+	// another failure domain and for a cold server. serviceTime is the time per request relative to the
 	// usual time of a server with one slot.
 	inFlight    float64
 	serviceTime float64
@@ -64,6 +64,9 @@
 	if c.FailureDomain != s.config.FailureDomain {
 		load += crossDomainPenalty
 	}
+	if c.coldUntil.After(now) {
+		load += coldPenalty
+	}
 	return candidate{server: c, inFlight: load, serviceTime: c.currentSlowdown(now) / float64(max(c.Slots, 1))}
 }
 
