Limit the requests to servers that may be cold

Cause: nothing kept all gateways together from sending a cold server more requests than it takes, and what servers state about being cold was ignored.

Change: the gateway sets the cold limit of a service from the configuration and the bounds, divides it among all gateways that the store lists or that have sent reports, and checks the pace once more when a connection is ready. Probes wait for the pace as well. Servers count as cold by their registration, by the header of any of their responses, and for the stated time after a new start; that only serves the choice between servers, the log lines when it begins and ends, and the gauge cold_servers. A refusal that a pace of cold servers caused has the reason 'cold' in its log line.

setGateways takes a list with live and known gateways; TestRetryBudgetIsShared passes it.

--- a/balance/liveness/liveness.go
+++ b/balance/liveness/liveness.go
@@ -64,7 +64,7 @@
 func (t *Tracker) RecordActivity(now time.Time, id string) { t.get(id).activeAt = now }
 
 // Check returns the state of a server. If it returns NeedsProbe, the caller must
-// send one probe and call RecordProbe with its result.
+// send one probe and call RecordProbe with its result, or call CancelProbe.
 func (t *Tracker) Check(now time.Time, id string) State {
 	s := t.get(id)
 	switch {
@@ -80,6 +80,9 @@
 	}
 }
 
+// CancelProbe records that a probe is not sent.
+func (t *Tracker) CancelProbe(id string) { t.get(id).probing = false }
+
 // RecordProbe records the result of a probe.
 func (t *Tracker) RecordProbe(now time.Time, id string, alive bool) {
 	s := t.get(id)
--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -39,9 +39,10 @@
 	}
 }
 
-// SetCold sets until when a server is known to be cold.
+// SetCold records that a server is cold until the given time, unless it is known to be cold
+// for longer.
 func (s *Scheduler[T]) SetCold(id string, until time.Time) {
-	if srv, ok := s.servers[id]; ok {
+	if srv, ok := s.servers[id]; ok && until.After(srv.coldUntil) {
 		srv.coldUntil = until
 	}
 }
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -29,6 +29,7 @@
 	errDeadline     = errors.New("deadline exceeded")
 	errShutdown     = errors.New("the grace period of this process has ended")
 	errServerSilent = errors.New("the server sent nothing within the silence limit")
+	errPaced        = errors.New("another request was sent to the server while the connection was opened")
 )
 
 func asError[T error](err error, target *T) bool { return errors.As(err, target) }
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -58,6 +58,9 @@
 	wrongServer bool
 	unsuitable  bool
 	groupDown   bool
+	// heldBack means that the pace of the server no longer allowed to send the request when
+	// its connection was ready.
+	heldBack bool
 }
 
 // newExchange returns an exchange with a watchdog that isn't started.
@@ -102,6 +105,11 @@
 		conn.Close()
 		return notSentError(context.Cause(waitCtx))
 	}
+	if !x.svc.confirmSend(clock.Now(), x.server.ID) {
+		x.heldBack = true
+		x.g.pool.Put(conn, 0)
+		return notSentError(errPaced)
+	}
 	x.ctx, x.conn = ctx, conn
 	x.stopAbort = context.AfterFunc(ctx, conn.Abort)
 	return nil
@@ -260,7 +268,7 @@
 	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = x.unsuitable || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = x.unsuitable || x.heldBack || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -51,7 +51,6 @@
 	pool := upstream.NewPool(clock.Now)
 	g := &Gateway{
 		state:         state,
-		services:      newServiceRegistry(s, rng, log),
 		pool:          pool,
 		crashes:       newCrashTracker(pool, metrics, log),
 		gate:          drain.NewGate(),
@@ -63,6 +62,7 @@
 		abort:         abort,
 	}
 	g.bounds.Store(&s.Bounds)
+	g.services = newServiceRegistry(s, &g.bounds, rng, log)
 	return g
 }
 
--- a/daemons/gateway/gateway_test.go
+++ b/daemons/gateway/gateway_test.go
@@ -390,7 +390,7 @@
 	}
 	f := newFixture(t)
 	svc := f.gateway.services.get(platformtest.PlainService, f.gateway.state)
-	f.gateway.services.setGateways("g1", make([]string, 59))
+	f.gateway.services.setGateways(gatewayList{self: "g1", live: make([]string, 59)})
 	granted := 0
 	for range 100 {
 		failed := retry.Attempt{Err: errkind.New(errkind.BackendFailed, "x"), Number: 1, Idempotent: true}
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -4,8 +4,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
@@ -91,6 +93,9 @@
 		if r.trace.noRetryReason != "" {
 			line.Str("no_retry", string(r.trace.noRetryReason))
 		}
+		if errors.Is(err, placement.ErrCold) {
+			line.Str("reason", placement.ErrCold.Error())
+		}
 		g.addLoadFields(line, r)
 	}
 	r.addLogFields(line)
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertmux/filbertmux/balance/loadshare"
 	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
@@ -46,6 +47,7 @@
 	services    *serviceRegistry
 	crashes     *crashTracker
 	refusals    *refusalKeeper
+	metrics     *telemetry.Metrics
 	store       *platform.StoreClient
 	log         zerolog.Logger
 
@@ -62,6 +64,7 @@
 		conn:        conn,
 		services:    g.services,
 		crashes:     g.crashes,
+		metrics:     g.metrics,
 		store:       store,
 		log:         log,
 		table:       loadshare.New(self),
@@ -172,13 +175,16 @@
 }
 
 // expirePeers drops the load of gateways that no longer send reports, and divides
-// the retry budget among the live ones.
+// the retry budget and the limits of the servers among the gateways.
 func (p *peerExchange) expirePeers(now time.Time) {
 	p.mu.Lock()
-	peerLoad, staleness, live := p.table.PeerLoad(now), p.table.Staleness(now), p.table.LivePeers(now)
+	peerLoad, staleness := p.table.PeerLoad(now), p.table.Staleness(now)
+	list := gatewayList{self: p.self, live: p.table.LivePeers(now)}
+	list.known, list.listed = p.table.KnownPeers()
 	p.mu.Unlock()
 	p.services.setPeerLoad(peerLoad, staleness)
-	p.services.setGateways(p.self, live)
+	p.services.setGateways(list)
+	p.metrics.SetGauge(coldServersGauge, float64(p.services.coldServers()))
 }
 
 // sendLoad sends one load report to the peers that are due and returns the number
@@ -259,6 +265,7 @@
 	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	addresses := make([]string, 0, len(records))
 	for _, r := range records {
 		if r.Err == nil && len(r.Value) == 0 {
 			continue
@@ -269,7 +276,9 @@
 			continue
 		}
 		p.table.AddPeer(now, address)
+		addresses = append(addresses, address)
 	}
+	p.table.SetListed(now, addresses)
 }
 
 func (p *peerExchange) announce(ctx context.Context) bool {
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -93,11 +93,16 @@
 }
 
 // serverLiveness returns what is known about the liveness of a server that sends
-// nothing.
+// nothing. A probe that the pace of the server doesn't allow has to wait.
 func (s *service) serverLiveness(now time.Time, id string) liveness.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.liveness.Check(now, id)
+	state := s.liveness.Check(now, id)
+	if state == liveness.NeedsProbe && !s.scheduler.AllowProbe(now, id) {
+		s.liveness.CancelProbe(id)
+		return liveness.Probing
+	}
+	return state
 }
 
 // recordProbe records the result of a probe. A server that didn't answer gets no
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -51,12 +51,14 @@
 	s.log.Warn().Str("server", server).Float64("per_second", statement.Rate).Msg("backend server states a request limit")
 }
 
-// setGateways sets the addresses of this gateway and of the other live ones, which share
-// the limits of the servers.
-func (s *service) setGateways(now time.Time, self string, peers []string) {
+// setGateways sets the addresses of this gateway and of the others, which share the limits
+// of the servers. It is also called at regular intervals.
+func (s *service) setGateways(now time.Time, list gatewayList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requestLimits.SetGateways(self, peers)
+	s.requestLimits.SetGateways(list.self, list.live)
+	s.requestLimits.SetKnownGateways(list.known, list.listed)
+	s.endCold(now)
 	s.applyRequestLimits(now)
 }
 
@@ -74,6 +76,7 @@
 	for id := range s.groupByServer {
 		listed[loadshare.ServerKeyOf(id)] = true
 	}
+	s.requestLimits.SetServerCount(len(listed))
 	s.requestLimits.Retain(func(key loadshare.ServerKey) bool { return listed[key] })
 	s.applyRequestLimits(now)
 }
@@ -84,8 +87,10 @@
 		return
 	}
 	for id := range s.groupByServer {
-		interval, allowed := s.requestLimits.Interval(now, loadshare.ServerKeyOf(id))
+		key := loadshare.ServerKeyOf(id)
+		interval, allowed := s.requestLimits.Interval(now, key)
 		s.scheduler.SetPace(now, id, interval, allowed)
+		s.scheduler.SetPaceReason(id, s.paceReason(now, key))
 	}
 	s.paced = !s.requestLimits.Empty()
 	s.deliver(s.scheduler.Dispatch(now))
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -108,6 +108,10 @@
 	statements    *statement.Table
 	// paced means that the scheduler may have the pace of a limit.
 	paced bool
+	// coldServers holds the servers that are known to be cold, and coldDuration is how long
+	// a server is cold after its start.
+	coldServers  map[string]bool
+	coldDuration time.Duration
 	// meanLoads is the mean number of requests on the servers of each batch at the last
 	// load report.
 	meanLoads map[string]float64
@@ -142,6 +146,7 @@
 		requestLimits: requestlimit.New(),
 		statements:    statement.New(rng.Float64),
 		batchLimits:   make(map[string]*placement.BatchLimit),
+		coldServers:   make(map[string]bool),
 	}
 }
 
@@ -184,6 +189,7 @@
 	unchanged := func(id string) bool { return known[id] && s.incarnations[id] == incarnations[id] }
 	s.outliers.Retain(unchanged)
 	s.liveness.Retain(unchanged)
+	former := s.incarnations
 	s.incarnations = incarnations
 	var kept []placement.Server
 	for _, c := range s.outliers.Filter(now, candidates) {
@@ -199,6 +205,7 @@
 		return !listed
 	})
 	s.setBatchLimits(now)
+	s.recordColdServers(now, list, former)
 	s.retainRequestLimits(now)
 	s.retainStatements(now, list)
 	s.deliver(s.scheduler.Dispatch(now))
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,19 +26,30 @@
 	// retryConfig has this gateway's share of the extra retries as its burst.
 	retryConfig retry.Config
 	byName      map[string]*service
-	// self and peers are the addresses of this gateway and of the other live ones.
-	self  string
-	peers []string
+	gateways    gatewayList
+	// bounds holds the current bounds of the gateway.
+	bounds *atomic.Pointer[platform.Bounds]
 	// peerLoad is the load that other gateways put on each server, and staleness
 	// is the sum of the ages of their reports.
 	peerLoad  map[loadshare.ServerKey]int
 	staleness time.Duration
 }
 
-func newServiceRegistry(s platform.Settings, rng *rand.Rand, log zerolog.Logger) *serviceRegistry {
+// gatewayList holds the addresses of this gateway and of the others.
+type gatewayList struct {
+	self string
+	// live holds the others that have sent reports recently.
+	live []string
+	// known holds all others that may be running. listed means that the list in the store
+	// has been read.
+	known  []string
+	listed bool
+}
+
+func newServiceRegistry(s platform.Settings, bounds *atomic.Pointer[platform.Bounds], rng *rand.Rand, log zerolog.Logger) *serviceRegistry {
 	return &serviceRegistry{
 		failureDomain: s.FailureDomain, retryExtra: s.Bounds.RetryExtra, retryConfig: retryConfig(s.Bounds),
-		rng: rng, log: log, byName: make(map[string]*service),
+		bounds: bounds, rng: rng, log: log, byName: make(map[string]*service),
 	}
 }
 
@@ -54,9 +66,10 @@
 	s.byName[name] = svc
 	now := clock.Now()
 	svc.setEngineOf(state)
+	svc.setGateways(now, s.gateways)
+	s.setColdLimitOf(now, svc, state)
 	svc.setServers(now, state.UsableServers(name))
 	svc.setPeerLoad(now, s.peerLoad, s.staleness)
-	svc.setGateways(now, s.self, s.peers)
 	return svc
 }
 
@@ -75,6 +88,7 @@
 	now := clock.Now()
 	for _, svc := range s.all() {
 		svc.setEngineOf(state)
+		s.setColdLimitOf(now, svc, state)
 		svc.setServers(now, state.UsableServers(svc.name))
 	}
 }
@@ -104,16 +118,16 @@
 }
 
 // setGateways divides the extra retries and the limits of the servers among this
-// gateway and the other live ones, by their addresses.
-func (s *serviceRegistry) setGateways(self string, peers []string) {
-	burst := retryBurst(s.retryExtra, len(peers)+1)
+// gateway and the others, by their addresses.
+func (s *serviceRegistry) setGateways(list gatewayList) {
+	burst := retryBurst(s.retryExtra, len(list.live)+1)
 	s.mu.Lock()
-	s.retryConfig.Burst, s.self, s.peers = burst, self, peers
+	s.retryConfig.Burst, s.gateways = burst, list
 	s.mu.Unlock()
 	now := clock.Now()
 	for _, svc := range s.all() {
 		svc.setRetryBurst(burst)
-		svc.setGateways(now, self, peers)
+		svc.setGateways(now, list)
 	}
 }
 
--- a/daemons/gateway/statements.go
+++ b/daemons/gateway/statements.go
@@ -18,7 +18,7 @@
 		s.log.Warn().Str("server", server).Str("value", h.InvalidPause).
 			Msg("backend server refuses requests for a time that can't be read")
 	}
-	if !h.Leaving && h.Pause <= 0 {
+	if !h.Leaving && h.Pause <= 0 && h.ColdFor <= 0 {
 		return
 	}
 	now := clock.Now()
@@ -30,6 +30,9 @@
 	if s.statements.RecordPause(now, server, h.Pause) {
 		s.log.Info().Str("server", server).Dur("pause_ms", h.Pause).Msg("backend server wants no requests for a time")
 	}
+	if s.recordCold(now, server, now.Add(h.ColdFor)) {
+		s.applyRequestLimits(now)
+	}
 	s.applyStatements(server)
 }
 
