Keep the prompts at a server within the memory of its engine

Cause: a server crashes if the requests that it holds exceed its memory, and placement counted only requests. A server that got ten requests of 160,000 tokens had to hold four times as much as it can.

Change: requests are small if a server can hold as many of their size as it takes at all (a thirtieth of its memory with 10 slots; 7,400 and 13,000 tokens at the two sites, where usual requests have 1,000). Of larger ones, the two gateways that come first in the order of a server send it half of its memory each, which they count themselves. A request for which no server has memory is refused at once if it never fits, with its size and the room, and waits otherwise, without keeping smaller ones from starting.

Weighed: estimating the requests of the other gateways by the mean size of the own ones. All gateways see at once that a server has room.

--- a/balance/placement/constraint.go
+++ b/balance/placement/constraint.go
@@ -9,6 +9,9 @@
 	// Regions lists the regions in which the request may run; nil means all. A server
 	// whose region isn't known is in none of them.
 	Regions []string
+	// Tokens is the memory that the request may need at its server, for its prompt and the
+	// longest response.
+	Tokens int
 }
 
 // allows reports whether a server may run the request.
@@ -17,4 +20,7 @@
 }
 
 // withoutExclusions returns the constraint of a request that may be tried on a server again.
-func (c Constraint) withoutExclusions() Constraint { return Constraint{Regions: c.Regions} }
+func (c Constraint) withoutExclusions() Constraint {
+	c.Exclude = nil
+	return c
+}
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -50,7 +50,7 @@
 		}
 		out = append(out, s.queueLate(now, t)...)
 	}
-	for _, t := range s.late.Expire(now) {
+	for _, t := range append(s.large.Expire(now), s.late.Expire(now)...) {
 		out = append(out, s.refuseWaited(now, t))
 	}
 	return out
@@ -58,6 +58,9 @@
 
 func (s *Scheduler[T]) refuseWaited(now time.Time, t *queuedTicket[T]) Outcome[T] {
 	err := errkind.New(errkind.DeadlineUnreachable, "no slot became free within the maximum wait")
+	if t.Value.ticket.queue == s.large {
+		err = errkind.New(errkind.DeadlineUnreachable, "no backend server had memory for %d tokens within the maximum wait", t.Value.constraint.Tokens)
+	}
 	err.Err = s.heldByPace(now, t.Value.constraint)
 	return s.refuse(t.Value.value, err)
 }
@@ -67,11 +70,16 @@
 func (s *Scheduler[T]) queueLate(now time.Time, t *queuedTicket[T]) []Outcome[T] {
 	item := t.Item
 	item.Deadline = t.Value.lateUntil
-	queued, displaced, err := s.late.Push(now, item)
+	return s.requeue(now, s.late, item)
+}
+
+// requeue adds a request that was taken from its queue to another one.
+func (s *Scheduler[T]) requeue(now time.Time, queue *fairqueue.Queue[waiting[T]], item fairqueue.Item[waiting[T]]) []Outcome[T] {
+	queued, displaced, err := queue.Push(now, item)
 	if err != nil {
-		return []Outcome[T]{s.refuse(t.Value.value, errkind.Of(err))}
+		return []Outcome[T]{s.refuse(item.Value.value, errkind.Of(err))}
 	}
-	t.Value.ticket.queue, t.Value.ticket.queued = s.late, queued
+	item.Value.ticket.queue, item.Value.ticket.queued = queue, queued
 	return s.refuseDisplaced(displaced)
 }
 
--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -21,6 +21,7 @@
 		c := s.servers[id]
 		switch {
 		case c.unusable(now) || !constraint.allows(c) || s.groupBlocked(now, c.Group) || !c.pace.allows(now):
+		case !s.hasMemory(c, constraint.Tokens):
 		case c.avoidUntil.After(now):
 			avoided = append(avoided, c)
 		case c.cooldownUntil.After(now):
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -53,6 +53,9 @@
 	// Region is the region of the failure domain, or empty if it isn't known.
 	Region string
 	Slots  int
+	// MemoryTokens is the number of tokens that the server holds over all its requests, or 0
+	// if that isn't known. A server with more crashes.
+	MemoryTokens int
 	// Group is the rank group of the server, or empty. The servers of a group
 	// serve only while all of them work.
 	Group string
@@ -104,6 +107,10 @@
 	// other gateways.
 	ownInFlight  int
 	peerInFlight int
+	// ownLarge is the memory that the large requests of this gateway may need, and rank the
+	// place of the gateway in the order in which they use it.
+	ownLarge float64
+	rank     int
 	// slowdown is the smoothed duration of a request relative to the usual one;
 	// slowdownAt is when it was last measured.
 	slowdown   float64
@@ -132,9 +139,13 @@
 	// serverIDs holds the IDs of the listed servers in a fixed order, so that a
 	// pick depends on the random source and not on the iteration order of a map.
 	serverIDs []string
-	// queue holds the requests that can be in time, late those that can't any more.
+	// queue holds the requests that can be in time, late those that can't any more, and large
+	// those for which no server has memory.
 	queue *fairqueue.Queue[waiting[T]]
 	late  *fairqueue.Queue[waiting[T]]
+	large *fairqueue.Queue[waiting[T]]
+	// meanSmall is the moving average of the tokens of small requests.
+	meanSmall float64
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
 	// peerStaleness is the sum of the ages of the load reports of the other
@@ -158,8 +169,9 @@
 		outages: make(map[string]*outage),
 
 		batchLimits: make(map[string]float64),
-		queue:       fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
-		late:        fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
+		queue:       newQueue[T](config),
+		late:        newQueue[T](config),
+		large:       newQueue[T](config),
 	}
 }
 
@@ -232,7 +244,7 @@
 }
 
 // QueueLen returns the number of queued requests.
-func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() + s.late.Len() }
+func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() + s.late.Len() + s.large.Len() }
 
 // Place assigns a request to a server, queues it or refuses it. If the request was
 // queued, Place returns a ticket, and the outcomes hold the refusal of the request
@@ -242,9 +254,16 @@
 	if len(s.serverIDs) == 0 {
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
+	if refused, ok := s.refuseTooLarge(now, r); ok {
+		return nil, []Outcome[T]{refused}
+	}
+	queue := s.queue
 	if s.queue.Len() == 0 {
 		if picked := s.pick(now, r.Constraint, freeSlot); picked != nil {
-			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
+			return nil, []Outcome[T]{s.startOn(now, picked, r.Tokens, r.Value)}
+		}
+		if s.lacksMemory(now, r.Constraint) {
+			queue = s.large
 		}
 	}
 	if refused, ok := s.refuseByPause(now, r); ok {
@@ -253,7 +272,7 @@
 	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Constraint) {
 		return nil, []Outcome[T]{refused}
 	}
-	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: s.queue}}
+	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: queue}}
 	s.queue.SetRate(s.serviceRate())
 	if !s.hasServer(now, r.Constraint) {
 		outageWait, ok := s.outageWait(now, r.Constraint)
@@ -264,7 +283,7 @@
 		// The past rate doesn't predict the end of an outage.
 		s.queue.SetRate(0)
 	}
-	queued, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
+	queued, displaced, err := queue.Push(now, fairqueue.Item[waiting[T]]{
 		Class:        r.Class,
 		Organisation: r.Organisation,
 		Cost:         r.Cost,
@@ -294,34 +313,37 @@
 		return "", false
 	}
 	var none T
-	return s.startOn(now, picked, none).Server, true
+	return s.startOn(now, picked, c.Tokens, none).Server, true
 }
 
 // Dispatch assigns queued requests to servers with free capacity and refuses
 // those whose deadline has passed. It must be called after each change of the load,
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
-	out := s.expire(now)
+	out := append(s.expire(now), s.startLarge(now)...)
 	for s.queue.Len() > 0 && s.pick(now, Constraint{}, freeSlot) != nil {
-		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot))
+		out = append(out, s.startQueued(now, s.queue.Pop(), freeSlot)...)
 	}
 	for s.late.Len() > 0 && s.pick(now, Constraint{}, spareSlot) != nil {
-		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot))
+		out = append(out, s.startQueued(now, s.late.Pop(), spareSlot)...)
 	}
 	return out
 }
 
 // startQueued starts a request that was taken from a queue. If the request was already
 // tried on all available servers, it is tried on one of them again.
-func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) Outcome[T] {
+func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) []Outcome[T] {
 	for _, c := range []Constraint{t.Value.constraint, t.Value.constraint.withoutExclusions()} {
 		for _, n := range []capacityNeed{need, anyLoad} {
 			if picked := s.pick(now, c, n); picked != nil {
-				return s.startOn(now, picked, t.Value.value)
+				return []Outcome[T]{s.startOn(now, picked, c.Tokens, t.Value.value)}
 			}
 		}
 	}
-	return s.refuseNoServer(now, t.Value.value)
+	if s.lacksMemory(now, t.Value.constraint.withoutExclusions()) {
+		return s.requeue(now, s.large, t.Item)
+	}
+	return []Outcome[T]{s.refuseNoServer(now, t.Value.value)}
 }
 
 // Cancel removes a request from the queue and reports whether it was still queued.
@@ -335,6 +357,9 @@
 		return
 	}
 	srv.ownInFlight--
+	if srv.ownInFlight == 0 {
+		srv.ownLarge = 0
+	}
 	s.clearProbe(srv)
 	if s.removable(srv) {
 		delete(s.servers, id)
@@ -350,8 +375,9 @@
 	s.meanCost += meanSmoothing * (cost - s.meanCost)
 }
 
-func (s *Scheduler[T]) startOn(now time.Time, picked *server, value T) Outcome[T] {
+func (s *Scheduler[T]) startOn(now time.Time, picked *server, tokens int, value T) Outcome[T] {
 	picked.ownInFlight++
+	s.takeMemory(picked, tokens)
 	picked.pace.start(now)
 	s.startRate.add(now)
 	if o, ok := s.outages[picked.Group]; ok {
--- a/balance/placement/spread_test.go
+++ b/balance/placement/spread_test.go
@@ -18,6 +18,7 @@
 	at      time.Time
 	gateway int
 	server  string
+	tokens  int
 }
 
 type completionHeap []completion
--- a/balance/requestlimit/cold.go
+++ b/balance/requestlimit/cold.go
@@ -59,7 +59,7 @@
 	t.listed = listed
 	if !slices.Equal(known, t.known) {
 		t.known = slices.Clone(known)
-		clear(t.coldRanks)
+		clear(t.ranks)
 	}
 }
 
@@ -91,6 +91,11 @@
 	return !coldAllowed || statedAllowed && cold >= stated
 }
 
+// Rank returns how many of all known gateways come before this one in the order in which
+// gateways are chosen for a server. It returns false until the list of the gateways has been
+// read.
+func (t *Table) Rank(server loadshare.ServerKey) (int, bool) { return t.knownRank(server), t.listed }
+
 // coldInterval returns the time between two requests of this gateway to a server that may
 // be cold. It returns 0 if the service has no limit for cold servers, and false if the
 // gateway sends the server no requests.
@@ -116,7 +121,7 @@
 		gateways = max(gateways, minGateways)
 	}
 	// Gateways that this one doesn't know may have the first ranks.
-	rank := t.coldRank(server) + gateways - known
+	rank := t.knownRank(server) + gateways - known
 	share := max(places-rank+gateways-1, 0) / gateways
 	if gateways <= places || t.listed && t.serverCount*places >= minServersPerGateway*gateways {
 		return (coldWindow + sendDelay) / time.Duration(max(share, 1)), share > 0
@@ -125,12 +130,12 @@
 	return max(spaced, coldWindow+sendDelay), share > 0 || !t.Cold(now, server)
 }
 
-// coldRank returns the rank of this gateway among all known ones.
-func (t *Table) coldRank(server loadshare.ServerKey) int {
-	rank, ok := t.coldRanks[server]
+// knownRank returns the rank of this gateway among all known ones.
+func (t *Table) knownRank(server loadshare.ServerKey) int {
+	rank, ok := t.ranks[server]
 	if !ok {
 		rank = t.rank(server, t.known)
-		t.coldRanks[server] = rank
+		t.ranks[server] = rank
 	}
 	return rank
 }
--- a/balance/requestlimit/requestlimit.go
+++ b/balance/requestlimit/requestlimit.go
@@ -64,9 +64,9 @@
 	// known holds the other gateways that may be running, live or not.
 	known  []string
 	listed bool
-	// coldRanks holds the rank of this gateway among all known ones by server, and
-	// coldUntil until when servers are known to be cold.
-	coldRanks map[loadshare.ServerKey]int
+	// ranks holds the rank of this gateway among all known ones by server, and coldUntil
+	// until when servers are known to be cold.
+	ranks     map[loadshare.ServerKey]int
 	coldUntil map[loadshare.ServerKey]time.Time
 }
 
@@ -80,7 +80,7 @@
 func New() *Table {
 	return &Table{
 		byServer:  make(map[loadshare.ServerKey]*limit),
-		coldRanks: make(map[loadshare.ServerKey]int),
+		ranks:     make(map[loadshare.ServerKey]int),
 		coldUntil: make(map[loadshare.ServerKey]time.Time),
 	}
 }
@@ -88,7 +88,7 @@
 // SetGateways sets the name of this gateway and replaces those of the other live ones.
 func (t *Table) SetGateways(self string, peers []string) {
 	if self != t.self {
-		clear(t.coldRanks)
+		clear(t.ranks)
 	}
 	t.self, t.peers = self, peers
 }
@@ -148,7 +148,7 @@
 // Retain forgets the servers for which known returns false.
 func (t *Table) Retain(known func(loadshare.ServerKey) bool) {
 	maps.DeleteFunc(t.byServer, func(server loadshare.ServerKey, _ *limit) bool { return !known(server) })
-	maps.DeleteFunc(t.coldRanks, func(server loadshare.ServerKey, _ int) bool { return !known(server) })
+	maps.DeleteFunc(t.ranks, func(server loadshare.ServerKey, _ int) bool { return !known(server) })
 	maps.DeleteFunc(t.coldUntil, func(server loadshare.ServerKey, _ time.Time) bool { return !known(server) })
 }
 
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -156,7 +156,7 @@
 		Organisation: r.organisation,
 		Cost:         r.cost(),
 		MaxWait:      r.maxWait(startedAt),
-		Constraint:   placement.Constraint{Exclude: r.trace.servers},
+		Constraint:   r.constraint(r.trace.servers),
 	})
 	placed := clock.Now()
 	r.trace.waited += placed.Sub(startedAt)
@@ -165,13 +165,13 @@
 		return nil, withContextCause(waitCtx, err)
 	}
 	if err := g.crashes.check(r.features); err != nil {
-		svc.release(placed, attemptResult{server: id, err: errkind.Of(err), notServerFault: true})
+		svc.release(placed, attemptResult{server: id, tokens: r.tokens(), err: errkind.Of(err), notServerFault: true})
 		return nil, err
 	}
 	r.trace.servers = append(r.trace.servers, id)
 	server, ok := g.state.Server(id)
 	if !ok {
-		svc.release(placed, notRegistered(id))
+		svc.release(placed, r.notRegistered(id))
 		return nil, notSentError(errors.New("the server is no longer registered"))
 	}
 	return newExchange(exchange{
@@ -181,9 +181,9 @@
 }
 
 // notRegistered is the result of an attempt at a server that is no longer registered.
-func notRegistered(server string) attemptResult {
+func (r *request) notRegistered(server string) attemptResult {
 	return attemptResult{
-		server: server, err: errkind.New(errkind.BackendUnavailable, "no longer registered"), notServerFault: true,
+		server: server, tokens: r.tokens(), err: errkind.New(errkind.BackendUnavailable, "no longer registered"), notServerFault: true,
 	}
 }
 
--- a/daemons/gateway/batches.go
+++ b/daemons/gateway/batches.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// setEngine replaces the performance of the engines and the objective for the time
-// between two events of a stream.
+// setEngine replaces the performance and the memory of the engines and the objective for the
+// time between two events of a stream.
 func (s *service) setEngine(now time.Time, e *fleet.Engine, gapObjective time.Duration) {
 	if e == nil {
 		return
@@ -46,6 +46,7 @@
 	s.batchModel = placement.BatchModel{
 		Slots: e.Slots, PassTime: steps * e.StepTime, PassTimePerRequest: steps * e.StepTimePerRequest, GapObjective: gapObjective,
 	}
+	s.memoryTokens = e.MemoryTokens
 	s.setBatchLimits(now)
 }
 
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -263,7 +263,7 @@
 func (x *exchange) result(err error) attemptResult {
 	now := clock.Now()
 	res := attemptResult{
-		server: x.server.ID, serverFull: x.serverFull, wrongServer: x.wrongServer,
+		server: x.server.ID, tokens: x.r.tokens(), serverFull: x.serverFull, wrongServer: x.wrongServer,
 		groupDown: x.groupDown, atFault: x.response.ServerAtFault,
 	}
 	if err != nil {
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -10,6 +10,8 @@
 // attemptResult is the result of an attempt at a backend server.
 type attemptResult struct {
 	server string
+	// tokens is the memory that was taken for the request.
+	tokens int
 	// duration and cost are set for complete responses.
 	duration time.Duration
 	cost     float64
@@ -38,6 +40,7 @@
 func (s *service) release(now time.Time, r attemptResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.scheduler.FreeMemory(r.server, r.tokens)
 	s.scheduler.Finish(r.server, r.duration, r.cost)
 	if r.timeToFirstOutput > 0 {
 		s.recordTimeToFirstOutput(now, r.server, r.timeToFirstOutput)
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
@@ -129,6 +130,14 @@
 	return float64(r.call.PromptTokens + outputTokenCost*output)
 }
 
+// tokens returns the memory that the request may need at its server, in tokens.
+func (r *request) tokens() int { return r.call.PromptTokens + r.call.MaxOutputTokens }
+
+// constraint returns which servers may run the request, apart from the excluded ones.
+func (r *request) constraint(exclude []string) placement.Constraint {
+	return placement.Constraint{Exclude: exclude, Tokens: r.tokens()}
+}
+
 // timeLeft returns the time until the deadline.
 func (r *request) timeLeft(now time.Time) time.Duration { return r.deadline.Sub(now) }
 
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/filbertmux/filbertmux/balance/loadshare"
@@ -59,6 +60,7 @@
 	s.requestLimits.SetGateways(list.self, list.live)
 	s.requestLimits.SetKnownGateways(list.known, list.listed)
 	s.endCold(now)
+	s.applyMemoryRanks()
 	s.applyRequestLimits(now)
 }
 
@@ -78,9 +80,25 @@
 	}
 	s.requestLimits.SetServerCount(len(listed))
 	s.requestLimits.Retain(func(key loadshare.ServerKey) bool { return listed[key] })
+	s.applyMemoryRanks()
 	s.applyRequestLimits(now)
 }
 
+// applyMemoryRanks sets which gateways use the memory of each server for large requests.
+// Before the list of the gateways has been read, this one doesn't. The caller holds the mutex.
+func (s *service) applyMemoryRanks() {
+	if s.memoryTokens == 0 {
+		return
+	}
+	for id := range s.groupByServer {
+		rank, listed := s.requestLimits.Rank(loadshare.ServerKeyOf(id))
+		if !listed {
+			rank = math.MaxInt
+		}
+		s.scheduler.SetRank(id, rank)
+	}
+}
+
 // applyRequestLimits sets the pace of each server. The caller holds the mutex.
 func (s *service) applyRequestLimits(now time.Time) {
 	if !s.paced && s.requestLimits.Empty() {
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -112,6 +112,8 @@
 	// a server is cold after its start.
 	coldServers  map[string]bool
 	coldDuration time.Duration
+	// memoryTokens is the memory of each server in tokens, or 0 if it isn't known.
+	memoryTokens int
 	// meanLoads is the mean number of requests on the servers of each batch at the last
 	// load report.
 	meanLoads map[string]float64
@@ -196,6 +198,7 @@
 		l := byID[c.ID]
 		kept = append(kept, placement.Server{
 			ID: l.ID, FailureDomain: l.FailureDomain, Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
+			MemoryTokens: s.memoryTokens,
 		})
 	}
 	s.scheduler.SetServers(kept)
--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -108,13 +108,13 @@
 	id, ok := x.svc.reserveStandby(now, retry.Attempt{
 		Err:    errkind.Wrap(errkind.StreamIncomplete, errServerSilent, "the response pauses"),
 		Number: r.trace.attempts, Idempotent: true, Deadline: r.deadline,
-	}, placement.Constraint{Exclude: exclude})
+	}, r.constraint(exclude))
 	if !ok {
 		return nil, false
 	}
 	server, ok := x.g.state.Server(id)
 	if !ok {
-		x.svc.release(now, notRegistered(id))
+		x.svc.release(now, r.notRegistered(id))
 		return nil, false
 	}
 	x.g.metrics.AddToCounter("standby_attempts", 1)
--- a/serve/fairqueue/fairqueue.go
+++ b/serve/fairqueue/fairqueue.go
@@ -266,6 +266,15 @@
 	return q.serve(next, byReserve)
 }
 
+// Peek returns the item that Pop would remove, or nil if the queue is empty.
+func (q *Queue[T]) Peek() *Ticket[T] {
+	next, _ := q.nextClass()
+	if next == nil {
+		return nil
+	}
+	return next.byStart.items[0].items.Front().Value.(*Ticket[T])
+}
+
 // PopHighestClass is like Pop, but returns only items of the highest class. It is
 // used to fill slots that are kept for that class, so that its items don't wait
 // for a slot held by a long-running request of a lower class.
--- a/serve/fairqueue/fairqueue_test.go
+++ b/serve/fairqueue/fairqueue_test.go
@@ -185,3 +185,18 @@
 		}
 	})
 }
+
+// Guards against a preview that differs from the item that is served next, from whatever
+// class and organisation.
+func TestPeekShowsNextItem(t *testing.T) {
+	q := fairqueue.New[int](100, classes)
+	require.Nil(t, q.Peek())
+	for i := range 60 {
+		_, _, err := q.Push(start, item{Class: classes[i%3].Name, Organisation: fmt.Sprint(i % 5), Cost: float64(10 + i), Value: i})
+		require.NoError(t, err)
+	}
+	for q.Len() > 0 {
+		next := q.Peek()
+		require.Same(t, next, q.Pop())
+	}
+}
