--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -41,6 +41,9 @@
 	// crossDomainPenalty is added to the load of a server in another failure
 	// domain, in requests. It is so small that it decides only between equal loads.
 	crossDomainPenalty = 0.3
+	// coldPenalty is added to the load of a server that is known to be cold, in requests.
+	// Such a server is slow, so it gets less work while warm ones have room.
+	coldPenalty = 2.0
 	// meanSmoothing is the weight of a finished request in the moving averages
 	// that predict waits.
 	meanSmoothing = 0.1
@@ -58,6 +61,9 @@
 	// Region is the region of the failure domain, or empty if it isn't known.
 	Region string
 	Slots  int
+	// MemoryTokens is the number of tokens that the server holds over all its requests, or 0
+	// if that isn't known. A server with more crashes.
+	MemoryTokens int
 	// Group is the rank group of the server, or empty. The servers of a group
 	// serve only while all of them work.
 	Group string
@@ -109,6 +115,10 @@
 	// other gateways.
 	ownInFlight  int
 	peerInFlight int
+	// ownLarge is the memory that the large requests of this gateway may need, and rank the
+	// place of the gateway in the order in which they use it.
+	ownLarge float64
+	rank     int
 	// slowdown is the smoothed duration of a request relative to the usual one;
 	// slowdownAt is when it was last measured.
 	slowdown   float64
@@ -127,6 +137,8 @@
 	pace        pace
 	// evacuated means that the failure domain of the server is evacuated.
 	evacuated bool
+	// coldUntil is until when the server is known to be cold.
+	coldUntil time.Time
 }
 
 // Scheduler places the requests of one service at one gateway.
@@ -137,7 +149,8 @@
 	// serverIDs holds the IDs of the listed servers in a fixed order, so that a
 	// pick depends on the random source and not on the iteration order of a map.
 	serverIDs []string
-	// queue holds the requests that can be in time, late those that can't any more.
+	// queue holds the requests that can be in time, late those that can't any more, and large
+	// those for which no server has memory.
 	queue *fairqueue.Queue[waiting[T]]
 	late  *fairqueue.Queue[waiting[T]]
 	// hasRegions is set once a request was bound to regions. Until then no queued request
@@ -145,6 +158,11 @@
 	hasRegions bool
 	// evacuated lists the evacuated failure domains.
 	evacuated []string
+	large     *fairqueue.Queue[waiting[T]]
+	// meanSmall is the moving average of the tokens of small requests.
+	meanSmall float64
+	// smallOnAll is the size up to which a request is small on all servers.
+	smallOnAll float64
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
 	// peerStaleness is the sum of the ages of the load reports of the other
@@ -178,8 +196,9 @@
 
 		batchLimits: make(map[string]float64),
 		ownLoads:    make(map[string]*ownLoad),
-		queue:       fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
-		late:        fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes),
+		queue:       newQueue[T](config),
+		late:        newQueue[T](config),
+		large:       newQueue[T](config),
 	}
 }
 
@@ -204,11 +223,12 @@
 		s.serverIDs = append(s.serverIDs, l.ID)
 	}
 	for id, srv := range s.servers {
-		if !srv.listed && srv.ownInFlight == 0 {
+		if s.removable(srv) {
 			delete(s.servers, id)
 		}
 	}
 	s.countBatches()
+	s.updateSmall()
 	maps.DeleteFunc(s.batchLimits, func(key string, _ float64) bool { return s.batches[key].servers == 0 })
 	maps.DeleteFunc(s.ownLoads, func(key string, _ *ownLoad) bool { return s.batches[key].servers == 0 })
 }
@@ -265,7 +285,7 @@
 }
 
 // QueueLen returns the number of queued requests.
-func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() + s.late.Len() }
+func (s *Scheduler[T]) QueueLen() int { return s.queue.Len() + s.late.Len() + s.large.Len() }
 
 // Place assigns a request to a server, queues it or refuses it. If the request was
 // queued, Place returns a ticket, and the outcomes hold the refusal of the request
@@ -275,11 +295,19 @@
 	if len(s.serverIDs) == 0 {
 		return nil, []Outcome[T]{s.refuse(r.Value, errkind.New(errkind.NoBackendServer, "no backend server is listed"))}
 	}
+	if refused, ok := s.refuseTooLarge(now, r); ok {
+		return nil, []Outcome[T]{refused}
+	}
 	s.observeOwnLoad(now)
 	s.hasRegions = s.hasRegions || r.Regions != nil
+	queue := s.queue
 	if !s.mustQueue(now, r.Class) {
-		if picked := s.pick(now, r.Constraint, s.needOf(now, r.Class)); picked != nil {
-			return nil, []Outcome[T]{s.startOn(now, picked, r.Value)}
+		need := s.needOf(now, r.Class)
+		if picked := s.pick(now, r.Constraint, need); picked != nil {
+			return nil, []Outcome[T]{s.startOn(now, picked, r.Tokens, r.Value)}
+		}
+		if s.lacksMemory(now, r.Constraint, need) {
+			queue = s.large
 		}
 	}
 	if refused, ok := s.refuseByPause(now, r); ok {
@@ -288,7 +316,7 @@
 	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Constraint) {
 		return nil, []Outcome[T]{refused}
 	}
-	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: s.queue}, queuedAt: now, maxWait: r.MaxWait}
+	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: queue}, queuedAt: now, maxWait: r.MaxWait}
 	s.queue.SetRate(s.serviceRate())
 	if !s.hasServer(now, r.Constraint) {
 		outageWait, ok := s.outageWait(now, r.Constraint)
@@ -299,7 +327,7 @@
 		// The past rate doesn't predict the end of an outage.
 		s.queue.SetRate(0)
 	}
-	queued, displaced, err := s.queue.Push(now, fairqueue.Item[waiting[T]]{
+	queued, displaced, err := queue.Push(now, fairqueue.Item[waiting[T]]{
 		Class:        r.Class,
 		Organisation: r.Organisation,
 		Cost:         r.Cost,
@@ -330,7 +358,7 @@
 		return "", false
 	}
 	var none T
-	return s.startOn(now, picked, none).Server, true
+	return s.startOn(now, picked, c.Tokens, none).Server, true
 }
 
 // Dispatch assigns queued requests to servers with free capacity and refuses
@@ -338,28 +366,31 @@
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
 	s.observeOwnLoad(now)
-	out := s.expire(now)
+	out := append(s.expire(now), s.startLarge(now)...)
 	for t, need := s.popNext(now); t != nil; t, need = s.popNext(now) {
 		s.recordWait(now, t.Class, now.Sub(t.Value.queuedAt), t.Value.maxWait)
-		out = append(out, s.startQueued(now, t, need))
+		out = append(out, s.startQueued(now, t, need)...)
 	}
 	for t := s.popQueued(now, s.late, spareSlot); t != nil; t = s.popQueued(now, s.late, spareSlot) {
-		out = append(out, s.startQueued(now, t, spareSlot))
+		out = append(out, s.startQueued(now, t, spareSlot)...)
 	}
 	return out
 }
 
 // startQueued starts a request that was taken from a queue. If the request was already
 // tried on all available servers, it is tried on one of them again.
-func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) Outcome[T] {
+func (s *Scheduler[T]) startQueued(now time.Time, t *queuedTicket[T], need capacityNeed) []Outcome[T] {
 	for _, c := range []Constraint{t.Value.constraint, t.Value.constraint.withoutExclusions()} {
 		for _, n := range []capacityNeed{need, anyLoad} {
 			if picked := s.pick(now, c, n); picked != nil {
-				return s.startOn(now, picked, t.Value.value)
+				return []Outcome[T]{s.startOn(now, picked, c.Tokens, t.Value.value)}
 			}
 		}
 	}
-	return s.refuseNoServer(now, t.Value.constraint, t.Value.value)
+	if s.lacksMemory(now, t.Value.constraint.withoutExclusions(), freeSlot) {
+		return s.requeue(now, s.large, t.Item)
+	}
+	return []Outcome[T]{s.refuseNoServer(now, t.Value.constraint, t.Value.value)}
 }
 
 // Cancel removes a request from the queue and reports whether it was still queued.
@@ -373,8 +404,11 @@
 		return
 	}
 	s.addOwn(srv, -1)
+	if srv.ownInFlight == 0 {
+		srv.ownLarge = 0
+	}
 	s.clearProbe(srv)
-	if !srv.listed && srv.ownInFlight == 0 {
+	if s.removable(srv) {
 		delete(s.servers, id)
 	}
 	if took <= 0 {
@@ -388,8 +422,9 @@
 	s.meanCost += meanSmoothing * (cost - s.meanCost)
 }
 
-func (s *Scheduler[T]) startOn(now time.Time, picked *server, value T) Outcome[T] {
+func (s *Scheduler[T]) startOn(now time.Time, picked *server, tokens int, value T) Outcome[T] {
 	s.addOwn(picked, 1)
+	s.takeMemory(picked, tokens)
 	picked.pace.start(now)
 	s.startRate.add(now)
 	if o, ok := s.outages[picked.Group]; ok {
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -61,6 +61,9 @@
 	wrongServer bool
 	unsuitable  bool
 	groupDown   bool
+	// heldBack means that the pace of the server no longer allowed to send the request when
+	// its connection was ready.
+	heldBack bool
 }
 
 // newExchange returns an exchange with a watchdog that isn't started.
@@ -111,6 +114,11 @@
 		x.evacuated = true
 		return notSentError(errEvacuated)
 	}
+	if !x.svc.confirmSend(clock.Now(), x.server.ID) {
+		x.heldBack = true
+		x.g.pool.Put(conn, 0)
+		return notSentError(errPaced)
+	}
 	x.ctx, x.conn = ctx, conn
 	x.stopAbort = context.AfterFunc(ctx, conn.Abort)
 	return nil
@@ -264,12 +272,12 @@
 func (x *exchange) result(err error) attemptResult {
 	now := clock.Now()
 	res := attemptResult{
-		server: x.server.ID, serverFull: x.serverFull, wrongServer: x.wrongServer,
+		server: x.server.ID, tokens: x.r.tokens(), serverFull: x.serverFull, wrongServer: x.wrongServer,
 		groupDown: x.groupDown, atFault: x.response.ServerAtFault,
 	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = x.unsuitable || x.evacuated || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = x.unsuitable || x.evacuated || x.heldBack || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -53,7 +53,6 @@
 	pool := upstream.NewPool(clock.Now)
 	g := &Gateway{
 		state:         state,
-		services:      newServiceRegistry(s, rng, log),
 		pool:          pool,
 		crashes:       newCrashTracker(pool, metrics, log),
 		gate:          drain.NewGate(),
@@ -64,8 +63,9 @@
 		abortCtx:      abortCtx,
 		abort:         abort,
 	}
-	g.evacuations = newEvacuationTracker(s.Regions, g.services, metrics, log)
 	g.bounds.Store(&s.Bounds)
+	g.services = newServiceRegistry(s, &g.bounds, rng, log)
+	g.evacuations = newEvacuationTracker(s.Regions, g.services, metrics, log)
 	return g
 }
 
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -10,6 +10,8 @@
 // attemptResult is the result of an attempt at a backend server.
 type attemptResult struct {
 	server string
+	// tokens is the memory that was taken for the request.
+	tokens int
 	// duration and cost are set for complete responses.
 	duration time.Duration
 	cost     float64
@@ -38,6 +40,7 @@
 func (s *service) release(now time.Time, r attemptResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.scheduler.FreeMemory(r.server, r.tokens)
 	s.scheduler.Finish(r.server, r.duration, r.cost)
 	if r.timeToFirstOutput > 0 {
 		s.recordTimeToFirstOutput(now, r.server, r.timeToFirstOutput)
@@ -93,11 +96,16 @@
 }
 
 // serverLiveness returns what is known about the liveness of a server that sends
-// nothing.
+// nothing. A probe that the pace of the server doesn't allow has to wait.
 func (s *service) serverLiveness(now time.Time, id string) liveness.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.liveness.Check(now, id)
+	state := s.liveness.Check(now, id)
+	if state == liveness.NeedsProbe && !s.scheduler.AllowProbe(now, id) {
+		s.liveness.CancelProbe(id)
+		return liveness.Probing
+	}
+	return state
 }
 
 // recordProbe records the result of a probe. A server that didn't answer gets no
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -132,9 +132,12 @@
 	return float64(r.call.PromptTokens + outputTokenCost*output)
 }
 
-// constraint returns the servers on which the request may run, other than the given ones.
+// tokens returns the memory that the request may need at its server, in tokens.
+func (r *request) tokens() int { return r.call.PromptTokens + r.call.MaxOutputTokens }
+
+// constraint returns which servers may run the request, apart from the excluded ones.
 func (r *request) constraint(exclude []string) placement.Constraint {
-	return placement.Constraint{Exclude: exclude, Regions: r.regions}
+	return placement.Constraint{Exclude: exclude, Regions: r.regions, Tokens: r.tokens()}
 }
 
 // timeLeft returns the time until the deadline.
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/filbertmux/filbertmux/balance/loadshare"
@@ -51,13 +52,16 @@
 	s.log.Warn().Str("server", server).Float64("per_second", statement.Rate).Msg("backend server states a request limit")
 }
 
-// setGateways sets the addresses of this gateway and of the other live ones, which share
-// the limits of the servers.
-func (s *service) setGateways(now time.Time, self string, peers []string) {
+// setGateways sets the addresses of this gateway and of the others, which share the limits
+// of the servers. It is also called at regular intervals.
+func (s *service) setGateways(now time.Time, list gatewayList) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.requestLimits.SetGateways(self, peers)
-	s.scheduler.SetGateways(len(peers) + 1)
+	s.requestLimits.SetGateways(list.self, list.live)
+	s.scheduler.SetGateways(len(list.live) + 1)
+	s.requestLimits.SetKnownGateways(list.known, list.listed)
+	s.endCold(now)
+	s.applyMemoryRanks()
 	s.applyRequestLimits(now)
 }
 
@@ -75,18 +79,37 @@
 	for id := range s.groupByServer {
 		listed[loadshare.ServerKeyOf(id)] = true
 	}
+	s.requestLimits.SetServerCount(len(listed))
 	s.requestLimits.Retain(func(key loadshare.ServerKey) bool { return listed[key] })
+	s.applyMemoryRanks()
 	s.applyRequestLimits(now)
 }
 
+// applyMemoryRanks sets which gateways use the memory of each server for large requests.
+// Before the list of the gateways has been read, this one doesn't. The caller holds the mutex.
+func (s *service) applyMemoryRanks() {
+	if s.memoryTokens == 0 {
+		return
+	}
+	for id := range s.groupByServer {
+		rank, listed := s.requestLimits.Rank(loadshare.ServerKeyOf(id))
+		if !listed {
+			rank = math.MaxInt
+		}
+		s.scheduler.SetRank(id, rank)
+	}
+}
+
 // applyRequestLimits sets the pace of each server. The caller holds the mutex.
 func (s *service) applyRequestLimits(now time.Time) {
 	if !s.paced && s.requestLimits.Empty() {
 		return
 	}
 	for id := range s.groupByServer {
-		interval, allowed := s.requestLimits.Interval(now, loadshare.ServerKeyOf(id))
+		key := loadshare.ServerKeyOf(id)
+		interval, allowed := s.requestLimits.Interval(now, key)
 		s.scheduler.SetPace(now, id, interval, allowed)
+		s.scheduler.SetPaceReason(id, s.paceReason(now, key))
 	}
 	s.paced = !s.requestLimits.Empty()
 	s.deliver(s.scheduler.Dispatch(now))
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -109,6 +109,12 @@
 	statements    *statement.Table
 	// paced means that the scheduler may have the pace of a limit.
 	paced bool
+	// coldServers holds the servers that are known to be cold, and coldDuration is how long
+	// a server is cold after its start.
+	coldServers  map[string]bool
+	coldDuration time.Duration
+	// memoryTokens is the memory of each server in tokens, or 0 if it isn't known.
+	memoryTokens int
 	// meanLoads is the mean number of requests on the servers of each batch at the last
 	// load report.
 	meanLoads map[string]float64
@@ -143,6 +149,7 @@
 		requestLimits: requestlimit.New(),
 		statements:    statement.New(rng.Float64),
 		batchLimits:   make(map[string]*placement.BatchLimit),
+		coldServers:   make(map[string]bool),
 	}
 }
 
@@ -201,6 +208,7 @@
 	unchanged := func(id string) bool { return known[id] && s.incarnations[id] == incarnations[id] }
 	s.outliers.Retain(unchanged)
 	s.liveness.Retain(unchanged)
+	former := s.incarnations
 	s.incarnations = incarnations
 	var kept []placement.Server
 	for _, c := range append(s.outliers.Filter(now, candidates), evacuated...) {
@@ -208,6 +216,7 @@
 		kept = append(kept, placement.Server{
 			ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
 			Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
+			MemoryTokens: s.memoryTokens,
 		})
 	}
 	s.scheduler.SetServers(kept)
@@ -217,6 +226,7 @@
 		return !listed
 	})
 	s.setBatchLimits(now)
+	s.recordColdServers(now, list, former)
 	s.retainRequestLimits(now)
 	s.retainStatements(now, list)
 	s.deliver(s.scheduler.Dispatch(now))
--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -114,7 +114,7 @@
 	}
 	server, ok := x.g.state.Server(id)
 	if !ok {
-		x.svc.release(now, notRegistered(id))
+		x.svc.release(now, r.notRegistered(id))
 		return nil, false
 	}
 	x.g.metrics.AddToCounter("standby_attempts", 1)
