Name the pace as the reason of a refusal only if it is the reason

Change: the pace is the reason only if it holds all servers with free capacity. Unit tests of placement and of the gateway's limits pass.

--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -105,17 +105,21 @@
 	return !c.listed && c.ownInFlight == 0 && !c.pace.next.After(s.startRate.at)
 }
 
-// heldByPace returns the reason of a pace that keeps a server with free capacity from
+// heldByPace returns the reason of the paces that keep all servers with free capacity from
 // getting a request, or nil.
 func (s *Scheduler[T]) heldByPace(now time.Time, constraint Constraint) error {
+	var reason error
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.pace.reason != nil && !c.pace.allows(now) && !c.unusable(now) && constraint.allows(c) &&
-			!s.groupBlocked(now, c.Group) && s.hasCapacity(c, freeSlot) {
-			return c.pace.reason
+		if c.unusable(now) || !constraint.allows(c) || s.groupBlocked(now, c.Group) || !s.hasCapacity(c, freeSlot) {
+			continue
 		}
+		if c.pace.allows(now) {
+			return nil
+		}
+		reason = cmp.Or(reason, c.pace.reason)
 	}
-	return nil
+	return reason
 }
 
 // refuseByPace refuses a request if the paces of all servers together can't start it
