--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -103,14 +103,11 @@
 		IP: hostOf(r), PeerPort: agentPort, BackendService: platformtest.ModelService,
 	}}
 	a := &testAgent{agent: NewAgent(rank, log), election: newElection(client, hostOf(r), log)}
-	mux := http.NewServeMux()
-	mux.Handle(filbertmuxv1connect.NewRankAgentServiceHandler(a.agent))
-	server := &http.Server{Addr: fmt.Sprintf("%s:%d", hostOf(r), agentPort), Handler: mux, ReadHeaderTimeout: time.Second}
+	stopServer := serveTestAgent(a.agent, fmt.Sprintf("%s:%d", hostOf(r), agentPort))
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{group: newGroupClient(o, a.agent, client), agent: a.agent, election: a.election, log: log, planner: newPlanner()}
 	recovery := &recoverer{agent: a.agent, rank: rank, group: newGroupClient(o, a.agent, client), log: log, slowdownReporter: &slowdownReporter{store: client, log: log}}
 	tasks := []func(){
-		func() { _ = server.ListenAndServe() },
 		func() { _ = h.run(ctx) },
 		func() { _ = recovery.run(ctx) },
 		func() {
@@ -126,7 +123,7 @@
 	}
 	a.stop = func() {
 		cancel()
-		_ = server.Close()
+		stopServer()
 		for range tasks {
 			<-done
 		}
@@ -135,6 +132,22 @@
 	return a
 }
 
+// serveTestAgent serves the calls of other agents and returns a function that stops it.
+func serveTestAgent(agent *Agent, address string) (stop func()) {
+	mux := http.NewServeMux()
+	mux.Handle(filbertmuxv1connect.NewRankAgentServiceHandler(agent))
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: time.Second}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.ListenAndServe()
+	}()
+	return func() {
+		_ = server.Close()
+		<-done
+	}
+}
+
 func (f *fixture) inForce() int64 { return f.group.Report(0).InForce }
 
 func (f *fixture) eventually(condition func() bool) {
