--- a/daemons/rankagent/control_bench_test.go
+++ b/daemons/rankagent/control_bench_test.go
@@ -19,9 +19,11 @@
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
+	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
@@ -264,3 +266,30 @@
 	}
 	return maps
 }
+
+// BenchmarkEncodeMap measures the orders to prepare a map for 72 ranks, as changes of the
+// last map.
+func BenchmarkEncodeMap(b *testing.B) {
+	agent := NewAgent(nil, zerolog.Nop())
+	agent.identity = identity{group: "g", size: largeRanks}
+	g := newGroupClient(Options{Log: zerolog.Nop()}, agent, nil)
+	var responses []*pb.ReadRankResponse
+	for rank := range largeRanks {
+		responses = append(responses, &pb.ReadRankResponse{Rank: uint32(rank), KnownMap: 1, AcceptsChanges: true})
+	}
+	g.maps.observe(responses)
+	t := topology(&largeExperts, make([]string, largeRanks))
+	maps := largeMaps(t.Domains)
+	g.maps.add(1, expertLists(t, maps[0]))
+	version := int64(1)
+	for b.Loop() {
+		version++
+		target := maps[1].Clone()
+		var orders []switchover.Order
+		for rank := range largeRanks {
+			orders = append(orders, switchover.Order{Rank: rank, Kind: switchover.Prepare, Version: version, Map: &target})
+		}
+		encoded := g.encodeOrders(orders, switchover.Holder{}, 1, t)
+		b.ReportMetric(float64(proto.Size(encoded[0].request)), "bytes/order")
+	}
+}
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -111,10 +111,7 @@
 	for _, o := range orders {
 		e := outgoingOrder{Order: o, request: encodeOrder(name, o, issuer, token)}
 		if o.Map != nil {
-			if layers == nil {
-				layers = expertLists(t, o.Map) // all orders of a round have the same map
-				g.maps.add(o.Version, layers)
-			}
+			layers = g.maps.lists(t, o.Version, o.Map)
 			e.layers = layers
 			g.maps.encode(e.request, o.Rank, o.Version)
 		}
