Report the experts of a rank once for each map, and assemble the map in force once

Cause: each reading of a rank repeated its experts of all layers, and the holder assembled and validated the same map in each round, every 2 ms while the group may be held.

Change: a request names the epoch and version of the experts that the caller has, and the response leaves them out while that map is in use. mapView keeps the experts by rank and the assembled map by epoch, version and shape. A response that leaves out experts of another map or run of the rank counts as unread, and the next one has them. Agents and holders of earlier builds ignore the fields: experts are sent.

--- a/daemons/rankagent/agent.go
+++ b/daemons/rankagent/agent.go
@@ -84,15 +84,16 @@
 		calledAt = calledAt.Add(-electionTimeout)
 	}
 	a.recordCall(calledAt, req.Msg.GetToken())
-	r, err := a.read(ctx, req.Msg.GetCounts())
+	r, err := a.read(ctx, req.Msg)
 	if err != nil {
 		return nil, connect.NewError(errkind.Of(err).Kind.Attributes().ConnectCode, err)
 	}
 	return connect.NewResponse(r), nil
 }
 
-// read returns the state of the rank, and its expert counts if requested.
-func (a *Agent) read(ctx context.Context, counts bool) (*pb.ReadRankResponse, error) {
+// read returns the state of the rank, its experts unless the caller has them, and its
+// expert counts if requested.
+func (a *Agent) read(ctx context.Context, m *pb.ReadRankRequest) (*pb.ReadRankResponse, error) {
 	s, err := a.rank.State(ctx)
 	if err != nil {
 		return nil, err
@@ -104,10 +105,12 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, l := range layers {
-		r.Experts = append(r.Experts, &pb.RankExperts{Experts: l})
+	if known := m.GetKnownExperts(); known != nil && known.GetEpoch() == r.GetEpoch() && known.GetVersion() == r.GetInForce() {
+		r.ExpertsKnown = true
+	} else {
+		r.Experts = encodeExperts(layers)
 	}
-	if counts {
+	if m.GetCounts() {
 		r.RecentCounts = a.recentCounts(clock.Now(), len(layers))
 	}
 	return r, nil
--- a/daemons/rankagent/control_bench_test.go
+++ b/daemons/rankagent/control_bench_test.go
@@ -146,7 +146,7 @@
 	l.holder = &holder{group: group, agent: agent, election: e, log: zerolog.Nop(), planner: newPlanner()}
 	// The benchmarks measure calls, not plans: the planner never has enough counts.
 	l.holder.planner.observations = -1e18
-	_, err := agent.read(b.Context(), false)
+	_, err := agent.read(b.Context(), &pb.ReadRankRequest{})
 	require.NoError(b, err)
 	l.holder.startTerm(7)
 	// The members need no reading from the store.
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -60,6 +60,7 @@
 	client  *http.Client
 	link    linkbudget.Link
 	maps    *mapSender
+	view    *mapView
 
 	engine *fleet.Engine
 	// eventGapObjective is the shortest objective for the time between two events of a
@@ -222,6 +223,7 @@
 	}
 	wg.Wait()
 	responses = slices.DeleteFunc(responses, func(r *pb.ReadRankResponse) bool { return r == nil })
+	responses = g.view.complete(responses)
 	g.maps.observe(responses)
 	return responses
 }
@@ -233,14 +235,17 @@
 	}
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	request := &pb.ReadRankRequest{
+		Counts: opts.readsCounts(rank), Token: opts.token, Leaving: opts.leaving, KnownExperts: g.view.known(rank),
+	}
 	if rank == own {
-		return g.agent.read(call, opts.readsCounts(rank))
+		return g.agent.read(call, request)
 	}
 	p, ok := g.peers[rank]
 	if !ok {
 		return nil, errkind.New(errkind.NoBackendServer, "no agent of rank %d is known", rank)
 	}
-	resp, err := p.client.ReadRank(call, connect.NewRequest(&pb.ReadRankRequest{Counts: opts.readsCounts(rank), Token: opts.token, Leaving: opts.leaving}))
+	resp, err := p.client.ReadRank(call, connect.NewRequest(request))
 	if err != nil && opts.direct {
 		return g.readDirect(ctx, rank, p)
 	}
@@ -275,9 +280,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, l := range layers {
-		r.Experts = append(r.Experts, &pb.RankExperts{Experts: l})
-	}
+	r.Experts = encodeExperts(layers)
 	return r, nil
 }
 
@@ -291,7 +294,7 @@
 		// case and doesn't use the map.
 		return &experts.Map{}, nil
 	}
-	return mapInForce(t, g.engine.Experts.LayerSets, responses)
+	return g.view.inForce(t, g.engine.Experts.LayerSets, responses)
 }
 
 // sameMapInForce reports whether all ranks use one map version in one epoch.
--- a/daemons/rankagent/messages.go
+++ b/daemons/rankagent/messages.go
@@ -21,6 +21,15 @@
 	return r
 }
 
+// encodeExperts converts the experts of a rank by layer.
+func encodeExperts(layers [][]int32) []*pb.RankExperts {
+	encoded := make([]*pb.RankExperts, 0, len(layers))
+	for _, l := range layers {
+		encoded = append(encoded, &pb.RankExperts{Experts: l})
+	}
+	return encoded
+}
+
 // decodeReport converts a response to the report of a rank.
 func decodeReport(r *pb.ReadRankResponse) switchover.Report {
 	report := switchover.Report{
--- a/daemons/rankagent/module.go
+++ b/daemons/rankagent/module.go
@@ -98,7 +98,8 @@
 func newGroupClient(o Options, agent *Agent, store *platform.StoreClient) *groupClient {
 	return &groupClient{
 		agent: agent, store: store, service: o.Settings.BackendService, port: o.Settings.PeerPort,
-		log: o.Log, client: peerClient(), link: linkbudget.Link{BytesPerSecond: o.Settings.LinkBytesPerSecond}, maps: newMapSender(), peers: make(map[int]peer), domains: make(map[int]string),
+		log: o.Log, client: peerClient(), link: linkbudget.Link{BytesPerSecond: o.Settings.LinkBytesPerSecond},
+		maps: newMapSender(), view: newMapView(), peers: make(map[int]peer), domains: make(map[int]string),
 		lastOrderAt: make(map[int]time.Time),
 	}
 }
