Update the loads of a planned layer only where a change touches them

Cause: each step of the planner's search derived the hosts and loads of all ranks, the effects of replicas of all experts and the most loaded rank anew, and each layer computed its ideal numbers of replicas three times.

Change: a step updates the ranks and experts that it changes, and the ideal numbers are computed once for each layer. Sums are still made anew from the slots, so the plans are the same: TestPlansAreReproducible passes with the digests recorded before.

--- a/rankgroup/experts/bound.go
+++ b/rankgroup/experts/bound.go
@@ -33,11 +33,16 @@
 // goes to the expert with the largest load per replica. The bound ignores how the
 // replicas pack into ranks, so it may not be attainable.
 func SkewLowerBound(t *Topology, load []float64) float64 {
-	total := sum(load)
-	if total == 0 {
+	if sum(load) == 0 {
 		return 1
 	}
-	counts := replicaCounts(load, t.Slots(), t.Ranks())
+	return skewLowerBound(t, load, replicaCounts(load, t.Slots(), t.Ranks()))
+}
+
+// skewLowerBound returns the lower bound for the result of replicaCounts and loads that
+// aren't all zero.
+func skewLowerBound(t *Topology, load []float64, counts []int) float64 {
+	total := sum(load)
 	largest := 0.0
 	for e, n := range counts {
 		largest = max(largest, load[e]/float64(n))
--- a/rankgroup/experts/layout.go
+++ b/rankgroup/experts/layout.go
@@ -17,8 +17,12 @@
 	// initialHosts is the same for the layer from which moves are counted.
 	initialHosts rankset.Table
 	rankLoad     []float64
-	// frozen is the set of ranks whose slots may not change.
-	frozen rankset.Set
+	// hot is the most loaded rank that may change, or -1.
+	hot int
+	// frozen is the set of ranks whose slots may not change, and anyFrozen is true if
+	// there is one.
+	frozen    rankset.Set
+	anyFrozen bool
 	// baseLoad is added to the load of each rank; nil without slow ranks. It is
 	// chosen so that ranks with equal load, including baseLoad, take the same time.
 	baseLoad []float64
@@ -30,6 +34,8 @@
 	risk float64
 	// total is the load of the layer; it is set with risk.
 	total float64
+	// ideal is the result of replicaCounts, or nil before its first use.
+	ideal []int
 	// replicaLoad caches the loads that the search uses most often. It is indexed by
 	// expert.
 	replicaLoad []replicaLoad
@@ -43,7 +49,7 @@
 }
 
 func newLayout(t *Topology, slots Layer, load []float64, frozen rankset.Set) *layout {
-	w := &layout{topo: t, load: load, slots: slices.Clone(slots), frozen: frozen}
+	w := &layout{topo: t, load: load, slots: slices.Clone(slots), frozen: frozen, anyFrozen: !frozen.Empty()}
 	w.hosts = hostSets(t, slots)
 	w.initialHosts = w.hosts.Clone()
 	w.rankLoad = make([]float64, t.Ranks())
@@ -88,31 +94,45 @@
 	return sets
 }
 
-// recompute derives the hosts and the rank loads from the slots. It also removes
-// rounding errors that incremental updates accumulate.
+// recompute derives the hosts and the rank loads from the slots.
 func (w *layout) recompute() {
 	w.hosts.Clear()
-	clear(w.rankLoad)
-	copy(w.rankLoad, w.baseLoad)
 	for slot, e := range w.slots {
 		if e != EmptySlot {
 			w.hostsOf(e).Add(w.topo.RankOf(slot))
 		}
 	}
 	for e := range w.replicaLoad {
-		n := w.hosts.Of(e).Len()
-		if l := &w.replicaLoad[e]; l.replicas != n {
-			*l = replicaLoad{n, w.loadWithReplicas(Expert(e), n), w.loadWithReplicas(Expert(e), n+1), w.loadWithReplicas(Expert(e), n-1)}
-		}
+		w.recomputeReplicas(Expert(e))
 	}
 	for rank := range w.rankLoad {
-		first, end := w.slotsOf(rank)
-		for _, e := range w.slots[first:end] {
-			if e != EmptySlot {
-				w.rankLoad[rank] += w.replicaLoad[e].now
-			}
+		w.recomputeRank(rank)
+	}
+	w.hot = w.findMostLoaded()
+}
+
+// recomputeReplicas derives the load of a replica of e from its hosts.
+func (w *layout) recomputeReplicas(e Expert) {
+	n := w.hostsOf(e).Len()
+	if l := &w.replicaLoad[e]; l.replicas != n {
+		*l = replicaLoad{n, w.loadWithReplicas(e, n), w.loadWithReplicas(e, n+1), w.loadWithReplicas(e, n-1)}
+	}
+}
+
+// recomputeRank derives the load of a rank from its slots. The sum is made anew, so that
+// rounding errors don't accumulate.
+func (w *layout) recomputeRank(rank int) {
+	load := 0.0
+	if w.baseLoad != nil {
+		load = w.baseLoad[rank]
+	}
+	first, end := w.slotsOf(rank)
+	for _, e := range w.slots[first:end] {
+		if e != EmptySlot {
+			load += w.replicaLoad[e].now
 		}
 	}
+	w.rankLoad[rank] = load
 }
 
 func (w *layout) replicas(e Expert) int { return w.replicaLoad[e].replicas }
@@ -142,7 +162,24 @@
 
 // targetLoad returns the maximum rank load at which the search stops.
 func (w *layout) targetLoad() float64 {
-	return sum(w.rankLoad) / float64(w.topo.Ranks()) * SkewLowerBound(w.topo, w.load) * (1 + PackTolerance)
+	return sum(w.rankLoad) / float64(w.topo.Ranks()) * w.skewLowerBound() * (1 + PackTolerance)
+}
+
+// skewLowerBound returns SkewLowerBound of the loads.
+func (w *layout) skewLowerBound() float64 {
+	if sum(w.load) == 0 {
+		return 1
+	}
+	return skewLowerBound(w.topo, w.load, w.idealReplicas())
+}
+
+// idealReplicas returns the number of replicas of each expert if the slots are divided among
+// the experts by load.
+func (w *layout) idealReplicas() []int {
+	if w.ideal == nil {
+		w.ideal = replicaCounts(w.load, w.topo.Slots(), w.topo.Ranks())
+	}
+	return w.ideal
 }
 
 // hostsOf returns the set of ranks that host e.
@@ -150,7 +187,7 @@
 
 func (w *layout) hosted(e Expert, rank int) bool { return w.hosts.Has(int(e), rank) }
 
-func (w *layout) isFrozen(rank int) bool { return w.frozen.Has(rank) }
+func (w *layout) isFrozen(rank int) bool { return w.anyFrozen && w.frozen.Has(rank) }
 
 // fetches returns 1 if e on rank must be fetched, and 0 otherwise.
 func (w *layout) fetches(e Expert, rank int) int {
@@ -160,8 +197,8 @@
 	return 1
 }
 
-// mostLoaded returns the most loaded rank that may change, or -1.
-func (w *layout) mostLoaded() int {
+// findMostLoaded returns the most loaded rank that may change, or -1.
+func (w *layout) findMostLoaded() int {
 	best := -1
 	for rank, l := range w.rankLoad {
 		if w.isFrozen(rank) {
@@ -177,8 +214,8 @@
 // maxLoad returns the largest load among the ranks that may change, or 0. It ignores
 // frozen ranks, so that they don't hide an improvement of the others.
 func (w *layout) maxLoad() float64 {
-	if rank := w.mostLoaded(); rank >= 0 {
-		return w.rankLoad[rank]
+	if w.hot >= 0 {
+		return w.rankLoad[w.hot]
 	}
 	return 0
 }
--- a/rankgroup/experts/planner.go
+++ b/rankgroup/experts/planner.go
@@ -41,10 +41,15 @@
 	chosen     []layerPlan
 	// searched lists the layers that were searched, in ascending order.
 	searched []int
+	// ideal holds the ideal numbers of replicas of each layer, or nil before their first
+	// use.
+	ideal [][]int
 }
 
 func newPlanner(s Settings, in Input, frozen rankset.Set, budget int) *planner {
-	return &planner{settings: s, input: in, frozen: frozen, budget: budget, remaining: budget}
+	return &planner{
+		settings: s, input: in, frozen: frozen, budget: budget, remaining: budget, ideal: make([][]int, len(in.InForce.Layers)),
+	}
 }
 
 // run computes the best plan of each layer and chooses them in descending order of
@@ -137,39 +142,51 @@
 // bestLayerPlan returns the plan of a layer with the highest value within a number of
 // moves. The candidates are the prefixes of the refinement and the full replan.
 func (p *planner) bestLayerPlan(layer, limit int) (layerPlan, bool) {
-	inForce := p.input.InForce.Layers[layer]
-	w := p.layout(layer, inForce)
-	target := w.targetLoad()
-	before := w.maxLoad()
-	steps := refine(w, target)
-	best := layerPlan{layer: layer}
+	w := p.layout(layer, p.input.InForce.Layers[layer])
+	target, before := w.targetLoad(), w.maxLoad()
+	best, replayed := p.bestPrefix(layer, refine(w, target), before, limit)
+	if replayed != nil {
+		w = replayed
+	}
+	if w.maxLoad() > target {
+		p.tryReplan(&best, before, limit)
+	}
+	return best, best.slots != nil
+}
+
+// bestPrefix returns the plan of a layer with the highest value within a number of moves
+// among the prefixes of a search, and its layout, which is nil if there is none. before is
+// the maximum rank load before the search.
+func (p *planner) bestPrefix(layer int, steps []step, before float64, limit int) (best layerPlan, w *layout) {
+	best = layerPlan{layer: layer}
 	bestSteps := 0
 	for i, st := range steps {
 		if plan, ok := p.evaluate(layer, before, st.max, st.moves, limit); ok && plan.value > best.value {
 			best, bestSteps = plan, i+1
 		}
 	}
-	if bestSteps > 0 {
-		w = p.layout(layer, inForce)
-		w.slots = replay(inForce, steps[:bestSteps])
-		w.recompute()
-		best.slots = w.finish(inForce)
-		if !respectsMaxNew(p.input.Topology, inForce, best.slots) {
-			// Spreading over failure domains added more than MaxNewPerRank
-			// experts to a rank, so it is left out.
-			best.slots = alignSlots(p.input.Topology, inForce, replay(inForce, steps[:bestSteps]))
-		}
+	if bestSteps == 0 {
+		return best, nil
 	}
-	if w.maxLoad() > target {
-		p.tryReplan(&best, before, limit)
+	inForce := p.input.InForce.Layers[layer]
+	w = p.layout(layer, inForce)
+	w.slots = replay(inForce, steps[:bestSteps])
+	w.recompute()
+	best.slots = w.finish(inForce)
+	if !respectsMaxNew(p.input.Topology, inForce, best.slots) {
+		// Spreading over failure domains added more than MaxNewPerRank
+		// experts to a rank, so it is left out.
+		best.slots = alignSlots(p.input.Topology, inForce, replay(inForce, steps[:bestSteps]))
 	}
-	return best, best.slots != nil
+	return best, w
 }
 
 // layout returns a placement of a layer with its loads raised by riskFactor.
 func (p *planner) layout(layer int, slots Layer) *layout {
 	w := newLayout(p.input.Topology, slots, p.input.Loads.Layers[layer], p.frozen)
 	w.addRisk(riskFactor)
+	w.ideal = p.ideal[layer]
+	p.ideal[layer] = w.idealReplicas()
 	return w
 }
 
--- a/rankgroup/experts/refine.go
+++ b/rankgroup/experts/refine.go
@@ -1,6 +1,10 @@
 package experts
 
-import "math"
+import (
+	"math"
+
+	"github.com/filbertmux/filbertmux/rankgroup/rankset"
+)
 
 // maxRefineSteps limits the duration of the search in one layer. With a limit of 160
 // steps, a first plan for 256 experts took up to 23 ms. A layer that needs more steps
@@ -47,6 +51,12 @@
 	// replicateGain is the reduction of the squared excess on the hosts of an expert
 	// if it gets a further replica on another rank. It is indexed by expert.
 	replicateGain []float64
+	// stale holds the experts whose replicateGain and releaseLoss have to be computed, and
+	// changed is used to find the ranks whose load a change affects.
+	stale   []bool
+	changed rankset.Set
+	// added is the number of experts that each rank must fetch.
+	added []int
 	// releaseLoss is the increase of the squared excess if an expert loses a replica.
 	// It is indexed by expert. It counts every current host as if it kept its replica
 	// and carried the higher load per remaining replica; vacate corrects it for the
@@ -54,8 +64,9 @@
 	releaseLoss []float64
 	// swapBounds is indexed by rank.
 	swapBounds []swapBound
-	// idealReplicas is the result of replicaCounts, or nil before its first use.
-	idealReplicas []int
+	// steps are the steps so far, at most maxSteps.
+	steps    []step
+	maxSteps int
 }
 
 // swapBound bounds the gain per fetch of all swaps between a rank and the hot rank, so
@@ -71,36 +82,59 @@
 // refine runs the search on w and returns its steps, so that the caller may use any
 // prefix of them.
 func refine(w *layout, target float64) []step {
-	s := &search{layout: w, target: target, replicateGain: make([]float64, len(w.load))}
-	s.releaseLoss = make([]float64, len(w.load))
-	s.swapBounds = make([]swapBound, w.topo.Ranks())
-	var steps []step
-	for len(steps) < maxRefineSteps {
-		hot := s.mostLoaded()
-		if hot < 0 || s.rankLoad[hot] <= target {
-			break
-		}
-		if first, second, ok := s.splitHeaviest(hot); ok {
-			steps = append(steps, s.applyStep(first), s.applyStep(second))
-			continue
-		}
-		s.best = candidate{}
-		s.computeReplicaEffects()
-		s.trySwaps(hot)
-		s.tryReplicate(hot)
-		s.tryRelease(hot)
-		if s.best.score <= 0 {
-			break
+	s := newSearch(w, target, maxRefineSteps)
+	for s.next() {
+	}
+	return s.steps
+}
+
+// newSearch returns a search that improves w in at most maxSteps steps.
+func newSearch(w *layout, target float64, maxSteps int) *search {
+	s := &search{
+		layout: w, target: target, maxSteps: maxSteps, replicateGain: make([]float64, len(w.load)), releaseLoss: make([]float64, len(w.load)),
+		swapBounds: make([]swapBound, w.topo.Ranks()), stale: make([]bool, len(w.load)), changed: rankset.New(w.topo.Ranks()),
+		added: make([]int, w.topo.Ranks()),
+	}
+	for e := range s.stale {
+		s.stale[e] = true
+	}
+	for rank := range s.added {
+		first, end := s.slotsOf(rank)
+		for _, e := range s.slots[first:end] {
+			s.added[rank] += s.fetches(e, rank)
 		}
-		steps = append(steps, s.applyStep(s.best.change))
 	}
-	return steps
+	return s
+}
+
+// next applies the best change, or two that split an expert. It returns false if there is
+// none.
+func (s *search) next() bool {
+	hot := s.hot
+	if len(s.steps) >= s.maxSteps || hot < 0 || s.rankLoad[hot] <= s.target {
+		return false
+	}
+	if first, second, ok := s.splitHeaviest(hot); ok {
+		s.applyStep(first)
+		s.applyStep(second)
+		return true
+	}
+	s.best = candidate{}
+	s.computeReplicaEffects()
+	s.trySwaps(hot)
+	s.tryReplicate(hot)
+	s.tryRelease(hot)
+	if s.best.score <= 0 {
+		return false
+	}
+	s.applyStep(s.best.change)
+	return true
 }
 
-// applyStep applies a change and returns the state after it.
-func (s *search) applyStep(c change) step {
+// applyStep applies a change and records the state after it.
+func (s *search) applyStep(c change) {
 	s.apply(c)
-	return step{change: c, moves: s.moves, max: s.maxLoad()}
+	s.steps = append(s.steps, step{change: c, moves: s.moves, max: s.maxLoad()})
 }
 
 // squaredExcess returns the squared excess of a rank with the given load.
@@ -112,19 +146,24 @@
 	return x * x
 }
 
-// computeReplicaEffects sets replicateGain and releaseLoss.
+// computeReplicaEffects sets replicateGain and releaseLoss of the stale experts.
 func (s *search) computeReplicaEffects() {
-	for e := range s.replicateGain {
+	for e, stale := range s.stale {
+		if !stale {
+			continue
+		}
+		s.stale[e] = false
 		l := &s.replicaLoad[e]
-		s.replicateGain[e], s.releaseLoss[e] = 0, 0
+		gain, loss := 0.0, 0.0
 		for rank := range s.hosts.Of(e).All() {
 			load := s.rankLoad[rank]
 			before := s.squaredExcess(load)
-			s.replicateGain[e] += before - s.squaredExcess(load-l.now+l.more)
+			gain += before - s.squaredExcess(load-l.now+l.more)
 			if l.replicas > 1 {
-				s.releaseLoss[e] += s.squaredExcess(load-l.now+l.fewer) - before
+				loss += s.squaredExcess(load-l.now+l.fewer) - before
 			}
 		}
+		s.replicateGain[e], s.releaseLoss[e] = gain, loss
 	}
 }
 
@@ -141,28 +180,25 @@
 
 // withinLimit reports whether the ranks of a change stay within MaxNewPerRank.
 func (s *search) withinLimit(c change) bool {
-	if s.topo.MaxNewPerRank == 0 {
-		return true
-	}
 	rank := s.topo.RankOf(c.slot)
-	if s.newExperts(rank)-s.fetches(s.slots[c.slot], rank)+s.fetches(c.expert, rank) > s.topo.MaxNewPerRank {
+	if !s.mayFetch(rank, s.fetches(c.expert, rank)-s.fetches(s.slots[c.slot], rank)) {
 		return false
 	}
 	if !c.swap {
 		return true
 	}
 	other := s.topo.RankOf(c.other)
-	return s.newExperts(other)-s.fetches(c.expert, other)+s.fetches(s.slots[c.slot], other) <= s.topo.MaxNewPerRank
+	return s.mayFetch(other, s.fetches(s.slots[c.slot], other)-s.fetches(c.expert, other))
 }
 
-// newExperts returns the number of experts that a rank must fetch.
-func (s *search) newExperts(rank int) int {
-	n := 0
-	first, end := s.slotsOf(rank)
-	for _, e := range s.slots[first:end] {
-		n += s.fetches(e, rank)
+// mayFetch reports whether a rank stays within its limits if it fetches that many more
+// experts.
+func (s *search) mayFetch(rank, more int) bool {
+	if more <= 0 {
+		return true
 	}
-	return n
+	limit := s.topo.MaxNewPerRank
+	return limit == 0 || s.added[rank]+more <= limit
 }
 
 // scoreOf returns the gain per fetch. A change without additional fetches counts as
@@ -210,17 +246,17 @@
 	hotLoad := s.rankLoad[hot]
 	before := s.squaredExcess(hotLoad)
 	for rank, load := range s.rankLoad {
-		if rank == hot || s.isFrozen(rank) || s.hosted(e, rank) {
-			continue
-		}
-		both := before + s.squaredExcess(load)
-		moves := s.fetches(e, rank) - s.fetches(e, hot)
 		// The gain increases with the difference between the loads of the two
 		// experts, up to half the difference between the loads of the two ranks.
 		p := s.swapBounds[rank]
 		maxShift := min(eLoad-p.lightest, (hotLoad-load)/2)
+		if maxShift <= 0 || rank == hot || s.isFrozen(rank) {
+			continue
+		}
+		both := before + s.squaredExcess(load)
+		moves := s.fetches(e, rank) - s.fetches(e, hot)
 		bound := both - s.squaredExcess(hotLoad-maxShift) - s.squaredExcess(load+maxShift)
-		if maxShift <= 0 || scoreOf(bound, moves+p.minMoves) <= s.best.score {
+		if scoreOf(bound, moves+p.minMoves) <= s.best.score || s.hosted(e, rank) {
 			continue
 		}
 		first, end := s.slotsOf(rank)
@@ -244,18 +280,53 @@
 	}
 }
 
-// apply applies a change and updates the number of fetches.
+// apply applies a change and updates what derives from it.
 func (s *search) apply(c change) {
-	rank := s.topo.RankOf(c.slot)
+	clear(s.changed)
 	old := s.slots[c.slot]
-	s.moves += s.fetches(c.expert, rank) - s.fetches(old, rank)
-	s.slots[c.slot] = c.expert
+	s.replace(c.slot, c.expert)
 	if c.swap {
-		other := s.topo.RankOf(c.other)
-		s.moves += s.fetches(old, other) - s.fetches(c.expert, other)
-		s.slots[c.other] = old
+		s.replace(c.other, old)
 	}
-	s.recompute()
+	for _, e := range [...]Expert{old, c.expert} {
+		if e == EmptySlot {
+			continue
+		}
+		s.recomputeReplicas(e)
+		s.stale[e] = true
+		if !c.swap {
+			s.changed.AddAll(s.hostsOf(e))
+		}
+	}
+	for rank := range s.changed.All() {
+		s.recomputeRank(rank)
+		first, end := s.slotsOf(rank)
+		for _, e := range s.slots[first:end] {
+			if e != EmptySlot {
+				s.stale[e] = true
+			}
+		}
+	}
+	s.hot = s.findMostLoaded()
+}
+
+// replace puts an expert into a slot.
+func (s *search) replace(slot int, e Expert) {
+	rank, old := s.topo.RankOf(slot), s.slots[slot]
+	s.addMoves(rank, s.fetches(e, rank)-s.fetches(old, rank))
+	s.slots[slot] = e
+	if old != EmptySlot {
+		s.hostsOf(old).Remove(rank)
+	}
+	if e != EmptySlot {
+		s.hostsOf(e).Add(rank)
+	}
+	s.changed.Add(rank)
+}
+
+func (s *search) addMoves(rank, n int) {
+	s.moves += n
+	s.added[rank] += n
 }
 
 // replay returns a copy of a layer with the changes of the steps applied.
--- a/rankgroup/experts/refine_replicate.go
+++ b/rankgroup/experts/refine_replicate.go
@@ -70,18 +70,18 @@
 
 // tryReplace considers e in place of the expert of the vacancy.
 func (s *search) tryReplace(v *vacancy, e Expert) {
-	if s.hosted(e, v.rank) {
-		return
-	}
 	gain := s.replicateGain[e] + v.excessBefore - s.squaredExcess(v.loadWithout+s.replicaLoad[e].more)
 	shared := v.hosts.Intersects(s.hostsOf(e))
 	if !shared {
 		gain -= v.releaseLoss
 	}
-	moves := s.fetches(e, v.rank) - v.savedMoves
 	// If a rank hosts both experts, gain is only an upper bound here, because it
 	// doesn't include releaseLoss. Most changes are rejected here.
-	if gain <= 0 || scoreOf(gain+gain*domainPreference, moves) <= s.best.score {
+	if gain <= 0 {
+		return
+	}
+	moves := s.fetches(e, v.rank) - v.savedMoves
+	if scoreOf(gain+gain*domainPreference, moves) <= s.best.score || s.hosted(e, v.rank) {
 		return
 	}
 	if shared {
--- a/rankgroup/experts/refine_split.go
+++ b/rankgroup/experts/refine_split.go
@@ -13,7 +13,7 @@
 // heaviest expert. Later steps balance the two ranks.
 func (s *search) splitHeaviest(hot int) (first, second change, ok bool) {
 	e := s.heaviest(hot)
-	if e == EmptySlot || s.loadPerReplica(e) <= s.target || s.replicas(e) >= s.idealReplicaCount(e) {
+	if e == EmptySlot || s.loadPerReplica(e) <= s.target || s.replicas(e) >= s.idealReplicas()[e] {
 		return first, second, false
 	}
 	least := math.Inf(1)
@@ -23,8 +23,7 @@
 			continue
 		}
 		for b, g := range s.slots {
-			excess, allowed := s.splitExcess(hot, a, b, e)
-			if allowed && excess < least {
+			if excess := s.splitExcess(hot, a, b, e); excess < least && s.maySplit(hot, a, b, e) {
 				least, ok = excess, true
 				first = change{slot: a, expert: g, swap: true, other: b}
 				second = change{slot: b, expert: e}
@@ -36,21 +35,10 @@
 
 // splitExcess returns the sum of the squared excesses of both ranks if e gets a replica
 // in slot b, and the expert of slot b goes to slot a of the hot rank.
-func (s *search) splitExcess(hot, a, b int, e Expert) (excess float64, allowed bool) {
-	rank := s.topo.RankOf(b)
+func (s *search) splitExcess(hot, a, b int, e Expert) float64 {
 	f, g := s.slots[a], s.slots[b]
-	if rank == hot || s.isFrozen(rank) || s.hosted(e, rank) || f != EmptySlot && s.hosted(f, rank) || g != EmptySlot && s.hosted(g, hot) {
-		return 0, false
-	}
-	if limit := s.topo.MaxNewPerRank; limit > 0 {
-		onHot := s.newExperts(hot) - s.fetches(f, hot) + s.fetches(g, hot)
-		onRank := s.newExperts(rank) - s.fetches(g, rank) + s.fetches(e, rank)
-		if onHot > limit || onRank > limit {
-			return 0, false
-		}
-	}
 	l := &s.replicaLoad[e]
-	hotLoad, load := s.rankLoad[hot]-l.now+l.more, s.rankLoad[rank]+l.more
+	hotLoad, load := s.rankLoad[hot]-l.now+l.more, s.rankLoad[s.topo.RankOf(b)]+l.more
 	if f != EmptySlot {
 		hotLoad -= s.loadPerReplica(f)
 	}
@@ -58,7 +46,17 @@
 		hotLoad += s.loadPerReplica(g)
 		load -= s.loadPerReplica(g)
 	}
-	return s.squaredExcess(hotLoad) + s.squaredExcess(load), true
+	return s.squaredExcess(hotLoad) + s.squaredExcess(load)
+}
+
+// maySplit reports whether both ranks may change as splitExcess says.
+func (s *search) maySplit(hot, a, b int, e Expert) bool {
+	rank := s.topo.RankOf(b)
+	f, g := s.slots[a], s.slots[b]
+	if rank == hot || s.isFrozen(rank) || s.hosted(e, rank) || f != EmptySlot && s.hosted(f, rank) || g != EmptySlot && s.hosted(g, hot) {
+		return false
+	}
+	return s.mayFetch(hot, s.fetches(g, hot)-s.fetches(f, hot)) && s.mayFetch(rank, s.fetches(e, rank)-s.fetches(g, rank))
 }
 
 // heaviest returns the expert with the largest replica on a rank.
@@ -72,12 +70,3 @@
 	}
 	return best
 }
-
-// idealReplicaCount returns the number of replicas of e if the slots are divided among
-// the experts by load.
-func (s *search) idealReplicaCount(e Expert) int {
-	if s.idealReplicas == nil {
-		s.idealReplicas = replicaCounts(s.load, s.topo.Slots(), s.topo.Ranks())
-	}
-	return s.idealReplicas[e]
-}
--- a/rankgroup/rankset/rankset.go
+++ b/rankgroup/rankset/rankset.go
@@ -26,6 +26,13 @@
 // Add adds a rank.
 func (s Set) Add(rank int) { s[uint(rank)/wordBits] |= 1 << (uint(rank) % wordBits) }
 
+// AddAll adds the ranks of another set for the same number of ranks.
+func (s Set) AddAll(other Set) {
+	for i, w := range other {
+		s[i] |= w
+	}
+}
+
 // Remove removes a rank.
 func (s Set) Remove(rank int) { s[uint(rank)/wordBits] &^= 1 << (uint(rank) % wordBits) }
 
@@ -44,6 +51,9 @@
 	return n
 }
 
+// Empty reports whether the set has no rank.
+func (s Set) Empty() bool { return s.First() < 0 }
+
 // First returns the lowest rank, or -1 if the set is empty.
 func (s Set) First() int {
 	for i, w := range s {
--- a/rankgroup/rankset/rankset_test.go
+++ b/rankgroup/rankset/rankset_test.go
@@ -56,6 +56,11 @@
 			require.Equal(t, -1, set.First())
 		}
 		require.Zero(t, table.Of(0).Len()+table.Of(2).Len(), "the other sets of the table changed")
+		require.Equal(t, len(members) == 0, set.Empty())
+		union := rankset.New(ranks)
+		union.AddAll(set)
+		union.AddAll(other)
+		require.Equal(t, either, slices.Collect(union.All()))
 		clone := table.Clone()
 		table.Clear()
 		require.Zero(t, table.Of(1).Len())
@@ -68,5 +73,6 @@
 	var none rankset.Set
 	require.False(t, none.Has(200))
 	require.Zero(t, none.Len())
+	require.True(t, none.Empty())
 	require.Empty(t, slices.Collect(none.All()))
 }
