Plan all layers together, with a bound and a price of the time to copy experts

Cause: a copy was priced at its time divided by the number of ranks, and the layers were planned one by one. The copies of a rank follow one another, so the rank with most copies (12 of 12 layers, with 5 on average) decided when the map was in force; until then all passes are long, and 15 % longer still. And each observation of a balanced group was planned for in full, only to drop the plan.

Change, as settings of experts.Decide: CopyTime and CopySlowdown price the time until the rank with most copies has copied, MaxCopiesPerRank bounds the copies of a rank over all layers, and MinSaved skips the search for plans that can't save enough. The layer that is furthest from its target is changed next while the ranks have copies left; lower bounds are tried as long as the value rises by more than another search costs. The agents allow about one pass of copies, or an expert in every other layer while the streams are late anyway, and want twice the saving if only the copies would make the streams late. A move is also priced at its time on the holder's link. Without a CopyTime the layers are planned as before, but for one fault: a plan could end between the two changes of a split, with more new experts on a rank than allowed (TestPlanThatEndsWithinSplit).

TestMapsFollowTheLoad charges the time of the rank with most copies instead of the mean one, which is stricter. The new tests fail without the bound, with copies that are given up counted as free, without the check of the first change of a split, without the price of the delay, without further searches, with moves beyond MaxInFlight, and with MinSaved ignored or its search skipped too early or never.

--- a/daemons/rankagent/followload_test.go
+++ b/daemons/rankagent/followload_test.go
@@ -167,7 +167,7 @@
 	if !observed || s.pending != nil {
 		return
 	}
-	d, err := s.planner.decide(s.now, s.engine, s.topology, s.inForce, 1)
+	d, err := s.planner.decide(s.now, s.engine, s.topology, s.inForce, passTimes{gap: 1}, s.link)
 	require.NoError(t, err)
 	if !d.Rebalance {
 		return
@@ -179,8 +179,8 @@
 		sizes[i] = len(d.Moves) * bytesPerMove
 	}
 	rounds := (ranks-1)/s.link.Orders(prepareTimeout, sizes) + 1
-	copying := time.Duration(float64(len(d.Moves)) / float64(ranks) * copySeconds(s.engine.Experts) * float64(time.Second))
-	s.pending, s.pendingAt = &d.Target, s.now.Add(time.Duration(rounds)*prepareTimeout+copying+interval+maxLeadTime(ranks))
+	// The copies of a rank follow one another.
+	s.pending, s.pendingAt = &d.Target, s.now.Add(time.Duration(rounds)*prepareTimeout+d.CopyTime+interval+maxLeadTime(ranks))
 }
 
 // Guards against expert maps that follow a change of the requests too late to be of use:
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -429,7 +429,8 @@
 // submitPlan plans a new map, and submits it if the switch is worth its cost.
 func (h *holder) submitPlan(t *experts.Topology, inForce *experts.Map) {
 	now := clock.Now()
-	d, err := h.planner.decide(now, h.group.engine, t, inForce, h.stepTimes.relativeTo(h.group.eventGapObjective))
+	passes := passTimes{mean: h.stepTimes.mean, gap: h.stepTimes.relativeTo(h.group.eventGapObjective)}
+	d, err := h.planner.decide(now, h.group.engine, t, inForce, passes, h.group.link)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("cannot plan an expert map")
 		return
@@ -447,6 +448,6 @@
 	h.expectedSkew, h.skewBefore = h.planner.expectedSkew(t, &d.Target), h.planner.seen.skew
 	h.phase = switchover.Preparing
 	h.addLoad(h.log.Info()).Int64("token", h.token).Int64("version", version).Int("moves", len(d.Moves)).
-		Dur("saved_ms", d.Saved).Dur("cost_ms", d.Cost).Float64("expected_skew", h.expectedSkew).
+		Dur("saved_ms", d.Saved).Dur("cost_ms", d.Cost).Dur("copy_ms", d.CopyTime).Float64("expected_skew", h.expectedSkew).
 		Dur("planning_ms", clock.Now().Sub(now)).Msg("expert map planned")
 }
--- a/daemons/rankagent/plan.go
+++ b/daemons/rankagent/plan.go
@@ -9,6 +9,7 @@
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/rankgroup/countwindow"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
+	"github.com/filbertmux/filbertmux/rankgroup/linkbudget"
 )
 
 const (
@@ -28,6 +29,9 @@
 	// adds to a rank. Ranks copy experts one by one, so a small plan is in force
 	// sooner, and the next plan can follow.
 	newExpertsPerPlan = 1
+	// changeBytes is the size of a moved expert in the order to each rank; see package
+	// mapdelta.
+	changeBytes = 3
 	// minObservationsPerExpert is the mean number of observations of an expert in a
 	// layer before the first plan. Fewer of them say little about the loads, and the map
 	// would be worse than the initial one.
@@ -38,10 +42,10 @@
 	// that save less are not worth a switch, because a switch in progress delays the
 	// reaction to a new mix of requests.
 	minSavedShare = 0.3
-	// minSavedShareShortGap is the same while the gaps between the events of the
-	// streams are short. A better map then has no benefit for the streams, and copies
-	// are billed.
-	minSavedShareShortGap = 0.6
+	// minSavedShareInTime is the same while the gaps between the events of the streams
+	// are short, or would be too long only because of the copies. A better map then has
+	// little benefit for the streams, and copies are billed.
+	minSavedShareInTime = 0.6
 	// shortGap is the event gap, relative to its objective, below which it counts as
 	// short.
 	shortGap = 0.5
@@ -131,11 +135,53 @@
 	return nil
 }
 
+// passTimes describes the passes of a group.
+type passTimes struct {
+	// mean is the time of a pass, or 0 if it isn't known. Without active requests there are
+	// no passes.
+	mean time.Duration
+	// gap is the time between two events of a stream relative to its objective, or 1 if
+	// one of them isn't known.
+	gap float64
+}
+
+// lateByCopies reports whether the streams are in time now, but not while experts are
+// copied.
+func (p passTimes) lateByCopies() bool {
+	return p.mean > 0 && p.gap <= 1 && p.gap*(1+copyOverhead) > 1
+}
+
+// minSaved returns the least saving of a plan.
+func (p passTimes) minSaved() time.Duration {
+	share := minSavedShare
+	if p.gap < shortGap || p.lateByCopies() {
+		share = minSavedShareInTime
+	}
+	return time.Duration(share * float64(planHorizon))
+}
+
+// maxCopies returns the maximum number of experts that a rank copies for one plan, or 0 for
+// no limit. Copying takes at most about one pass, so that few passes are longer because of
+// it. Streams that are late anyway are better off with one plan than with several that
+// follow one another: then a rank may copy an expert in every other layer. So many are
+// needed if the whole mix of requests changes, because each overloaded rank gives a replica
+// to another one.
+func (p passTimes) maxCopies(e *fleet.Experts) int {
+	seconds := copySeconds(e)
+	if seconds == 0 {
+		return 0
+	}
+	inPass := max(int(p.mean.Seconds()/seconds), 1)
+	if p.lateByCopies() {
+		return inPass
+	}
+	return max(inPass, (e.LayerSets+1)/2)
+}
+
 // decide returns a decision with a map that is worth a switch, or with the reason why
-// there is none. eventGap is the time between two events of a stream, relative to its
-// objective.
+// there is none.
 func (p *planner) decide(
-	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map, eventGap float64,
+	now time.Time, e *fleet.Engine, t *experts.Topology, inForce *experts.Map, passes passTimes, link linkbudget.Link,
 ) (experts.Decision, error) {
 	if p.tracker == nil || p.observations < minObservationsPerExpert {
 		return experts.Decision{Reason: experts.Balanced}, nil
@@ -144,17 +190,9 @@
 	if err != nil {
 		return experts.Decision{}, err
 	}
-	d, err := experts.Decide(planSettings(e, t.Ranks()), experts.Input{
+	return experts.Decide(planSettings(e, t.Ranks(), passes, link), experts.Input{
 		Now: now, Topology: t, InForce: inForce, Loads: loads, Weights: experts.Weights{Skew: 1, Cost: 1},
 	})
-	minShare := minSavedShare
-	if eventGap < shortGap {
-		minShare = minSavedShareShortGap
-	}
-	if d.Rebalance && d.Saved.Seconds() < minShare*planHorizon.Seconds() {
-		d.Rebalance, d.Reason = false, experts.NotWorthIt
-	}
-	return d, err
 }
 
 // expectedSkew returns the skew of a map under the expected loads; see seenLoad.
@@ -166,13 +204,18 @@
 	return experts.MeanSkew(t, m, loads.Layers)
 }
 
-// planSettings returns the planner settings for an engine and a number of ranks.
-func planSettings(e *fleet.Engine, ranks int) experts.Settings {
+// planSettings returns the planner settings for an engine, a number of ranks, the passes of
+// the group and the link of the holder.
+func planSettings(e *fleet.Engine, ranks int, passes passTimes, link linkbudget.Link) experts.Settings {
 	s := experts.DefaultSettings()
 	s.StepTime = e.StepTime + typicalBatch*e.StepTimePerRequest
 	s.ExpertShare = e.Experts.WorkShare
 	s.Horizon = planHorizon
-	s.MoveCost = moveCost(e.Experts, ranks)
+	s.MoveCost = moveCost(e.Experts, ranks) + link.TransferTime(changeBytes*ranks)
+	s.CopyTime = time.Duration(copySeconds(e.Experts) * float64(time.Second))
+	s.CopySlowdown = copyOverhead
+	s.MaxCopiesPerRank = passes.maxCopies(e.Experts)
+	s.MinSaved = passes.minSaved()
 	s.TailWeight = 1
 	s.Hysteresis = planHysteresis
 	s.MinInterval = 0
@@ -192,8 +235,9 @@
 }
 
 // moveCost returns the time that copying one expert costs the group, because the copy
-// slows the steps and delays the new map. The ranks copy concurrently, so the cost is
-// divided by their number.
+// slows the steps and delays the new map. Only the rank with most copies does so, and which
+// one that is follows from all layers, so within a layer each copy is priced at its share.
+// The planner adds the time of the rank with most copies.
 func moveCost(e *fleet.Experts, ranks int) time.Duration {
 	return time.Duration((1 + copyOverhead) * copySeconds(e) / float64(ranks) * float64(time.Second))
 }
--- a/rankgroup/experts/decide.go
+++ b/rankgroup/experts/decide.go
@@ -39,6 +39,9 @@
 	// 1.05 while the mix of requests changes (1.0502 at 0.75 and 1.0525 at 0.5,
 	// seed 1).
 	SearchShare float64
+	// MinSaved is the least step time that a plan saves over Horizon. Plans that can't
+	// save as much aren't searched for.
+	MinSaved time.Duration
 	// Hysteresis is the factor by which the weighted saving of a plan must exceed
 	// its weighted cost.
 	Hysteresis float64
@@ -49,6 +52,17 @@
 	// StoreRate is the number of experts that the weight store serves to the
 	// group per second.
 	StoreRate float64
+	// CopyTime is the time for which a rank copies one expert. The copies of a rank follow
+	// one another, so the rank with most copies decides when the map is in force. Until
+	// then the group forgoes the saving of the plan, and its steps take CopySlowdown
+	// longer, relative to StepTime. With a CopyTime, all layers are planned together, so
+	// that the copies are spread evenly over the ranks. 0 means that the weight store
+	// bounds the fetches.
+	CopyTime     time.Duration
+	CopySlowdown float64
+	// MaxCopiesPerRank is the maximum number of experts that a rank copies for one plan,
+	// over all layers; 0 means no limit. It takes effect with a CopyTime.
+	MaxCopiesPerRank int
 	// MaxStaging is the maximum duration of the fetches of one plan.
 	MaxStaging time.Duration
 	// MaxCountAge is the maximum age of the counts from which the loads derive.
@@ -130,8 +144,12 @@
 	SearchedLayers []int
 	// Saved is the step time that the plan saves over Settings.Horizon.
 	Saved time.Duration
-	// Cost is the step time that the moves cost the group.
+	// Cost is the step time that the moves cost the group, including the saving that it
+	// forgoes during CopyTime.
 	Cost time.Duration
+	// CopyTime is the time for which the rank with most copies copies experts, or 0 if
+	// Settings.CopyTime isn't set.
+	CopyTime time.Duration
 	// Staging is the time that the weight store needs to serve the moves.
 	Staging time.Duration
 }
@@ -240,6 +258,12 @@
 	d.Moves = Moves(p.input.Topology, p.input.InForce, &d.Target)
 	d.Saved = seconds(saved)
 	d.Cost = time.Duration(len(d.Moves)) * p.settings.MoveCost
+	if p.settings.CopyTime > 0 {
+		d.CopyTime = seconds(p.copyTime)
+		limit := time.Duration(p.settings.MaxCopiesPerRank) * p.settings.CopyTime
+		invariant.Check(limit == 0 || d.CopyTime <= limit+time.Microsecond, "a rank copies experts for %s, allowed are %s", d.CopyTime, limit)
+		d.Cost += seconds(p.copyTime*p.settings.CopySlowdown + saved*p.copyTime/p.settings.Horizon.Seconds())
+	}
 	d.Staging = seconds(float64(len(d.Moves)) / p.settings.StoreRate)
 	err := d.Target.Validate(p.input.Topology)
 	invariant.Check(err == nil, "planned map: %v", err)
--- a/rankgroup/experts/decide_bench_test.go
+++ b/rankgroup/experts/decide_bench_test.go
@@ -12,7 +12,7 @@
 )
 
 // largeInput returns the input of a decision for a group whose mix of requests has changed
-// in all layers, with settings as the agents of a rank group use them.
+// in all layers, with settings as the agents of a rank group use them but without CopyTime.
 func largeInput(t testing.TB, ranks, layers, count, slots int) (experts.Settings, experts.Input) {
 	topo := topology(ranks, count, slots)
 	topo.MaxNewPerRank = 1
@@ -37,6 +37,7 @@
 	for _, ranks := range []int{32, 72, 320, 1024} {
 		b.Run(fmt.Sprintf("%d ranks", ranks), func(b *testing.B) {
 			s, in := largeInput(b, ranks, 12, 144, max(3, 144/ranks+2))
+			s.CopyTime, s.CopySlowdown, s.MaxCopiesPerRank = 13*time.Millisecond, 0.15, 6
 			var d experts.Decision
 			for b.Loop() {
 				var err error
--- a/rankgroup/experts/planner.go
+++ b/rankgroup/experts/planner.go
@@ -39,8 +39,13 @@
 	remaining  int
 	layerPlans []layerPlan
 	chosen     []layerPlan
+	// copyTime is the time in seconds for which the rank with most copies of the chosen plan
+	// copies experts.
+	copyTime float64
 	// searched lists the layers that were searched, in ascending order.
 	searched []int
+	// notWorthSearch is true if no plan can save MinSaved.
+	notWorthSearch bool
 	// ideal holds the ideal numbers of replicas of each layer, or nil before their first
 	// use.
 	ideal [][]int
@@ -52,18 +57,53 @@
 	}
 }
 
-// run computes the best plan of each layer and chooses them in descending order of
-// value until the budget is used up. It drops the choice if its weighted benefit does
-// not exceed its weighted cost by the hysteresis factor.
+// run plans the layers. It drops the plan if it saves less than MinSaved, or if its weighted
+// benefit does not exceed its weighted cost by the hysteresis factor.
 func (p *planner) run() {
 	p.searched = p.layersToSearch()
+	minSaved := p.settings.MinSaved.Seconds()
+	if minSaved > 0 && len(p.searched) > 0 && p.maxSaved() < minSaved {
+		p.searched, p.notWorthSearch = nil, true
+		return
+	}
+	delayCost := 0.0
+	if p.settings.CopyTime > 0 {
+		plan := p.planJointly()
+		p.chosen, p.copyTime, delayCost = plan.layerPlans, plan.copyTime, p.delayCost(plan)
+	} else {
+		p.planLayers()
+	}
+	benefit, saved, moves := 0.0, 0.0, 0
+	for _, plan := range p.chosen {
+		benefit += plan.benefit
+		saved += plan.saved
+		moves += plan.moves
+	}
+	if saved < minSaved || benefit*p.input.Weights.Skew <= p.settings.Hysteresis*(delayCost+p.cost(moves)) {
+		p.chosen = nil
+	}
+}
+
+// maxSaved returns an upper bound of the step time in seconds that a plan of the searched
+// layers saves. The maximum load of a layer can't fall below its lower bound.
+func (p *planner) maxSaved() float64 {
+	saved := 0.0
+	for _, layer := range p.searched {
+		lowest := targetLoad(p.input.Topology, p.input.Loads.Layers[layer]) / (1 + PackTolerance)
+		saved += max(0, p.savedSeconds(p.layout(layer, p.input.InForce.Layers[layer]).maxLoad(), lowest))
+	}
+	return saved
+}
+
+// planLayers computes the best plan of each layer and chooses them in descending order of
+// value until the budget is used up.
+func (p *planner) planLayers() {
 	for _, layer := range p.searched {
 		if plan, ok := p.bestLayerPlan(layer, p.budget); ok {
 			p.layerPlans = append(p.layerPlans, plan)
 		}
 	}
 	sort.SliceStable(p.layerPlans, func(i, j int) bool { return p.layerPlans[i].value > p.layerPlans[j].value })
-	benefit, moves := 0.0, 0
 	for _, plan := range p.layerPlans {
 		if plan.moves > p.remaining {
 			var ok bool
@@ -72,18 +112,13 @@
 			}
 		}
 		p.remaining -= plan.moves
-		benefit += plan.benefit
-		moves += plan.moves
 		p.chosen = append(p.chosen, plan)
 	}
-	if benefit*p.input.Weights.Skew <= p.settings.Hysteresis*p.cost(moves) {
-		p.chosen = nil
-	}
 }
 
 // noPlanReason returns the reason why run chose nothing.
 func (p *planner) noPlanReason() Reason {
-	if len(p.searched) > 0 {
+	if len(p.searched) > 0 || p.notWorthSearch {
 		return NotWorthIt
 	}
 	return Balanced
--- a/rankgroup/experts/refine.go
+++ b/rankgroup/experts/refine.go
@@ -67,6 +67,13 @@
 	// steps are the steps so far, at most maxSteps.
 	steps    []step
 	maxSteps int
+	// done is true once no change was found.
+	done bool
+	// copies bounds the copies of each rank over all layers, or nil without a bound. The
+	// search takes up peak of it, the largest added of each rank so far, so that any prefix
+	// of the steps is within the bound.
+	copies *copyBudget
+	peak   []int
 }
 
 // swapBound bounds the gain per fetch of all swaps between a rank and the hot rank, so
@@ -93,7 +100,7 @@
 	s := &search{
 		layout: w, target: target, maxSteps: maxSteps, replicateGain: make([]float64, len(w.load)), releaseLoss: make([]float64, len(w.load)),
 		swapBounds: make([]swapBound, w.topo.Ranks()), stale: make([]bool, len(w.load)), changed: rankset.New(w.topo.Ranks()),
-		added: make([]int, w.topo.Ranks()),
+		added: make([]int, w.topo.Ranks()), peak: make([]int, w.topo.Ranks()),
 	}
 	for e := range s.stale {
 		s.stale[e] = true
@@ -107,9 +114,14 @@
 	return s
 }
 
-// next applies the best change, or two that split an expert. It returns false if there is
-// none.
+// next applies the best change, or two that split an expert. It returns false, and sets done,
+// if there is none.
 func (s *search) next() bool {
+	s.done = !s.tryStep()
+	return !s.done
+}
+
+func (s *search) tryStep() bool {
 	hot := s.hot
 	if len(s.steps) >= s.maxSteps || hot < 0 || s.rankLoad[hot] <= s.target {
 		return false
@@ -197,8 +209,10 @@
 	if more <= 0 {
 		return true
 	}
-	limit := s.topo.MaxNewPerRank
-	return limit == 0 || s.added[rank]+more <= limit
+	if limit := s.topo.MaxNewPerRank; limit > 0 && s.added[rank]+more > limit {
+		return false
+	}
+	return s.copies == nil || s.copies.used[rank]+max(s.added[rank]+more-s.peak[rank], 0) <= s.copies.limit
 }
 
 // scoreOf returns the gain per fetch. A change without additional fetches counts as
@@ -327,6 +341,10 @@
 func (s *search) addMoves(rank, n int) {
 	s.moves += n
 	s.added[rank] += n
+	if rise := s.added[rank] - s.peak[rank]; s.copies != nil && rise > 0 {
+		s.peak[rank] += rise
+		s.copies.used[rank] += rise
+	}
 }
 
 // replay returns a copy of a layer with the changes of the steps applied.
--- a/rankgroup/experts/refine_split.go
+++ b/rankgroup/experts/refine_split.go
@@ -56,7 +56,11 @@
 	if rank == hot || s.isFrozen(rank) || s.hosted(e, rank) || f != EmptySlot && s.hosted(f, rank) || g != EmptySlot && s.hosted(g, hot) {
 		return false
 	}
-	return s.mayFetch(hot, s.fetches(g, hot)-s.fetches(f, hot)) && s.mayFetch(rank, s.fetches(e, rank)-s.fetches(g, rank))
+	// The first change alone has to be within the limits as well, because a plan may end
+	// with it.
+	left := s.fetches(g, rank)
+	return s.mayFetch(hot, s.fetches(g, hot)-s.fetches(f, hot)) &&
+		s.mayFetch(rank, s.fetches(f, rank)-left) && s.mayFetch(rank, s.fetches(e, rank)-left)
 }
 
 // heaviest returns the expert with the largest replica on a rank.
--- a/rankgroup/linkbudget/linkbudget.go
+++ b/rankgroup/linkbudget/linkbudget.go
@@ -68,6 +68,14 @@
 	return len(sizes)
 }
 
+// TransferTime returns the time that the link takes for a number of bytes.
+func (l Link) TransferTime(bytes int) time.Duration {
+	if l.BytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / l.BytesPerSecond * float64(time.Second))
+}
+
 // Rotation selects ranks in turn.
 type Rotation struct {
 	next int
--- a/rankgroup/linkbudget/linkbudget_test.go
+++ b/rankgroup/linkbudget/linkbudget_test.go
@@ -42,6 +42,8 @@
 	require.Equal(t, round, small.ReadInterval(round, 12))
 	require.Equal(t, 12, small.CountReadings(round, 12, 3*96))
 	require.Equal(t, 12, small.Orders(callTimeout, sizes(12, 3*12*11*2)))
+	require.Equal(t, 40*time.Millisecond, small.TransferTime(100_000))
+	require.Zero(t, linkbudget.Link{}.TransferTime(100_000))
 	require.Equal(t, 64, linkbudget.Link{}.Orders(callTimeout, sizes(64, mapBytes)), "an unknown rate is no limit")
 }
 
