Hold a group so far ahead that a switch delays no pass

Cause: the lead time allowed for half of a step that had run already, and the time to arm ended when all ranks were armed, not when the hold was released. With steps of 111 ms and an arming of 118 ms the group waited for the release if the hold came at the end of a step.

Change: the group is held at least as many whole steps ahead as the slowest recent arming takes, beside the step that runs, and the time is measured until the hold is seen released. Steps and armings longer than the largest lead time are as before.

TestHoldDelaysNoPass and TestArmingEndsWithTheRelease fail without the two rules.

--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -79,6 +79,8 @@
 	// preparedAt is when all ranks had copied the experts of the last plan, and armedAt
 	// when all were armed.
 	preparedAt, armedAt time.Time
+	// releaseDue is set from the arming of all ranks until the hold is seen released.
+	releaseDue bool
 	// effectDue is set from the end of a switch until the load under the new map is seen.
 	effectDue bool
 	phase     switchover.Phase
@@ -218,6 +220,10 @@
 	h.held = slices.ContainsFunc(reports, func(r switchover.Report) bool { return r.HoldStep > 0 })
 	orders := h.coordinator.Next(reports, inForce, h.version+1)
 	h.updatePhase()
+	if h.releaseDue && !h.held {
+		h.releaseDue = false
+		h.stepTimes.observeArming(clock.Now().Sub(h.preparedAt))
+	}
 	return orders
 }
 
@@ -380,9 +386,9 @@
 	if now == switchover.Holding {
 		h.preparedAt = clock.Now()
 	}
-	if now == switchover.Switching && h.phase == switchover.Arming {
+	h.releaseDue = now == switchover.Switching && h.phase == switchover.Arming
+	if h.releaseDue {
 		h.armedAt = clock.Now()
-		h.stepTimes.observeArming(h.armedAt.Sub(h.preparedAt))
 	}
 	if h.phase == switchover.Switching && now == switchover.Idle {
 		h.log.Info().Int64("token", h.token).Int("moves", h.moveCount).Dur("took_ms", clock.Now().Sub(h.switchStart)).
--- a/daemons/rankagent/holder_test.go
+++ b/daemons/rankagent/holder_test.go
@@ -148,3 +148,21 @@
 	require.NotNil(t, g.Report(1).Armed)
 	require.Equal(t, 1, strings.Count(g.log.String(), "order got no response"))
 }
+
+// Guards against a lead time that leaves out the time until the hold is released, so that the
+// group waits for the release.
+func TestArmingEndsWithTheRelease(t *testing.T) {
+	g := newSteppedGroup(t)
+	h := g.holder
+	reports := decodeReports(h.group.readAll(t.Context(), callOptions{token: h.token}))
+	for i := range reports {
+		reports[i].Armed = &switchover.ArmedSwitch{Version: 9, Step: 50}
+	}
+	h.phase, h.preparedAt = switchover.Arming, clock.Now().Add(-time.Second)
+	reports[1].HoldStep = 50
+	require.NotEmpty(t, h.nextOrders(reports, &experts.Map{}))
+	require.Zero(t, h.stepTimes.arming)
+	reports[1].HoldStep = 0
+	require.Empty(t, h.nextOrders(reports, &experts.Map{}))
+	require.GreaterOrEqual(t, h.stepTimes.arming, time.Second)
+}
--- a/daemons/rankagent/steptimer.go
+++ b/daemons/rankagent/steptimer.go
@@ -26,8 +26,8 @@
 	observedAt time.Time
 	// mean is the smoothed step time, or 0 if it isn't known.
 	mean time.Duration
-	// arming is the longest recent time from the hold order until all ranks were armed,
-	// or 0 if it isn't known.
+	// arming is the longest recent time from the hold order until all ranks were armed and
+	// the hold was released, or 0 if it isn't known.
 	arming time.Duration
 }
 
@@ -62,7 +62,7 @@
 }
 
 // observeArming records the time from the hold order of a switch until all ranks were
-// armed.
+// armed and the hold was released.
 func (s *stepTimer) observeArming(took time.Duration) {
 	s.arming = max(took, time.Duration(armingDecay*float64(s.arming)))
 }
@@ -85,7 +85,7 @@
 
 // maxLeadSteps returns the number of steps in maxLeadTime if they are as short as they get.
 func maxLeadSteps(ranks int) int64 {
-	return int64((maxLeadTime(ranks) + shortStep - 1) / shortStep)
+	return stepsIn(maxLeadTime(ranks), shortStep)
 }
 
 // leadSteps returns the number of steps in leadTime, rounded up and at most
@@ -95,8 +95,18 @@
 		return maxLeadSteps(ranks)
 	}
 	lead := s.leadTime(ranks)
-	if s.arming > 0 {
-		lead += s.mean / 2 // the newest step has run for half of its time on average
+	if s.arming == 0 {
+		return min(stepsIn(lead, s.mean), maxLeadSteps(ranks))
+	}
+	// The newest step has run for half of its time on average.
+	steps := stepsIn(lead+s.mean/2, s.mean)
+	if longest := maxLeadTime(ranks); s.mean <= longest && s.arming <= longest {
+		// It may also be about to end. With longer steps, a further one would put off
+		// the map for longer than a hold lasts.
+		steps = max(steps, stepsIn(s.arming, s.mean)+1)
 	}
-	return min(int64((lead+s.mean-1)/s.mean), maxLeadSteps(ranks))
+	return min(steps, maxLeadSteps(ranks))
 }
+
+// stepsIn returns the number of steps of a length in a time, rounded up.
+func stepsIn(d, step time.Duration) int64 { return int64((d + step - 1) / step) }
--- a/daemons/rankagent/steptimer_test.go
+++ b/daemons/rankagent/steptimer_test.go
@@ -46,3 +46,21 @@
 	p.observe(now.Add(time.Second), step)
 	require.InDelta(t, 1, p.relativeTo(120*time.Millisecond), 0, "a group without work has no step time")
 }
+
+// Guards against a pass that waits for the end of a hold although arming takes no longer than
+// the slowest recent time. The newest step may be about to end when the group is held.
+func TestHoldDelaysNoPass(t *testing.T) {
+	const ms = time.Millisecond
+	for _, ranks := range []int{1, 8, 12, 24, 32, 63, 64, 72} {
+		for step := shortStep; step <= maxLeadTime(ranks); step += 7 * ms {
+			longest := min(time.Duration(maxLeadSteps(ranks)-1)*step, maxLeadTime(ranks))
+			for arming := ms; arming <= longest; arming += 13 * ms {
+				p := stepTimer{mean: step}
+				p.observeArming(arming)
+				const aboutToEnd = time.Microsecond
+				untilHeld := time.Duration(p.leadSteps(ranks))*step - step + aboutToEnd
+				require.Greater(t, untilHeld, arming, "%d ranks, steps of %s, arming takes %s", ranks, step, arming)
+			}
+		}
+	}
+}
