--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,13 @@
 	// the group may be held.
 	copyInterval   = 60 * time.Millisecond
 	switchInterval = 2 * time.Millisecond
+	// maxFollowUps is the number of times that a round goes on with new reports of the
+	// ranks that got orders. A switch takes four: hold, arm the ranks, arm the own rank,
+	// release. The others are for orders that were lost.
+	maxFollowUps = 8
+	// maxFollowUpAge is the age of the first reports of a round up to which it goes on
+	// so. It is less than stallTimeout, after which other agents act.
+	maxFollowUpAge = 200 * time.Millisecond
 	// minCountAge is the least age up to which the counts of a rank are used.
 	minCountAge = 350 * time.Millisecond
 	// minWait is the shortest time between two rounds.
@@ -71,9 +79,13 @@
 	// preparedAt is when all ranks had copied the experts of the last plan, and armedAt
 	// when all were armed.
 	preparedAt, armedAt time.Time
+	// releaseDue is set from the arming of all ranks until the hold is seen released.
+	releaseDue bool
 	// effectDue is set from the end of a switch until the load under the new map is seen.
 	effectDue bool
 	phase     switchover.Phase
+	// held is true if a rank held the group at the last reading.
+	held      bool
 	stepTimes stepTimer
 	// countReaders selects the ranks whose counts the next round reads.
 	countReaders linkbudget.Rotation
@@ -154,6 +166,7 @@
 // round reads the ranks, sends the resulting orders and returns the time to the
 // next round.
 func (h *holder) round(ctx context.Context) time.Duration {
+	start := clock.Now()
 	if !h.mayBeHeld() {
 		// The store is not read while the group may be held: a store that doesn't
 		// respond would prolong the hold.
@@ -166,7 +179,7 @@
 	// The reads also tell the agents that the group has a holder, so they are made
 	// even if the configuration isn't known yet.
 	responses := h.group.readAll(ctx, callOptions{
-		token: h.token, counts: h.selectCountReaders(readsCounts), direct: h.failedReadRounds > failedReadsBeforeDirect,
+		token: h.token, counts: h.selectCountReaders(start, readsCounts), direct: h.failedReadRounds > failedReadsBeforeDirect,
 	})
 	if h.yieldIfSuperseded(responses) {
 		return standbyInterval
@@ -190,26 +203,88 @@
 	reports := decodeReports(responses)
 	h.stepTimes.observe(clock.Now(), reports[0].Step)
 	h.coordinator.SetLeadSteps(h.stepTimes.leadSteps(len(reports)))
-	h.raiseVersion(reports)
-	orders := h.coordinator.Next(reports, inForce, h.version+1)
-	h.updatePhase()
+	orders := h.nextOrders(reports, inForce)
 	h.sendOrders(ctx, orders, t)
-	if readsCounts && sameMapInForce(responses) && h.observeCounts(responses, t, inForce) && h.phase == switchover.Idle && idle {
+	if h.mayBeHeld() && !h.followUp(ctx, start, responses, orders, inForce, t) {
+		return standbyInterval
+	}
+	if readsCounts && sameMapInForce(responses) && h.observeCounts(start, responses, t, inForce) && h.phase == switchover.Idle && idle {
 		h.submitPlan(t, inForce)
 	}
 	return h.nextInterval()
 }
 
+// nextOrders returns the next orders for the reports of all ranks.
+func (h *holder) nextOrders(reports []switchover.Report, inForce *experts.Map) []switchover.Order {
+	h.raiseVersion(reports)
+	h.held = slices.ContainsFunc(reports, func(r switchover.Report) bool { return r.HoldStep > 0 })
+	orders := h.coordinator.Next(reports, inForce, h.version+1)
+	h.updatePhase()
+	if h.releaseDue && !h.held {
+		h.releaseDue = false
+		h.stepTimes.observeArming(clock.Now().Sub(h.preparedAt))
+	}
+	return orders
+}
+
+// followUp continues a round that began at start while the group may be held: it reads the
+// ranks that got the last orders again, and sends the next orders. The other ranks got none,
+// so that their reports are as good as new ones, unless this process paused meanwhile and
+// other agents have acted. followUp returns false if a newer holder is known.
+func (h *holder) followUp(
+	ctx context.Context, start time.Time, responses []*pb.ReadRankResponse, orders []switchover.Order, inForce *experts.Map, t *experts.Topology,
+) bool {
+	for range maxFollowUps {
+		if len(orders) == 0 {
+			return true
+		}
+		newer := h.group.readAll(ctx, callOptions{token: h.token, only: ranksOf(orders)})
+		if h.yieldIfSuperseded(newer) {
+			return false
+		}
+		if len(newer) != len(orders) || clock.Now().Sub(start) > maxFollowUpAge {
+			return true
+		}
+		for _, r := range newer {
+			responses[r.GetRank()] = r
+		}
+		if !sameMapInForce(responses) {
+			return true
+		}
+		orders = h.nextOrders(decodeReports(responses), inForce)
+		h.sendOrders(ctx, orders, t)
+	}
+	return true
+}
+
+// ranksOf returns the ranks that orders are for. Each rank gets one order at a time.
+func ranksOf(orders []switchover.Order) []int {
+	ranks := make([]int, 0, len(orders))
+	for _, o := range orders {
+		ranks = append(ranks, o.Rank)
+	}
+	return ranks
+}
+
 // selectCountReaders returns the ranks whose expert counts are read in a round: none
-// while the group may be held, otherwise as many in turn as the link carries.
-func (h *holder) selectCountReaders(readsCounts bool) []bool {
+// while the group may be held or no total is due soon, otherwise as many in turn as the
+// link carries.
+func (h *holder) selectCountReaders(now time.Time, readsCounts bool) []bool {
 	engine := h.group.engine
 	if !readsCounts || engine == nil || engine.Experts == nil {
 		return nil
 	}
+	interval := h.readInterval(idleInterval)
+	if h.phase == switchover.Preparing {
+		interval = h.readInterval(copyInterval)
+	}
 	_, _, size := h.agent.Identity()
-	counts := engine.Experts.LayerSets * engine.Experts.ExpertsPerLayer
-	return h.countReaders.Select(size, h.group.link.CountReadings(h.readInterval(idleInterval), size, counts))
+	n := h.group.link.CountReadings(interval, size, engine.Experts.LayerSets*engine.Experts.ExpertsPerLayer)
+	furtherRounds := (size - 1) / max(n, 1)
+	if !h.planner.recent.Due(now, time.Duration(furtherRounds)*interval) {
+		return nil
+	}
+	return h.countReaders.Select(size, n)
 }
 
 // maxCountAge returns the age up to which the counts of a rank are used: a little more
@@ -287,7 +362,13 @@
 			h.switchStart = clock.Now()
 		}
 		return h.readInterval(copyInterval)
-	case switchover.Holding, switchover.Arming, switchover.Switching:
+	case switchover.Switching:
+		if !h.held {
+			// The ranks switch when they start the step. There is nothing to order.
+			return h.readInterval(copyInterval)
+		}
+		return switchInterval
+	case switchover.Holding, switchover.Arming:
 		return switchInterval
 	case switchover.Unknown:
 		return readRetryInterval
@@ -305,9 +386,9 @@
 	if now == switchover.Holding {
 		h.preparedAt = clock.Now()
 	}
-	if now == switchover.Switching && h.phase == switchover.Arming {
+	h.releaseDue = now == switchover.Switching && h.phase == switchover.Arming
+	if h.releaseDue {
 		h.armedAt = clock.Now()
-		h.stepTimes.observeArming(h.armedAt.Sub(h.preparedAt))
 	}
 	if h.phase == switchover.Switching && now == switchover.Idle {
 		h.log.Info().Int64("token", h.token).Int("moves", h.moveCount).Dur("took_ms", clock.Now().Sub(h.switchStart)).
@@ -328,9 +409,10 @@
 }
 
 // observeCounts passes the counts of the ranks to the planner. It returns true if the
-// counts of most ranks are newer than at the last observation.
-func (h *holder) observeCounts(responses []*pb.ReadRankResponse, t *experts.Topology, inForce *experts.Map) bool {
-	observed, err := h.planner.observe(clock.Now(), h.group.engine.Experts, t, inForce, responses, h.maxCountAge())
+// counts of most ranks are newer than at the last observation. now is the begin of the
+// round, so that the time between two observations is that between two rounds.
+func (h *holder) observeCounts(now time.Time, responses []*pb.ReadRankResponse, t *experts.Topology, inForce *experts.Map) bool {
+	observed, err := h.planner.observe(now, h.group.engine.Experts, t, inForce, responses, h.maxCountAge())
 	if err != nil {
 		h.log.Warn().Err(err).Msg("cannot use the expert counts")
 		return false
@@ -353,7 +435,8 @@
 // submitPlan plans a new map, and submits it if the switch is worth its cost.
 func (h *holder) submitPlan(t *experts.Topology, inForce *experts.Map) {
 	now := clock.Now()
-	d, err := h.planner.decide(now, h.group.engine, t, inForce, h.stepTimes.relativeTo(h.group.eventGapObjective))
+	passes := passTimes{mean: h.stepTimes.mean, gap: h.stepTimes.relativeTo(h.group.eventGapObjective)}
+	d, err := h.planner.decide(now, h.group.engine, t, inForce, passes, h.group.link)
 	if err != nil {
 		h.log.Warn().Err(err).Msg("cannot plan an expert map")
 		return
@@ -371,6 +454,6 @@
 	h.expectedSkew, h.skewBefore = h.planner.expectedSkew(t, &d.Target), h.planner.seen.skew
 	h.phase = switchover.Preparing
 	h.addLoad(h.log.Info()).Int64("token", h.token).Int64("version", version).Int("moves", len(d.Moves)).
-		Dur("saved_ms", d.Saved).Dur("cost_ms", d.Cost).Float64("expected_skew", h.expectedSkew).
+		Dur("saved_ms", d.Saved).Dur("cost_ms", d.Cost).Dur("copy_ms", d.CopyTime).Float64("expected_skew", h.expectedSkew).
 		Dur("planning_ms", clock.Now().Sub(now)).Msg("expert map planned")
 }
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -10,8 +10,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/daemons/rankagent/agentconn"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
-	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/rankgroup/experts"
@@ -103,9 +103,7 @@
 		IP: hostOf(r), PeerPort: agentPort, BackendService: platformtest.ModelService,
 	}}
 	a := &testAgent{agent: NewAgent(rank, log), election: newElection(client, hostOf(r), log)}
-	mux := http.NewServeMux()
-	mux.Handle(filbertmuxv1connect.NewRankAgentServiceHandler(a.agent))
-	server := &http.Server{Addr: fmt.Sprintf("%s:%d", hostOf(r), agentPort), Handler: mux, ReadHeaderTimeout: time.Second}
+	stopServer := serveTestAgent(a.agent, fmt.Sprintf("%s:%d", hostOf(r), agentPort))
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{group: newGroupClient(o, a.agent, client), agent: a.agent, election: a.election, log: log, planner: newPlanner()}
 	watcher := &rankWatcher{
@@ -114,7 +112,6 @@
 	}
 	recovery := &recoverer{agent: a.agent, group: newGroupClient(o, a.agent, client), log: log, states: watcher.states}
 	tasks := []func(){
-		func() { _ = server.ListenAndServe() },
 		func() { _ = h.run(ctx) },
 		func() { _ = watcher.watch(ctx) },
 		func() { _ = recovery.run(ctx) },
@@ -131,7 +128,7 @@
 	}
 	a.stop = func() {
 		cancel()
-		_ = server.Close()
+		stopServer()
 		for range tasks {
 			<-done
 		}
@@ -140,6 +137,22 @@
 	return a
 }
 
+// serveTestAgent serves the calls of other agents and returns a function that stops it.
+func serveTestAgent(agent *Agent, address string) (stop func()) {
+	calls := agentconn.NewServer(agent)
+	server := &http.Server{Addr: address, Handler: agentHandler(agent, calls), ReadHeaderTimeout: time.Second}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.ListenAndServe()
+	}()
+	return func() {
+		calls.Close()
+		_ = server.Close()
+		<-done
+	}
+}
+
 func (f *fixture) inForce() int64 { return f.group.Report(0).InForce }
 
 func (f *fixture) eventually(condition func() bool) {
