Hold the group less far ahead before an arming was measured

The first map of a holder was put off by 0.5 s with 72 ranks, 7 ms for each rank, while arming them takes less than 80 ms since agents keep connections open (traces of three terms: 76, 56 and 55 ms). The first hold is now 4 ms for each rank ahead, and the maximum is unchanged.

--- a/daemons/rankagent/steptimer.go
+++ b/daemons/rankagent/steptimer.go
@@ -11,9 +11,11 @@
 	minObservedSpan = 150 * time.Millisecond
 	maxObservedSpan = time.Second
 	// minLeadTime is the least lead time, leadTimePerRank the most for each rank of a large
-	// group, which is used until the arming of the ranks was measured.
-	minLeadTime     = 160 * time.Millisecond
-	leadTimePerRank = 7 * time.Millisecond
+	// group. firstLeadTimePerRank is used until the arming of the ranks was measured: the
+	// first map of a holder replaces one that fits least.
+	minLeadTime          = 160 * time.Millisecond
+	leadTimePerRank      = 7 * time.Millisecond
+	firstLeadTimePerRank = 4 * time.Millisecond
 	// armingMargin is the lead time relative to the longest recent time in which all ranks
 	// were armed, and armingDecay what is left of that time after a further switch.
 	armingMargin = 1.25
@@ -84,7 +86,7 @@
 // last switches allow, because the group uses its old map meanwhile.
 func (s *stepTimer) leadTime(ranks int) time.Duration {
 	if s.arming == 0 {
-		return maxLeadTime(ranks)
+		return max(minLeadTime, time.Duration(ranks)*firstLeadTimePerRank)
 	}
 	return min(max(time.Duration(armingMargin*float64(s.arming)), minLeadTime), maxLeadTime(ranks))
 }
