Refuse configurations that no process can serve

Cause: a header limit within 4,096 of the largest integer was accepted, and the HTTP server then answered each request with 431. A rank agent ended with "makeslice: len out of range" if the configuration stated more layers than fit into its memory. A configuration with a lower version was ignored without a line.

What can be served in part is not refused. Agents leave out experts beyond the limits of the planner (experts.CheckSizes) and log it.

--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -167,13 +167,18 @@
 	}
 	c, err := platform.DecodeConfig(r.Value)
 	if err != nil {
-		log.Error().Err(err).Msg("configuration can't be decoded; ignoring it")
+		log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration can't be decoded or served; ignoring it")
 		return false
 	}
 	if state.InstallConfig(c) {
 		log.Info().Int64("config_version", c.Version).Int("routes", len(c.Routes)).
 			Int("services", len(c.Services)).Int("organisations", len(c.Organisations)).
 			Dur("read_ms", u.received.Sub(u.sent)).Msg("configuration in force")
+		return true
+	}
+	if current := state.currentConfig(); c.Version < current.Version {
+		log.Warn().Int64("config_version", c.Version).Int64("in_force", current.Version).Int64("offset", r.Offset).
+			Msg("configuration with a lower version; ignoring it")
 	}
 	return true
 }
--- a/daemons/gateway/state.go
+++ b/daemons/gateway/state.go
@@ -30,6 +30,14 @@
 // Index returns the current configuration, or nil if none was read yet.
 func (s *ClusterState) Index() *fleet.Index { return s.index.Load() }
 
+// currentConfig returns the current configuration, or nil if none was read yet.
+func (s *ClusterState) currentConfig() *fleet.Config {
+	if index := s.index.Load(); index != nil {
+		return index.Config
+	}
+	return nil
+}
+
 // Config returns the current configuration, or nil if none was read yet, with the time
 // since it was last known to be the newest one and the time since the last response of the
 // store. The configuration is at least as new as these times say: it is read after them,
@@ -42,7 +50,7 @@
 // InstallConfig makes c the current configuration and reports true, unless the
 // current one has the same or a higher version. One goroutine calls it.
 func (s *ClusterState) InstallConfig(c *fleet.Config) bool {
-	if old := s.index.Load(); old != nil && old.Config.Version >= c.Version {
+	if !c.Supersedes(s.currentConfig()) {
 		return false
 	}
 	// The index of many organisations takes a while, and requests ask for the freshness
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -65,9 +65,11 @@
 	// eventGapObjective is the shortest objective for the time between two events of a
 	// stream among the routes to the service, or 0.
 	eventGapObjective time.Duration
-	peers             map[int]peer
-	domains           map[int]string
-	refreshedAt       time.Time
+	// refusedConfig is the offset of the configuration whose fault was logged last, or nil.
+	refusedConfig *int64
+	peers         map[int]peer
+	domains       map[int]string
+	refreshedAt   time.Time
 	// lastOrderAt is the time when the last order was sent, by rank.
 	lastOrderAt map[int]time.Time
 }
--- a/daemons/rankagent/members.go
+++ b/daemons/rankagent/members.go
@@ -9,6 +9,7 @@
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/rankgroup/experts"
 )
 
 // failureDomains returns the failure domain of each rank.
@@ -60,14 +61,42 @@
 		}
 		c, err := platform.DecodeConfig(r.Value)
 		if err != nil {
+			g.logConfigFault(err, r.Offset)
 			return err
 		}
-		g.engine = c.Services[g.service].Engine
+		g.engine = g.plannableEngine(c.Services[g.service].Engine)
 		g.eventGapObjective = c.EventGapObjective(g.service)
 	}
 	return nil
 }
 
+// logConfigFault logs that no map can be planned because of the configuration, once for
+// each record.
+func (g *groupClient) logConfigFault(err error, offset int64) {
+	if g.refusedConfig != nil && *g.refusedConfig == offset {
+		return
+	}
+	g.refusedConfig = &offset
+	g.log.Error().Err(err).Int64("offset", offset).Msg("configuration can't be decoded or served; planning no expert maps")
+}
+
+// plannableEngine returns the engine without its expert maps if these are larger than the
+// planner carries. The group then keeps its initial map.
+func (g *groupClient) plannableEngine(engine *fleet.Engine) *fleet.Engine {
+	if engine == nil || engine.Experts == nil {
+		return engine
+	}
+	e := engine.Experts
+	err := experts.CheckSizes(e.LayerSets, e.ExpertsPerLayer, e.SlotsPerRank)
+	if err == nil {
+		return engine
+	}
+	g.log.Error().Err(err).Str("service", g.service).Msg("the experts of the service exceed what can be planned; the group keeps its initial map")
+	limited := *engine
+	limited.Experts = nil
+	return &limited
+}
+
 func (g *groupClient) readPeers(ctx context.Context) error {
 	records, _, err := g.store.ReadNewest(ctx, platform.ServerTopic)
 	if err != nil {
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -1,9 +1,12 @@
 package rankagent
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -353,3 +356,30 @@
 	require.Len(t, g.peers, 1)
 	require.Equal(t, hostOf(1)+":1", g.peers[1].address)
 }
+
+// Guards against an agent that ends because the configuration states more layers than fit
+// into its memory, and against one that plans with a configuration that no process can serve.
+func TestConfigurationsWithoutPlannableMaps(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	logs := &bytes.Buffer{}
+	o := Options{Log: zerolog.New(logs), Settings: platform.Settings{PeerPort: agentPort, BackendService: platformtest.ModelService}}
+	g := newGroupClient(o, NewAgent(nil, zerolog.Nop()), platform.NewStoreClient(store.Address()))
+	d := &platformtest.Deployment{Store: store, Host: "h.example", MaxHeaderBytes: math.MaxInt}
+	d.PublishConfig(nil, nil)
+	for range 2 {
+		require.Error(t, g.readEngine(t.Context()))
+	}
+	require.Nil(t, g.engine)
+	require.Equal(t, 1, strings.Count(logs.String(), "can't be decoded or served"), "once for each record")
+	d.MaxHeaderBytes, d.ExpertLayers = 0, math.MaxInt
+	d.PublishConfig(nil, nil)
+	require.NoError(t, g.readEngine(t.Context()))
+	require.NotNil(t, g.engine)
+	require.Nil(t, g.engine.Experts)
+	require.Contains(t, logs.String(), "exceed what can be planned")
+	d.ExpertLayers = 0
+	d.PublishConfig(nil, nil)
+	require.NoError(t, g.readEngine(t.Context()))
+	require.NotNil(t, g.engine.Experts)
+}
--- a/rankgroup/experts/types.go
+++ b/rankgroup/experts/types.go
@@ -21,8 +21,29 @@
 	MaxExperts = 1024
 	// MaxSlotsPerRank is the maximum number of expert slots of one rank in one layer.
 	MaxSlotsPerRank = 256
+	// MaxLayers is the maximum number of layers of a map.
+	MaxLayers = 1024
 )
 
+// CheckSizes checks what can be checked of the sizes of a map before the ranks of its group
+// are known.
+func CheckSizes(layers, experts, slotsPerRank int) error {
+	if layers < 1 || layers > MaxLayers {
+		return errkind.New(errkind.InvalidMap, "%d layers, allowed are 1 to %d", layers, MaxLayers)
+	}
+	return checkLayerSizes(experts, slotsPerRank)
+}
+
+func checkLayerSizes(experts, slotsPerRank int) error {
+	if experts < 1 || experts > MaxExperts {
+		return errkind.New(errkind.InvalidMap, "%d experts in a layer, allowed are 1 to %d", experts, MaxExperts)
+	}
+	if slotsPerRank < 1 || slotsPerRank > MaxSlotsPerRank {
+		return errkind.New(errkind.InvalidMap, "%d experts on a rank, allowed are 1 to %d", slotsPerRank, MaxSlotsPerRank)
+	}
+	return nil
+}
+
 // Expert is the index of an expert inside its layer.
 type Expert int32
 
@@ -59,14 +80,13 @@
 
 // Validate checks the limits of the topology, and that it can host every expert.
 func (t *Topology) Validate() error {
-	switch {
-	case t.Ranks() < 1 || t.Ranks() > MaxRanks:
+	if t.Ranks() < 1 || t.Ranks() > MaxRanks {
 		return errkind.New(errkind.InvalidMap, "topology has %d ranks, allowed are 1 to %d", t.Ranks(), MaxRanks)
-	case t.Experts < 1 || t.Experts > MaxExperts:
-		return errkind.New(errkind.InvalidMap, "topology has %d experts, allowed are 1 to %d", t.Experts, MaxExperts)
-	case t.SlotsPerRank < 1 || t.SlotsPerRank > MaxSlotsPerRank:
-		return errkind.New(errkind.InvalidMap, "topology has %d slots per rank, allowed are 1 to %d", t.SlotsPerRank, MaxSlotsPerRank)
-	case t.Slots() < t.Experts:
+	}
+	if err := checkLayerSizes(t.Experts, t.SlotsPerRank); err != nil {
+		return err
+	}
+	if t.Slots() < t.Experts {
 		return errkind.New(errkind.InvalidMap, "%d slots cannot host %d experts", t.Slots(), t.Experts)
 	}
 	return nil
