Give the faults of the table one by one, with line and column

Change: ReadDir and Merge, on which LoadDir and ViewFromCSV now stand; Source of a fault and a row has a column; Row.Cells and Columns name the cells. The text of faults, which is part of the digest, and that of validate are as before (tests of config/table and config/tablecli unchanged and passed).

--- a/config/table/columns.go
+++ b/config/table/columns.go
@@ -93,6 +93,15 @@
 	},
 }
 
+// Columns returns the names of the columns of a row kind.
+func Columns(k Kind) []string {
+	var names []string
+	for _, c := range columnsByKind[k] {
+		names = append(names, c.name)
+	}
+	return names
+}
+
 // Validate returns all faults that can be found in the row alone. Rules that
 // involve other rows are checked by checkRules.
 func (r Row) Validate() []Fault {
--- a/config/table/csv.go
+++ b/config/table/csv.go
@@ -31,8 +31,18 @@
 	// Delete marks the row for deletion. Rows that are absent from the file
 	// are left unchanged, so a partial or filtered file deletes nothing.
 	Delete bool
-	// Source is the file name and line number.
-	Source string
+	// Source is the place of the first cell.
+	Source Source
+	// cells holds the places of the cells by column name.
+	cells map[string]Source
+}
+
+// SourceOf returns the place of a cell, or that of the row if it has no cell in the column.
+func (r CSVRow) SourceOf(column string) Source {
+	if source, ok := r.cells[column]; ok {
+		return source
+	}
+	return r.Source
 }
 
 // CSVTable is the content of a directory of CSV files.
@@ -53,6 +63,19 @@
 // LoadDir reads the CSV files of a directory; a missing file counts as empty.
 // The faults of all files are returned together as one InvalidTable error.
 func LoadDir(dir fs.FS) (*CSVTable, error) {
+	csvTable, faults, err := ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	if err := FaultsError(faults); err != nil {
+		return nil, err
+	}
+	return csvTable, nil
+}
+
+// ReadDir is LoadDir for callers that need the faults one by one. The table holds the rows
+// without faults. The error says that a file can't be read.
+func ReadDir(dir fs.FS) (*CSVTable, []Fault, error) {
 	csvTable := &CSVTable{}
 	var faults []Fault
 	for _, k := range kinds {
@@ -62,26 +85,22 @@
 			continue
 		}
 		if err != nil {
-			return nil, errors.Wrap(err, "read table file")
+			return nil, nil, errors.Wrap(err, "read table file")
 		}
 		rows, rowFaults := ParseCSV(k, name, data)
 		csvTable.Rows = append(csvTable.Rows, rows...)
 		faults = append(faults, rowFaults...)
 	}
-	faults = append(faults, csvTable.duplicateFaults()...)
-	if err := FaultsError(faults); err != nil {
-		return nil, err
-	}
-	return csvTable, nil
+	return csvTable, append(faults, csvTable.duplicateFaults()...), nil
 }
 
 func (t *CSVTable) duplicateFaults() []Fault {
-	first := make(map[Key]string)
+	first := make(map[Key]Source)
 	var faults []Fault
 	for _, r := range t.Rows {
 		key, _ := r.Row.Key()
 		if source, ok := first[key]; ok {
-			faults = append(faults, Fault{Source: r.Source, Row: key.String(), Column: "key", Value: key.ID, Reason: "the row is also at " + source})
+			faults = append(faults, Fault{Source: r.Source, Row: key.String(), Column: "key", Value: key.ID, Reason: "the row is also at " + source.String()})
 			continue
 		}
 		first[key] = r.Source
@@ -106,7 +125,7 @@
 func ParseCSV(k Kind, name string, data []byte) ([]CSVRow, []Fault) {
 	p := csvParser{kind: k, name: name}
 	if len(data) > maxFileBytes {
-		p.addFault(1, "file", strconv.Itoa(len(data)), fmt.Sprintf("want at most %d bytes", maxFileBytes))
+		p.addFault(Source{p.name, 1, 1}, "file", strconv.Itoa(len(data)), fmt.Sprintf("want at most %d bytes", maxFileBytes))
 		return nil, p.faults
 	}
 	data = bytes.TrimPrefix(data, []byte("\xef\xbb\xbf")) // byte order mark
@@ -131,26 +150,49 @@
 	faults       []Fault
 }
 
-func (p *csvParser) addFault(line int, column, value, reason string) {
-	source := p.name + ":" + strconv.Itoa(line)
+func (p *csvParser) addFault(source Source, column, value, reason string) {
 	p.faults = append(p.faults, Fault{Source: source, Row: string(p.kind), Column: column, Value: value, Reason: reason})
 }
 
+// csvLine is one line of a file with the places of its fields.
+type csvLine struct {
+	fields  []string
+	sources []Source
+}
+
+// source returns the place of the line.
+func (l csvLine) source() Source { return l.sources[0] }
+
+// readLine reads the next line.
+func (p *csvParser) readLine(r *csv.Reader) (csvLine, error) {
+	fields, err := r.Read()
+	if err != nil {
+		return csvLine{}, err
+	}
+	l := csvLine{fields: fields, sources: make([]Source, len(fields))}
+	for i := range fields {
+		fields[i] = strings.TrimSpace(fields[i])
+		line, column := r.FieldPos(i)
+		l.sources[i] = Source{File: p.name, Line: line, Column: column}
+	}
+	return l, nil
+}
+
 // addSyntaxFault reports a CSV syntax error. Parsing ends there, because an
 // unclosed quote shifts all later lines.
 func (p *csvParser) addSyntaxFault(err error) {
-	line := 1
+	source := Source{p.name, 1, 1}
 	var parseError *csv.ParseError
 	if errors.As(err, &parseError) {
-		line = parseError.Line
+		source.Line, source.Column = parseError.Line, max(parseError.Column, 1)
 		err = parseError.Err
 	}
-	p.addFault(line, "line", "", err.Error())
+	p.addFault(source, "line", "", err.Error())
 }
 
 func (p *csvParser) parse(r *csv.Reader) {
 	for {
-		fields, err := r.Read()
+		line, err := p.readLine(r)
 		if errors.Is(err, io.EOF) {
 			return
 		}
@@ -158,80 +200,81 @@
 			p.addSyntaxFault(err)
 			return
 		}
-		line, _ := r.FieldPos(0)
-		for i := range fields {
-			fields[i] = strings.TrimSpace(fields[i])
-		}
 		if p.header == nil {
-			if !p.readHeader(line, fields) {
+			if !p.readHeader(line) {
 				return
 			}
 			continue
 		}
-		p.readRow(line, fields)
+		p.readRow(line)
 	}
 }
 
-func (p *csvParser) readHeader(line int, fields []string) bool {
+func (p *csvParser) readHeader(line csvLine) bool {
 	faultsBefore := len(p.faults)
 	known := []string{versionColumn, deleteColumn}
 	for _, c := range columnsByKind[p.kind] {
 		known = append(known, c.name)
-		if !slices.Contains(fields, c.name) {
-			p.addFault(line, c.name, "", "the column is missing")
+		if !slices.Contains(line.fields, c.name) {
+			p.addFault(line.source(), c.name, "", "the column is missing")
 		}
 	}
-	for i, name := range fields {
+	for i, name := range line.fields {
 		if !slices.Contains(known, name) {
-			p.addFault(line, name, "", "unknown column; want "+strings.Join(known, ", "))
+			p.addFault(line.sources[i], name, "", "unknown column; want "+strings.Join(known, ", "))
 		}
-		if slices.Contains(fields[:i], name) {
-			p.addFault(line, name, "", "the column appears twice")
+		if slices.Contains(line.fields[:i], name) {
+			p.addFault(line.sources[i], name, "", "the column appears twice")
 		}
 	}
-	p.header = fields
+	p.header = line.fields
 	return len(p.faults) == faultsBefore
 }
 
-func (p *csvParser) readRow(line int, fields []string) {
+func (p *csvParser) readRow(line csvLine) {
+	fields := line.fields
 	if !slices.ContainsFunc(fields, func(s string) bool { return s != "" }) {
 		return // spreadsheets may write empty rows
 	}
 	if len(fields) != len(p.header) {
-		p.addFault(line, "line", strings.Join(fields, ","), fmt.Sprintf("want %d cells, found %d", len(p.header), len(fields)))
+		p.addFault(line.source(), "line", strings.Join(fields, ","), fmt.Sprintf("want %d cells, found %d", len(p.header), len(fields)))
 		return
 	}
 	faultsBefore := len(p.faults)
 	row, _ := newRow(p.kind)
 	for _, c := range columnsByKind[p.kind] {
-		value := fields[slices.Index(p.header, c.name)]
-		if err := parseCell(c.cell(&row), value, p.decimalComma); err != nil {
-			p.addFault(line, c.name, value, err.Error())
+		i := slices.Index(p.header, c.name)
+		if err := parseCell(c.cell(&row), fields[i], p.decimalComma); err != nil {
+			p.addFault(line.sources[i], c.name, fields[i], err.Error())
 			continue
 		}
 		if err := c.check(c.cell(&row)); err != nil {
-			p.addFault(line, c.name, value, err.Error())
+			p.addFault(line.sources[i], c.name, fields[i], err.Error())
 		}
 	}
-	csvRow := CSVRow{Row: row, Source: p.name + ":" + strconv.Itoa(line)}
-	p.readControlColumns(line, fields, &csvRow)
+	csvRow := CSVRow{Row: row, Source: line.source(), cells: make(map[string]Source, len(p.header))}
+	for i, name := range p.header {
+		csvRow.cells[name] = line.sources[i]
+	}
+	p.readControlColumns(line, &csvRow)
 	if len(p.faults) == faultsBefore {
 		p.rows = append(p.rows, csvRow)
 	}
 }
 
 // readControlColumns parses the optional columns version and delete.
-func (p *csvParser) readControlColumns(line int, fields []string, row *CSVRow) {
+func (p *csvParser) readControlColumns(line csvLine, row *CSVRow) {
+	fields := line.fields
 	if i := slices.Index(p.header, versionColumn); i >= 0 && fields[i] != "" {
 		v, err := strconv.ParseUint(fields[i], 10, 64)
 		if err != nil {
-			p.addFault(line, versionColumn, fields[i], "want the log offset from the export, or an empty cell for a new row")
+			p.addFault(line.sources[i], versionColumn, fields[i], "want the log offset from the export, or an empty cell for a new row")
 		}
 		row.Version = Version(v)
 	}
 	if i := slices.Index(p.header, deleteColumn); i >= 0 && fields[i] != "" {
 		if err := parseBool(&row.Delete, fields[i]); err != nil {
-			p.addFault(line, deleteColumn, fields[i], "want yes, or an empty cell")
+			p.addFault(line.sources[i], deleteColumn, fields[i], "want yes, or an empty cell")
 		}
 	}
 }
@@ -255,7 +298,7 @@
 		if e.Version != 0 {
 			version = formatOffset(e.Version)
 		}
-		lines = append(lines, append(e.Row.cells(), version, ""))
+		lines = append(lines, append(e.Row.values(), version, ""))
 	}
 	err := w.WriteAll(lines)
 	if err != nil {
@@ -264,23 +307,38 @@
 	return b.Bytes(), nil
 }
 
-// cells returns the formatted values of r in column order.
-func (r Row) cells() []string {
+// Cell is a column of a row with its formatted value.
+type Cell struct {
+	Column string
+	Value  string
+}
+
+// Cells returns the values of r in column order.
+func (r Row) Cells() []Cell {
 	key, _ := r.Key()
 	columns := columnsByKind[key.Kind]
-	cells := make([]string, 0, len(columns))
+	cells := make([]Cell, 0, len(columns))
 	for _, c := range columns {
-		cells = append(cells, formatCell(c.cell(&r)))
+		cells = append(cells, Cell{Column: c.name, Value: formatCell(c.cell(&r))})
 	}
 	return cells
 }
 
+// values returns the formatted values of r in column order.
+func (r Row) values() []string {
+	cells := r.Cells()
+	values := make([]string, 0, len(cells)+2)
+	for _, c := range cells {
+		values = append(values, c.Value)
+	}
+	return values
+}
+
 // String returns the row as column=value pairs.
 func (r Row) String() string {
-	key, _ := r.Key()
 	var pairs []string
-	for _, c := range columnsByKind[key.Kind] {
-		pairs = append(pairs, c.name+"="+formatCell(c.cell(&r)))
+	for _, c := range r.Cells() {
+		pairs = append(pairs, c.Column+"="+c.Value)
 	}
 	return strings.Join(pairs, " ")
 }
--- a/config/table/diff.go
+++ b/config/table/diff.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"maps"
 	"slices"
 )
 
@@ -41,21 +42,34 @@
 	return edited.Office == office || current.Office == office
 }
 
-func equalRows(a, b Row) bool { return slices.Equal(a.cells(), b.cells()) }
+func equalRows(a, b Row) bool { return slices.Equal(a.Cells(), b.Cells()) }
 
 // ViewFromCSV returns a view of the rows of CSV files as if they had been
 // published at offset 1, or an error that lists all faults. It is used for
 // validation and in tests.
 func ViewFromCSV(csvTable *CSVTable) (*View, error) {
-	entries := make(map[Key]Entry, len(csvTable.Rows))
-	for _, r := range csvTable.Rows {
+	view, faults := Merge(newView(0, nil), csvTable)
+	if err := FaultsError(faults); err != nil {
+		return nil, err
+	}
+	return view, nil
+}
+
+// Merge returns a view of the table after the edited rows have been published at
+// the next offset, with the faults that involve more than one row.
+func Merge(base *View, edited *CSVTable) (*View, []Fault) {
+	entries := make(map[Key]Entry, len(base.entries)+len(edited.Rows))
+	maps.Copy(entries, base.entries)
+	for _, r := range edited.Rows {
 		key, ok := r.Row.Key()
-		if ok && !r.Delete {
-			entries[key] = Entry{Row: r.Row, Version: 1}
+		if !ok {
+			continue
 		}
+		if r.Delete {
+			delete(entries, key)
+			continue
+		}
+		entries[key] = Entry{Row: r.Row, Version: base.offset + 1}
 	}
-	if err := FaultsError(checkRules(entries)); err != nil {
-		return nil, err
-	}
-	return newView(1, entries), nil
+	return newView(base.offset+1, entries), checkRules(entries)
 }
--- a/config/table/fault.go
+++ b/config/table/fault.go
@@ -4,17 +4,29 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
+// Source is a place in a CSV file. Line and Column count from 1; a column is a byte of the
+// line.
+type Source struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// String returns the file name and the line number.
+func (s Source) String() string { return s.File + ":" + strconv.Itoa(s.Line) }
+
 // Fault is one reason why a row or a change is refused. Verdicts with their faults
 // are part of the digest, so readers of different versions disagree if the text of a
 // fault differs between them.
 type Fault struct {
-	// Source is the file name and line number if the row was read from CSV.
-	Source string `json:"-"`
+	// Source is the place of the cell if the row was read from CSV.
+	Source Source `json:"-"`
 	Row    string `json:"row"`
 	Column string `json:"column"`
 	Value  string `json:"value"`
@@ -27,10 +39,10 @@
 // String formats the fault as one line.
 func (f Fault) String() string {
 	s := fmt.Sprintf("%s: column %s: value %q: %s", f.Row, f.Column, f.Value, f.Reason)
-	if f.Source == "" {
+	if f.Source == (Source{}) {
 		return s
 	}
-	return f.Source + ": " + s
+	return f.Source.String() + ": " + s
 }
 
 // sortFaults sorts faults so that their order does not depend on map iteration:
