--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 	go test ./serve/eventstream -run '^$$' -fuzz FuzzSplitter -fuzztime $(FUZZTIME)
 	go test ./daemons/gateway -run '^$$' -fuzz FuzzRoute -fuzztime $(FUZZTIME)
 	go test ./daemons/gateway/upstream -run '^$$' -fuzz FuzzReadResponse -fuzztime $(FUZZTIME)
-	for f in FuzzRecords FuzzEntries FuzzSettings FuzzCall; do \
+	for f in FuzzRecords FuzzEntries FuzzSettings FuzzCall FuzzConfigDocument; do \
 		go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) || exit 1; done
 
 # The cases of the independent review, with a line for each. A run takes about 70 s.
--- a/config/fleet/ref.go
+++ b/config/fleet/ref.go
@@ -44,9 +44,6 @@
 	FieldColdRate
 	FieldEngine
 	FieldStepTime
-	FieldLayerSets
-	FieldExpertsPerLayer
-	FieldSlotsPerRank
 	FieldKeys
 	FieldKey
 	FieldMaxHeaderBytes
--- a/config/fleet/regions.go
+++ b/config/fleet/regions.go
@@ -31,3 +31,13 @@
 	}
 	return both
 }
+
+// HasRegion reports whether a failure domain of the deployment is in a region.
+func (r Regions) HasRegion(region string) bool {
+	for _, of := range r {
+		if of == region && region != "" {
+			return true
+		}
+	}
+	return false
+}
