Add the commands config check and table check

Cause: config/check had no command.

Exit codes are 0, 1 for errors and 2 for a check that could not run, with two new error kinds: elsewhere an invalid table exits with 3 and a store that is away with 5, but a script has to tell just these three outcomes apart.

--- a/base/errkind/attributes.go
+++ b/base/errkind/attributes.go
@@ -59,5 +59,7 @@
 	InvalidCounts:         {"invalid_counts", http.StatusBadRequest, connect.CodeInvalidArgument, ExitInvalid, NotRun, false},
 	StaleCounts:           {"stale_counts", http.StatusConflict, connect.CodeFailedPrecondition, ExitUnavailable, NotRun, true},
 	InvalidMap:            {"invalid_map", http.StatusBadRequest, connect.CodeInvalidArgument, ExitInvalid, NotRun, false},
+	CheckFailed:           {"check_failed", http.StatusBadRequest, connect.CodeInvalidArgument, ExitFailure, NotRun, false},
+	CheckNotRun:           {"check_not_run", http.StatusInternalServerError, connect.CodeUnavailable, ExitUsage, NotRun, false},
 	AnswerNotStored:       {"answer_not_stored", http.StatusGone, connect.CodeAlreadyExists, ExitFailure, Done, false},
 }
--- a/config/check/render.go
+++ b/config/check/render.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/filbertmux/filbertmux/base/errkind"
 )
 
 // Text returns the report with a line for each finding, as compilers print them, and a
@@ -26,6 +28,22 @@
 	return b.String()
 }
 
+// Format returns the report as JSON or as text.
+func (r Report) Format(asJSON bool) ([]byte, error) {
+	if asJSON {
+		return r.JSON()
+	}
+	return []byte(r.Text()), nil
+}
+
+// Err returns an error if the processes refuse what was checked.
+func (r Report) Err() error {
+	if r.Errors == 0 {
+		return nil
+	}
+	return errkind.New(errkind.CheckFailed, "%s in %s", plural(r.Errors, "error"), r.Checked.Source)
+}
+
 // JSON returns the report as one JSON object.
 func (r Report) JSON() ([]byte, error) {
 	data, err := json.MarshalIndent(r, "", "  ")
--- a/config/tablecli/commands.go
+++ b/config/tablecli/commands.go
@@ -22,6 +22,7 @@
 // line. Each Run method takes bindings of a context.Context and an io.Writer.
 type Commands struct {
 	Validate ValidateCmd `cmd:"" help:"Check the CSV files of a directory."`
+	Check    CheckCmd    `cmd:"" help:"Check the CSV files of a directory, with warnings and the differences to another one."`
 	Diff     DiffCmd     `cmd:"" help:"Show what publish would change."`
 	Publish  PublishCmd  `cmd:"" help:"Publish the rows of one office."`
 	History  HistoryCmd  `cmd:"" help:"List the remembered verdicts."`
--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -25,6 +25,7 @@
 	Sidecar   sidecarCommand    `cmd:"" help:"Run the sidecar of a backend server."`
 	Gateway   gatewayCommand    `cmd:"" help:"Run a gateway on the users' platform, which serves callers."`
 	RankAgent rankAgentCommand  `cmd:"" name:"rankagent" help:"Run the agent beside a rank on the users' platform, which controls the expert maps of its group."`
+	Config    configCommand     `cmd:"" help:"Check a configuration of the users' platform."`
 	Table     tablecli.Commands `cmd:"" help:"Validate, publish and inspect the table."`
 	Standin   standinCommand    `cmd:"" help:"Run a stand-in for tests."`
 	Demo      demoCommand       `cmd:"" help:"Run a whole deployment on loopback and check its answers."`
