--- a/serve/bytebudget/bytebudget.go
+++ b/serve/bytebudget/bytebudget.go
@@ -38,7 +38,8 @@
 	// ended for it. MaxWait is how long any claim waits, in total, before it is refused.
 	Patience time.Duration
 	MaxWait  time.Duration
-	// MaxWaiting is the number of claims that aren't small and may wait.
+	// MaxWaiting is the number of claims that may wait. Of more, the last ones in the order
+	// of waiting are refused.
 	MaxWaiting int
 }
 
@@ -128,6 +129,10 @@
 // WaitingCount returns the number of waiting claims.
 func (b *Budget[T]) WaitingCount() int { return len(b.waiting) }
 
+// IsReceiving reports whether the body of any claim is being received. Step has to be called
+// only then.
+func (b *Budget[T]) IsReceiving() bool { return b.receiving.next != &b.receiving }
+
 // Open returns a claim that holds nothing, for a request of an organisation. The name is
 // empty if the client has no known key; such clients share what they hold, and they have to
 // give way first. The caller has to call Close.
--- a/serve/bytebudget/step.go
+++ b/serve/bytebudget/step.go
@@ -112,7 +112,7 @@
 // of waiting if too many wait.
 func (b *Budget[T]) endWaiting(now time.Time, out *Outcome[T]) {
 	for _, c := range slices.Backward(slices.Clone(b.waiting)) {
-		if c.waitedFor(now) >= b.cfg.MaxWait || !c.small && b.largeWaiting > b.cfg.MaxWaiting {
+		if c.waitedFor(now) >= b.cfg.MaxWait || len(b.waiting) > b.cfg.MaxWaiting {
 			out.end(c, NoRoom)
 		}
 	}
