Bound the memory and the connections that callers take of a gateway

Cause: bodies were read whole with io.ReadAll, as many at once as callers sent; connections were accepted without a bound; a caller that read its response slowly kept the slot at the server and the body of its request.

Change: package daemons/inbound does the I/O around serve/bytebudget and serve/connlimit. Bodies are read in blocks of 32 KiB that are claimed before they are read and used again. Receive buffers are bounded: 32 KiB, and 128 KiB while a body is read that is larger than a block. The gateway refuses by the head (route, key, announced size, room) before it reads the body, closes the connection unless the body is small, and drops the rest for 1.5 s or 4 MiB, so that the caller sees the response. Refusals for memory are 503 with Retry-After: memory_exhausted and slow_body. The slot, the connection to the server and the memory of the body are given back once a response has been read that is buffered whole; without memory a response is forwarded as it arrives. Of the sockets, 48 are for the gateway itself, 5/8 of the others for callers and 3/8 for connections to servers. The soft memory limit of the runtime follows the settings in gateway and rankagent, 0.85 of what the program leaves.

Tests: the existing ones of the gateway pass; those that start a frontend pass connections to it, and one request in watchdog_test.go gets the memory that every request has now. Each new test fails with its rule switched off (drop of the rest, its bounds, interrupt of slow bodies, free blocks, states of connections, heads, requests sent ahead, receive buffers, release of slot and body, bound of connections to servers, log interval).

--- a/base/errkind/attributes.go
+++ b/base/errkind/attributes.go
@@ -60,4 +60,6 @@
 	StaleCounts:           {"stale_counts", http.StatusConflict, connect.CodeFailedPrecondition, ExitUnavailable, NotRun, true},
 	InvalidMap:            {"invalid_map", http.StatusBadRequest, connect.CodeInvalidArgument, ExitInvalid, NotRun, false},
 	AnswerNotStored:       {"answer_not_stored", http.StatusGone, connect.CodeAlreadyExists, ExitFailure, Done, false},
+	MemoryExhausted:       {"memory_exhausted", http.StatusServiceUnavailable, connect.CodeResourceExhausted, ExitUnavailable, NotRun, true},
+	SlowBody:              {"slow_body", http.StatusServiceUnavailable, connect.CodeDeadlineExceeded, ExitTimeout, NotRun, true},
 }
--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -80,6 +80,8 @@
 	StaleCounts
 	InvalidMap
 	AnswerNotStored
+	MemoryExhausted
+	SlowBody
 
 	kindCount
 )
--- a/base/telemetry/metrics.go
+++ b/base/telemetry/metrics.go
@@ -105,6 +105,12 @@
 // AddToCounter adds n to the counter with the given name.
 func (m *Metrics) AddToCounter(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
+// AddToLabelled adds n to the counter with the given name and one label. The label has few
+// values.
+func (m *Metrics) AddToLabelled(name, label, value string, n int64) {
+	m.scope.Tagged(map[string]string{label: value}).Counter(name).Inc(n)
+}
+
 func (m *Metrics) requestScope(r RequestLabels) tally.Scope {
 	return m.scope.Tagged(map[string]string{
 		"organisation": m.organisations.Value(r.Organisation),
--- a/daemons/cli/gateway.go
+++ b/daemons/cli/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/daemons/gateway"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
@@ -20,10 +21,6 @@
 	// logBufferLines is the number of log lines buffered for a slow reader.
 	// Further lines are dropped, so that a request never blocks on logging.
 	logBufferLines = 1000
-	// memoryLimitFraction is the fraction of the instance's memory limit that
-	// becomes the soft memory limit of the Go runtime, near which the garbage
-	// collector runs more often. The rest is for sockets and stacks.
-	memoryLimitFraction = 0.7
 )
 
 // gatewayCommand has few flags, because the platform provides the settings in a
@@ -46,9 +43,7 @@
 	if s.FrontendAddress == "" || s.ReadyAddress == "" {
 		return errkind.New(errkind.InvalidSettings, "the settings contain no frontend or readiness address; this is not an entry instance")
 	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
-	}
+	setSoftMemoryLimit(s.MemoryBytes)
 	log, flush := newNonBlockingLogger(c.LogLevel, gateway.Role, s.Instance, streams)
 	defer flush()
 	reloads := make(chan struct{}, 1)
@@ -56,6 +51,15 @@
 	return daemon.Process{Log: log, Reload: func() { requestReload(reloads) }}.Run(ctx, gateway.Module(options))
 }
 
+// setSoftMemoryLimit makes the garbage collector run more often near the memory limit of
+// the process, in bytes. 0 stands for the memory of the instance.
+func setSoftMemoryLimit(memory int64) {
+	if memory <= 0 {
+		memory = inbound.InstanceMemory()
+	}
+	debug.SetMemoryLimit(inbound.SoftMemoryLimit(memory))
+}
+
 // requestReload asks for a reload, unless one is already pending.
 func requestReload(reloads chan<- struct{}) {
 	select {
--- a/daemons/cli/rankagent.go
+++ b/daemons/cli/rankagent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/settings"
@@ -30,9 +29,7 @@
 	if s.BackendAddress == "" {
 		return errkind.New(errkind.InvalidSettings, "the settings contain no address of a backend server on this instance")
 	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
-	}
+	setSoftMemoryLimit(s.MemoryBytes)
 	log, flush := newNonBlockingLogger(c.LogLevel, rankagent.Role, s.Instance, streams)
 	defer flush()
 	return daemon.Process{Log: log}.Run(ctx, rankagent.Module(rankagent.Options{Settings: s, Log: log}))
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -31,8 +31,6 @@
 	errServerSilent = errors.New("the server sent nothing within the silence limit")
 )
 
-func asError[T error](err error, target *T) bool { return errors.As(err, target) }
-
 // forward sends a request to backend servers until one of them returns a complete
 // response or no further retry is allowed.
 func (g *Gateway) forward(r *request, out *responseWriter) error {
@@ -131,7 +129,7 @@
 	if x.crashCheck != nil {
 		r.crashCheck = x.crashCheck
 	}
-	svc.release(clock.Now(), x.result(err))
+	x.releaseSlot(err)
 	next = x.takeStandby(waitCtx, err)
 	if err == nil {
 		return nil, nil
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -176,5 +176,5 @@
 // fingerprint returns the fingerprint that this request shares with its retries and
 // duplicates.
 func (r *request) fingerprint() quarantine.Fingerprint {
-	return quarantine.NewFingerprint(r.service, r.organisation, r.http.Method, r.target(), r.body)
+	return quarantine.NewFingerprint(r.service, r.organisation, r.http.Method, r.target(), r.memory.Body().Blocks()...)
 }
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -51,6 +51,10 @@
 	lastEventAt time.Time
 	arrived     int
 	events      int
+	// partialEvent is what is claimed for an event that hasn't arrived completely.
+	partialEvent int
+	// released means that the server is done with the request, and its slot free.
+	released bool
 	// serverFull, wrongServer, unsuitable and groupDown are the reasons for a refusal.
 	// wrongServer means that another server has the address now, unsuitable that the
 	// server doesn't have what this request expects.
@@ -129,17 +133,18 @@
 	return resp, nil
 }
 
-// finish relays the response and gives the connection back.
+// finish relays the response, and gives the connection and the slot back.
 func (x *exchange) finish(resp *http.Response) error {
-	if err := x.relay(resp); err != nil {
+	err := x.relay(resp)
+	switch {
+	case x.released:
+		// The connection may carry another request already.
+	case err != nil:
 		x.conn.Abort()
-		return err
-	}
-	if !isCloseDelimited(resp) {
-		x.g.crashes.recordResponse(x.r.features)
+	default:
+		x.serverDone(resp)
 	}
-	x.reuseConnection(resp)
-	return nil
+	return err
 }
 
 // maxReuseAge returns the longest idle time of a connection that may be reused.
@@ -156,7 +161,7 @@
 		Method: x.r.http.Method,
 		Target: x.r.target(),
 		Host:   x.r.http.Host,
-		Body:   x.r.body,
+		Body:   x.r.memory.Body().Blocks(),
 		Header: platform.ForwardHeader(x.r.http.Header, platform.ForwardParams{
 			ServerID:     x.server.ID,
 			Organisation: x.r.organisation,
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -85,17 +85,24 @@
 // newFixture starts a gateway whose plain service has the given servers. It waits
 // until the gateway is ready.
 func newFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
+	t.Helper()
+	return newFixtureWith(t, settings(), 0, servers...)
+}
+
+// newFixtureWith is newFixture with other settings and another largest body; 0 stands for
+// the usual one.
+func newFixtureWith(t *testing.T, s platform.Settings, maxBody int, servers ...*platformtest.Server) *fixture {
 	t.Helper()
 	f := &fixture{t: t, store: platformtest.NewStore(), logs: &logBuffer{}}
-	f.deploy = &platformtest.Deployment{Store: f.store, Host: host}
+	f.deploy = &platformtest.Deployment{Store: f.store, Host: host, MaxBodyBytes: maxBody}
 	f.deploy.PublishConfig([]string{platformtest.Key}, nil)
-	for _, s := range servers {
-		f.deploy.Register(s.ID, platformtest.PlainService, s.Address())
-		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.ModelAddress())
+	for _, server := range servers {
+		f.deploy.Register(server.ID, platformtest.PlainService, server.Address())
+		f.deploy.Register("m-"+server.ID, platformtest.ModelService, server.ModelAddress())
 	}
 	log := zerolog.New(zerolog.SyncWriter(f.logs))
 	state := NewClusterState()
-	f.gateway = New(settings(), state, telemetry.NewMetrics(Role, "g1", log), log)
+	f.gateway = New(s, state, telemetry.NewMetrics(Role, "g1", log), log)
 	client := platform.NewStoreClient(f.store.Address())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
@@ -134,6 +141,8 @@
 	body   string
 	// complete means that the body was read without an error.
 	complete bool
+	// closes means that the response announces the end of its connection.
+	closes bool
 }
 
 // send sends a request with the key of the organisation and requires a response.
--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/daemons/gateway/upstream"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/drain"
 	"github.com/filbertmux/filbertmux/serve/retry"
@@ -24,15 +27,18 @@
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	state      *ClusterState
-	services   *serviceRegistry
-	pool       *upstream.Pool
-	crashes    *crashTracker
-	gate       *drain.Gate
-	metrics    *telemetry.Metrics
-	log        zerolog.Logger
-	logLimiter *logLimiter
-	bounds     atomic.Pointer[platform.Bounds]
+	state    *ClusterState
+	services *serviceRegistry
+	pool     *upstream.Pool
+	crashes  *crashTracker
+	gate     *drain.Gate
+	// memory and connections bound what callers take of this process.
+	memory      *inbound.Memory
+	connections *inbound.Connections
+	metrics     *telemetry.Metrics
+	log         zerolog.Logger
+	logLimiter  *logLimiter
+	bounds      atomic.Pointer[platform.Bounds]
 	// abortCtx is cancelled at the end of the shutdown grace period and ends the
 	// requests that are still in flight.
 	abortCtx context.Context
@@ -48,13 +54,18 @@
 func New(s platform.Settings, state *ClusterState, metrics *telemetry.Metrics, log zerolog.Logger) *Gateway {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	abortCtx, abort := context.WithCancel(context.Background())
+	sockets := divideSockets(s)
+	limits := inbound.Divide(memoryLimit(s), sockets.callers)
 	pool := upstream.NewPool(clock.Now)
+	pool.SetMaxOpen(sockets.servers)
 	g := &Gateway{
 		state:         state,
 		services:      newServiceRegistry(s, rng, log),
 		pool:          pool,
 		crashes:       newCrashTracker(pool, metrics, log),
 		gate:          drain.NewGate(),
+		memory:        inbound.NewMemory(limits.Budget, metrics),
+		connections:   inbound.NewConnections(limits.Connections, metrics),
 		metrics:       metrics,
 		log:           log,
 		logLimiter:    newLogLimiter(clock.Now),
@@ -131,12 +142,15 @@
 	}
 	defer g.gate.Exit()
 	r, err := g.prepare(w, hr)
-	if err == nil && g.gate.IsDraining() {
-		// Its body arrived so late that the response may not be complete in time.
-		err = errkind.New(errkind.Leaving, "this process is shutting down").WithRetryAfter(leavingRetryAfter)
-	}
 	if err != nil {
-		g.writeError(w, r, errkind.Of(err))
+		e := errkind.Of(err)
+		inbound.Refuse(w, hr, e, func() { g.writeError(w, r, e) })
+		return
+	}
+	defer r.memory.Close()
+	if g.gate.IsDraining() {
+		// Its body arrived so late that the response may not be complete in time.
+		g.writeError(w, r, errkind.New(errkind.Leaving, "this process is shutting down").WithRetryAfter(leavingRetryAfter))
 		return
 	}
 	out := newResponseWriter(w, r.call.LastEventID)
@@ -149,7 +163,7 @@
 	r := &request{http: hr, arrived: clock.Now()}
 	// A header that can't be decoded only means that the response lacks the id.
 	r.call, _ = platform.DecodeRequestHeader(hr.Header)
-	g.writeError(w, r, err)
+	inbound.Refuse(w, hr, err, func() { g.writeError(w, r, err) })
 }
 
 // finish logs the outcome of a request and sends an error response if no
@@ -185,7 +199,12 @@
 		h.Set("Connection", "close")
 	}
 	g.recordRequest(r, err)
-	http.Error(w, err.Kind.String()+": "+err.Message, status)
+	text := err.Kind.String() + ": " + err.Message + "\n"
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text) // a caller that has disconnected needs no response
 }
 
 // retryAfterDivisor limits Retry-After to a third of the caller's remaining time,
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
@@ -46,7 +47,7 @@
 			},
 			listenForPeers,
 		),
-		fx.Invoke(reloadSettings, followMetadata, startPeerExchange, serveMetrics, serveReady, serveCallers),
+		fx.Invoke(reloadSettings, followMetadata, startPeerExchange, serveMetrics, serveReady, serveCallers, reportUse),
 	)
 }
 
@@ -93,26 +94,28 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on the metrics address")
 	}
-	serveAdmin(lc, o.Log, "metrics", listener, m.Handler())
+	serveAdmin(lc, o.Log, m, "metrics", listener, m.Handler())
 	return nil
 }
 
-func serveReady(lc fx.Lifecycle, o Options, g *Gateway) error {
+func serveReady(lc fx.Lifecycle, o Options, g *Gateway, m *telemetry.Metrics) error {
 	listener, err := net.Listen("tcp4", o.Settings.ReadyAddress)
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on the readiness address")
 	}
-	serveAdmin(lc, o.Log, "ready", listener, g.readyHandler())
+	serveAdmin(lc, o.Log, m, "ready", listener, g.readyHandler())
 	return nil
 }
 
 // serveAdmin starts an admin server that runs until the process exits, because
 // the platform checks readiness during a shutdown as well.
-func serveAdmin(lc fx.Lifecycle, log zerolog.Logger, name string, l net.Listener, h http.Handler) {
+func serveAdmin(lc fx.Lifecycle, log zerolog.Logger, m *telemetry.Metrics, name string, l net.Listener, h http.Handler) {
 	server := adminServer(h)
+	connections := inbound.NewConnections(inbound.FewConnections(adminConnections), m)
+	connections.Observe(server)
 	lc.Append(fx.Hook{OnStart: func(context.Context) error {
 		go func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(connections.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
 				log.Error().Err(err).Str("server", name).Msg("admin HTTP server failed")
 			}
 		}()
@@ -125,7 +128,7 @@
 	if err != nil {
 		return errkind.Wrap(errkind.InvalidSettings, err, "listen on the address for callers")
 	}
-	f := newFrontend(listener, g, o.Log)
+	f := newFrontend(listener, g.connections, g, o.Log)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go f.accept(currentLimits(state))
@@ -138,6 +141,12 @@
 	return nil
 }
 
+// reportUse reports what callers take of the memory and the connections.
+func reportUse(lc fx.Lifecycle, o Options, g *Gateway, m *telemetry.Metrics) {
+	reporter := &inbound.Reporter{Memory: g.memory, Connections: g.connections, Metrics: m, Log: o.Log}
+	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "report memory and connections", Run: reporter.Run})
+}
+
 func currentLimits(state *ClusterState) func() fleet.Limits {
 	return func() fleet.Limits {
 		if index := state.Index(); index != nil {
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -4,7 +4,6 @@
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -12,71 +11,25 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/fleet"
-	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/eventstream"
 )
 
 const (
-	// maxBufferedResponse is the size up to which a response is read completely
-	// before it is forwarded, so that a truncated one can be retried.
-	maxBufferedResponse = 1 << 20
 	// maxDiscardedBody limits how much of a response that isn't forwarded is read.
 	maxDiscardedBody = 64 << 10
 	// maxDiscardTime limits the time for that. A new connection costs less than the
 	// wait for a slow body.
 	maxDiscardTime = 50 * time.Millisecond
-	// maxResponse limits the size of a response that is forwarded as it arrives.
-	maxResponse = 256 << 20
 	// readBufferSize is the size of one read from a backend server.
 	readBufferSize = 8 << 10
 	// provenEvents is the number of events after which a stream has not crashed its
 	// server. A server that crashes when it begins to write may send the first one.
 	provenEvents = 3
-	// clientWriteTimeout limits a write to a caller that doesn't read.
-	clientWriteTimeout = 10 * time.Second
+	// partialEventStep is the step in which the bytes of an event that hasn't arrived
+	// completely are claimed.
+	partialEventStep = 32 << 10
 )
 
-// responseWriter writes the response of a request to its caller. A resumed stream
-// consists of the responses to several attempts.
-type responseWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	// started is set once the header has been written; resumable means that
-	// another server may continue the response.
-	started   bool
-	resumable bool
-	progress  *eventstream.Progress
-}
-
-func newResponseWriter(w http.ResponseWriter, lastEventID string) *responseWriter {
-	return &responseWriter{
-		w: w, control: http.NewResponseController(w), progress: eventstream.NewProgress(lastEventID),
-	}
-}
-
-// writeHeader writes the status and the header. length is -1 if unknown.
-func (rw *responseWriter) writeHeader(status int, h http.Header, length int) {
-	platform.CopyResponseHeader(rw.w.Header(), h)
-	if length >= 0 {
-		rw.w.Header().Set("Content-Length", strconv.Itoa(length))
-	}
-	rw.w.WriteHeader(status)
-	rw.started = true
-}
-
-// write writes a part of the body and flushes it.
-func (rw *responseWriter) write(p []byte) error {
-	// httptest.ResponseRecorder doesn't support deadlines.
-	_ = rw.control.SetWriteDeadline(time.Now().Add(clientWriteTimeout))
-	if _, err := rw.w.Write(p); err != nil {
-		return errkind.Wrap(errkind.Canceled, err, "write to the caller")
-	}
-	if err := rw.control.Flush(); err != nil {
-		return errkind.Wrap(errkind.Canceled, err, "write to the caller")
-	}
-	return nil
-}
-
 // relay forwards the response to the caller.
 func (x *exchange) relay(resp *http.Response) error {
 	if err := x.validate(resp, x.out.started); err != nil {
@@ -118,76 +71,11 @@
 	return err == nil && media == "text/event-stream"
 }
 
-// relayBuffered reads the complete response before it forwards any of it. A
-// response larger than maxBufferedResponse is forwarded as it arrives.
-func (x *exchange) relayBuffered(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(watchedBody{resp.Body, x.watch}, maxBufferedResponse+1))
-	if err != nil {
-		return x.responseTruncated(err)
-	}
-	if !x.watch.stop() {
-		return x.responseTruncated(errServerSilent)
-	}
-	if x.retryableStatus(resp.StatusCode) {
-		return errkind.New(errkind.BackendFailed, "the server failed with status %d", resp.StatusCode)
-	}
-	if len(body) > maxBufferedResponse {
-		return x.relayLarge(resp, body)
-	}
-	length := len(body)
-	if x.r.http.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent {
-		length = int(resp.ContentLength)
-	}
-	x.out.writeHeader(resp.StatusCode, resp.Header, length)
-	x.r.trace.status = resp.StatusCode
-	if len(body) == 0 {
-		return nil
-	}
-	return x.out.write(body)
-}
-
-// retryableStatus reports whether a response with this status is retried at
-// another server: it is a 5xx, the request may run again, and attempts and time
-// are left.
-func (x *exchange) retryableStatus(status int) bool {
-	return status >= http.StatusInternalServerError && x.r.route.Retryable() &&
-		x.r.trace.sent < x.r.route.MaxAttempts && x.r.timeLeft(clock.Now()) > 0
-}
-
-// relayLarge forwards a response that is too large to buffer as it arrives. head
-// is the part read so far. No other server can continue such a response, so however long
-// its server pauses, it ends only with the connection or the deadline.
-func (x *exchange) relayLarge(resp *http.Response, head []byte) error {
-	x.out.writeHeader(resp.StatusCode, resp.Header, int(resp.ContentLength))
-	x.r.trace.status = resp.StatusCode
-	if err := x.out.write(head); err != nil {
-		return err
-	}
-	buffer := make([]byte, readBufferSize)
-	for total := len(head); ; {
-		n, err := resp.Body.Read(buffer)
-		x.watch.progress()
-		if total += n; total > maxResponse {
-			return errkind.New(errkind.StreamIncomplete, "the response exceeds %d bytes", maxResponse)
-		}
-		if n > 0 {
-			if err := x.out.write(buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return x.responseTruncated(err)
-		}
-	}
-}
-
 // relayEvents forwards the complete events of a stream as they arrive.
 func (x *exchange) relayEvents(resp *http.Response) error {
 	x.out.resumable = x.r.route.Resumable
 	var events eventstream.Splitter
+	defer x.claimPartialEvent(0)
 	buffer := make([]byte, readBufferSize)
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -195,6 +83,9 @@
 		if err := x.forwardEvents(resp, &events); err != nil {
 			return err
 		}
+		if !x.claimPartialEvent(events.Buffered()) {
+			return errkind.New(errkind.StreamIncomplete, "no memory for an event of more than %d bytes", events.Buffered())
+		}
 		if errors.Is(err, io.EOF) {
 			return x.finishEventStream(resp, &events)
 		}
@@ -204,6 +95,24 @@
 	}
 }
 
+// claimPartialEvent claims the bytes of an event that hasn't arrived completely, beyond those
+// of a read buffer. It returns false if there is no memory for them.
+func (x *exchange) claimPartialEvent(buffered int) bool {
+	steps := 0
+	if buffered > readBufferSize {
+		steps = (buffered + partialEventStep - 1) / partialEventStep
+	}
+	diff := steps*partialEventStep - x.partialEvent
+	if diff > 0 && !x.r.memory.TryGrow(diff) {
+		return false
+	}
+	if diff < 0 {
+		x.r.memory.Shrink(-diff)
+	}
+	x.partialEvent += diff
+	return true
+}
+
 // forwardEvents writes the complete events that have arrived, in one write. Only
 // events count as progress: a server that sends nothing but comments is silent. Events
 // that arrived before an error are written as well: they count as passed on, so a stream
@@ -284,6 +193,9 @@
 	}
 	x.out.writeHeader(resp.StatusCode, resp.Header, -1)
 	x.r.trace.status = resp.StatusCode
+	if !x.r.route.Resumable {
+		x.releaseBody()
+	}
 }
 
 // finishEventStream handles the end of the body.
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -14,6 +13,7 @@
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 	"github.com/filbertmux/filbertmux/serve/retry"
@@ -41,7 +41,6 @@
 type request struct {
 	call    platform.RequestHeader
 	http    *http.Request
-	body    []byte
 	arrived time.Time
 	// deadline is the earlier of the caller's and the route's deadline.
 	deadline time.Time
@@ -54,7 +53,10 @@
 	// configAge is how long before the arrival of the request the configuration
 	// was last confirmed as current.
 	configAge time.Duration
-	log       zerolog.Logger
+	// memory is what the request takes, with its body. It is nil if the request was refused
+	// before its body was read.
+	memory *inbound.Request
+	log    zerolog.Logger
 	// features are those by which the request is refused if they crash servers, and
 	// lost is what is reported if its server crashes.
 	features []quarantine.Feature
@@ -149,8 +151,8 @@
 	return path
 }
 
-// prepare reads a request, authenticates it and selects its route and service.
-// After an error the request has not run.
+// prepare authenticates a request, selects its route and service, and reads its body, in this
+// order. After an error the request has not run, and the rest of its body is unread.
 func (g *Gateway) prepare(w http.ResponseWriter, hr *http.Request) (*request, error) {
 	r := &request{http: hr, arrived: clock.Now()}
 	call, err := platform.DecodeRequestHeader(hr.Header)
@@ -167,7 +169,8 @@
 		return r, err
 	}
 	r.setDeadline()
-	return r, r.readBody(w)
+	r.memory, err = g.memory.Read(w, hr, inbound.ReadOptions{Organisation: r.organisation, MaxBody: r.maxBody()})
+	return r, err
 }
 
 // resolve looks up the route and the organisation. A request that an outdated
@@ -239,24 +242,12 @@
 	r.deadline = r.arrived.Add(timeout)
 }
 
-func (r *request) readBody(w http.ResponseWriter) error {
-	limit := int64(defaultMaxBody)
+// maxBody returns the largest body in bytes.
+func (r *request) maxBody() int {
 	if n := r.index.Config.Limits.MaxBodyBytes; n > 0 {
-		limit = int64(n)
+		return n
 	}
-	if r.http.ContentLength > limit {
-		return errkind.New(errkind.RequestTooLarge, "body of %d bytes exceeds the limit of %d", r.http.ContentLength, limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.http.Body, limit))
-	if err == nil {
-		r.body = body
-		return nil
-	}
-	var tooLarge *http.MaxBytesError
-	if asError(err, &tooLarge) {
-		return errkind.New(errkind.RequestTooLarge, "body exceeds the limit of %d bytes", limit)
-	}
-	return errkind.Wrap(errkind.Canceled, err, "the caller disconnected while sending the body")
+	return defaultMaxBody
 }
 
 // context returns a context that ends at the deadline and, if the request may be
--- a/daemons/gateway/route_test.go
+++ b/daemons/gateway/route_test.go
@@ -133,7 +133,7 @@
 	f := newFixture(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	front := newFrontend(listener, f.gateway, zerolog.Nop())
+	front := newFrontend(listener, f.gateway.connections, f.gateway, zerolog.Nop())
 	go front.accept(func() fleet.Limits { return fleet.Limits{} })
 	conn, err := net.Dial("tcp4", listener.Addr().String())
 	require.NoError(t, err)
--- a/daemons/gateway/server.go
+++ b/daemons/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
@@ -22,6 +24,11 @@
 	// isn't closed.
 	headerSlack = 500 * time.Millisecond
 	idleSlack   = time.Second
+	// defaultMaxHeader (bytes), defaultHeaderTimeout and defaultIdleTimeout apply while
+	// there is no configuration, or if it states no limit.
+	defaultMaxHeader     = 64 << 10
+	defaultHeaderTimeout = 10 * time.Second
+	defaultIdleTimeout   = time.Minute
 	// readinessPropagation is how long the platform may keep sending new
 	// connections after this gateway reports unready: two checks one second
 	// apart, plus their delay.
@@ -40,9 +47,10 @@
 // connections that are accepted after their configuration was installed, so each
 // set of limits gets an HTTP server of its own.
 type frontend struct {
-	handler  http.Handler
-	listener net.Listener
-	log      zerolog.Logger
+	handler     http.Handler
+	listener    net.Listener
+	connections *inbound.Connections
+	log         zerolog.Logger
 
 	mu      sync.Mutex
 	limits  fleet.Limits
@@ -51,8 +59,10 @@
 	wg      sync.WaitGroup
 }
 
-func newFrontend(listener net.Listener, handler http.Handler, log zerolog.Logger) *frontend {
-	return &frontend{handler: handler, listener: listener, log: log}
+func newFrontend(
+	listener net.Listener, connections *inbound.Connections, handler http.Handler, log zerolog.Logger,
+) *frontend {
+	return &frontend{handler: handler, listener: connections.Listen(listener), connections: connections, log: log}
 }
 
 // accept passes connections to the server with the current limits until the
@@ -83,18 +93,15 @@
 		return f.current
 	}
 	server := &http.Server{
-		Handler:        f.handler,
-		MaxHeaderBytes: limits.MaxHeaderBytes,
-		ErrorLog:       nil,
+		Handler:           f.handler,
+		MaxHeaderBytes:    cmp.Or(limits.MaxHeaderBytes, defaultMaxHeader),
+		ReadHeaderTimeout: cmp.Or(limits.HeaderTimeout, defaultHeaderTimeout) + headerSlack,
+		IdleTimeout:       cmp.Or(limits.IdleTimeout, defaultIdleTimeout) + idleSlack,
+		ErrorLog:          nil,
 		// "OPTIONS *" has no route, like any other request without one.
 		DisableGeneralOptionsHandler: true,
 	}
-	if limits.HeaderTimeout > 0 {
-		server.ReadHeaderTimeout = limits.HeaderTimeout + headerSlack
-	}
-	if limits.IdleTimeout > 0 {
-		server.IdleTimeout = limits.IdleTimeout + idleSlack
-	}
+	f.connections.Observe(server)
 	f.limits, f.current = limits, newConnQueue(f.listener.Addr())
 	f.servers = append(f.servers, server)
 	queue := f.current
--- a/daemons/gateway/shutdown_test.go
+++ b/daemons/gateway/shutdown_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
@@ -25,7 +26,7 @@
 	f := newFixture(t, s)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	front := newFrontend(listener, f.gateway, zerolog.Nop())
+	front := newFrontend(listener, f.gateway.connections, f.gateway, zerolog.Nop())
 	go front.accept(func() fleet.Limits { return fleet.Limits{} })
 	f.server.URL = "http://" + listener.Addr().String()
 	s.SetDelay(300 * time.Millisecond)
@@ -59,7 +60,7 @@
 func startShutdown(t *testing.T, f *fixture, before func(address string)) *shutdownFixture {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	front := newFrontend(listener, f.gateway, zerolog.Nop())
+	front := newFrontend(listener, f.gateway.connections, f.gateway, zerolog.Nop())
 	go front.accept(func() fleet.Limits { return fleet.Limits{} })
 	s := &shutdownFixture{fixture: f, address: listener.Addr().String(), done: make(chan error, 1)}
 	f.server.URL = "http://" + s.address
@@ -164,7 +165,7 @@
 	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	draining := make(chan bool, 1)
-	front := newFrontend(closeListener{tcp, func() { draining <- f.gateway.gate.IsDraining() }}, f.gateway, zerolog.Nop())
+	front := newFrontend(closeListener{tcp, func() { draining <- f.gateway.gate.IsDraining() }}, f.gateway.connections, f.gateway, zerolog.Nop())
 	go front.accept(func() fleet.Limits { return fleet.Limits{} })
 	conn, err := net.Dial("tcp4", tcp.Addr().String())
 	require.NoError(t, err)
@@ -211,7 +212,8 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
-	front := newFrontend(listener, handler, zerolog.Nop())
+	metrics := telemetry.NewMetrics(Role, "g1", zerolog.Nop())
+	front := newFrontend(listener, New(settings(), NewClusterState(), metrics, zerolog.Nop()).connections, handler, zerolog.Nop())
 	limits := make(chan fleet.Limits, 2)
 	limits <- fleet.Limits{MaxHeaderBytes: 1 << 20}
 	limits <- fleet.Limits{MaxHeaderBytes: 1024}
--- a/daemons/gateway/upstream/conn.go
+++ b/daemons/gateway/upstream/conn.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -38,7 +39,8 @@
 	Host   string
 	// Header contains no Content-Length and no hop-by-hop fields.
 	Header http.Header
-	Body   []byte
+	// Body is the body in blocks.
+	Body [][]byte
 }
 
 // Conn is a connection to a backend server. It carries one request at a time and
@@ -54,6 +56,9 @@
 	reused bool
 	sent   bool
 	lastID string
+	// closed is called once when the connection closes. It may be nil.
+	closed     func()
+	closedOnce sync.Once
 }
 
 func newConn(address string, conn net.Conn) *Conn {
@@ -68,7 +73,16 @@
 }
 
 // Close closes the connection after its last response.
-func (c *Conn) Close() { _ = c.conn.Close() }
+func (c *Conn) Close() {
+	_ = c.conn.Close()
+	c.reportClosed()
+}
+
+func (c *Conn) reportClosed() {
+	if c.closed != nil {
+		c.closedOnce.Do(c.closed)
+	}
+}
 
 // Abort cancels the current request by resetting the connection. The reset discards
 // bytes of the request that were not delivered yet, for example because the
@@ -79,7 +93,7 @@
 		// The call fails only on a closed connection.
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.conn.Close()
+	c.Close()
 }
 
 // SetDeadline sets the deadline of all further reads and writes.
@@ -106,17 +120,27 @@
 	if err := r.Header.Write(w); err != nil {
 		return errors.Wrap(err, "send request")
 	}
-	if len(r.Body) > 0 || methodHasBody(r.Method) {
-		_, _ = w.WriteString("Content-Length: " + itoa(len(r.Body)) + "\r\n")
+	if length := r.bodyLength(); length > 0 || methodHasBody(r.Method) {
+		_, _ = w.WriteString("Content-Length: " + itoa(length) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(r.Body)
+	for _, block := range r.Body {
+		_, _ = w.Write(block)
+	}
 	if err := w.Flush(); err != nil {
 		return errors.Wrap(err, "send request")
 	}
 	return nil
 }
 
+func (r *Request) bodyLength() int {
+	length := 0
+	for _, block := range r.Body {
+		length += len(block)
+	}
+	return length
+}
+
 func methodHasBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
--- a/daemons/gateway/upstream/pool.go
+++ b/daemons/gateway/upstream/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,11 +43,17 @@
 type Pool struct {
 	now    func() time.Time
 	dialer net.Dialer
+	// open is the number of open connections, in use or idle, and maxOpen its bound, or 0.
+	open    atomic.Int64
+	maxOpen int64
 
 	mu   sync.Mutex
 	idle map[string][]idleConn
 }
 
+// ErrFull means that all connections that the pool may have are in use.
+var ErrFull = errors.New("all connections to backend servers are in use")
+
 type idleConn struct {
 	conn    *Conn
 	expires time.Time
@@ -67,6 +74,9 @@
 	}
 }
 
+// SetMaxOpen bounds the number of connections. It is called before the pool is used.
+func (p *Pool) SetMaxOpen(n int) { p.maxOpen = int64(n) }
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
@@ -87,11 +97,46 @@
 	if c := p.takeIdle(address, maxAge); c != nil {
 		return c, nil
 	}
+	if err := p.reserve(); err != nil {
+		return nil, err
+	}
 	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, errors.Wrap(err, "connect to the server")
 	}
-	return newConn(address, conn), nil
+	c := newConn(address, conn)
+	c.closed = func() { p.open.Add(-1) }
+	return c, nil
+}
+
+// reserve counts a new connection. If there are too many, it closes the one that has been
+// idle longest.
+func (p *Pool) reserve() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.maxOpen > 0 && p.open.Load() >= p.maxOpen && !p.closeOldestIdle() {
+		return ErrFull
+	}
+	p.open.Add(1)
+	return nil
+}
+
+// closeOldestIdle closes the connection that has been idle longest, if there is one. The
+// caller holds mu.
+func (p *Pool) closeOldestIdle() bool {
+	var oldest []idleConn
+	for _, conns := range p.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].conn.lastUsed.Before(oldest[0].conn.lastUsed)) {
+			oldest = conns
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest[0].conn.Close()
+	p.idle[oldest[0].conn.address] = oldest[1:]
+	return true
 }
 
 // takeIdle returns the most recently used idle connection, because it is the
--- a/daemons/gateway/upstream/upstream_test.go
+++ b/daemons/gateway/upstream/upstream_test.go
@@ -189,3 +189,31 @@
 	require.Error(t, err)
 	conn.Close()
 }
+
+// Guards against more connections to servers than the process has descriptors for, and
+// against idle ones that keep a new one out.
+func TestOpenConnectionsAreBounded(t *testing.T) {
+	s := platformtest.NewServer("s")
+	defer s.Close()
+	now := time.Now()
+	pool := upstream.NewPool(func() time.Time { now = now.Add(time.Millisecond); return now })
+	pool.SetMaxOpen(2)
+	get := func() (*upstream.Conn, error) { return pool.Get(context.Background(), s.Address(), 0) }
+	first, err := get()
+	require.NoError(t, err)
+	second, err := get()
+	require.NoError(t, err)
+	_, err = get()
+	require.ErrorIs(t, err, upstream.ErrFull)
+	pool.Put(first, 5*time.Second)
+	third, err := pool.Get(context.Background(), s.ModelAddress(), 0)
+	require.NoError(t, err)
+	require.Error(t, first.Send(newRequest("a")))
+	third.Abort()
+	third.Close()
+	_, err = get()
+	require.NoError(t, err)
+	_, err = get()
+	require.ErrorIs(t, err, upstream.ErrFull)
+	second.Close()
+}
--- a/daemons/gateway/watchdog_test.go
+++ b/daemons/gateway/watchdog_test.go
@@ -14,6 +14,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/daemons/gateway/upstream"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
 
@@ -52,6 +53,9 @@
 		http: hr, index: f.gateway.state.Index(), service: platformtest.PlainService, arrived: now, deadline: now.Add(5 * time.Second),
 		route: &fleet.Route{Kind: k.kind, Resumable: true, MaxAttempts: 2, LatencyObjective: 100 * time.Millisecond},
 	}
+	r.memory, err = f.gateway.memory.Read(httptest.NewRecorder(), hr, inbound.ReadOptions{})
+	require.NoError(t, err)
+	t.Cleanup(r.memory.Close)
 	r.call.AttemptID = "a1"
 	r.trace.attempts, r.trace.sent, r.trace.servers = 1, 1, []string{"s1"}
 	x := newExchange(exchange{
--- a/serve/quarantine/quarantine.go
+++ b/serve/quarantine/quarantine.go
@@ -41,12 +41,14 @@
 	BodyHash     string `json:"body_hash"`
 }
 
-// NewFingerprint returns the fingerprint of a call.
-func NewFingerprint(service, organisation, method, path string, body []byte) Fingerprint {
+// NewFingerprint returns the fingerprint of a call. The body may be in several blocks.
+func NewFingerprint(service, organisation, method, path string, body ...[]byte) Fingerprint {
 	h := xxh3.New()
 	// The separators keep different calls from having the same input.
 	_, _ = h.WriteString(method + "\x00" + path + "\x00")
-	_, _ = h.Write(body)
+	for _, block := range body {
+		_, _ = h.Write(block)
+	}
 	sum := h.Sum128().Bytes()
 	return Fingerprint{Service: service, Organisation: organisation, BodyHash: hex.EncodeToString(sum[:])}
 }
