Bound the memory and the connections that callers take of an entry

Cause: the entry read bodies with io.ReadAll, copied them for each attempt, copied all contents of a completion twice, and accepted connections and idle connections to sidecars without a bound. Decoding a completion of 4 MiB of empty messages took many times its text.

Change: requests are read through daemons/inbound, with two copies of a body (in the calls, which share it now, and in the message to the sidecar). The contents of messages aren't copied; a completion has at most 16,384 messages and 1,024 members. Responses are buffered as chunks that are claimed, and written earlier without room; the slot, the connection to the sidecar and the memory of the body are given back before a response is written that was buffered whole. At most 4 chunks wait for a slow caller instead of 64. Refusals of unread bodies close the connection and drop the rest. Idle connections end after 2 minutes. Log lines of requests refused for memory are bounded to 20 a second. A bad body is still 400.

Tests: newResponseWriter and request take the memory of the request now, so transfer_test.go passes one. The servers of the tests in entry and gateway count their connections. Each new test fails with its rule switched off (release of memory, slot and body, claim of the response, order of the last chunk, numbers of messages and members, refusal, copies).

The fixed tests in measure/untrusted were not run.

--- a/base/telemetry/telemetry_test.go
+++ b/base/telemetry/telemetry_test.go
@@ -48,3 +48,22 @@
 	require.Contains(t, text, `filbertmux_in_flight{instance="e1",role="entry"} 3`)
 	require.Contains(t, text, `outcome="ok"`)
 }
+
+// Guards against log lines without a bound while requests are refused.
+func TestLineLimiter(t *testing.T) {
+	l := telemetry.NewLineLimiter(2)
+	now := time.Now()
+	require.Equal(t, []bool{true, true, false}, []bool{l.Allow(now), l.Allow(now), l.Allow(now.Add(999 * time.Millisecond))})
+	require.True(t, l.Allow(now.Add(time.Second)))
+}
+
+// Guards against a counter that doesn't tell its reasons apart.
+func TestLabelledCounter(t *testing.T) {
+	m := telemetry.NewMetrics("gateway", "g1", zerolog.Nop())
+	m.AddToLabelled("refusals", "reason", "slow", 1)
+	m.AddToLabelled("refusals", "reason", "no_room", 2)
+	require.NoError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	require.Contains(t, w.Body.String(), `filbertmux_refusals{instance="g1",reason="no_room",role="gateway"} 2`)
+}
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -21,6 +21,9 @@
 	MaxBodyBytes   int `name:"max-body-bytes" default:"4194304" validate:"min=1,max=1073741824" help:"Largest request body in bytes."`
 	MaxHeaderBytes int `name:"max-header-bytes" default:"65536" validate:"min=1024,max=16777216" help:"Largest total of request headers in bytes."`
 
+	MemoryLimit    int64 `name:"memory-limit" default:"0" validate:"min=0" help:"Memory of this process in bytes; 0 derives it from the memory of the instance: all of it for an entry, an eighth for a sidecar."`
+	MaxConnections int   `name:"max-connections" default:"0" validate:"min=0,max=1000000" help:"Largest number of connections of clients; 0 derives it from the descriptors of the process. Few memory lowers it."`
+
 	InstanceInterval time.Duration `name:"instance-interval" default:"1s" validate:"min=1ms" help:"Time between reads of the instance list."`
 	PlatformTimeout  time.Duration `name:"platform-timeout" default:"5s" validate:"min=1ms" help:"Longest wait for a response of the platform, except in long polls."`
 	RetentionWindow  time.Duration `name:"retention-window" default:"24h" validate:"min=1s" help:"Time for which claim records are retained in the log."`
--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -84,6 +84,7 @@
 	if done || err != nil {
 		return err
 	}
+	setSoftMemoryLimit(c.MemoryLimit)
 	log := newLogger(c.Common, "entry", streams)
 	return daemon.Process{Log: log}.Run(ctx, entry.Module(entry.Options{Settings: c.Entry, Log: log}))
 }
--- a/daemons/daemon/server.go
+++ b/daemons/daemon/server.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/serve/drain"
 )
 
@@ -19,6 +20,10 @@
 // minutes.
 const writeTimeout = 30 * time.Second
 
+// idleTimeout is how long a connection stays open without a request. The clients of this
+// project close theirs earlier.
+const idleTimeout = 2 * time.Minute
+
 // Server is one HTTP server of a daemon.
 type Server struct {
 	Name     string
@@ -28,6 +33,8 @@
 	// the time to read them.
 	MaxHeaderBytes int
 	HeaderTimeout  time.Duration
+	// Connections bounds the connections. It may be nil.
+	Connections *inbound.Connections
 	// Gate refuses new requests on stop and reports when the last one in flight
 	// has ended. Without a gate, the server shuts down at once.
 	Gate *drain.Gate
@@ -44,6 +51,12 @@
 		Handler:           withWriteDeadline(s.Handler),
 		MaxHeaderBytes:    s.MaxHeaderBytes,
 		ReadHeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	address := s.Listener.Addr().String()
+	if s.Connections != nil {
+		s.Connections.Observe(server)
+		s.Listener = s.Connections.Listen(s.Listener)
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -52,7 +65,7 @@
 					log.Error().Err(err).Str("server", s.Name).Msg("HTTP server failed")
 				}
 			}()
-			log.Info().Str("server", s.Name).Str("address", s.Listener.Addr().String()).Msg("listening")
+			log.Info().Str("server", s.Name).Str("address", address).Msg("listening")
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/daemons/entry/admit.go
+++ b/daemons/entry/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -31,7 +32,8 @@
 		s.dispatcher.recordQueueRefusal(r, err)
 		return x.refuse(ctx, err)
 	}
-	defer releaseSlot()
+	x.releaseSlot = sync.OnceFunc(releaseSlot)
+	defer x.releaseSlot()
 	err = x.run(ctx)
 	ran = err == nil || errkind.Of(err).Execution != errkind.NotRun
 	return err
--- a/daemons/entry/call.go
+++ b/daemons/entry/call.go
@@ -1,13 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"path"
 	"strings"
-	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
@@ -18,7 +17,9 @@
 	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/config/table"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/jsonsplit"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 	"github.com/filbertmux/filbertmux/serve/claim"
 )
@@ -29,11 +30,25 @@
 // affinity: about 256 tokens, the size of a shared system prompt.
 const prefixBytes = 1024
 
+const (
+	// bodyCopies is the number of copies of a body: in its calls, and in the message to the
+	// sidecar.
+	bodyCopies = 2
+	// maxMessages bounds the messages of a completion, and maxMembers its other parameters:
+	// decoding takes many times the memory of their text.
+	maxMessages = 16 << 10
+	maxMembers  = 1 << 10
+)
+
 // request is a call with its parameters for routing and admission.
 type request struct {
+	// call has no body, because each attempt has a copy of it and shares the body.
 	call   *pb.CallRequest
+	body   []byte
 	prefix uint64  // hash of the prompt prefix, 0 if there is none
 	cost   float64 // estimated tokens
+	// memory is what the request takes. It is nil until the body has been read.
+	memory *inbound.Request
 }
 
 // callOrNil returns the call, or nil for a request that was not parsed.
@@ -48,6 +63,7 @@
 // forwarded, so a request that it rejects has not run.
 type parser struct {
 	settings settings.Entry
+	memory   *inbound.Memory
 }
 
 // completionRequest contains the fields of a chat-completions request that the
@@ -56,20 +72,65 @@
 	Model  string `json:"model"`
 	Stream bool   `json:"stream"`
 	// MaxTokens is the older name of MaxCompletionTokens. The larger value is used.
-	MaxTokens           int `json:"max_tokens"`
-	MaxCompletionTokens int `json:"max_completion_tokens"`
-	Messages            []struct {
-		Content json.RawMessage `json:"content"`
-	} `json:"messages"`
+	MaxTokens           int         `json:"max_tokens"`
+	MaxCompletionTokens int         `json:"max_completion_tokens"`
+	Messages            messageList `json:"messages"`
+}
+
+// message contains the fields of a message that the entry reads.
+type message struct {
+	Content jsonText `json:"content"`
+}
+
+// jsonText is the text of a JSON value. It is a part of the text that was decoded, which is not
+// modified later, so that large values aren't copied.
+type jsonText []byte
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *jsonText) UnmarshalJSON(data []byte) error {
+	*t = data
+	return nil
+}
+
+// messageList is a list of at most maxMessages messages.
+type messageList []message
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *messageList) UnmarshalJSON(data []byte) error {
+	if !bytes.HasPrefix(data, []byte("[")) {
+		return errors.New("messages is not an array")
+	}
+	if jsonsplit.HasMore(data, maxMessages) {
+		return errors.Errorf("there are more than %d messages", maxMessages)
+	}
+	*l = nil
+	for text := range jsonsplit.Elements(data) {
+		var m message
+		if err := json.Unmarshal(text, &m); err != nil {
+			return err
+		}
+		*l = append(*l, m)
+	}
+	return nil
+}
+
+// promptBytes returns the size of the prompt, the contents of all messages.
+func (c completionRequest) promptBytes() int {
+	size := 0
+	for _, m := range c.Messages {
+		size += len(m.Content)
+	}
+	return size
 }
 
-// prompt returns the concatenated contents of all messages.
-func (c completionRequest) prompt() []byte {
-	var prompt []byte
+// promptPrefix returns the first bytes of the prompt.
+func (c completionRequest) promptPrefix() []byte {
+	prefix := make([]byte, 0, prefixBytes)
 	for _, m := range c.Messages {
-		prompt = append(prompt, m.Content...)
+		left := prefixBytes - len(prefix)
+		prefix = append(prefix, m.Content[:min(left, len(m.Content))]...)
 	}
-	return prompt
+	return prefix
 }
 
 // maxPromptParts bounds the prompt parts of a call.
@@ -101,61 +162,63 @@
 
 // parseCompletion parses a chat-completions request. The model name is the service
 // name.
-func (p *parser) parseCompletion(c *gin.Context, view *table.View, org table.Organisation) (*request, error) {
-	body, err := p.readBody(c)
+func (p *parser) parseCompletion(c *gin.Context, view *table.View, org table.Organisation, r *request) error {
+	body, err := p.readBody(c, org, r)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	var completion completionRequest
 	if err := json.Unmarshal(body, &completion); err != nil {
-		return nil, errkind.Wrap(errkind.InvalidRequest, err, "the body is not a chat-completions request in JSON")
+		return errkind.Wrap(errkind.InvalidRequest, err, "the body is not a chat-completions request in JSON")
+	}
+	if jsonsplit.HasMore(body, maxMembers) {
+		return errkind.New(errkind.InvalidRequest, "the body has more than %d members", maxMembers)
 	}
 	if completion.Model == "" || len(completion.Messages) == 0 {
-		return nil, errkind.New(errkind.InvalidRequest, "model and messages are required")
+		return errkind.New(errkind.InvalidRequest, "model and messages are required")
 	}
-	prompt := completion.prompt()
-	if len(prompt) > p.settings.MaxPromptBytes {
-		return nil, errkind.New(errkind.RequestTooLarge, "the prompt is larger than %d bytes", p.settings.MaxPromptBytes)
+	size := completion.promptBytes()
+	if size > p.settings.MaxPromptBytes {
+		return errkind.New(errkind.RequestTooLarge, "the prompt is larger than %d bytes", p.settings.MaxPromptBytes)
 	}
 	service, ok := view.Service(completion.Model)
 	if !ok || service.Kind != table.ModelService {
-		return nil, errkind.New(errkind.UnknownService, "there is no model service %q", completion.Model)
+		return errkind.New(errkind.UnknownService, "there is no model service %q", completion.Model)
 	}
-	call := p.newCall(c.Request, view, org, service.Name, body)
+	call := p.newCall(c.Request, view, org, service.Name)
 	call.Path = completionsPath
 	call.Idempotent = true
 	call.Stream = completion.Stream
 	call.PromptParts = completion.sharedParts()
-	return &request{
-		call:   call,
-		prefix: routing.HashPrefix(org.Name, prompt, prefixBytes),
-		cost:   estimateTokens(len(prompt), completion.completionTokens()),
-	}, nil
+	r.call = call
+	r.prefix = routing.HashPrefix(org.Name, completion.promptPrefix(), prefixBytes)
+	r.cost = estimateTokens(size, completion.completionTokens())
+	return nil
 }
 
 // parsePlain parses a request to a plain service: /<service>/<path…>.
-func (p *parser) parsePlain(c *gin.Context, view *table.View, org table.Organisation) (*request, error) {
+func (p *parser) parsePlain(c *gin.Context, view *table.View, org table.Organisation, r *request) error {
 	name, rest, err := splitServicePath(c.Request)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	service, ok := view.Service(name)
 	if !ok || service.Kind != table.PlainService {
-		return nil, errkind.New(errkind.UnknownService, "there is no plain service %q", name)
+		return errkind.New(errkind.UnknownService, "there is no plain service %q", name)
 	}
 	route, ok := view.MatchRoute(name, c.Request.Method, rest)
 	if !ok {
-		return nil, errkind.New(errkind.UnknownRoute, "%s %s does not match any route of %s", c.Request.Method, rest, name)
+		return errkind.New(errkind.UnknownRoute, "%s %s does not match any route of %s", c.Request.Method, rest, name)
 	}
 	key := c.GetHeader("Idempotency-Key")
 	if err := checkIdempotencyKey(route, key); err != nil {
-		return nil, err
+		return err
 	}
-	body, err := p.readBody(c)
+	body, err := p.readBody(c, org, r)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	call := p.newCall(c.Request, view, org, name, body)
+	call := p.newCall(c.Request, view, org, name)
 	call.Path = strings.TrimPrefix(c.Request.URL.EscapedPath(), "/"+name)
 	if c.Request.URL.RawQuery != "" {
 		call.Path += "?" + c.Request.URL.RawQuery
@@ -164,7 +227,8 @@
 	if !route.Idempotent {
 		call.IdempotencyKey = key
 	}
-	return &request{call: call, cost: estimateTokens(len(body), 0)}, nil
+	r.call, r.cost = call, estimateTokens(len(body), 0)
+	return nil
 }
 
 // checkIdempotencyKey rejects a non-idempotent call without a valid idempotency
@@ -200,7 +264,7 @@
 	return name, "/" + rest, nil
 }
 
-func (p *parser) newCall(r *http.Request, view *table.View, org table.Organisation, service string, body []byte) *pb.CallRequest {
+func (p *parser) newCall(r *http.Request, view *table.View, org table.Organisation, service string) *pb.CallRequest {
 	class, _ := view.ClassOf(org.Name, service)
 	return &pb.CallRequest{
 		Service:      service,
@@ -208,29 +272,23 @@
 		Class:        class.Name,
 		Method:       r.Method,
 		Headers:      forwardedHeaders(r.Header),
-		Body:         body,
 		TableOffset:  uint64(view.Offset()),
 	}
 }
 
-func (p *parser) readBody(c *gin.Context) ([]byte, error) {
-	tooLarge := errkind.New(errkind.RequestTooLarge, "the body is larger than %d bytes", p.settings.MaxBodyBytes)
-	if c.Request.ContentLength > int64(p.settings.MaxBodyBytes) {
-		return nil, tooLarge
-	}
-	// The errors are ignored because a test's response recorder has no deadlines.
-	controller := http.NewResponseController(c.Writer)
-	_ = controller.SetReadDeadline(time.Now().Add(p.settings.BodyTimeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, int64(p.settings.MaxBodyBytes)))
-	var sizeErr *http.MaxBytesError
-	if errors.As(err, &sizeErr) {
-		return nil, tooLarge
+// readBody reads the body of a request.
+func (p *parser) readBody(c *gin.Context, org table.Organisation, r *request) ([]byte, error) {
+	memory, err := p.memory.Read(c.Writer, c.Request, inbound.ReadOptions{
+		Organisation: org.Name, MaxBody: p.settings.MaxBodyBytes, Timeout: p.settings.BodyTimeout, Copies: bodyCopies,
+	})
+	if errkind.Is(err, errkind.Canceled) {
+		return nil, errkind.Wrap(errkind.InvalidRequest, err, "the body could not be read")
 	}
 	if err != nil {
-		return nil, errkind.Wrap(errkind.InvalidRequest, err, "the body could not be read")
+		return nil, err
 	}
-	return body, nil
+	r.memory, r.body = memory, memory.Joined()
+	return r.body, nil
 }
 
 // unforwardedHeaders are dropped in addition to the hop-by-hop headers: the caller's
--- a/daemons/entry/clients.go
+++ b/daemons/entry/clients.go
@@ -17,11 +17,10 @@
 )
 
 const (
-	dialTimeout        = 2 * time.Second
-	idleConnTimeout    = 30 * time.Second
-	idleConnsPerHost   = 16
-	maxChunkBytes      = 64 << 20
-	maxIdleConnections = 1024
+	dialTimeout      = 2 * time.Second
+	idleConnTimeout  = 30 * time.Second
+	idleConnsPerHost = 16
+	maxChunkBytes    = 64 << 20
 )
 
 // sidecarClient holds the clients of one sidecar. Calls may reuse a connection.
@@ -45,13 +44,14 @@
 	interceptors connect.Option
 }
 
-func newClients(token string) *clients {
+// newClients returns clients with a number of idle connections at most.
+func newClients(token string, maxIdle int) *clients {
 	client := func(unpooled bool) *http.Client {
 		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:   unpooled,
 			DisableCompression:  true,
-			MaxIdleConns:        maxIdleConnections,
+			MaxIdleConns:        maxIdle,
 			MaxIdleConnsPerHost: idleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 		}}}
--- a/daemons/entry/error_response.go
+++ b/daemons/entry/error_response.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"math"
 	"net/http"
 	"strconv"
@@ -67,7 +68,13 @@
 		// reused. A caller of a draining entry has to connect to another entry.
 		c.Header("Connection", "close")
 	}
-	c.AbortWithStatusJSON(e.Kind.Attributes().HTTPStatus, response)
+	body, err := json.Marshal(response)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	c.Header("Content-Length", strconv.Itoa(len(body)))
+	c.Abort()
+	c.Data(e.Kind.Attributes().HTTPStatus, "application/json; charset=utf-8", body)
 }
 
 // outcomeOK is the outcome label of a complete response.
--- a/daemons/entry/exchange.go
+++ b/daemons/entry/exchange.go
@@ -16,9 +16,14 @@
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
-// maxPendingChunks bounds the chunks of one attempt that are buffered because an
-// earlier chunk is missing or the caller reads slowly.
-const maxPendingChunks = 64
+const (
+	// maxPendingChunks bounds the chunks of one attempt that are buffered because an
+	// earlier chunk is missing.
+	maxPendingChunks = 64
+	// maxQueuedChunks bounds the chunks that are buffered because the caller reads slowly.
+	// The others stay at the sidecar.
+	maxQueuedChunks = 4
+)
 
 // maxResumes bounds the consecutive resumes of an attempt without progress.
 const maxResumes = 4
@@ -36,17 +41,19 @@
 	transfer    *transfer      // nil between attempts
 	// releaseDuplicate removes the current attempt from the duplicate tracker.
 	releaseDuplicate func()
-	err              error
+	// releaseSlot gives the concurrency slot of the request back.
+	releaseSlot func()
+	err         error
 }
 
 func (d *dispatcher) newExchange(r *request, out *responseWriter) *exchange {
 	return &exchange{
-		dispatcher: d, request: r, out: out,
+		dispatcher: d, request: r, out: out, releaseSlot: func() {},
 		machine: lifecycle.New(lifecycle.Config{
 			RequestID: r.call.GetId().GetRequestId(), Idempotent: r.call.GetIdempotent(),
 			Receiver: d.receiver, MaxResumes: maxResumes,
 		}),
-		fingerprint: quarantine.FingerprintOf(r.call),
+		fingerprint: quarantine.NewFingerprint(r.call.GetService(), r.call.GetOrganisation(), r.call.GetMethod(), r.call.GetPath(), r.body),
 		routing:     servers.Request{Service: r.call.GetService(), IdempotencyKey: r.call.GetIdempotencyKey(), Prefix: r.prefix},
 	}
 }
@@ -152,6 +159,7 @@
 
 func (x *exchange) startTransfer(ctx context.Context, attempt int) {
 	call := proto.CloneOf(x.request.call)
+	call.Body = x.request.body
 	call.Id.Attempt = uint32(attempt)
 	if deadline, ok := ctx.Deadline(); ok {
 		call.DeadlineMs = uint64(max(time.Until(deadline).Milliseconds(), 1))
@@ -159,7 +167,7 @@
 	x.transfer = &transfer{
 		client:  x.clients.forAddress(x.instance.Address),
 		request: call,
-		events:  make(chan connectionEvent, maxPendingChunks),
+		events:  make(chan connectionEvent, maxQueuedChunks),
 		observer: &serverObserver{
 			servers: x.servers, table: x.table, retries: x.retries, instance: x.instance, sent: time.Now(),
 		},
@@ -177,12 +185,24 @@
 }
 
 func (x *exchange) finish() lifecycle.Event {
+	if x.out.isBuffered() {
+		x.allReceived()
+	}
 	if err := x.out.finish(); err != nil {
 		return lifecycle.Event{Kind: lifecycle.WriteFailed, Err: err}
 	}
 	return lifecycle.Event{Kind: lifecycle.AnswerWritten}
 }
 
+// allReceived gives the connection, the slot and the memory of the body back before a response
+// is written that was buffered whole, because the caller may read it slowly.
+func (x *exchange) allReceived() {
+	x.endTransfer()
+	x.releaseSlot()
+	x.request.body = nil
+	x.request.memory.ReleaseJoined()
+}
+
 // endAttempt closes the connection of the attempt and records its result for the
 // server.
 func (x *exchange) endAttempt(ctx context.Context, e lifecycle.Effect) {
--- a/daemons/entry/fixture_test.go
+++ b/daemons/entry/fixture_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -21,6 +22,7 @@
 	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/examples"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
@@ -195,11 +197,24 @@
 	instances := daemon.NewInstanceWatcher(list, time.Hour, time.Hour, zerolog.Nop())
 	require.NoError(t, instances.Refresh(context.Background()))
 	e := NewServer(cfg, "inc", newFixedTable(t, row), instances, drain.NewGate(), zerolog.Nop(), metrics)
-	frontend := httptest.NewServer(e.Handler())
+	frontend := httptest.NewUnstartedServer(e.Handler())
+	frontend.Listener = e.connections.Listen(frontend.Listener)
+	e.connections.Observe(frontend.Config)
+	frontend.Start()
 	t.Cleanup(frontend.Close)
 	return &fixture{e, frontend}
 }
 
+// newMemory returns what a request without a body takes.
+func newMemory(t *testing.T, c *gin.Context) *inbound.Request {
+	t.Helper()
+	m := inbound.NewMemory(inbound.Divide(0, 1).Budget, telemetry.NewMetrics("entry", "e1", zerolog.Nop()))
+	q, err := m.Read(c.Writer, c.Request, inbound.ReadOptions{})
+	require.NoError(t, err)
+	t.Cleanup(q.Close)
+	return q
+}
+
 type reply struct {
 	status int
 	header http.Header
--- a/daemons/entry/module.go
+++ b/daemons/entry/module.go
@@ -75,7 +75,8 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t, quota: s.quota})
+	path, service := filbertmuxv1connect.NewEntryServiceHandler(peerService{table: t, quota: s.quota},
+		connect.WithReadMaxBytes(peerMessageBytes))
 	mux.Handle(path, daemon.RequireToken(o.Settings.PeerToken.Reveal(), service))
 	// The instance list contains the peer address, so "table publish --wait" polls
 	// the status there.
@@ -86,6 +87,7 @@
 		Handler:        mux,
 		MaxHeaderBytes: o.Settings.MaxHeaderBytes,
 		HeaderTimeout:  o.Settings.HeaderTimeout,
+		Connections:    s.peerConnections,
 	})
 	return nil
 }
@@ -101,6 +103,7 @@
 		Handler:        s.Handler(),
 		MaxHeaderBytes: o.Settings.MaxHeaderBytes,
 		HeaderTimeout:  o.Settings.HeaderTimeout,
+		Connections:    s.connections,
 		Gate:           s.gate,
 		DrainTimeout:   o.Settings.DrainTimeout,
 		Abort:          s.Abort,
--- a/daemons/entry/response_writer.go
+++ b/daemons/entry/response_writer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -9,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
@@ -26,16 +26,20 @@
 type responseWriter struct {
 	c         *gin.Context
 	requestID string
+	memory    *inbound.Request
 
 	head        *pb.Head
 	eventStream bool
-	buffered    []byte
-	committed   bool
-	onCommit    func()
+	// buffered holds the chunks that haven't been written, and claimed is what of them
+	// counts to the memory of the request.
+	buffered  [][]byte
+	claimed   int
+	committed bool
+	onCommit  func()
 }
 
-func newResponseWriter(c *gin.Context, requestID string, onCommit func()) *responseWriter {
-	return &responseWriter{c: c, requestID: requestID, onCommit: onCommit}
+func newResponseWriter(c *gin.Context, requestID string, memory *inbound.Request, onCommit func()) *responseWriter {
+	return &responseWriter{c: c, requestID: requestID, memory: memory, onCommit: onCommit}
 }
 
 // reset discards the buffered response of a failed attempt. It is called only while
@@ -43,7 +47,16 @@
 func (a *responseWriter) reset() {
 	a.head = nil
 	a.eventStream = false
+	a.dropBuffered()
+}
+
+// dropBuffered empties the buffer.
+func (a *responseWriter) dropBuffered() {
 	a.buffered = nil
+	if a.claimed > 0 {
+		a.memory.Shrink(a.claimed)
+		a.claimed = 0
+	}
 }
 
 // writeChunk writes or buffers the next head or data chunk.
@@ -67,31 +80,41 @@
 		return err
 	}
 	if isDoneEvent(data) {
-		a.buffered = data
+		a.buffered = [][]byte{data}
 		return nil
 	}
 	return a.write(data)
 }
 
+// writeData buffers the next chunk. It writes the earlier ones if they have no room, or once
+// the response has begun. The newest chunk stays in the buffer, so that a long response never
+// looks complete to the caller before it is verified.
 func (a *responseWriter) writeData(data []byte) error {
-	a.buffered = append(a.buffered, data...)
-	if len(a.buffered) <= maxBufferedBytes {
+	if !a.committed && a.claim(len(data)) {
+		a.buffered = append(a.buffered, data)
 		return nil
 	}
-	// The newest chunk stays in the buffer, so that a long response never looks
-	// complete to the caller before it is verified.
-	last := a.buffered[len(a.buffered)-len(data):]
-	if err := a.write(a.buffered[:len(a.buffered)-len(data)]); err != nil {
-		return err
+	err := a.flush()
+	a.buffered = [][]byte{data}
+	return err
+}
+
+// claim claims the bytes of a chunk. It returns false if there is no room for it.
+func (a *responseWriter) claim(n int) bool {
+	if a.claimed+n > maxBufferedBytes || !a.memory.TryGrow(n) {
+		return false
 	}
-	a.buffered = bytes.Clone(last)
-	return nil
+	a.claimed += n
+	return true
 }
 
+// isBuffered reports whether no part of the response has been written.
+func (a *responseWriter) isBuffered() bool { return !a.committed }
+
 // finish writes the buffered rest of a verified response.
 func (a *responseWriter) finish() error {
 	if !a.committed && !a.eventStream && len(a.buffered) > 0 {
-		a.c.Header("Content-Length", strconv.Itoa(len(a.buffered)))
+		a.c.Header("Content-Length", strconv.Itoa(a.bufferedBytes()))
 	}
 	a.commit()
 	return a.flush()
@@ -120,13 +143,23 @@
 	_ = a.write([]byte("\n\nevent: error\ndata: " + string(data) + "\n\n"))
 }
 
+func (a *responseWriter) bufferedBytes() int {
+	size := 0
+	for _, chunk := range a.buffered {
+		size += len(chunk)
+	}
+	return size
+}
+
+// flush writes the buffered chunks.
 func (a *responseWriter) flush() error {
-	data := a.buffered
-	a.buffered = nil
-	if len(data) == 0 {
-		return nil
+	for _, chunk := range a.buffered {
+		if err := a.write(chunk); err != nil {
+			return err
+		}
 	}
-	return a.write(data)
+	a.dropBuffered()
+	return nil
 }
 
 func (a *responseWriter) write(data []byte) error {
--- a/daemons/entry/server.go
+++ b/daemons/entry/server.go
@@ -24,6 +24,7 @@
 	"github.com/filbertmux/filbertmux/daemons/entry/admission"
 	"github.com/filbertmux/filbertmux/daemons/entry/quota"
 	"github.com/filbertmux/filbertmux/daemons/entry/servers"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/serve/drain"
 	"github.com/filbertmux/filbertmux/serve/stream"
@@ -39,6 +40,10 @@
 	Learn(offset infra.Offset)
 }
 
+// refusalLinesPerSecond bounds the log lines about requests that were refused to protect the
+// memory. All of them are counted.
+const refusalLinesPerSecond = 20
+
 // Server handles the requests of the callers of one entry. It is safe for
 // concurrent use.
 type Server struct {
@@ -54,8 +59,13 @@
 	dispatcher  *dispatcher
 	parser      parser
 	gate        *drain.Gate
-	log         zerolog.Logger
-	metrics     *telemetry.Metrics
+	// memory, connections and peerConnections bound what clients take of this process.
+	memory          *inbound.Memory
+	connections     *inbound.Connections
+	peerConnections *inbound.Connections
+	log             zerolog.Logger
+	metrics         *telemetry.Metrics
+	refusalLines    *telemetry.LineLimiter
 
 	inFlight atomic.Int64
 	ctx      context.Context // canceled when the drain timeout expires
@@ -68,7 +78,10 @@
 ) *Server {
 	ctx, abort := context.WithCancelCause(context.Background())
 	seed := newSeed(s.Seed, log)
-	sidecars := newClients(s.PeerToken.Reveal())
+	sockets := divideSockets(s)
+	limits := inbound.Divide(memoryLimit(s), sockets.callers)
+	memory := inbound.NewMemory(limits.Budget, metrics)
+	sidecars := newClients(s.PeerToken.Reveal(), sockets.idleSidecars)
 	backendServers := servers.New(servers.Config{
 		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
 		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, InstanceList: instances.Latest,
@@ -88,7 +101,10 @@
 				ProgressTimeout: s.ProgressTimeout,
 			},
 		},
-		parser: parser{settings: s}, gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
+		parser: parser{settings: s, memory: memory}, gate: gate, memory: memory,
+		connections:     inbound.NewConnections(limits.Connections, metrics),
+		peerConnections: inbound.NewConnections(inbound.FewConnections(sockets.peers), metrics),
+		log:             log, metrics: metrics, refusalLines: telemetry.NewLineLimiter(refusalLinesPerSecond), ctx: ctx, abort: abort,
 	}
 	server.admission = admission.New(admission.Config{
 		QueueSize: s.QueueSize, ConcurrencyLimit: server.concurrencyLimit, View: source.View, Now: time.Now,
@@ -104,7 +120,9 @@
 
 // BackgroundTasks returns the tasks that run as long as the server.
 func (s *Server) BackgroundTasks() []daemon.BackgroundTask {
+	reporter := &inbound.Reporter{Memory: s.memory, Connections: s.connections, Metrics: s.metrics, Log: s.log}
 	return []daemon.BackgroundTask{
+		{Name: "report memory and connections", Run: reporter.Run},
 		{Name: "probe the backend servers", Run: s.prober.Run},
 		{Name: "refresh quotas and admission queues", Run: s.refresh},
 		{Name: "report demand to the other entries", Run: s.reporter.run},
@@ -144,7 +162,9 @@
 	return engine
 }
 
-type parseFunc func(*gin.Context, *table.View, table.Organisation) (*request, error)
+// parseFunc converts a request to a call. It sets the memory of the request once its body has
+// been read, and the call if there is no error.
+type parseFunc func(*gin.Context, *table.View, table.Organisation, *request) error
 
 // serve handles one request of a caller. parse converts it to a call.
 func (s *Server) serve(c *gin.Context, parse parseFunc) {
@@ -153,10 +173,17 @@
 	c.Header(requestIDHeader, requestID)
 	ctx, cancel := s.requestContext(c.Request, requestID)
 	defer cancel()
+	r := &request{}
+	defer func() { r.memory.Close() }()
 	refuseUnparsed := func(err error) {
 		err = unparsedRefusal(c.Request, s.table.View(), err)
 		s.recordOutcome(ctx, start, nil, err)
-		writeError(c, requestID, err)
+		write := func() { writeError(c, requestID, err) }
+		if r.memory != nil {
+			write() // the body has been read
+			return
+		}
+		inbound.Refuse(c.Writer, c.Request, errkind.Of(err), write)
 	}
 	release, err := s.enterGate()
 	if err != nil {
@@ -164,13 +191,12 @@
 		return
 	}
 	defer release()
-	r, err := s.authenticateAndParse(c, parse)
-	if err != nil {
+	if err := s.authenticateAndParse(c, parse, r); err != nil {
 		refuseUnparsed(err)
 		return
 	}
 	r.call.Id = &pb.AttemptId{RequestId: requestID}
-	out := newResponseWriter(c, requestID, func() {
+	out := newResponseWriter(c, requestID, r.memory, func() {
 		s.metrics.ObserveFirstByte(metricLabels(r), time.Since(start))
 	})
 	err = s.run(ctx, r, out)
@@ -215,19 +241,19 @@
 }
 
 // authenticateAndParse authenticates the caller and parses the request.
-func (s *Server) authenticateAndParse(c *gin.Context, parse parseFunc) (*request, error) {
+func (s *Server) authenticateAndParse(c *gin.Context, parse parseFunc, r *request) error {
 	view := s.table.View()
 	if !s.table.Loaded() {
-		return nil, errkind.New(errkind.StaleTable, "the table has not been read yet")
+		return errkind.New(errkind.StaleTable, "the table has not been read yet")
 	}
 	org, err := s.parser.authenticate(c.Request, view)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if _, err := callerTimeout(c.Request, s.settings.RequestTimeout); err != nil {
-		return nil, err
+		return err
 	}
-	return parse(c, view, org)
+	return parse(c, view, org, r)
 }
 
 // recordOutcome records the outcome of a request in the metrics and the log. r is
@@ -235,6 +261,9 @@
 func (s *Server) recordOutcome(ctx context.Context, start time.Time, r *request, err error) {
 	duration := time.Since(start)
 	s.metrics.ObserveRequest(metricLabels(r), outcome(err), duration)
+	if isRefusalForMemory(err) && !s.refusalLines.Allow(time.Now()) {
+		return
+	}
 	event := telemetry.RequestLogger(ctx).Info()
 	if err != nil {
 		event = telemetry.RequestLogger(ctx).Warn().Err(err).Str("execution", errkind.Of(err).Execution.String())
@@ -245,3 +274,8 @@
 		Dur("duration_ms", duration).
 		Msg("request finished")
 }
+
+// isRefusalForMemory reports whether a request was refused to protect the memory.
+func isRefusalForMemory(err error) bool {
+	return errkind.Is(err, errkind.MemoryExhausted) || errkind.Is(err, errkind.SlowBody) || errkind.Is(err, errkind.RequestTooLarge)
+}
--- a/daemons/entry/transfer_test.go
+++ b/daemons/entry/transfer_test.go
@@ -36,7 +36,8 @@
 	d := newFixture(t, sidecar).entry.dispatcher
 	d.receiver = stream.ReceiverConfig{MaxPending: 8, SilenceTimeout: time.Hour, ProgressTimeout: 10 * time.Hour}
 	call := &pb.CallRequest{Id: id, Service: "text-desk", Idempotent: true}
-	x := d.newExchange(&request{call: call}, newResponseWriter(c, "r", func() {}))
+	memory := newMemory(t, c)
+	x := d.newExchange(&request{call: call, memory: memory}, newResponseWriter(c, "r", memory, func() {}))
 	ctx := context.Background()
 	x.limitPassed(ctx)
 	picked, _ := x.handle(ctx, lifecycle.Event{Kind: lifecycle.SlotGranted})
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -115,7 +115,10 @@
 			func() { f.gateway.services.refreshServers(state) })
 		done <- struct{}{}
 	}()
-	f.server = httptest.NewServer(f.gateway)
+	f.server = httptest.NewUnstartedServer(f.gateway)
+	f.server.Listener = f.gateway.connections.Listen(f.server.Listener)
+	f.gateway.connections.Observe(f.server.Config)
+	f.server.Start()
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(f.logs.String())
--- a/daemons/inbound/request.go
+++ b/daemons/inbound/request.go
@@ -44,6 +44,8 @@
 	conn   *Conn                       // nil without a Connections
 	body   Buffer
 	joined []byte
+	// joinedBytes is what is claimed for the joined body and its copies.
+	joinedBytes int64
 	// receiveBytes is what is claimed for a larger receive buffer.
 	receiveBytes int64
 
@@ -143,13 +145,15 @@
 		return nil
 	}
 	m := q.memory
+	n := int64(copies) * int64(q.body.Len())
 	m.mu.Lock()
-	err := q.grow(m.budgetTime(), int64(copies)*int64(q.body.Len()))
+	err := q.grow(m.budgetTime(), n)
 	m.dropBlocks()
 	m.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	q.joinedBytes = n
 	q.joined = q.body.join()
 	q.body.Release()
 	return nil
@@ -201,6 +205,17 @@
 // Joined returns the body in one slice, which stays valid after Close.
 func (q *Request) Joined() []byte { return q.joined }
 
+// ReleaseJoined gives the memory of the joined body and its copies back, which the caller no
+// longer uses.
+func (q *Request) ReleaseJoined() {
+	m := q.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	q.claim.Release(q.joinedBytes)
+	q.joined, q.joinedBytes = nil, 0
+	m.stepForWaiting()
+}
+
 // ReadResponse reads a response to its end into a buffer that counts to the request, without
 // waiting for memory. length is that of the response, if it is known. complete is false if
 // the response is larger than the limit, or than the memory that is free; the rest of it is
