Bound the memory and the connections that others take of a sidecar

Cause: the library reads calls of up to 5 MiB, as many at once as there are; replay buffers of 256 KiB are kept for 10 s after each attempt; the body of a call to an engine was copied and decoded into a map, whose members take many times their text.

Change: calls are metered: each byte that the library reads is claimed first, four times, and a refused call is an error of its stream (resource_exhausted), so that the entry doesn't take it for a broken connection. An attempt takes over the memory of its call. Replay buffers start with 4 KiB and double while there is memory; those of finished attempts take at most half of it, and the oldest go first. The body is given up when the server begins to respond. Answers of non-idempotent calls are claimed as they are read. More than 1,024 members of a body are refused.

Tests: those of the sidecar run on its own handler now, with metered calls and counted connections.

--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
@@ -99,6 +100,7 @@
 	if done || err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(sidecar.SoftMemoryLimit(c.Sidecar))
 	log := newLogger(c.Common, "sidecar", streams)
 	return daemon.Process{Log: log}.Run(ctx, sidecar.Module(sidecar.Options{Settings: c.Sidecar, Log: log}))
 }
--- a/daemons/inbound/refuse.go
+++ b/daemons/inbound/refuse.go
@@ -27,18 +27,24 @@
 		write()
 		return
 	}
-	control := http.NewResponseController(w)
 	if r.ContentLength > 0 && r.ContentLength <= BlockBytes && !blamesBody(err.Kind) {
 		// net/http reads the rest before it sends the response.
-		_ = control.SetReadDeadline(time.Now().Add(smallDrainTime))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(smallDrainTime))
 		write()
 		return
 	}
 	w.Header().Set("Connection", "close")
 	write()
+	dropRest(w, r)
+}
+
+// dropRest sends what has been written of a response, and drops the rest of the body of its
+// request.
+func dropRest(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("Expect") != "" {
 		return // the client hasn't sent the body
 	}
+	control := http.NewResponseController(w)
 	_ = control.Flush()
 	connOf(r.Context()).setClosing()
 	_ = control.SetReadDeadline(time.Now().Add(drainTime))
--- a/daemons/inbound/request.go
+++ b/daemons/inbound/request.go
@@ -48,6 +48,10 @@
 	joinedBytes int64
 	// receiveBytes is what is claimed for a larger receive buffer.
 	receiveBytes int64
+	// metered is what is claimed for a body that a library reads. taken means that the
+	// memory isn't given back when the handler returns.
+	metered int64
+	taken   bool
 
 	// wake is made for a wait, and signalled when the request has got the bytes that it
 	// waits for, or has ended; guarded by memory.mu.
--- a/daemons/sidecar/admit.go
+++ b/daemons/sidecar/admit.go
@@ -6,13 +6,15 @@
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 )
 
 // admit registers the attempt, attaches the first connection and starts the
-// call. An error proves that the attempt did not run.
-func (s *Server) admit(call *pb.CallRequest) (*attempt, uint64, error) {
+// call. The attempt takes the memory of the request over. An error proves that the attempt
+// did not run.
+func (s *Server) admit(requestContext context.Context, call *pb.CallRequest) (*attempt, uint64, error) {
 	if err := s.validateCall(call); err != nil {
 		return nil, 0, err
 	}
@@ -31,6 +33,7 @@
 		s.gate.Exit()
 		return nil, 0, err
 	}
+	a.useMemory(inbound.RequestOf(requestContext), s.settings.ReplayBytes)
 	connection, err := a.attach(1)
 	if err != nil {
 		return nil, 0, errkind.Wrap(errkind.Internal, err, "attach the first connection")
--- a/daemons/sidecar/attempt.go
+++ b/daemons/sidecar/attempt.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 	"github.com/filbertmux/filbertmux/serve/stream"
@@ -29,6 +30,16 @@
 	promptParts []string
 	cancel      context.CancelFunc
 
+	// memory is what the attempt takes, or nil. answerBytes is the part of it for the answer
+	// of a non-idempotent call; it belongs to the goroutine that runs the call.
+	memory      *inbound.Request
+	answerBytes int
+	// replay is the size of the replay buffer, and maxReplay its bound; guarded by mu.
+	replay    int
+	maxReplay int
+	// retained is what a finished attempt takes; guarded by the mutex of the server.
+	retained int
+
 	mu                sync.Mutex
 	sender            *stream.Sender
 	currentConnection uint64        // number of the connection that may send chunks
@@ -120,12 +131,12 @@
 
 // appendHead appends the head of the response.
 func (a *attempt) appendHead(ctx context.Context, head *pb.Head) error {
-	return a.appendBlocking(ctx, func() bool { return a.sender.Head(head) })
+	return a.appendBlocking(ctx, 0, func() bool { return a.sender.Head(head) })
 }
 
 // appendData appends a part of the response body and takes ownership of b.
 func (a *attempt) appendData(ctx context.Context, b []byte) error {
-	return a.appendBlocking(ctx, func() bool { return a.sender.Data(b) })
+	return a.appendBlocking(ctx, len(b), func() bool { return a.sender.Data(b) })
 }
 
 // appendEnd appends the end chunk.
@@ -136,10 +147,12 @@
 	a.notifyWaiters()
 }
 
-// appendBlocking retries tryAppend until the replay buffer has room.
-func (a *attempt) appendBlocking(ctx context.Context, tryAppend func() bool) error {
+// appendBlocking retries tryAppend until the replay buffer has room for a chunk with n bytes
+// of data.
+func (a *attempt) appendBlocking(ctx context.Context, n int, tryAppend func() bool) error {
 	for {
 		a.mu.Lock()
+		a.extendReplay(n)
 		if tryAppend() {
 			a.notifyWaiters()
 			a.mu.Unlock()
--- a/daemons/sidecar/execute.go
+++ b/daemons/sidecar/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -25,6 +24,7 @@
 	s.awaitEndSent(ctx, a)
 	a.cancel()
 	s.awaitReceiptWhileDraining(a)
+	s.retainFinished(a)
 	time.AfterFunc(s.settings.ResumeWindow, func() { s.removeAttempt(a) })
 }
 
@@ -43,6 +43,7 @@
 		}
 		defer func() { _ = resp.Body.Close() }()
 		s.latency.add(time.Since(start))
+		a.releaseBody(call)
 		return relay(ctx, a, resp, s.settings.ChunkBytes)
 	})
 }
@@ -89,7 +90,7 @@
 		Deadline:     deadline,
 	}, func(ctx context.Context) (answer claim.Answer, err error) {
 		err = s.runAdmitted(ctx, a, func(ctx context.Context) (err error) {
-			answer, err = s.readAnswer(ctx, call)
+			answer, err = s.readAnswer(ctx, a, call)
 			return err
 		})
 		return answer, err
@@ -102,13 +103,17 @@
 
 // readAnswer sends a non-idempotent call and reads the complete response, because
 // the outcome is written to the log before the caller receives it.
-func (s *Server) readAnswer(ctx context.Context, call *pb.CallRequest) (claim.Answer, error) {
+func (s *Server) readAnswer(ctx context.Context, a *attempt, call *pb.CallRequest) (claim.Answer, error) {
 	resp, err := s.backend.send(ctx, call)
 	if err != nil {
 		return claim.Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(s.settings.MaxBodyBytes)+1))
+	a.releaseBody(call)
+	body, err := a.readAnswer(ctx, resp.Body, resp.ContentLength, s.settings.MaxBodyBytes+1)
+	if errkind.Is(err, errkind.BackendFailed) {
+		return claim.Answer{}, err
+	}
 	if err != nil {
 		return claim.Answer{}, backendError(ctx, err)
 	}
@@ -169,5 +174,5 @@
 func (s *Server) removeAttempt(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.attempts, keyOf(a.id))
+	s.removeLocked(a)
 }
--- a/daemons/sidecar/model.go
+++ b/daemons/sidecar/model.go
@@ -15,6 +15,7 @@
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
+	"github.com/filbertmux/filbertmux/internal/jsonsplit"
 	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
 
@@ -27,6 +28,8 @@
 	maxEngineResumes    = 3
 	engineCancelTimeout = 2 * time.Second
 	priorityField       = "priority"
+	// maxMembers is far above the number of parameters of a completion.
+	maxMembers = 1 << 10
 )
 
 func (s *Server) isModelCall(call *pb.CallRequest) bool {
@@ -44,12 +47,17 @@
 		}
 	}()
 	start := time.Now()
-	resp, err := s.backend.send(ctx, s.newEngineCall(call, id))
+	engineCall, err := s.newEngineCall(call, id)
+	if err != nil {
+		return err
+	}
+	resp, err := s.backend.send(ctx, engineCall)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	s.latency.add(time.Since(start))
+	a.releaseBody(engineCall)
 	if !isEventStream(resp.Header) {
 		return relay(ctx, a, resp, s.settings.ChunkBytes)
 	}
@@ -89,23 +97,33 @@
 }
 
 // newEngineCall returns the call as it is sent to the engine: with the request id
-// and the priority of its class.
-func (s *Server) newEngineCall(call *pb.CallRequest, id string) *pb.CallRequest {
+// and the priority of its class. It takes the body of the call.
+func (s *Server) newEngineCall(call *pb.CallRequest, id string) (*pb.CallRequest, error) {
+	body := call.GetBody()
+	call.Body = nil
 	c := proto.CloneOf(call)
 	c.Headers = append(c.Headers, &pb.Header{Name: engineRequestIDHeader, Values: []string{id}})
-	if class, ok := s.table.View().Class(call.GetClass()); ok {
-		c.Body = withPriority(c.GetBody(), class.Priority)
+	c.Body = body
+	class, ok := s.table.View().Class(call.GetClass())
+	if !ok {
+		return c, nil
 	}
-	return c
+	var err error
+	c.Body, err = withPriority(body, class.Priority)
+	return c, err
 }
 
 // withPriority sets the priority field of a JSON object. It replaces a value set
 // by the caller, also under a name that differs in case, because some decoders
-// match names case-insensitively. A body that is not a JSON object is unchanged.
-func withPriority(body []byte, priority int) []byte {
-	var fields map[string]json.RawMessage
-	if json.Unmarshal(body, &fields) != nil || fields == nil {
-		return body
+// match names case-insensitively. A body that is not a JSON object is unchanged. One with
+// very many members is refused, because decoding takes many times the memory of their text.
+func withPriority(body []byte, priority int) ([]byte, error) {
+	if json.Valid(body) && jsonsplit.HasMore(body, maxMembers) {
+		return nil, errkind.New(errkind.InvalidRequest, "the body has more than %d members", maxMembers)
+	}
+	fields := decodeObject(body)
+	if fields == nil {
+		return body, nil
 	}
 	for name := range fields {
 		if strings.EqualFold(name, priorityField) {
@@ -115,9 +133,18 @@
 	fields[priorityField] = json.RawMessage(strconv.Itoa(priority))
 	changed, err := json.Marshal(fields)
 	if err != nil {
-		return body
+		return nil, errkind.Wrap(errkind.InvalidRequest, err, "set the priority")
+	}
+	return changed, nil
+}
+
+// decodeObject returns the members of a JSON object, or nil.
+func decodeObject(body []byte) map[string]json.RawMessage {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return nil
 	}
-	return changed
+	return fields
 }
 
 // resumeStream resumes a response at a token index. Its errors do not prove that
--- a/daemons/sidecar/module.go
+++ b/daemons/sidecar/module.go
@@ -17,6 +17,7 @@
 	"github.com/filbertmux/filbertmux/config/settings"
 	"github.com/filbertmux/filbertmux/config/tablesync"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/serve/claimlog"
 	"github.com/filbertmux/filbertmux/serve/drain"
@@ -50,7 +51,7 @@
 		daemon.CommonModule(o.Settings.Common, infra.RoleBackend, o.Log),
 		fx.Supply(o),
 		fx.Provide(newClaimClient, newServer, newGroupControl),
-		fx.Invoke(shareSuspectReports, monitorBackend, serve),
+		fx.Invoke(shareSuspectReports, monitorBackend, reportUse, serve),
 	)
 }
 
@@ -112,6 +113,7 @@
 		Handler:        g.handler(o.Settings, s.Handler()),
 		MaxHeaderBytes: o.Settings.MaxHeaderBytes,
 		HeaderTimeout:  headerTimeout,
+		Connections:    s.connections,
 		Gate:           s.gate,
 		DrainTimeout:   o.Settings.DrainTimeout,
 		Abort:          s.Abort,
@@ -137,13 +139,20 @@
 	}})
 }
 
+// reportUse reports what other processes take of the memory and the connections.
+func reportUse(lc fx.Lifecycle, o Options, s *Server) {
+	reporter := &inbound.Reporter{Memory: s.memory, Connections: s.connections, Metrics: s.metrics, Log: o.Log}
+	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "report memory and connections", Run: reporter.Run})
+}
+
 // Handler returns the HTTP handler of the sidecar. Only SidecarService requires
 // the peer token.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	path, service := filbertmuxv1connect.NewSidecarServiceHandler(s,
-		connect.WithReadMaxBytes(s.settings.MaxBodyBytes+messageOverheadBytes))
-	mux.Handle(path, daemon.RequireToken(s.settings.PeerToken.Reveal(), service))
+		connect.WithReadMaxBytes(s.maxMessageBytes()))
+	metered := s.memory.Meter(s.readOptions(), wrapRefusal, service)
+	mux.Handle(path, daemon.RequireToken(s.settings.PeerToken.Reveal(), metered))
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /statusz", s.serveStatus)
--- a/daemons/sidecar/server.go
+++ b/daemons/sidecar/server.go
@@ -18,6 +18,7 @@
 	"github.com/filbertmux/filbertmux/config/table"
 	"github.com/filbertmux/filbertmux/config/tablesync"
 	"github.com/filbertmux/filbertmux/daemons/daemon"
+	"github.com/filbertmux/filbertmux/daemons/inbound"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/gen/filbertmux/v1/filbertmuxv1connect"
 	"github.com/filbertmux/filbertmux/serve/claim"
@@ -58,9 +59,18 @@
 	ctx        context.Context // cancelled when the drain timeout expires
 	abortCalls context.CancelCauseFunc
 
+	// memory and connections bound what other processes take of this one.
+	memory      *inbound.Memory
+	connections *inbound.Connections
+	maxRetained int
+
 	mu       sync.Mutex
 	attempts map[attemptKey]*attempt
 	running  int
+	// finished holds the finished attempts that are kept for replay, the oldest first, and
+	// retained is what they take together.
+	finished []*attempt
+	retained int
 }
 
 var _ filbertmuxv1connect.SidecarServiceHandler = (*Server)(nil)
@@ -74,11 +84,14 @@
 		return nil, err
 	}
 	ctx, abort := context.WithCancelCause(context.Background())
+	limits := inbound.Divide(memoryLimit(s), maxConnections(s))
 	return &Server{
 		settings: s, incarnation: string(incarnation), backend: b,
 		admission: newAdmissionController(b, string(incarnation), time.Now, log), claims: claims, table: table,
 		gate: gate, log: log, metrics: metrics, ctx: ctx, abortCalls: abort,
-		attempts: make(map[attemptKey]*attempt),
+		memory: inbound.NewMemory(limits.Budget, metrics), connections: inbound.NewConnections(limits.Connections, metrics),
+		maxRetained: int(retainedShare * float64(limits.Budget.Total)),
+		attempts:    make(map[attemptKey]*attempt),
 	}, nil
 }
 
@@ -91,7 +104,7 @@
 // consists of the end chunk only, so that all outcomes have the same format.
 func (s *Server) Call(ctx context.Context, req *connect.Request[pb.CallRequest], out *connect.ServerStream[pb.Chunk]) error {
 	s.table.Learn(infra.Offset(req.Msg.GetTableOffset()))
-	a, connection, err := s.admit(req.Msg)
+	a, connection, err := s.admit(ctx, req.Msg)
 	if err != nil {
 		return out.Send(s.refusalChunk(req.Msg.GetId(), err))
 	}
--- a/daemons/sidecar/server_test.go
+++ b/daemons/sidecar/server_test.go
@@ -71,9 +71,10 @@
 	metrics := telemetry.NewMetrics("sidecar", "s1", zerolog.Nop())
 	server, err := NewServer(s, daemon.Incarnation(incarnation), claims, emptyTable{}, drain.NewGate(), zerolog.Nop(), metrics)
 	require.NoError(t, err)
-	mux := http.NewServeMux()
-	mux.Handle(filbertmuxv1connect.NewSidecarServiceHandler(server))
-	httpServer := httptest.NewServer(mux)
+	httpServer := httptest.NewUnstartedServer(server.Handler())
+	httpServer.Listener = server.connections.Listen(httpServer.Listener)
+	server.connections.Observe(httpServer.Config)
+	httpServer.Start()
 	t.Cleanup(httpServer.Close)
 	t.Cleanup(server.Abort)
 	return &fixture{server, httpServer.Listener.Addr().String(), filbertmuxv1connect.NewSidecarServiceClient(httpServer.Client(), httpServer.URL)}
--- a/serve/stream/sender.go
+++ b/serve/stream/sender.go
@@ -32,6 +32,16 @@
 	return &Sender{id: id, maxBytes: maxBytes, hash: xxh3.New()}
 }
 
+// SetMaxBytes changes the bound of the replay buffer. A lower bound takes effect when the next
+// chunks are appended.
+func (s *Sender) SetMaxBytes(n int) { s.maxBytes = n }
+
+// BufferedBytes returns the size of the replay buffer.
+func (s *Sender) BufferedBytes() int { return s.bufferBytes }
+
+// SizeOf returns what a chunk with n bytes of data takes in the replay buffer.
+func SizeOf(n int) int { return chunkOverheadBytes + n }
+
 // Head appends the head chunk. It returns false without effect if the buffer is
 // full of unsent chunks or End was called.
 func (s *Sender) Head(head *pb.Head) bool {
