--- a/base/errkind/attributes.go
+++ b/base/errkind/attributes.go
@@ -62,4 +62,6 @@
 	CheckFailed:           {"check_failed", http.StatusBadRequest, connect.CodeInvalidArgument, ExitFailure, NotRun, false},
 	CheckNotRun:           {"check_not_run", http.StatusInternalServerError, connect.CodeUnavailable, ExitUsage, NotRun, false},
 	AnswerNotStored:       {"answer_not_stored", http.StatusGone, connect.CodeAlreadyExists, ExitFailure, Done, false},
+	MemoryExhausted:       {"memory_exhausted", http.StatusServiceUnavailable, connect.CodeResourceExhausted, ExitUnavailable, NotRun, true},
+	SlowBody:              {"slow_body", http.StatusServiceUnavailable, connect.CodeDeadlineExceeded, ExitTimeout, NotRun, true},
 }
--- a/base/errkind/errkind.go
+++ b/base/errkind/errkind.go
@@ -82,6 +82,8 @@
 	AnswerNotStored
 	CheckFailed
 	CheckNotRun
+	MemoryExhausted
+	SlowBody
 
 	kindCount
 )
--- a/daemons/cli/cli.go
+++ b/daemons/cli/cli.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
@@ -85,6 +86,7 @@
 	if done || err != nil {
 		return err
 	}
+	setSoftMemoryLimit(c.MemoryLimit)
 	log := newLogger(c.Common, "entry", streams)
 	return daemon.Process{Log: log}.Run(ctx, entry.Module(entry.Options{Settings: c.Entry, Log: log}))
 }
@@ -99,6 +101,7 @@
 	if done || err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(sidecar.SoftMemoryLimit(c.Sidecar))
 	log := newLogger(c.Common, "sidecar", streams)
 	return daemon.Process{Log: log}.Run(ctx, sidecar.Module(sidecar.Options{Settings: c.Sidecar, Log: log}))
 }
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -24,12 +24,14 @@
 
 // fixture is a gateway with a fake metadata store and fake backend servers.
 type fixture struct {
-	t       *testing.T
-	store   *platformtest.Store
-	deploy  *platformtest.Deployment
-	gateway *Gateway
-	server  *httptest.Server
-	logs    *logBuffer
+	t      *testing.T
+	store  *platformtest.Store
+	deploy *platformtest.Deployment
+	// settings are those of the gateways that the fixture starts.
+	settings platform.Settings
+	gateway  *Gateway
+	server   *httptest.Server
+	logs     *logBuffer
 }
 
 // logBuffer collects the log output.
@@ -91,13 +93,20 @@
 // until the gateway is ready.
 func newFixture(t *testing.T, servers ...*platformtest.Server) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: platformtest.NewStore()}
+	return newFixtureWith(t, settings(), 0, servers...)
+}
+
+// newFixtureWith is newFixture with other settings and another largest body; 0 stands for
+// the usual one.
+func newFixtureWith(t *testing.T, s platform.Settings, maxBody int, servers ...*platformtest.Server) *fixture {
+	t.Helper()
+	f := &fixture{t: t, store: platformtest.NewStore(), settings: s}
 	t.Cleanup(f.store.Close)
-	f.deploy = &platformtest.Deployment{Store: f.store, Host: host}
+	f.deploy = &platformtest.Deployment{Store: f.store, Host: host, MaxBodyBytes: maxBody}
 	f.deploy.PublishConfig([]string{platformtest.Key}, nil)
-	for _, s := range servers {
-		f.deploy.Register(s.ID, platformtest.PlainService, s.Address())
-		f.deploy.Register("m-"+s.ID, platformtest.ModelService, s.ModelAddress())
+	for _, server := range servers {
+		f.deploy.Register(server.ID, platformtest.PlainService, server.Address())
+		f.deploy.Register("m-"+server.ID, platformtest.ModelService, server.ModelAddress())
 	}
 	f.startGateway()
 	f.eventually(func() bool { ready, _ := f.gateway.Ready(); return ready })
@@ -111,7 +120,7 @@
 	logs := f.logs
 	log := zerolog.New(zerolog.SyncWriter(logs))
 	state := NewClusterState()
-	gateway := New(settings(), state, telemetry.NewMetrics(Role, "g1", log), log)
+	gateway := New(f.settings, state, telemetry.NewMetrics(Role, "g1", log), log)
 	client := platform.NewStoreClient(f.store.Address())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 3)
@@ -128,7 +137,10 @@
 			func() { gateway.services.refreshServers(state) })
 		done <- struct{}{}
 	}()
-	server := httptest.NewServer(gateway)
+	server := httptest.NewUnstartedServer(gateway)
+	server.Listener = gateway.connections.Listen(server.Listener)
+	gateway.connections.Observe(server.Config)
+	server.Start()
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(logs.String())
@@ -153,6 +165,8 @@
 	body   string
 	// complete means that the body was read without an error.
 	complete bool
+	// closes means that the response announces the end of its connection.
+	closes bool
 }
 
 // send sends a request with the key of the organisation and requires a response.
--- a/daemons/gateway/refused_config_test.go
+++ b/daemons/gateway/refused_config_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/telemetry"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
@@ -39,11 +40,13 @@
 // refused although the HTTP server then refuses each request.
 func TestHeaderLimitsThatCanBeServed(t *testing.T) {
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	metrics := telemetry.NewMetrics(Role, "g1", zerolog.Nop())
+	connections := New(settings(), NewClusterState(), metrics, zerolog.Nop()).connections
 	for _, limit := range []int{math.MinInt, 0, 1, 16 << 10, math.MaxInt - 4097, math.MaxInt - 4096, math.MaxInt - 4095, math.MaxInt} {
 		c := fleet.Config{Limits: fleet.Limits{MaxHeaderBytes: limit}}
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
-		front := newFrontend(listener, handler, zerolog.Nop())
+		front := newFrontend(listener, connections, handler, zerolog.Nop())
 		go front.accept(func() fleet.Limits { return c.Limits })
 		client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 		// The server refuses before it has read the request, which the client may see as a fault
