Add evacuations of failure domains to the table

Operators of the own interface can't ask for the evacuation of a failure domain. A row of the new kind evacuation (evacuations.csv: failure domain, owning office) does so; no file and no row mean none.

Readers of earlier versions find no kind in such a row and refuse the set. Change sets with evacuations therefore have the record type table.change.v2, which these readers skip, and an evacuation in a record of the first type is refused with the same faults as before.

--- a/config/table/change.go
+++ b/config/table/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -14,7 +15,12 @@
 // the same record.
 const (
 	TypeChangeSet = "table.change.v1"
-	TypeSnapshot  = "table.snapshot.v1"
+	// TypeChangeSetV2 is the type of a change set with evacuations. Readers of
+	// earlier versions skip it, because they don't know the type. In a change set of
+	// the first type they ignore the evacuation, find a row without a kind and
+	// refuse the set; so do later readers.
+	TypeChangeSetV2 = "table.change.v2"
+	TypeSnapshot    = "table.snapshot.v1"
 )
 
 // MaxChanges is the maximum number of changes in a change set. A table of 1,100
@@ -46,7 +52,7 @@
 
 // Encode returns the log record of the change set.
 func (s ChangeSet) Encode() ([]byte, error) {
-	s.Type = TypeChangeSet
+	s.Type = s.recordType()
 	data, err := json.Marshal(s)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode change set")
@@ -54,6 +60,27 @@
 	return data, nil
 }
 
+// recordType returns the first record type that has all row kinds of the set.
+func (s ChangeSet) recordType() string {
+	isNewer := func(c Change) bool {
+		return !hasKind(TypeChangeSet, c.Key.Kind) || c.Row != nil && c.Row.Evacuation != nil
+	}
+	if slices.ContainsFunc(s.Changes, isNewer) {
+		return TypeChangeSetV2
+	}
+	return TypeChangeSet
+}
+
+// hasKind reports whether change sets of a record type can change rows of kind k.
+func hasKind(recordType string, k Kind) bool {
+	return recordType != TypeChangeSet || k != KindEvacuation
+}
+
+// IsChangeSet reports whether records of a type are change sets.
+func IsChangeSet(recordType string) bool {
+	return recordType == TypeChangeSet || recordType == TypeChangeSetV2
+}
+
 // RecordType returns the type of a log record, or "" if the record has none or
 // is not JSON.
 func RecordType(data []byte) string {
@@ -66,18 +93,31 @@
 	return head.Type
 }
 
-// DecodeChangeSet decodes a record of type TypeChangeSet.
+// DecodeChangeSet decodes a record of type TypeChangeSet or TypeChangeSetV2.
 func DecodeChangeSet(data []byte) (ChangeSet, error) {
 	var s ChangeSet
 	if err := json.Unmarshal(data, &s); err != nil {
 		return ChangeSet{}, errors.Wrap(err, "decode change set")
 	}
-	if s.Type != TypeChangeSet || s.ID == "" || len(s.ID) > maxNameLength {
+	if !IsChangeSet(s.Type) || s.ID == "" || len(s.ID) > maxNameLength {
 		return ChangeSet{}, errors.Errorf("record with type %q and id %q is not a valid change set", s.Type, s.ID)
 	}
+	if s.Type == TypeChangeSet {
+		s.dropEvacuations()
+	}
 	return s, nil
 }
 
+// dropEvacuations removes the evacuations from the rows, as readers do that don't
+// know the kind.
+func (s ChangeSet) dropEvacuations() {
+	for _, c := range s.Changes {
+		if c.Row != nil {
+			c.Row.Evacuation = nil
+		}
+	}
+}
+
 // validate returns the faults that can be found without the other rows of the
 // table.
 func (s ChangeSet) validate() []Fault {
--- a/config/table/columns.go
+++ b/config/table/columns.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 )
@@ -26,6 +28,8 @@
 	maxTokensPerSecond   = 100_000_000
 	maxInFlight          = 1_000_000
 	maxCostWeight        = 1000
+	// maxFailureDomainLength is that of the setting failure-domain, in characters.
+	maxFailureDomainLength = 64
 )
 
 var (
@@ -91,6 +95,10 @@
 		{"checks_fencing_tokens", func(r *Row) any { return &r.Capability.ChecksFencingTokens }, checkBool},
 		officeColumn,
 	},
+	KindEvacuation: {
+		{"failure_domain", func(r *Row) any { return &r.Evacuation.FailureDomain }, checkFailureDomain},
+		officeColumn,
+	},
 }
 
 // Validate returns all faults that can be found in the row alone. Rules that
@@ -136,6 +144,19 @@
 	return checkName(cell)
 }
 
+// checkFailureDomain accepts more than checkName, because instances take their
+// failure domain from settings, and the table must be able to name each of them.
+func checkFailureDomain(cell any) error {
+	s := cellText(cell)
+	length := utf8.RuneCountInString(s)
+	isUnprintable := func(c rune) bool { return !unicode.IsPrint(c) }
+	if length == 0 || length > maxFailureDomainLength || !utf8.ValidString(s) ||
+		strings.TrimSpace(s) != s || strings.ContainsFunc(s, isUnprintable) {
+		return errors.Errorf("want 1 to %d printable characters, without a space at either end", maxFailureDomainLength)
+	}
+	return nil
+}
+
 func checkHash(cell any) error {
 	if !hashPattern.MatchString(cellText(cell)) {
 		return errors.New("want the SHA-256 hash of the API key as 64 lower-case hexadecimal digits")
--- a/config/table/diff.go
+++ b/config/table/diff.go
@@ -11,7 +11,7 @@
 // overwriting a newer change. The set has no changes if the files agree with
 // the view.
 func Diff(view *View, edited *CSVTable, office, id string) ChangeSet {
-	set := ChangeSet{Type: TypeChangeSet, ID: id, Office: office, ReadOffset: view.offset}
+	set := ChangeSet{ID: id, Office: office, ReadOffset: view.offset}
 	for _, r := range edited.Rows {
 		key, ok := r.Row.Key()
 		if !ok {
@@ -32,6 +32,7 @@
 		}
 	}
 	slices.SortFunc(set.Changes, func(a, b Change) int { return compareKeys(a.Key, b.Key) })
+	set.Type = set.recordType()
 	return set
 }
 
--- a/config/table/fuzz_test.go
+++ b/config/table/fuzz_test.go
@@ -19,6 +19,7 @@
 		f.Add(uint8(i), data)
 	}
 	f.Add(uint8(0), []byte("\xef\xbb\xbfname;priority;reserve;office\r\ndesk;0;0,25;a\r\n"))
+	f.Add(uint8(len(kinds)-1), []byte("failure_domain,office,version,delete\n\"Zone A, \"\"1\"\"\",a,4,yes\n"))
 	f.Fuzz(func(t *testing.T, kind uint8, data []byte) {
 		k := kinds[int(kind)%len(kinds)]
 		rows, _ := ParseCSV(k, FileName(k), data)
@@ -47,6 +48,13 @@
 	base := publishOffices(f, examples.Demo())
 	set := Diff(NewState().View(), csvTable, "sibiu", "x")
 	f.Add(changeSetRecord(f, 0, set).Data, []byte(`{"type":"table.change.v1","id":"y","office":"a","changes":[{"key":{"kind":"class","id":"k"},"row":{"office":"a","class":{"name":"k"}}},{"key":{"kind":"limit","id":"k"},"row":{"office":"a"}}]}`))
+	evacuate := func(domain, id string) []byte {
+		row := Row{Office: "sibiu", Evacuation: &Evacuation{FailureDomain: domain}}
+		key, _ := row.Key()
+		return changeSetRecord(f, 0, ChangeSet{ID: id, Office: "sibiu", Changes: []Change{{Key: key, Row: &row}}}).Data
+	}
+	f.Add(evacuate("medias", "x"), evacuate("Zone A", "y"))
+	f.Add(evacuate("medias", "x"), []byte(`{"type":"table.change.v1","id":"y","office":"sibiu","read_offset":1,"changes":[{"key":{"kind":"evacuation","id":"medias"},"base":1}]}`))
 	data, err := base.Snapshot()
 	require.NoError(f, err)
 	f.Add(data, []byte(`{"type":"table.snapshot.v1","offset":0,"digest":"0"}`))
--- a/config/table/random_test.go
+++ b/config/table/random_test.go
@@ -238,7 +238,7 @@
 // checkVerdict tracks the accepted changes independently of the checks of State:
 // the publisher of each change must have seen the row that the change replaces.
 func (sim *simulation) checkVerdict(r infra.Record, v Verdict) {
-	if RecordType(r.Data) != TypeChangeSet {
+	if !IsChangeSet(RecordType(r.Data)) {
 		return
 	}
 	set, err := DecodeChangeSet(r.Data)
@@ -309,7 +309,7 @@
 		name = fmt.Sprintf("%s%d", []string{"a", "b"}[sim.rng.IntN(2)], n)
 	}
 	row := Row{Office: office}
-	switch sim.rng.IntN(3) {
+	switch sim.rng.IntN(4) {
 	case 0:
 		row.Class = &Class{Name: name, Priority: sim.rng.IntN(12), Reserve: float64(sim.rng.IntN(4)) / 10}
 	case 1:
@@ -317,6 +317,8 @@
 		if sim.rng.IntN(2) == 0 {
 			row.Organisation.Class = fmt.Sprintf("a%d", sim.rng.IntN(3))
 		}
+	case 2:
+		row.Evacuation = &Evacuation{FailureDomain: name}
 	default:
 		row.Limit = &Limit{Organisation: name, InFlight: sim.rng.IntN(100)}
 	}
--- a/config/table/row.go
+++ b/config/table/row.go
@@ -20,12 +20,13 @@
 	KindService      Kind = "service"
 	KindRoute        Kind = "route"
 	KindCapability   Kind = "capability"
+	KindEvacuation   Kind = "evacuation"
 )
 
 // Kinds returns the row kinds, each after the kinds that its rows refer to.
 func Kinds() []Kind { return slices.Clone(kinds) }
 
-var kinds = []Kind{KindClass, KindOrganisation, KindWeight, KindLimit, KindService, KindRoute, KindCapability}
+var kinds = []Kind{KindClass, KindOrganisation, KindWeight, KindLimit, KindService, KindRoute, KindCapability, KindEvacuation}
 
 // Class is a priority class. Classes with a lower Priority number are served
 // first. Reserve is the fraction of capacity that the class is guaranteed even
@@ -96,6 +97,12 @@
 	ChecksFencingTokens bool   `json:"checks_fencing_tokens"`
 }
 
+// Evacuation asks the entries to send no new calls to the sidecars of a failure
+// domain, for as long as the row exists.
+type Evacuation struct {
+	FailureDomain string `json:"failure_domain"`
+}
+
 // Row is one row of the table: exactly one of the pointers is set. A row must
 // not be modified once it is part of a State or View.
 type Row struct {
@@ -108,6 +115,7 @@
 	Service      *Service      `json:"service,omitempty"`
 	Route        *Route        `json:"route,omitempty"`
 	Capability   *Capability   `json:"capability,omitempty"`
+	Evacuation   *Evacuation   `json:"evacuation,omitempty"`
 }
 
 // Key identifies a row.
@@ -149,6 +157,8 @@
 		return Row{Route: &Route{}}, true
 	case KindCapability:
 		return Row{Capability: &Capability{}}, true
+	case KindEvacuation:
+		return Row{Evacuation: &Evacuation{}}, true
 	default:
 		return Row{}, false
 	}
@@ -179,6 +189,9 @@
 	if r.Capability != nil {
 		keys = append(keys, Key{KindCapability, r.Capability.Service})
 	}
+	if r.Evacuation != nil {
+		keys = append(keys, Key{KindEvacuation, r.Evacuation.FailureDomain})
+	}
 	if len(keys) != 1 {
 		return Key{}, false
 	}
--- a/config/table/scenario_test.go
+++ b/config/table/scenario_test.go
@@ -22,6 +22,7 @@
 //	restore                          continues from the last snapshot
 //	reread offset=N                  applies an old record again
 //	rows                             prints the rows
+//	digest                           prints the digest
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata/scenarios", func(t *testing.T, path string) {
 		s := &scenario{t: t, state: NewState()}
@@ -55,6 +56,8 @@
 		var offset int
 		d.ScanArgs(t, "offset", &offset)
 		return printVerdict(s.state.Apply(s.records[offset-1]))
+	case "digest":
+		return s.digestText() + "\n"
 	case "rows":
 		var b strings.Builder
 		for _, e := range s.state.View().Entries() {
--- a/config/table/state.go
+++ b/config/table/state.go
@@ -100,7 +100,7 @@
 
 func (s *State) applyRecord(r infra.Record) Verdict {
 	switch RecordType(r.Data) {
-	case TypeChangeSet:
+	case TypeChangeSet, TypeChangeSetV2:
 		set, err := DecodeChangeSet(r.Data)
 		if err != nil {
 			s.stats.Malformed++
@@ -154,6 +154,7 @@
 // Check returns the faults that the change set would have if it were the next
 // record. It leaves the state unchanged.
 func (s *State) Check(set ChangeSet) []Fault {
+	set.Type = set.recordType()
 	faults, undo := s.stageChanges(set, s.offset+1)
 	undo()
 	return faults
@@ -184,8 +185,26 @@
 	return faults
 }
 
+// rowHistory is what a state holds about one row.
+type rowHistory struct {
+	current Entry
+	// deletedAt is the offset at which the row was deleted; 0 if it was not.
+	deletedAt infra.Offset
+}
+
+// rowHistory returns what the state holds about a row that the set changes. A set
+// whose type does not have the kind of the row finds nothing, as in the state of a
+// reader that does not know the kind.
+func (s *State) rowHistory(set ChangeSet, key Key) rowHistory {
+	if !hasKind(set.Type, key.Kind) {
+		return rowHistory{}
+	}
+	return rowHistory{current: s.entries[key], deletedAt: s.deletedAt[key]}
+}
+
 func (s *State) checkChange(set ChangeSet, c Change) []Fault {
-	current, exists := s.entries[c.Key]
+	history := s.rowHistory(set, c.Key)
+	current, exists := history.current, history.current.Version != 0
 	var faults []Fault
 	if exists && current.Row.Office != set.Office && !s.disabled.ownerCheck {
 		faults = append(faults, Fault{
@@ -202,7 +221,7 @@
 	if s.disabled.baseCheck {
 		return faults
 	}
-	if reason := s.staleBaseReason(set, c, current); reason != "" {
+	if reason := staleBaseReason(set, c, history); reason != "" {
 		faults = append(faults, Fault{
 			Row: c.Key.String(), Column: "version", Value: formatOffset(c.BaseVersion), Reason: reason, Conflict: true,
 		})
@@ -212,7 +231,8 @@
 
 // staleBaseReason returns why the base version of c is outdated, or "" if it is
 // the current version.
-func (s *State) staleBaseReason(set ChangeSet, c Change, current Entry) string {
+func staleBaseReason(set ChangeSet, c Change, history rowHistory) string {
+	current := history.current
 	if c.BaseVersion != current.Version {
 		if current.Version == 0 {
 			return "the row does not exist any more"
@@ -224,7 +244,7 @@
 	}
 	// A new row has base version 0, and so does a deleted row. Only the read offset
 	// shows whether the publisher had seen the deletion.
-	if at := s.deletedAt[c.Key]; current.Version == 0 && at > set.ReadOffset {
+	if at := history.deletedAt; current.Version == 0 && at > set.ReadOffset {
 		return fmt.Sprintf("the row was deleted at offset %d", at)
 	}
 	return ""
--- a/config/table/view.go
+++ b/config/table/view.go
@@ -19,6 +19,7 @@
 	byKeyHash map[string]*Organisation
 	classes   []Class
 	routes    map[string][]routeEntry // by routesKey, the most specific first
+	evacuated []string                // failure domains, sorted
 }
 
 type routeEntry struct {
@@ -37,6 +38,7 @@
 		v.addRow(e.Row)
 	}
 	slices.SortFunc(v.classes, func(a, b Class) int { return cmp.Compare(a.Priority, b.Priority) })
+	slices.Sort(v.evacuated)
 	for _, list := range v.routes {
 		slices.SortFunc(list, func(a, b routeEntry) int { return compareSpecificity(a.pattern, b.pattern) })
 	}
@@ -49,6 +51,8 @@
 		v.byKeyHash[r.Organisation.KeySHA256] = r.Organisation
 	case r.Class != nil:
 		v.classes = append(v.classes, *r.Class)
+	case r.Evacuation != nil:
+		v.evacuated = append(v.evacuated, r.Evacuation.FailureDomain)
 	case r.Route != nil:
 		p, err := parsePattern(r.Route.Path)
 		if err != nil {
@@ -206,3 +210,13 @@
 	e, ok := v.entries[Key{KindCapability, service}]
 	return ok && e.Row.Capability.ChecksFencingTokens
 }
+
+// Evacuated reports whether the entries send no new calls to the sidecars of a
+// failure domain.
+func (v *View) Evacuated(failureDomain string) bool {
+	_, found := slices.BinarySearch(v.evacuated, failureDomain)
+	return found
+}
+
+// EvacuatedDomains returns the evacuated failure domains, ordered by name.
+func (v *View) EvacuatedDomains() []string { return slices.Clone(v.evacuated) }
