Send no new calls to evacuated failure domains

An entry ignores the evacuations of the table: it routes calls by the instance list, probes and responses alone.

The servers of a domain that is evacuated by the table in force are no candidates for first attempts, retries, duplicates, suspect requests, bookings and the probes of routing policies, and don't count as slots. Only servers elsewhere are left, suspect ones included; without any, Pick and the queue refuse the calls at once with no_backend_server, the names of the domains and Retry-After 7 s. Membership probes go on, because they are no work for a backend server and make the domain usable as soon as the row is taken back. Load reports from there don't reach the policies: prefix affinity compares loads with their mean.

Seen to fail: the tests in servers/evacuation_test.go and admission.TestRefusalEndsTheWait with each of these rules off.

--- a/balance/membership/membership.go
+++ b/balance/membership/membership.go
@@ -164,9 +164,15 @@
 // Candidates returns the servers of a service that may get new requests, sorted by
 // instance ID: the usable ones or, if there are none, the suspect ones.
 func (v *View) Candidates(service string) []Server {
+	return v.CandidatesExcept(service, func(Server) bool { return false })
+}
+
+// CandidatesExcept is like Candidates, as if the servers for which excluded returns
+// true did not exist.
+func (v *View) CandidatesExcept(service string, excluded func(Server) bool) []Server {
 	var usable, suspect []Server
 	for _, s := range v.servers {
-		if s.Service != service {
+		if s.Service != service || excluded(s.Server) {
 			continue
 		}
 		switch s.State {
--- a/daemons/entry/admission/admission.go
+++ b/daemons/entry/admission/admission.go
@@ -30,6 +30,10 @@
 	// ConcurrencyLimit returns the maximum number of requests in flight to the
 	// backend servers of a service.
 	ConcurrencyLimit func(service string) int
+	// Refusal returns the error with which the requests of a service are refused, or
+	// nil. While no server takes new requests, they would otherwise wait for the end of
+	// those in flight.
+	Refusal func(service string) error
 	// View returns the table in force.
 	View func() *table.View
 	Now  func() time.Time
@@ -73,8 +77,8 @@
 }
 
 // Acquire waits for a slot and returns the function that releases it. It fails with
-// QueueFull, DeadlineUnreachable or Canceled; all of them prove that the request
-// did not run.
+// QueueFull, DeadlineUnreachable, Canceled or the refusal of the service; all of them
+// prove that the request did not run.
 func (c *Controller) Acquire(ctx context.Context, r Request) (release func(), err error) {
 	w := &waiter{result: make(chan error, 1)}
 	s, ticket, err := c.enqueue(r, w)
@@ -162,6 +166,10 @@
 	if s.queue.Len() == 0 {
 		return
 	}
+	if err := c.config.Refusal(s.name); err != nil {
+		s.refuseAll(err)
+		return
+	}
 	limit := c.config.ConcurrencyLimit(s.name)
 	topClassSlots := limit / topClassSlotDivisor
 	for s.running < limit-topClassSlots && s.start(s.queue.Pop()) {
@@ -188,6 +196,13 @@
 	}
 }
 
+// refuseAll refuses all waiting requests.
+func (s *serviceQueue) refuseAll(err error) {
+	for _, ticket := range s.queue.RemoveFunc(func(*waiter) bool { return true }) {
+		ticket.Value.result <- err
+	}
+}
+
 // QueueLength returns the number of requests in all queues.
 func (c *Controller) QueueLength() int {
 	c.mu.Lock()
--- a/daemons/entry/admission/admission_test.go
+++ b/daemons/entry/admission/admission_test.go
@@ -40,13 +40,15 @@
 	controller *Controller
 	order      []string // organisations in the order in which they ran
 	refused    map[string]error
+	refusal    error // of all waiting requests
 }
 
 func newFixture(t *testing.T, queueSize int) *fixture {
 	f := &fixture{t: t, view: viewWith(t, func(*table.Row) {}), now: time.Unix(1000, 0), slots: 1, refused: map[string]error{}}
 	f.controller = New(Config{
 		QueueSize: queueSize, ConcurrencyLimit: func(string) int { return f.slots },
-		View: func() *table.View { return f.view }, Now: func() time.Time { return f.now },
+		Refusal: func(string) error { return f.refusal },
+		View:    func() *table.View { return f.view }, Now: func() time.Time { return f.now },
 	})
 	return f
 }
@@ -238,3 +240,27 @@
 		release()
 	})
 }
+
+// Guards against requests that wait for the end of requests in flight although no
+// server takes new ones, and against a refusal that outlasts its cause.
+func TestRefusalEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 10)
+		release := f.occupySlot()
+		f.start(context.Background(), "desk", "mureseni-desk", time.Time{})
+		f.refusal = errkind.New(errkind.NoBackendServer, "evacuated")
+		f.controller.Refresh()
+		synctest.Wait()
+		require.Equal(t, f.refusal, f.refused["mureseni-desk"], "the request waited when the refusal began")
+		f.start(context.Background(), "admin", "reports", time.Time{})
+		require.Equal(t, f.refusal, f.refused["reports"])
+		require.Zero(t, f.controller.QueueLength())
+		f.refusal = nil
+		f.start(context.Background(), "admin", "dealer-kandy", time.Time{})
+		require.Empty(t, f.order)
+		release()
+		synctest.Wait()
+		require.Equal(t, []string{"dealer-kandy"}, f.order)
+		f.occupySlot()() // the refused requests hold no slot
+	})
+}
--- a/daemons/entry/admit.go
+++ b/daemons/entry/admit.go
@@ -61,6 +61,7 @@
 		s.quota.Refresh()
 		s.admission.Refresh()
 		s.metrics.SetGauge("queued", float64(s.admission.QueueLength()))
+		s.evacuations.refresh()
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/daemons/entry/fixture_test.go
+++ b/daemons/entry/fixture_test.go
@@ -184,6 +184,11 @@
 }
 
 func newFixtureWithInstances(t *testing.T, edit func(*settings.Entry), row func(*table.CSVRow), list fixedInstances) *fixture {
+	t.Helper()
+	return newFixtureWithTable(t, edit, newFixedTable(t, row), list)
+}
+
+func newFixtureWithTable(t *testing.T, edit func(*settings.Entry), source tableSource, list fixedInstances) *fixture {
 	t.Helper()
 	cfg := settings.Entry{
 		Common:         settings.Common{MaxBodyBytes: 1000, Instance: "e1"},
@@ -194,7 +199,7 @@
 	metrics := telemetry.NewMetrics("entry", "e1", zerolog.Nop())
 	instances := daemon.NewInstanceWatcher(list, time.Hour, time.Hour, zerolog.Nop())
 	require.NoError(t, instances.Refresh(context.Background()))
-	e := NewServer(cfg, "inc", newFixedTable(t, row), instances, drain.NewGate(), zerolog.Nop(), metrics)
+	e := NewServer(cfg, "inc", source, instances, drain.NewGate(), zerolog.Nop(), metrics)
 	frontend := httptest.NewServer(e.Handler())
 	t.Cleanup(frontend.Close)
 	return &fixture{e, frontend}
--- a/daemons/entry/server.go
+++ b/daemons/entry/server.go
@@ -50,6 +50,7 @@
 	admission   *admission.Controller
 	quota       *quota.Quota
 	reporter    *reporter
+	evacuations *evacuationReporter
 	instances   func() *[]infra.Instance
 	dispatcher  *dispatcher
 	parser      parser
@@ -71,7 +72,7 @@
 	sidecars := newClients(s.PeerToken.Reveal())
 	backendServers := servers.New(servers.Config{
 		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
-		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, InstanceList: instances.Latest,
+		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, View: source.View, InstanceList: instances.Latest,
 	})
 	prober := servers.NewProber(backendServers, probeFunc(sidecars, source, string(incarnation)))
 	server := &Server{
@@ -91,7 +92,8 @@
 		parser: parser{settings: s}, gate: gate, log: log, metrics: metrics, ctx: ctx, abort: abort,
 	}
 	server.admission = admission.New(admission.Config{
-		QueueSize: s.QueueSize, ConcurrencyLimit: server.concurrencyLimit, View: source.View, Now: time.Now,
+		QueueSize: s.QueueSize, ConcurrencyLimit: server.concurrencyLimit, Refusal: backendServers.RefusalByEvacuation,
+		View: source.View, Now: time.Now,
 	})
 	server.dispatcher.duplicates = newDuplicateTracker(sidecars.suspects.handling, server.slotsPerServer)
 	server.quota = quota.New(quota.Config{
@@ -99,6 +101,7 @@
 		View: source.View, LiveEntries: server.liveEntries, Now: time.Now,
 	})
 	server.reporter = newReporter(server.quota, server.otherEntries, s.PeerToken.Reveal(), log)
+	server.evacuations = newEvacuationReporter(source.View, backendServers.CountInDomain, log, metrics)
 	return server
 }
 
--- a/daemons/entry/servers/servers.go
+++ b/daemons/entry/servers/servers.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/balance/routing"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
@@ -35,6 +36,8 @@
 	Membership    membership.Config
 	Rand          *rand.Rand
 	Now           func() time.Time
+	// View returns the table in force.
+	View func() *table.View
 	// InstanceList returns the last instance list, or nil if none was read yet. A
 	// new list has a new address.
 	InstanceList func() *[]infra.Instance
@@ -97,7 +100,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyList()
-	return len(s.view.Candidates(name))
+	return len(s.view.CandidatesExcept(name, s.isEvacuated))
 }
 
 // HasCandidate reports whether there is a server on which r was not tried.
@@ -116,7 +119,7 @@
 	s.applyList()
 	candidates := s.candidates(r)
 	if len(candidates) == 0 {
-		return infra.Instance{}, errkind.New(errkind.NoBackendServer, "no backend server of %s is available", r.Service)
+		return infra.Instance{}, s.noServerError(r.Service)
 	}
 	now := s.config.Now()
 	chosen := candidates[s.choose(now, r, candidates)].Instance
@@ -150,17 +153,14 @@
 }
 
 // candidates returns the servers from which an attempt may pick, without those that
-// were tried: the usable ones, or on a retry the suspect ones if no usable one is
-// left. Servers whose backend server is unavailable are omitted unless no other is
-// left. Outliers are omitted as long as enough other servers remain.
+// were tried or whose failure domain is evacuated: the usable ones, or the suspect
+// ones if no usable one is left. Servers whose backend server is unavailable are
+// omitted unless no other is left. Outliers are omitted as long as enough other
+// servers remain.
 func (s *Servers) candidates(r Request) []membership.Server {
-	tried := func(server membership.Server) bool { return slices.Contains(r.Tried, server.ID) }
-	servers := slices.DeleteFunc(s.view.Candidates(r.Service), tried)
-	if len(servers) == 0 && len(r.Tried) > 0 {
-		servers = slices.DeleteFunc(s.view.Servers(), func(server membership.Server) bool {
-			return server.Service != r.Service || server.State != membership.Suspect || tried(server)
-		})
-	}
+	servers := s.view.CandidatesExcept(r.Service, func(server membership.Server) bool {
+		return slices.Contains(r.Tried, server.ID) || s.isEvacuated(server)
+	})
 	available := slices.DeleteFunc(slices.Clone(servers), s.isAvoided)
 	if len(available) == 0 {
 		available = servers
@@ -195,6 +195,11 @@
 	s.view.ApplySuccess(now, membership.Success{
 		ID: server.ID, Incarnation: load.GetIncarnation(), SentAt: sent, Leaving: load.GetLeaving(),
 	})
+	if s.config.View().Evacuated(server.FailureDomain) {
+		// The policies compare loads with their mean over all servers. Evacuated
+		// servers would lower it, because their load falls to zero.
+		return
+	}
 	s.serviceState(server.Service).policy.Observe(now, routing.Event{Kind: kind, Server: server.ID, Load: routing.Load{
 		InFlight: int(load.GetInFlight()),
 		Queued:   int(load.GetQueued()),
--- a/daemons/entry/servers/servers_test.go
+++ b/daemons/entry/servers/servers_test.go
@@ -13,6 +13,7 @@
 	"github.com/filbertmux/filbertmux/balance/membership"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/config/table"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 )
 
@@ -27,11 +28,13 @@
 	prober  *Prober
 	// pickInterval is the time between two picks.
 	pickInterval time.Duration
+	view         *table.View
 }
 
 func newFakeSidecars(policy string, seed uint64, count int) *fakeSidecars {
 	f := &fakeSidecars{
 		now: time.Unix(1000, 0), leaving: map[string]bool{}, dead: map[string]bool{}, load: map[string]uint32{},
+		view: table.NewState().View(),
 	}
 	var list []infra.Instance
 	for i := range count {
@@ -44,6 +47,7 @@
 		Policy: policy, FailureDomain: "d0", Membership: membership.DefaultConfig(),
 		Rand:         rand.New(rand.NewPCG(seed, 0)),
 		Now:          func() time.Time { return f.now },
+		View:         func() *table.View { return f.view },
 		InstanceList: func() *[]infra.Instance { return &list },
 	})
 	f.prober = NewProber(f.servers, f.probe)
