Check evacuations when a call is sent or resumed

A call waits up to 2 s for its connection, so a call that was picked before an evacuation could be sent after it. The table is checked again when the transport reads the body, which it does when the connection is ready. A call that fails the check was not sent: this isn't recorded as a fault of the server, needs no cancellation, and the call is retried elsewhere as one that did not run, a booking as well.

An idempotent call of which the caller has nothing yet isn't resumed at an evacuated sidecar if another one can take it, but retried there. Others are resumed, because a resume starts no work and calls in flight are to end: calls whose answer has begun, and bookings, which only their own sidecar may run. A booking that is sent again goes to another sidecar, which finds the claim.

--- a/daemons/entry/clients.go
+++ b/daemons/entry/clients.go
@@ -47,14 +47,14 @@
 
 func newClients(token string) *clients {
 	client := func(unpooled bool) *http.Client {
-		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: &http.Transport{
+		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: sendCheckTransport{&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:   unpooled,
 			DisableCompression:  true,
 			MaxIdleConns:        maxIdleConnections,
 			MaxIdleConnsPerHost: idleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
-		}}}
+		}}}}
 	}
 	suspects := newSuspectInterceptor(time.Now)
 	return &clients{
--- a/daemons/entry/exchange.go
+++ b/daemons/entry/exchange.go
@@ -79,11 +79,18 @@
 		}
 		if !known {
 			next = x.transfer.nextEvent(ctx, x.machine.Deadline())
+			next.MoveToOther = mayEndConnection(next.Kind) && x.servers.ShouldMove(x.instance, x.routing)
 		}
 		event = next
 	}
 }
 
+// mayEndConnection reports whether the request may need another connection after an event
+// of this kind.
+func mayEndConnection(k lifecycle.EventKind) bool {
+	return k == lifecycle.ConnectionEnded || k == lifecycle.DeadlinePassed
+}
+
 // handle applies an event and executes its effects. It returns the event that
 // results from the last effect. known is false if the next event has to be awaited
 // from the connection.
@@ -156,12 +163,14 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		call.DeadlineMs = uint64(max(time.Until(deadline).Milliseconds(), 1))
 	}
+	instance := x.instance
 	x.transfer = &transfer{
-		client:  x.clients.forAddress(x.instance.Address),
-		request: call,
-		events:  make(chan connectionEvent, maxPendingChunks),
+		client:    x.clients.forAddress(instance.Address),
+		request:   call,
+		checkSend: func() error { return x.servers.CheckSend(instance) },
+		events:    make(chan connectionEvent, maxPendingChunks),
 		observer: &serverObserver{
-			servers: x.servers, table: x.table, retries: x.retries, instance: x.instance, sent: time.Now(),
+			servers: x.servers, table: x.table, retries: x.retries, instance: instance, sent: time.Now(),
 		},
 	}
 	x.transfer.start(ctx)
--- a/daemons/entry/lifecycle/request.go
+++ b/daemons/entry/lifecycle/request.go
@@ -70,8 +70,14 @@
 	Err error
 	// DialFailed is set if the connection could not be established.
 	DialFailed bool
+	// NotSent is set if the call was not sent although its first connection could be
+	// established. Err then has execution status not_run.
+	NotSent bool
 	// NotResumable is set if a new connection can't provide the missing chunks.
 	NotResumable bool
+	// MoveToOther is set, for ConnectionEnded and DeadlinePassed, if the server should
+	// get no new connection for an idempotent request that another server can take.
+	MoveToOther bool
 	// AnswerStarted is set if the caller has received a part of the response.
 	AnswerStarted bool
 	Delay         time.Duration // for RetryGranted
@@ -126,6 +132,8 @@
 	Err *errkind.Error
 	// ReportedBySidecar is set if the sidecar ended the response with this error.
 	ReportedBySidecar bool
+	// NotSent is set if the call was not sent, so that there is nothing to cancel.
+	NotSent bool
 }
 
 // Request is the state machine of one request.
@@ -177,7 +185,7 @@
 	case ConnectionEnded:
 		return r.handleConnectionEnded(now, e)
 	case DeadlinePassed:
-		return r.handleDeadline(now)
+		return r.handleDeadline(now, e)
 	case CallerGone, WriteFailed:
 		if r.attemptOpen {
 			r.lastFailure = &Failure{Err: errkind.Of(e.Err)}
@@ -231,11 +239,16 @@
 }
 
 // handleConnectionEnded resumes or ends the attempt. If the dial of the first
-// connection failed, the call did not reach the sidecar.
+// connection failed or the call was not sent, it did not reach the sidecar. The latter
+// says nothing about the sidecar and is not reported as a connection failure.
 func (r *Request) handleConnectionEnded(now time.Time, e Event) []Effect {
 	if !r.attemptOpen || e.Connection != r.connection || r.State() == Finishing {
 		return nil
 	}
+	if r.connection == 1 && e.NotSent {
+		r.lastFailure = &Failure{Err: errkind.Of(e.Err), NotSent: true}
+		return r.fire(now, eventConnectionLost, e)
+	}
 	r.lastFailure = &Failure{Err: errkind.Wrap(errkind.StreamIncomplete, e.Err, "the connection to the sidecar was lost")}
 	if r.connection == 1 && e.DialFailed {
 		r.lastFailure = &Failure{Err: errkind.Wrap(errkind.BackendUnavailable, e.Err, "the sidecar is unreachable")}
@@ -243,7 +256,7 @@
 	return append([]Effect{{Kind: ReportConnectionLost, Err: e.Err}}, r.fire(now, eventConnectionLost, e)...)
 }
 
-func (r *Request) handleDeadline(now time.Time) []Effect {
+func (r *Request) handleDeadline(now time.Time, e Event) []Effect {
 	if !r.attemptOpen || r.State() == Finishing {
 		return nil
 	}
@@ -254,7 +267,7 @@
 	case stream.Silent:
 		cause := errkind.New(errkind.StreamIncomplete, "neither data nor heartbeats arrived from the sidecar within the silence timeout")
 		r.lastFailure = &Failure{Err: errkind.Wrap(errkind.StreamIncomplete, cause, "the connection to the sidecar was lost")}
-		return append([]Effect{{Kind: ReportConnectionSilent}}, r.fire(now, eventConnectionLost, Event{Err: cause})...)
+		return append([]Effect{{Kind: ReportConnectionSilent}}, r.fire(now, eventConnectionLost, Event{Err: cause, MoveToOther: e.MoveToOther})...)
 	default:
 		return nil
 	}
--- a/daemons/entry/lifecycle/request_test.go
+++ b/daemons/entry/lifecycle/request_test.go
@@ -126,6 +126,12 @@
 	case ConnectionEnded:
 		e.Connection = max(s.request.connection-s.rng.IntN(2), 1)
 		e.DialFailed, e.NotResumable = s.rng.IntN(4) == 0, s.rng.IntN(4) == 0
+		e.MoveToOther = s.rng.IntN(4) == 0
+		if s.rng.IntN(8) == 0 {
+			e.NotSent, e.Err = true, errkind.New(errkind.Leaving, "evacuated")
+		}
+	case DeadlinePassed:
+		e.MoveToOther = s.rng.IntN(4) == 0
 	}
 	return e
 }
--- a/daemons/entry/lifecycle/script_test.go
+++ b/daemons/entry/lifecycle/script_test.go
@@ -58,9 +58,21 @@
 	},
 	"unreachable": func(s *scriptRunner) Event { return s.connectionEnded(Event{DialFailed: true}) },
 	"dropped":     func(s *scriptRunner) Event { return s.connectionEnded(Event{NotResumable: true}) },
-	"replaced":    func(s *scriptRunner) Event { return Event{Kind: ConnectionEnded, Connection: s.request.connection - 1} },
-	"silent":      func(s *scriptRunner) Event { return s.deadlineAfter(time.Second) },
-	"stalled":     func(s *scriptRunner) Event { return s.deadlineAfter(time.Hour) },
+	"unsent": func(s *scriptRunner) Event {
+		e := s.connectionEnded(Event{NotSent: true})
+		e.Err = errkind.New(errkind.Leaving, "evacuated")
+		return e
+	},
+	// Signs of a lost connection to a server that should get no new ones.
+	"moved": func(s *scriptRunner) Event { return s.connectionEnded(Event{MoveToOther: true}) },
+	"silent-moved": func(s *scriptRunner) Event {
+		e := s.deadlineAfter(time.Second)
+		e.MoveToOther = true
+		return e
+	},
+	"replaced": func(s *scriptRunner) Event { return Event{Kind: ConnectionEnded, Connection: s.request.connection - 1} },
+	"silent":   func(s *scriptRunner) Event { return s.deadlineAfter(time.Second) },
+	"stalled":  func(s *scriptRunner) Event { return s.deadlineAfter(time.Hour) },
 }
 
 var errLost = errkind.New(errkind.StreamIncomplete, "connection lost")
@@ -155,7 +167,11 @@
 	attempting + "failed>ended,ask " + secondAttempt + "stale head>deliver buffered end>finish written>succeeded",
 	attempting + "failed>ended,ask " + secondAttempt + "notrun>ended,ask denied>fail:unknown",
 	attempting + "unreachable>broken,canceled,ask denied>fail:not_run",
+	attempting + "unsent>ended,ask denied>fail:not_run",
+	attempting + "unsent>ended,ask " + secondAttempt + "head>deliver buffered end>finish written>succeeded",
 	attempting + "dropped>broken,canceled,ask",
+	attempting + "moved>broken,canceled,ask",
+	attempting + "silent-moved>silent,canceled,ask",
 	attempting + "stalled>canceled,ask",
 	attempting + "left>canceled,fail:unknown",
 	attempting + "head>deliver unwritten>canceled,fail:unknown",
@@ -166,6 +182,7 @@
 	resuming + "lost>broken,resume lost>broken,canceled,ask",
 	resuming + "lost>broken,resume head>deliver buffered lost>broken,resume lost>broken,resume",
 	resuming + "unreachable>broken,canceled,ask denied>fail:unknown",
+	resuming + "moved>broken,canceled,ask",
 	resuming + "stalled>canceled,ask",
 	resuming + "stale left>canceled,fail:unknown",
 	resuming + "head>deliver unwritten>canceled,fail:unknown",
@@ -173,6 +190,8 @@
 	// The caller received a part of the response, so no other attempt is allowed.
 	streaming + "failed>ended,fail:unknown",
 	streaming + "stale dropped>broken,canceled,fail:unknown",
+	streaming + "moved>broken,resume @resuming moved>broken,resume end>finish written>succeeded",
+	streaming + "silent-moved>silent,resume @resuming",
 	streaming + "stalled>canceled,fail:unknown",
 	streaming + "left>canceled,fail:unknown",
 	streaming + "data>deliver unwritten>canceled,fail:unknown",
@@ -194,6 +213,10 @@
 	attempting + "notrun>ended,ask " + secondAttempt + "head>deliver buffered end>finish written>succeeded",
 	attempting + "notrun>ended,ask " + secondAttempt + "notrun>ended,ask denied>fail:not_run",
 	attempting + "unreachable>broken,canceled,ask denied>fail:not_run",
+	attempting + "unsent>ended,ask denied>fail:not_run",
+	attempting + "unsent>ended,ask " + secondAttempt + "failed>ended,fail:unknown",
+	attempting + "moved>broken,resume @resuming moved>broken,resume head>deliver buffered end>finish written>succeeded",
+	attempting + "silent-moved>silent,resume @resuming",
 	resuming + "notrun>ended,ask denied>fail:not_run",
 }
 
--- a/daemons/entry/lifecycle/transitions.go
+++ b/daemons/entry/lifecycle/transitions.go
@@ -70,10 +70,22 @@
 		guardVerified:      r.receiver != nil && r.receiver.Complete(),
 		guardAnswerStarted: r.startedAttempt != 0,
 		guardMayHaveRun:    !r.config.Idempotent && !isProvedNotRun(r.lastFailure),
-		guardResumable:     !e.DialFailed && !e.NotResumable && r.resumes < r.config.MaxResumes,
+		guardResumable:     r.isResumable(e),
 	}
 }
 
+// isResumable reports whether the attempt may continue on a new connection to its server.
+// An idempotent request leaves a server that should get no new connections, unless the
+// caller has a part of its response. A non-idempotent one stays, because only its own
+// server knows whether it ran.
+func (r *Request) isResumable(e Event) bool {
+	if e.DialFailed || e.NotSent || e.NotResumable || r.resumes >= r.config.MaxResumes {
+		return false
+	}
+	moves := e.MoveToOther && r.config.Idempotent && r.startedAttempt == 0
+	return !moves
+}
+
 func (r *Request) isCurrentAttempt(id *pb.AttemptId) bool {
 	return id.GetRequestId() == r.config.RequestID && int(id.GetAttempt()) == r.attempt
 }
@@ -182,7 +194,7 @@
 	end := Effect{Kind: EndAttempt, AttemptID: r.attemptID(), Failure: f}
 	if f != nil {
 		r.reportedFailure = mergeFailures(r.reportedFailure, f)
-		end.Cancel = !r.receiver.Finished()
+		end.Cancel = !r.receiver.Finished() && !f.NotSent
 	}
 	return []Effect{end}
 }
--- a/daemons/entry/transfer.go
+++ b/daemons/entry/transfer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
@@ -27,10 +28,12 @@
 // transfer manages the connections of one attempt. Each connection has a goroutine
 // that reads from it; the goroutine of the request owns the other state.
 type transfer struct {
-	client   *sidecarClient
-	request  *pb.CallRequest
-	events   chan connectionEvent
-	observer connectionObserver
+	client  *sidecarClient
+	request *pb.CallRequest
+	// checkSend returns an error if the call must not be sent any more.
+	checkSend sendCheck
+	events    chan connectionEvent
+	observer  connectionObserver
 
 	disconnect context.CancelFunc // closes the current connection
 }
@@ -67,6 +70,10 @@
 		t.observer.chunkReceived(e.chunk)
 		return lifecycle.Event{Kind: lifecycle.ChunkReceived, Chunk: e.chunk}
 	}
+	var unsent *unsentError
+	if errors.As(e.err, &unsent) {
+		return lifecycle.Event{Kind: lifecycle.ConnectionEnded, Connection: e.connection, Err: unsent.cause, NotSent: true}
+	}
 	return lifecycle.Event{
 		Kind: lifecycle.ConnectionEnded, Connection: e.connection, Err: e.err,
 		DialFailed: proxyhttp.IsDialError(e.err), NotResumable: isNotResumable(e.err),
@@ -99,7 +106,7 @@
 }
 
 func (t *transfer) call(ctx context.Context) (*connect.ServerStreamForClient[pb.Chunk], error) {
-	return t.client.calls.Call(ctx, connect.NewRequest(t.request))
+	return t.client.calls.Call(withSendCheck(ctx, t.checkSend), connect.NewRequest(t.request))
 }
 
 func (t *transfer) connect(ctx context.Context, connection int, open func(context.Context) (*connect.ServerStreamForClient[pb.Chunk], error)) {
