--- a/daemons/entry/clients.go
+++ b/daemons/entry/clients.go
@@ -47,14 +47,14 @@
 // newClients returns clients with a number of idle connections at most.
 func newClients(token string, maxIdle int) *clients {
 	client := func(unpooled bool) *http.Client {
-		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: &http.Transport{
+		return &http.Client{Transport: daemon.TokenTransport{Token: token, Base: sendCheckTransport{&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:   unpooled,
 			DisableCompression:  true,
 			MaxIdleConns:        maxIdle,
 			MaxIdleConnsPerHost: idleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
-		}}}
+		}}}}
 	}
 	suspects := newSuspectInterceptor(time.Now)
 	return &clients{
--- a/daemons/entry/server.go
+++ b/daemons/entry/server.go
@@ -55,6 +55,7 @@
 	admission   *admission.Controller
 	quota       *quota.Quota
 	reporter    *reporter
+	evacuations *evacuationReporter
 	instances   func() *[]infra.Instance
 	dispatcher  *dispatcher
 	parser      parser
@@ -84,7 +85,7 @@
 	sidecars := newClients(s.PeerToken.Reveal(), sockets.idleSidecars)
 	backendServers := servers.New(servers.Config{
 		Policy: s.RoutingPolicy, FailureDomain: s.FailureDomain, Membership: membership.DefaultConfig(),
-		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, InstanceList: instances.Latest,
+		Rand: rand.New(rand.NewPCG(seed, 0)), Now: time.Now, View: source.View, InstanceList: instances.Latest,
 	})
 	prober := servers.NewProber(backendServers, probeFunc(sidecars, source, string(incarnation)))
 	server := &Server{
@@ -107,7 +108,8 @@
 		log:             log, metrics: metrics, refusalLines: telemetry.NewLineLimiter(refusalLinesPerSecond), ctx: ctx, abort: abort,
 	}
 	server.admission = admission.New(admission.Config{
-		QueueSize: s.QueueSize, ConcurrencyLimit: server.concurrencyLimit, View: source.View, Now: time.Now,
+		QueueSize: s.QueueSize, ConcurrencyLimit: server.concurrencyLimit, Refusal: backendServers.RefusalByEvacuation,
+		View: source.View, Now: time.Now,
 	})
 	server.dispatcher.duplicates = newDuplicateTracker(sidecars.suspects.handling, server.slotsPerServer)
 	server.quota = quota.New(quota.Config{
@@ -115,6 +117,7 @@
 		View: source.View, LiveEntries: server.liveEntries, Now: time.Now,
 	})
 	server.reporter = newReporter(server.quota, server.otherEntries, s.PeerToken.Reveal(), log)
+	server.evacuations = newEvacuationReporter(source.View, backendServers.CountInDomain, log, metrics)
 	return server
 }
 
