--- a/balance/placement/contention_test.go
+++ b/balance/placement/contention_test.go
@@ -210,7 +210,8 @@
 // takes the slots, and against a patient kind that starves meanwhile.
 func TestBurstOfPatientKind(t *testing.T) {
 	c := newContention([]kind{
-		{"urgent", urgentObjective, constant(50)}, {"usual", urgentObjective, constant(40)},
+		{"urgent", urgentObjective, constant(50)},
+		{"usual", urgentObjective, constant(40)},
 		{"patient", patientObjective, raised(20, 110)},
 	})
 	r := c.play()
@@ -224,7 +225,8 @@
 // started.
 func TestBurstOfUrgentKind(t *testing.T) {
 	c := newContention([]kind{
-		{"urgent", urgentObjective, raised(40, 100)}, {"usual", urgentObjective, constant(40)},
+		{"urgent", urgentObjective, raised(40, 100)},
+		{"usual", urgentObjective, constant(40)},
 		{"patient", patientObjective, constant(30)},
 	})
 	r := c.play()
@@ -236,7 +238,8 @@
 // Guards against an overload by all kinds at once in which all of them are late.
 func TestBurstOfAllKinds(t *testing.T) {
 	c := newContention([]kind{
-		{"urgent", urgentObjective, raised(45, 90)}, {"usual", urgentObjective, raised(40, 80)},
+		{"urgent", urgentObjective, raised(45, 90)},
+		{"usual", urgentObjective, raised(40, 80)},
 		{"patient", patientObjective, raised(20, 40)},
 	})
 	r := c.play()
