Make two tests independent of the speed of the machine

Trace: the log has 'silent server didn't answer a probe'; the stand-in answers, but the client of a probe waits for 80 ms. The product did what it promises. - TestInvalidRegistrationsAreNoRanks: the read of 8 MB of odd registrations took longer than the 0.9 s that the client of the store waits.

The first test now gives the probe of the live server a minute, by a field of the gateway, and waits for the move of the frozen one. The timeout of a probe was 150 ms in name and that of the rank client, 80 ms, in effect; it is 80 ms now, so the product behaves as before. The second test reads again until the store has answered. Both check the same as before.

--- a/daemons/gateway/gateway.go
+++ b/daemons/gateway/gateway.go
@@ -50,6 +50,8 @@
 	serverRefresh chan struct{}
 	// evacuations holds the failure domains whose servers get no requests.
 	evacuations *evacuationTracker
+	// probeTimeout limits a probe of a silent server.
+	probeTimeout time.Duration
 }
 
 // New returns a gateway that serves from state, which may still be empty.
@@ -73,6 +75,7 @@
 		serverRefresh: make(chan struct{}, 1),
 		abortCtx:      abortCtx,
 		abort:         abort,
+		probeTimeout:  probeTimeout,
 	}
 	g.bounds.Store(&s.Bounds)
 	g.services = newServiceRegistry(s, &g.bounds, rng, log)
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -23,7 +23,7 @@
 	// of each other.
 	plainSilenceFactor = 2
 	// probeTimeout limits a probe of a silent server.
-	probeTimeout = 150 * time.Millisecond
+	probeTimeout = 80 * time.Millisecond
 	// otherActivityWindow is how recently another server must have sent
 	// something. If all servers are silent, their group has stalled and no other
 	// server would be better.
@@ -204,11 +204,9 @@
 // probe requests the rank state of the server to check whether it responds at
 // all.
 func (w *watchdog) probe() {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	client := platform.NewRankClient(w.x.server.Address)
+	client := platform.NewRankClientWithTimeout(w.x.server.Address, w.x.g.probeTimeout)
 	defer client.CloseIdleConnections()
-	_, err := client.State(ctx)
+	_, err := client.State(context.Background())
 	w.x.svc.recordProbe(clock.Now(), w.x.server.ID, err)
 }
 
--- a/daemons/gateway/watchdog_test.go
+++ b/daemons/gateway/watchdog_test.go
@@ -102,12 +102,20 @@
 			address, stop := g.Serve(0, "127.0.0.1", 0)
 			defer stop()
 			x := newWatchedExchange(t, watchedKind{kind: fleet.Streaming, address: address, load: 4})
+			if !frozen {
+				// A live server answers, however busy the machine of the test is.
+				x.g.probeTimeout = time.Minute
+			}
 			moved := func() bool {
 				x.check(false, true)
 				return x.watch.hasMoved()
 			}
 			require.False(t, moved(), "the first check starts a probe")
-			require.Equal(t, frozen, waitFor(moved))
+			if frozen {
+				require.Eventually(t, moved, 8*time.Second, 10*time.Millisecond)
+				return
+			}
+			require.False(t, waitFor(moved))
 		})
 	}
 }
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -364,7 +364,12 @@
 		}
 	}
 	d.RegisterRank("z-4", hostOf(4)+":1", ranks+1, 0)
-	require.NoError(t, g.refresh(t.Context(), false))
+	// A busy machine may take longer for a call to the store than the client waits.
+	read := func() bool {
+		g.refreshedAt = time.Time{}
+		return g.refresh(t.Context(), false) == nil
+	}
+	require.Eventually(t, read, time.Minute, 10*time.Millisecond)
 	require.False(t, g.membersKnown())
 	require.Len(t, g.peers, 1)
 	require.Equal(t, hostOf(1)+":1", g.peers[1].address)
