Split placement.go by its jobs

Constants for slowdowns stood in it, far from the code in health.go that uses them.

Change: moves code only. servers.go holds the known servers, load.go the loads, dispatch.go the queues, refusal.go the refusals; constants stand in the file that uses them. A Scheduler lists its three queues together.

--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -1,6 +1,27 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slowdownHalfLife is the time in which a measured slowdown loses half of its
+	// weight, so that a slow server is tried again.
+	slowdownHalfLife = 3 * time.Second
+	// slowdownSmoothing is the weight of a new measurement.
+	slowdownSmoothing = 0.3
+	// maxSlowdownStep is the most by which one measurement raises the slowdown. A single
+	// slow response, for example the first one of a process, says little about a server.
+	maxSlowdownStep = 0.5
+	// slowdownTolerance is the difference from the usual duration that doesn't count. Without
+	// it, all requests of an idle service go to the server whose last response was a little
+	// faster.
+	slowdownTolerance = 0.1
+	// minSlowdown and maxSlowdown bound the measured slowdown of a server.
+	minSlowdown = 0.5
+	maxSlowdown = 8.0
+)
 
 // ObserveSlowdown records the duration of a request on a server relative to the
 // usual duration of such a request.
@@ -15,6 +36,25 @@
 	srv.slowdownAt = now
 }
 
+// decayedSlowdown returns the measured slowdown, which decays towards 1 with its age.
+func (c *server) decayedSlowdown(now time.Time) float64 {
+	if c.slowdown == 1 {
+		return 1
+	}
+	halfLives := float64(now.Sub(c.slowdownAt)) / float64(slowdownHalfLife)
+	return 1 + (c.slowdown-1)*math.Exp2(-halfLives)
+}
+
+// currentSlowdown returns the slowdown by which servers are compared. Small differences
+// don't count.
+func (c *server) currentSlowdown(now time.Time) float64 {
+	slowdown := c.decayedSlowdown(now)
+	if math.Abs(slowdown-1) < slowdownTolerance {
+		return 1
+	}
+	return slowdown
+}
+
 // SetCooldown keeps requests away from a server until the given time, unless all
 // other servers are in cooldown or full.
 func (s *Scheduler[T]) SetCooldown(id string, until time.Time) {
@@ -47,12 +87,3 @@
 		srv.coldUntil = until
 	}
 }
-
-// forget drops what was observed of another incarnation of the server. Its requests in
-// flight still count.
-func (c *server) forget() {
-	c.slowdown, c.slowdownAt = 1, time.Time{}
-	c.cooldownUntil, c.avoidUntil, c.bannedUntil = time.Time{}, time.Time{}, time.Time{}
-	c.leaving, c.pausedUntil = false, time.Time{}
-	c.coldUntil = time.Time{}
-}
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -87,12 +87,3 @@
 	item.Value.ticket.queue, item.Value.ticket.queued = queue, queued
 	return s.refuseDisplaced(displaced)
 }
-
-// refuseDisplaced returns the refusal of a request that was displaced from a queue, if
-// there is one.
-func (s *Scheduler[T]) refuseDisplaced(displaced *queuedTicket[T]) []Outcome[T] {
-	if displaced == nil {
-		return nil
-	}
-	return []Outcome[T]{s.refuse(displaced.Value.value, errkind.New(errkind.QueueFull, "displaced by more urgent work"))}
-}
--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
-	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 const (
@@ -141,7 +140,3 @@
 		out = append(out, s.startOn(now, picked, constraint.Tokens, next.Value.value))
 	}
 }
-
-func newQueue[T any](config Config) *fairqueue.Queue[waiting[T]] {
-	return fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes)
-}
--- a/balance/placement/outage.go
+++ b/balance/placement/outage.go
@@ -1,11 +1,6 @@
 package placement
 
-import (
-	"strings"
-	"time"
-
-	"github.com/filbertmux/filbertmux/base/errkind"
-)
+import "time"
 
 const (
 	// groupProbeInterval is the time between two requests that test whether a
@@ -78,38 +73,3 @@
 	}
 	return wait, wait > 0
 }
-
-// refuseNoServer refuses a request that no server can take. During an outage or an
-// evacuation, and if the regions of the request have no server, it returns the longest
-// Retry-After, because a caller that retries soon is refused again.
-func (s *Scheduler[T]) refuseNoServer(now time.Time, constraint Constraint, value T) Outcome[T] {
-	inRegions := constraint.withoutExclusions()
-	allowed, evacuated := false, false
-	for _, id := range s.serverIDs {
-		c := s.servers[id]
-		if !inRegions.allows(c) {
-			continue
-		}
-		allowed = true
-		if c.evacuated {
-			evacuated = true
-			continue
-		}
-		if s.groupBlocked(now, c.Group) {
-			err := errkind.New(errkind.NoBackendServer, "the rank group is broken")
-			return Outcome[T]{Value: value, Err: err.WithRetryAfter(maxRetryAfter)}
-		}
-	}
-	switch {
-	case evacuated:
-		err := errkind.New(errkind.NoBackendServer, "the backend servers that are left are in evacuated failure domains (%s)",
-			strings.Join(s.evacuated, ", "))
-		return Outcome[T]{Value: value, Err: err.WithRetryAfter(maxRetryAfter)}
-	case !allowed && constraint.Regions != nil:
-		err := errkind.New(errkind.NoBackendServer, "no backend server is in the allowed regions (%s)",
-			strings.Join(constraint.Regions, ", "))
-		return Outcome[T]{Value: value, Err: err.WithRetryAfter(maxRetryAfter)}
-	default:
-		return s.refuse(value, errkind.New(errkind.NoBackendServer, "no other backend server is left"))
-	}
-}
--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -99,12 +99,6 @@
 	return true
 }
 
-// removable reports whether a server that is no longer listed may be forgotten. It may be
-// listed again at once, and its pace has to hold then as well.
-func (s *Scheduler[T]) removable(c *server) bool {
-	return !c.listed && c.ownInFlight == 0 && !c.pace.next.After(s.startRate.at)
-}
-
 // heldByPace returns the reason of the paces that keep all servers with free capacity from
 // getting a request, or nil.
 func (s *Scheduler[T]) heldByPace(now time.Time, constraint Constraint) error {
--- a/balance/placement/pick.go
+++ b/balance/placement/pick.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -41,24 +40,3 @@
 	}
 	return s.pickSpread(now, coolingDown, need)
 }
-
-func (c *server) inFlight() int { return c.ownInFlight + c.peerInFlight }
-
-// decayedSlowdown returns the measured slowdown, which decays towards 1 with its age.
-func (c *server) decayedSlowdown(now time.Time) float64 {
-	if c.slowdown == 1 {
-		return 1
-	}
-	halfLives := float64(now.Sub(c.slowdownAt)) / float64(slowdownHalfLife)
-	return 1 + (c.slowdown-1)*math.Exp2(-halfLives)
-}
-
-// currentSlowdown returns the slowdown by which servers are compared. Small differences
-// don't count.
-func (c *server) currentSlowdown(now time.Time) float64 {
-	slowdown := c.decayedSlowdown(now)
-	if math.Abs(slowdown-1) < slowdownTolerance {
-		return 1
-	}
-	return slowdown
-}
--- a/balance/placement/spread.go
+++ b/balance/placement/spread.go
@@ -7,6 +7,15 @@
 	"time"
 )
 
+const (
+	// crossDomainPenalty is added to the load of a server in another failure
+	// domain, in requests. It is so small that it decides only between equal loads.
+	crossDomainPenalty = 0.3
+	// coldPenalty is added to the load of a server that is known to be cold, in requests.
+	// Such a server is slow, so it gets less work while warm ones have room.
+	coldPenalty = 2.0
+)
+
 // candidate is a server that may get the request.
 type candidate struct {
 	server *server
