Order the requests that wait for memory by their classes

Cause: SetClasses replaced the classes of two of the three queues. A gateway sets the classes after it has made the scheduler, so the queue of the requests that wait for memory had a single class, and an urgent request got memory after all less urgent ones that had arrived before it.

Change: SetClasses also replaces the classes of that queue.

Evidence: TestMemoryGoesToUrgentRequestFirst fails without the change (the request of the less urgent class starts first).

--- a/balance/placement/memory_test.go
+++ b/balance/placement/memory_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 // memoryServers returns servers with this memory in tokens.
@@ -82,6 +83,24 @@
 	require.Equal(t, []placement.Outcome[int]{{Value: 10, Server: "s0"}}, finish(700))
 }
 
+// Guards against requests that get memory in the order of their arrival and not of their
+// classes, because the classes were set after the scheduler was made.
+func TestMemoryGoesToUrgentRequestFirst(t *testing.T) {
+	s := placement.New[int](placement.Config{ServerQueueDepth: 1, QueueCapacity: 8}, rand.New(rand.NewPCG(1, 2)))
+	s.SetClasses([]fairqueue.Class{{Name: "urgent"}, {Name: "usual"}})
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(1, 700))
+	for value, class := range []string{"usual", "urgent"} {
+		r := largeRequest(10+value, 600)
+		r.Class = class
+		ticket, _ := s.Place(start, r)
+		require.NotNil(t, ticket)
+	}
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 11, Server: "s0"}}, s.Dispatch(start))
+}
+
 // Guards against gateways that all fill the memory of a server at the same time, and against
 // usual requests that only some gateways may send.
 func TestLargeRequestsOfFirstGateways(t *testing.T) {
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -126,6 +126,7 @@
 	s.config.Classes, s.headrooms = classes, nil
 	s.queue.SetClasses(classes)
 	s.late.SetClasses(classes)
+	s.large.SetClasses(classes)
 }
 
 // Place assigns a request to a server, queues it or refuses it. If the request was
