Apply evacuations, regions and classes to requests that wait for memory

Cause: the queue of the requests that wait for memory was left out of three rules of docs/design/evacuation.md and contention.md. A request for whose tokens only evacuated servers had memory waited until its deadline instead of being refused at once. A request that waited for memory in one region kept those of other regions from starting, whose servers had memory. And Dispatch started a less urgent request that waited for memory before a more urgent one that waited for a slot.

Change: SetEvacuated refuses what no server can take in that queue as well. Requests pass over those that wait for the memory of other regions; among requests of the same regions the order stays. A request that waits for memory goes before the queue unless its class is less urgent.

Evidence: TestRequestsForEvacuatedMemoryAreRefused, TestMemoryOfOtherRegionIsUsed and TestUrgentRequestGoesBeforeMemory each fail without the change.

--- a/balance/placement/dispatch.go
+++ b/balance/placement/dispatch.go
@@ -19,11 +19,14 @@
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
 	s.observeOwnLoad(now)
-	out := append(s.expire(now), s.startLarge(now)...)
+	out := append(s.expire(now), s.startLarge(now, s.largeGoesFirst)...)
 	for t, need := s.popNext(now); t != nil; t, need = s.popNext(now) {
 		s.recordWait(now, t.Class, now.Sub(t.Value.queuedAt), t.Value.maxWait)
 		out = append(out, s.startQueued(now, t, need)...)
+		out = append(out, s.startLarge(now, s.largeGoesFirst)...)
 	}
+	// What more urgent requests can't use is free for all.
+	out = append(out, s.startLarge(now, func() bool { return true })...)
 	for t := s.popQueued(now, s.late, spareSlot); t != nil; t = s.popQueued(now, s.late, spareSlot) {
 		out = append(out, s.startQueued(now, t, spareSlot)...)
 	}
--- a/balance/placement/evacuation.go
+++ b/balance/placement/evacuation.go
@@ -17,7 +17,7 @@
 		c.evacuated = slices.Contains(domains, c.FailureDomain)
 	}
 	s.countBatches()
-	return append(s.refuseUnservable(now, s.queue), s.refuseUnservable(now, s.late)...)
+	return slices.Concat(s.refuseUnservable(now, s.queue), s.refuseUnservable(now, s.late), s.refuseUnservable(now, s.large))
 }
 
 // refuseUnservable refuses the queued requests that no server can take, now or later.
--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -119,24 +120,47 @@
 	}
 }
 
-// startLarge starts the requests that wait for memory, in their order. They have a queue of
-// their own, so that they don't keep smaller ones from starting.
-func (s *Scheduler[T]) startLarge(now time.Time) []Outcome[T] {
+// startLarge starts the requests that wait for memory, in their order, while goOn returns true.
+// They have a queue of their own, so that they don't keep smaller ones from starting.
+func (s *Scheduler[T]) startLarge(now time.Time, goOn func() bool) []Outcome[T] {
 	var out []Outcome[T]
-	for {
-		next := s.large.Peek()
-		if next == nil {
-			return out
+	for s.large.Len() > 0 && goOn() {
+		t, picked := s.popLarge(now)
+		if t == nil {
+			break
 		}
-		constraint := next.Value.constraint
-		picked := s.pick(now, constraint, freeSlot)
-		if picked == nil {
-			picked = s.pick(now, constraint.withoutExclusions(), freeSlot)
+		out = append(out, s.startOn(now, picked, t.Value.constraint.Tokens, t.Value.value))
+	}
+	return out
+}
+
+// popLarge removes the next request that waits for memory and can start now, and returns it
+// with its server, or nil. Requests that wait for the memory of other regions are passed over.
+func (s *Scheduler[T]) popLarge(now time.Time) (*queuedTicket[T], *server) {
+	var picked *server
+	blocked := make(map[string]bool)
+	canStart := func(w waiting[T]) bool {
+		regions := strings.Join(w.constraint.Regions, "\n")
+		if blocked[""] || blocked[regions] {
+			return false
 		}
+		picked = s.pick(now, w.constraint, freeSlot)
 		if picked == nil {
-			return out
+			picked = s.pick(now, w.constraint.withoutExclusions(), freeSlot)
 		}
-		s.large.Pop()
-		out = append(out, s.startOn(now, picked, constraint.Tokens, next.Value.value))
+		blocked[regions] = picked == nil
+		return picked != nil
 	}
+	if !s.hasRegions && !canStart(s.large.Peek().Value) {
+		return nil, nil
+	}
+	return s.large.PopFunc(canStart), picked
+}
+
+// largeGoesFirst reports whether the next request that waits for memory starts before the next
+// one of the queue. It does unless its class is less urgent.
+func (s *Scheduler[T]) largeGoesFirst() bool {
+	class, byReserve, _ := s.large.Next()
+	next, _, waiting := s.queue.Next()
+	return byReserve || !waiting || s.classRank(class) <= s.classRank(next)
 }
--- a/balance/placement/memory_test.go
+++ b/balance/placement/memory_test.go
@@ -101,6 +101,69 @@
 	require.Equal(t, []placement.Outcome[int]{{Value: 11, Server: "s0"}}, s.Dispatch(start))
 }
 
+// memoryRegions returns a scheduler with one server in each of two failure domains and regions.
+func memoryRegions() *placement.Scheduler[int] {
+	s := scheduler(0, 0)
+	servers := memoryServers(2, 4, 2000)
+	servers[0].FailureDomain, servers[0].Region = "a", "north"
+	servers[1].FailureDomain, servers[1].Region = "b", "south"
+	s.SetServers(servers)
+	return s
+}
+
+// placeLarge places a large request that may run in one region.
+func placeLarge(s *placement.Scheduler[int], value, tokens int, region string) (*placement.Ticket[int], []placement.Outcome[int]) {
+	r := largeRequest(value, tokens)
+	r.Regions = []string{region}
+	return s.Place(start, r)
+}
+
+// Guards against requests that wait in vain for the memory of evacuated servers.
+func TestRequestsForEvacuatedMemoryAreRefused(t *testing.T) {
+	s := memoryRegions()
+	placeLarge(s, 1, 700, "north")
+	ticket, _ := placeLarge(s, 2, 600, "north")
+	require.NotNil(t, ticket)
+	out := s.SetEvacuated(start, []string{"a"})
+	require.Len(t, out, 1)
+	require.Equal(t, 2, out[0].Value)
+	require.True(t, errkind.Is(out[0].Err, errkind.NoBackendServer))
+	require.Zero(t, s.QueueLen())
+}
+
+// Guards against a request that waits for memory in its region and keeps those of other
+// regions, whose servers have memory, from starting.
+func TestMemoryOfOtherRegionIsUsed(t *testing.T) {
+	s := memoryRegions()
+	placeLarge(s, 1, 700, "north")
+	placeLarge(s, 2, 700, "south")
+	for value, region := range []string{"north", "south", "south"} {
+		ticket, _ := placeLarge(s, 10+value, 600-value, region)
+		require.NotNil(t, ticket)
+	}
+	s.FreeMemory("s1", 700)
+	s.Finish("s1", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 11, Server: "s1"}}, s.Dispatch(start))
+}
+
+// Guards against a request that waits for memory and takes a slot for which a more urgent
+// request waits.
+func TestUrgentRequestGoesBeforeMemory(t *testing.T) {
+	s := scheduler(0, 0)
+	s.SetServers(memoryServers(1, 1, 2000))
+	place(t, s, start, largeRequest(1, 700))
+	waiting, _ := s.Place(start, largeRequest(2, 800))
+	require.NotNil(t, waiting)
+	place(t, s, start, largeRequest(3, 100))
+	urgent := request(4)
+	urgent.Class = "urgent"
+	ticket, _ := s.Place(start, urgent)
+	require.NotNil(t, ticket)
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 4, Server: "s0"}}, s.Dispatch(start))
+}
+
 // Guards against gateways that all fill the memory of a server at the same time, and against
 // usual requests that only some gateways may send.
 func TestLargeRequestsOfFirstGateways(t *testing.T) {
