Free the memory of a request as it was taken

Cause: FreeMemory decided anew whether a request was large. The memory of a server changes with the configuration (kvCapacity) while requests run. A request that was large when it started and small when it ended left its tokens counted for as long as the gateway had any request at the server; one that was small and then large took away the tokens of another, so that the server could get more than it holds and crash.

Change: a server keeps the tokens of each large request, and freeing removes the entry.

Evidence: TestMemoryChangesWhileRequestsRun fails without the change (the memory stays in use), and its second half with a rule that frees the memory of any request.

--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,13 +52,22 @@
 // this number of tokens.
 func (s *Scheduler[T]) hasMemory(c *server, tokens int) bool {
 	_, small := c.memory()
-	return float64(tokens) <= small || c.rank < largeGateways && c.ownLarge+float64(tokens) <= s.largePart(c)
+	return float64(tokens) <= small || c.rank < largeGateways && c.largeTokens()+float64(tokens) <= s.largePart(c)
+}
+
+// largeTokens returns the memory that the large requests of this gateway may need.
+func (c *server) largeTokens() float64 {
+	sum := 0
+	for _, tokens := range c.ownLarge {
+		sum += tokens
+	}
+	return float64(sum)
 }
 
 // takeMemory records that a request uses the memory of a server.
 func (s *Scheduler[T]) takeMemory(c *server, tokens int) {
 	if _, small := c.memory(); float64(tokens) > small {
-		c.ownLarge += float64(tokens)
+		c.ownLarge = append(c.ownLarge, tokens)
 	} else if tokens > 0 {
 		s.meanSmall += meanSmoothing * (float64(tokens) - s.meanSmall)
 	}
@@ -70,8 +80,10 @@
 	if !ok {
 		return
 	}
-	if _, small := srv.memory(); float64(tokens) > small {
-		srv.ownLarge = max(srv.ownLarge-float64(tokens), 0)
+	// The server may hold more or less than when the request started, so what is large now
+	// says nothing about it.
+	if i := slices.Index(srv.ownLarge, tokens); i >= 0 {
+		srv.ownLarge = slices.Delete(srv.ownLarge, i, i+1)
 	}
 }
 
--- a/balance/placement/memory_test.go
+++ b/balance/placement/memory_test.go
@@ -164,6 +164,30 @@
 	require.Equal(t, []placement.Outcome[int]{{Value: 4, Server: "s0"}}, s.Dispatch(start))
 }
 
+// Guards against memory that counts as used for good, and against servers that get more than
+// they hold, after the memory in the configuration changes while requests run.
+func TestMemoryChangesWhileRequestsRun(t *testing.T) {
+	s := scheduler(0, 0)
+	fits := func(tokens int) bool { return s.HasFreeSlot(start, placement.Constraint{Tokens: tokens}) }
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(1, 100)) // keeps the server in use
+	place(t, s, start, largeRequest(2, 700))
+	require.False(t, fits(800))
+	s.SetServers(memoryServers(1, 4, 40_000)) // a request of 700 tokens is small
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	s.SetServers(memoryServers(1, 4, 2000))
+	require.True(t, fits(800), "the memory is free")
+
+	s.SetServers(memoryServers(1, 4, 40_000))
+	place(t, s, start, largeRequest(3, 700)) // small
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(4, 450))
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.False(t, fits(300), "a large request is still running")
+}
+
 // Guards against gateways that all fill the memory of a server at the same time, and against
 // usual requests that only some gateways may send.
 func TestLargeRequestsOfFirstGateways(t *testing.T) {
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -215,7 +215,7 @@
 	}
 	s.addOwn(srv, -1)
 	if srv.ownInFlight == 0 {
-		srv.ownLarge = 0
+		srv.ownLarge = nil
 	}
 	s.clearProbe(srv)
 	if s.removable(srv) {
--- a/balance/placement/servers.go
+++ b/balance/placement/servers.go
@@ -30,9 +30,9 @@
 	// other gateways.
 	ownInFlight  int
 	peerInFlight int
-	// ownLarge is the memory that the large requests of this gateway may need, and rank the
-	// place of the gateway in the order in which they use it.
-	ownLarge float64
+	// ownLarge holds the tokens of each large request of this gateway, and rank the place of
+	// the gateway in the order in which the gateways use the memory for them.
+	ownLarge []int
 	rank     int
 	// slowdown is the smoothed duration of a request relative to the usual one;
 	// slowdownAt is when it was last measured.
