Refuse metered bodies that are one byte too large

Cause: a body that a library reads may have MaxBody bytes, and one more is claimed to see its end. The limit was only checked before the next claim, so a body of MaxBody+1 bytes whose end came with its last bytes was accepted.

Change: the limit is checked after each read.

Evidence: the case "one more" of TestMeteredBodies fails without the change (the handler gets the whole body).

--- a/daemons/inbound/meter.go
+++ b/daemons/inbound/meter.go
@@ -114,6 +114,9 @@
 	}
 	n, err := b.ReadCloser.Read(p[:min(len(p), b.claimed-b.read)])
 	b.read += n
+	if b.read > b.options.MaxBody {
+		return 0, b.refuse(errTooLarge)
+	}
 	if n > 0 {
 		b.request.progress(n)
 	}
@@ -133,10 +136,6 @@
 
 // claim claims the next bytes: at first as many as are announced, up to a block, or a few.
 func (b *meteredBody) claim() error {
-	limit := b.options.MaxBody + 1 - b.read
-	if limit <= 0 {
-		return errTooLarge
-	}
 	n := BlockBytes
 	switch {
 	case b.read > 0:
@@ -145,7 +144,7 @@
 	default:
 		n = firstMeteredBytes
 	}
-	n = min(n, limit)
+	n = min(n, b.options.MaxBody+1-b.read)
 	bytes := int64(b.options.Copies) * int64(n)
 	q := b.request
 	q.memory.mu.Lock()
--- a/daemons/inbound/meter_test.go
+++ b/daemons/inbound/meter_test.go
@@ -37,6 +37,8 @@
 	}{
 		"small":     {"Content-Length: 1000", 1000, requestBytes + 2*1001, "1000 bytes"},
 		"large":     {"Content-Length: 1000000", 1000000, requestBytes + 2*31*BlockBytes, "1000000 bytes"},
+		"largest":   {fmt.Sprintf("Content-Length: %d", maxBody), maxBody, requestBytes + 2*maxBody, fmt.Sprintf("%d bytes", maxBody)},
+		"one more":  {fmt.Sprintf("Content-Length: %d", maxBody+1), maxBody + 1, 0, "request_too_large"},
 		"too large": {fmt.Sprintf("Content-Length: %d", 2*maxBody), 2 * maxBody, 0, "request_too_large"},
 		"no room":   {"Content-Length: 1000000", 1000000, 0, "memory_exhausted"},
 		"slow":      {"Content-Length: 1000", 10, 0, "slow_body"},
