Drop the block of a body that was given back

Cause: a Buffer with a single block kept it in its own array after Release. The block counts as free then, so the budget gives its bytes to others, but the garbage collector can't have it while the request runs: up to 32 KiB for each stream whose body was released, beyond the budget.

Change: Release and Close clear the array as well.

Evidence: TestReleasedBlockIsNotKept fails without the change (a weak pointer to the block stays alive after the budget has given its bytes away).

--- a/daemons/inbound/buffer.go
+++ b/daemons/inbound/buffer.go
@@ -33,7 +33,12 @@
 		return
 	}
 	b.request.releaseBlocks(b.blocks)
-	b.blocks, b.size = nil, 0
+	b.clear()
+}
+
+// clear drops the blocks, so that the garbage collector may have them.
+func (b *Buffer) clear() {
+	b.blocks, b.one[0], b.size = nil, nil, 0
 }
 
 // fill reads src to its end, with at most limit bytes. length is the number of bytes if it is
--- a/daemons/inbound/memory_test.go
+++ b/daemons/inbound/memory_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -275,6 +277,24 @@
 	require.Equal(t, int64(maxBody), m.takeUse().free)
 }
 
+// Guards against a request that keeps the block of a body that was given back: it would take
+// memory that nobody counts for as long as its response runs.
+func TestReleasedBlockIsNotKept(t *testing.T) {
+	cfg := budgetConfig()
+	cfg.Total, cfg.Reserve = requestBytes+BlockBytes, 0
+	m := newTestMemory(t, cfg)
+	r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, BlockBytes)))
+	q, err := m.Read(httptest.NewRecorder(), r, ReadOptions{MaxBody: maxBody})
+	require.NoError(t, err)
+	block := weak.Make(&q.Body().Blocks()[0][0])
+	q.Body().Release()
+	require.True(t, q.TryGrow(BlockBytes), "another part of the process uses the bytes")
+	require.Zero(t, m.takeUse().free)
+	runtime.GC()
+	require.Nil(t, block.Value())
+	q.Close()
+}
+
 // Guards against a body whose end needs another block.
 func TestBodyOfOneBlock(t *testing.T) {
 	m := newTestMemory(t, budgetConfig())
--- a/daemons/inbound/request.go
+++ b/daemons/inbound/request.go
@@ -260,7 +260,7 @@
 	defer m.mu.Unlock()
 	q.claim.Close()
 	m.putBlocks(q.body.blocks)
-	q.body.blocks, q.body.size = nil, 0
+	q.body.clear()
 	m.stepForWaiting()
 }
 
