Read no map of a group that the own rank has left

Cause: a rank that was restarted reports no group, rank 0 and a size of 0 until it belongs to a group again, and the agent takes that over from any reading. With a size of 0, no rank is read, and the map in force was taken from the first of no responses: the agent of the holder, and one that recovers a group, ended with a panic. The report of the own rank was also used without a check, so that after a restart in another place it could count as that of another rank, or of a rank beyond the group.

Change: a group of size 0 has no map in force, and the group and rank of the own report are checked as those of the others are.

Evidence: TestNoMapInForceWithoutGroup panics without the change, and TestOwnRankIsChecked fails.

--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -229,7 +229,8 @@
 		Counts: opts.readsCounts(rank), Token: opts.token, Leaving: opts.leaving, KnownExperts: g.view.known(rank),
 	}
 	if rank == own {
-		return g.agent.read(call, request)
+		resp, err := g.agent.read(call, request)
+		return g.checkRank(resp, err, rank, "this instance")
 	}
 	p, ok := g.peers[rank]
 	if !ok {
@@ -239,15 +240,21 @@
 	if err != nil && opts.direct {
 		return g.readDirect(ctx, rank, p)
 	}
+	return g.checkRank(resp, err, rank, p.agent)
+}
+
+// checkRank returns the response of the agent at an address, or an error if the agent serves
+// another rank than expected: ranks are restarted in other groups and places.
+func (g *groupClient) checkRank(r *pb.ReadRankResponse, err error, rank int, address string) (*pb.ReadRankResponse, error) {
 	if err != nil {
 		return nil, err
 	}
 	name, _, _ := g.agent.Identity()
-	if resp.GetGroup() != name || int(resp.GetRank()) != rank {
+	if r.GetGroup() != name || int(r.GetRank()) != rank {
 		return nil, errkind.New(errkind.NoBackendServer, "the agent at %s serves rank %d of group %q",
-			p.agent, resp.GetRank(), resp.GetGroup())
+			address, r.GetRank(), r.GetGroup())
 	}
-	return resp, nil
+	return r, nil
 }
 
 // readDirect reads a rank without its agent. Its report lags, so it may lack the effect
@@ -274,9 +281,10 @@
 	return r, nil
 }
 
-// currentMap returns the map in force if all ranks were read.
+// currentMap returns the map in force if all ranks were read. The size of the group is 0 while
+// the own rank belongs to none.
 func (g *groupClient) currentMap(t *experts.Topology, responses []*pb.ReadRankResponse) (*experts.Map, error) {
-	if _, _, size := g.agent.Identity(); len(responses) != size {
+	if _, _, size := g.agent.Identity(); size == 0 || len(responses) != size {
 		return nil, errkind.New(errkind.BackendUnavailable, "only %d of %d ranks responded", len(responses), size)
 	}
 	if !sameMapInForce(responses) {
--- a/daemons/rankagent/holder_test.go
+++ b/daemons/rankagent/holder_test.go
@@ -166,3 +166,11 @@
 	require.Empty(t, h.nextOrders(reports, &experts.Map{}))
 	require.GreaterOrEqual(t, h.stepTimes.arming, time.Second)
 }
+
+// Guards against the report of the own rank that counts as that of another rank, because the
+// rank was restarted in another place of a group while it was read.
+func TestOwnRankIsChecked(t *testing.T) {
+	g := newSteppedGroup(t) // its holder is beside rank 0
+	_, err := g.holder.group.read(t.Context(), 2, 2, callOptions{token: g.holder.token})
+	require.ErrorContains(t, err, "rank 0")
+}
--- a/daemons/rankagent/mapview_test.go
+++ b/daemons/rankagent/mapview_test.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/config/fleet"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
@@ -82,3 +83,15 @@
 	_, err := view.inForce(larger, 1, view.complete(report(1, 0, 9)))
 	require.Error(t, err, "an expert of the other shape has no slot")
 }
+
+// Guards against an agent that ends because its rank has left the group: after a restart, a
+// rank reports no group and a size of 0 until it belongs to one again.
+func TestNoMapInForceWithoutGroup(t *testing.T) {
+	agent := NewAgent(nil, zerolog.Nop())
+	g := newGroupClient(Options{Log: zerolog.Nop()}, agent, nil)
+	g.engine = &fleet.Engine{Experts: &fleet.Experts{LayerSets: layers, ExpertsPerLayer: perLayer, SlotsPerRank: 3}}
+	responses := g.readAll(t.Context(), callOptions{})
+	require.Empty(t, responses)
+	_, err := g.currentMap(topology(g.engine.Experts, g.failureDomains()), responses)
+	require.Error(t, err)
+}
