Measure the lead time only of switches that the holder began

Cause: the time from the hold order to the release sets how far ahead a group is held. A holder that took over the held group of its predecessor never sent the hold order, so the time counted from an earlier switch of this process, or from the zero time. The longest recent time decays by a tenth with each switch: from 292 years, some 230 switches had the longest lead time. On amd64 the product with the margin overflows to the shortest one instead.

Change: a new term forgets when ranks were prepared and armed, and the time is measured only if the hold order was sent in this term. The log line of a switch that was taken over has no times of its parts.

Evidence: TestArmingOfTakenOverSwitchIsNotMeasured fails without the change (an hour is measured).

--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -76,8 +76,8 @@
 	// expectedSkew is the skew that the last plan expects, and skewBefore the one seen
 	// when it was made.
 	expectedSkew, skewBefore float64
-	// preparedAt is when all ranks had copied the experts of the last plan, and armedAt
-	// when all were armed.
+	// preparedAt is when all ranks had copied the experts of the last plan of this term, and
+	// armedAt when all were armed. preparedAt is zero for the switch of a predecessor.
 	preparedAt, armedAt time.Time
 	// releaseDue is set from the arming of all ranks until the hold is seen released.
 	releaseDue bool
@@ -161,6 +161,7 @@
 	// If this term completes a switch of a predecessor, the number of its moves isn't
 	// known, and 0 is logged.
 	h.switchStart, h.moveCount = clock.Now(), 0
+	h.preparedAt, h.armedAt = time.Time{}, time.Time{}
 }
 
 // round reads the ranks, sends the resulting orders and returns the time to the
@@ -386,18 +387,26 @@
 	if now == switchover.Holding {
 		h.preparedAt = clock.Now()
 	}
-	h.releaseDue = now == switchover.Switching && h.phase == switchover.Arming
+	h.releaseDue = now == switchover.Switching && h.phase == switchover.Arming && !h.preparedAt.IsZero()
 	if h.releaseDue {
 		h.armedAt = clock.Now()
 	}
 	if h.phase == switchover.Switching && now == switchover.Idle {
-		h.log.Info().Int64("token", h.token).Int("moves", h.moveCount).Dur("took_ms", clock.Now().Sub(h.switchStart)).
-			Dur("prepare_ms", h.preparedAt.Sub(h.switchStart)).Dur("arm_ms", h.armedAt.Sub(h.preparedAt)).Msg("expert map switched")
+		h.logSwitch()
 		h.effectDue = true
 	}
 	h.phase = now
 }
 
+// logSwitch logs the end of a switch, with the times of its parts if this holder began it.
+func (h *holder) logSwitch() {
+	line := h.log.Info().Int64("token", h.token).Int("moves", h.moveCount).Dur("took_ms", clock.Now().Sub(h.switchStart))
+	if !h.preparedAt.IsZero() {
+		line.Dur("prepare_ms", h.preparedAt.Sub(h.switchStart)).Dur("arm_ms", h.armedAt.Sub(h.preparedAt))
+	}
+	line.Msg("expert map switched")
+}
+
 // raiseVersion keeps the versions of this holder above all versions of the ranks.
 func (h *holder) raiseVersion(reports []switchover.Report) {
 	newest := newestVersion(reports)
--- a/daemons/rankagent/holder_test.go
+++ b/daemons/rankagent/holder_test.go
@@ -167,6 +167,31 @@
 	require.GreaterOrEqual(t, h.stepTimes.arming, time.Second)
 }
 
+// Guards against a lead time that is measured from an earlier switch, or from no time at all,
+// because the holder has taken over the switch of a predecessor.
+func TestArmingOfTakenOverSwitchIsNotMeasured(t *testing.T) {
+	g := newSteppedGroup(t)
+	h := g.holder
+	h.preparedAt = clock.Now().Add(-time.Hour) // of a switch in an earlier term
+	h.startTerm(8)
+	reports := decodeReports(h.group.readAll(t.Context(), callOptions{token: h.token}))
+	for i := range reports {
+		reports[i].Prepared, reports[i].HoldStep = 9, 50
+	}
+	require.NotEmpty(t, h.nextOrders(reports, &experts.Map{}))
+	require.Equal(t, switchover.Arming, h.phase)
+	for i := range reports {
+		reports[i].Armed = &switchover.ArmedSwitch{Version: 9, Step: 50}
+	}
+	require.NotEmpty(t, h.nextOrders(reports, &experts.Map{}))
+	for i := range reports {
+		reports[i].HoldStep = 0
+	}
+	require.Empty(t, h.nextOrders(reports, &experts.Map{}))
+	require.Equal(t, switchover.Switching, h.phase)
+	require.Zero(t, h.stepTimes.arming)
+}
+
 // Guards against the report of the own rank that counts as that of another rank, because the
 // rank was restarted in another place of a group while it was read.
 func TestOwnRankIsChecked(t *testing.T) {
