Name the bounds on bodies and pipelined requests by usual terms

Patience, Standstill and the least pace of a body are now DisplaceAfter, StallTimeout and MinRate. Connections whose clients send requests ahead are in the state Pipelined, which is also the label of the counter connections_closed.

--- a/daemons/inbound/conn.go
+++ b/daemons/inbound/conn.go
@@ -55,7 +55,7 @@
 	case state == connlimit.Busy && len(p) == 1:
 		// While a request is in progress and its body is complete, net/http reads a
 		// single byte, to learn when the client disconnects.
-		c.entry.SetState(connlimit.Ahead)
+		c.entry.SetState(connlimit.Pipelined)
 	default:
 		return
 	}
--- a/daemons/inbound/connections_test.go
+++ b/daemons/inbound/connections_test.go
@@ -191,7 +191,7 @@
 	for _, memory := range []int64{136 << 20, 192 << 20, 536 << 20, 8 << 30} {
 		t.Run(fmt.Sprint(memory>>20), func(t *testing.T) {
 			l := Divide(memory, 5000)
-			kernel := int64(2*smallReceiveBytes) * int64(l.Budget.MaxWaiting+l.Connections.MaxAhead)
+			kernel := int64(2*smallReceiveBytes) * int64(l.Budget.MaxWaiting+l.Connections.MaxPipelined)
 			connections := int64(l.Connections.Max) * connectionBytes
 			require.Less(t, baseBytes+l.Budget.Total+l.Connections.MaxHeadBytes+connections+kernel, memory)
 			require.LessOrEqual(t, SoftMemoryLimit(memory)+programBytes, memory*9/10)
--- a/daemons/inbound/fixture_test.go
+++ b/daemons/inbound/fixture_test.go
@@ -51,7 +51,7 @@
 }
 
 func connConfig(n int) connlimit.Config {
-	return connlimit.Config{Max: n, MaxAhead: 1, MaxHeadBytes: 64 << 10}
+	return connlimit.Config{Max: n, MaxPipelined: 1, MaxHeadBytes: 64 << 10}
 }
 
 func newDaemon(t *testing.T, b bytebudget.Config, c connlimit.Config) *daemon {
--- a/daemons/inbound/limits.go
+++ b/daemons/inbound/limits.go
@@ -25,7 +25,7 @@
 	connectionShare = 0.25
 	requestShare    = 0.375
 	// unreadShare is the part of it that the kernel may hold of clients that aren't read
-	// at the moment: those whose claims wait, and those that send ahead.
+	// at the moment: those whose claims wait, and those that pipeline requests.
 	unreadShare = 1.0 / 16
 	// reserveShare is the part of the bytes of requests that only small ones use.
 	reserveShare = 1.0 / 8
@@ -54,15 +54,15 @@
 	// sendBytes is the send buffer of a connection. It holds what a client reads slowly.
 	sendBytes = 128 << 10
 
-	// minPace is 1% of the slowest link of clients (28 Mbit/s).
-	minPace = 32 << 10
-	// paceWindow is the time over which the pace is measured. It is the time that a client
+	// minBodyRate is 1% of the slowest link of clients (28 Mbit/s), in bytes per second.
+	minBodyRate = 32 << 10
+	// rateWindow is the time over which the rate is measured. It is the time that a client
 	// has for the head of its request.
-	paceWindow = 3 * time.Second
-	// standstill is longer than two retransmissions of a lost packet.
-	standstill = 500 * time.Millisecond
-	// patience leaves requests in progress some time to end by themselves.
-	patience = 200 * time.Millisecond
+	rateWindow = 3 * time.Second
+	// stallTimeout is longer than two retransmissions of a lost packet.
+	stallTimeout = 500 * time.Millisecond
+	// displaceAfter leaves requests in progress some time to end by themselves.
+	displaceAfter = 200 * time.Millisecond
 	// maxWait ends before clients go away, which they do after a second.
 	maxWait = 800 * time.Millisecond
 	// minWaiting is the least number of requests that may wait for memory.
@@ -83,7 +83,7 @@
 
 // FewConnections is the bound of a server for few clients, such as the platform's checks.
 func FewConnections(n int) connlimit.Config {
-	return connlimit.Config{Max: n, MaxAhead: n, MaxHeadBytes: int64(n) * connectionBytes}
+	return connlimit.Config{Max: n, MaxPipelined: n, MaxHeadBytes: int64(n) * connectionBytes}
 }
 
 // Divide divides the memory of a process, in bytes. maxConnections is the number of
@@ -94,19 +94,19 @@
 	unread := int(unreadShare * work / (2 * smallReceiveBytes))
 	return Limits{
 		Budget: bytebudget.Config{
-			Total:      total,
-			Reserve:    int64(reserveShare * float64(total)),
-			Small:      requestBytes + BlockBytes,
-			MinPace:    minPace,
-			Window:     paceWindow,
-			Standstill: standstill,
-			Patience:   patience,
-			MaxWait:    maxWait,
-			MaxWaiting: max(unread, minWaiting),
+			Total:         total,
+			Reserve:       int64(reserveShare * float64(total)),
+			Small:         requestBytes + BlockBytes,
+			MinRate:       minBodyRate,
+			Window:        rateWindow,
+			StallTimeout:  stallTimeout,
+			DisplaceAfter: displaceAfter,
+			MaxWait:       maxWait,
+			MaxWaiting:    max(unread, minWaiting),
 		},
 		Connections: connlimit.Config{
 			Max:          min(maxConnections, int(connectionShare*work/connectionBytes)),
-			MaxAhead:     unread,
+			MaxPipelined: unread,
 			MaxHeadBytes: int64(headShare * float64(total)),
 		},
 	}
--- a/daemons/inbound/memory_test.go
+++ b/daemons/inbound/memory_test.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// Guards against a body that stands still or trickles and keeps its bytes, and against the
+// Guards against a body that stalls or trickles and keeps its bytes, and against the
 // end of one that is a little faster.
 func TestSlowBodies(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -94,16 +94,16 @@
 		response       string
 	}{
 		"still":   {0, "503 slow_body"},
-		"trickle": {minPace / 2, "503 slow_body"},
-		"above":   {minPace + minPace/10, fmt.Sprintf("200 %d bytes", 20*minPace)},
+		"trickle": {minBodyRate / 2, "503 slow_body"},
+		"above":   {minBodyRate + minBodyRate/10, fmt.Sprintf("200 %d bytes", 20*minBodyRate)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDaemon(t, budgetConfig(), connConfig(100))
 				conn, responses := d.dial()
 				go func() {
-					_, _ = io.WriteString(conn, head("/", fmt.Sprintf("Content-Length: %d", 20*minPace)))
-					for left := 20 * minPace; left > 0; {
+					_, _ = io.WriteString(conn, head("/", fmt.Sprintf("Content-Length: %d", 20*minBodyRate)))
+					for left := 20 * minBodyRate; left > 0; {
 						n, err := conn.Write(make([]byte, min(left, c.bytesPerSecond/10)))
 						if err != nil {
 							return
--- a/daemons/inbound/request.go
+++ b/daemons/inbound/request.go
@@ -29,7 +29,7 @@
 	Organisation string
 	// MaxBody is the largest body in bytes.
 	MaxBody int
-	// Timeout bounds the time to read the body; 0 for no other bound than the least pace.
+	// Timeout bounds the time to read the body; 0 for no other bound than the least rate.
 	Timeout time.Duration
 	// Copies is the number of copies of the body that are made of it while the request is
 	// in progress. If it isn't 0, Joined returns the first one.
@@ -186,7 +186,7 @@
 	switch q.reason() {
 	case bytebudget.None:
 	case bytebudget.Slow:
-		return errkind.New(errkind.SlowBody, "the body arrived with less than %d bytes per second", minPace).
+		return errkind.New(errkind.SlowBody, "the body arrived with less than %d bytes per second", minBodyRate).
 			WithRetryAfter(slowRetryAfter)
 	default:
 		return errkind.New(errkind.MemoryExhausted, "no memory is left for this request").WithRetryAfter(fullRetryAfter)
--- a/serve/bytebudget/bytebudget.go
+++ b/serve/bytebudget/bytebudget.go
@@ -27,17 +27,17 @@
 	Reserve int64
 	// Small is the number of bytes up to which a claim is small.
 	Small int64
-	// MinPace is the least number of bytes per second that a body has to arrive with, as
+	// MinRate is the least number of bytes per second that a body has to arrive with, as
 	// the mean of each Window. The time in which the claim waits doesn't count.
-	MinPace int64
+	MinRate int64
 	Window  time.Duration
-	// Standstill is the time without bytes after which a claim is ended for others before
+	// StallTimeout is the time without bytes after which a claim is ended for others before
 	// those whose bytes arrive.
-	Standstill time.Duration
-	// Patience is how long a claim that isn't small waits, in total, before others are
+	StallTimeout time.Duration
+	// DisplaceAfter is how long a claim that isn't small waits, in total, before others are
 	// ended for it. MaxWait is how long any claim waits, in total, before it is refused.
-	Patience time.Duration
-	MaxWait  time.Duration
+	DisplaceAfter time.Duration
+	MaxWait       time.Duration
 	// MaxWaiting is the number of claims that may wait. Of more, the last ones in the order
 	// of waiting are refused.
 	MaxWaiting int
@@ -54,7 +54,7 @@
 	NoRoom
 	// Displaced means that other claims needed the bytes.
 	Displaced
-	// Slow means that the body arrived below the least pace.
+	// Slow means that the body arrived below the least rate.
 	Slow
 )
 
@@ -110,8 +110,8 @@
 	claims int
 }
 
-// lasting returns what the claims hold that haven't ended.
-func (s *share) lasting() int64 { return s.held - s.ending }
+// active returns what the claims hold that haven't ended.
+func (s *share) active() int64 { return s.held - s.ending }
 
 // New returns a budget without claims.
 func New[T any](cfg Config) *Budget[T] {
--- a/serve/bytebudget/bytebudget_test.go
+++ b/serve/bytebudget/bytebudget_test.go
@@ -16,8 +16,8 @@
 // config is a budget of 100 bytes, in which claims of up to 4 bytes are small.
 var config = bytebudget.Config{
 	Total: 100, Reserve: 20, Small: 4,
-	MinPace: 10, Window: 3 * time.Second, Standstill: 500 * time.Millisecond,
-	Patience: 200 * time.Millisecond, MaxWait: 800 * time.Millisecond, MaxWaiting: 8,
+	MinRate: 10, Window: 3 * time.Second, StallTimeout: 500 * time.Millisecond,
+	DisplaceAfter: 200 * time.Millisecond, MaxWait: 800 * time.Millisecond, MaxWaiting: 8,
 }
 
 type (
@@ -267,13 +267,13 @@
 	require.Zero(t, uploads[3].left)
 }
 
-// Guards against bodies that stand still or trickle and keep their bytes, and against the
-// end of one that arrives at the least pace or only waits for room.
+// Guards against bodies that stall or trickle and keep their bytes, and against the
+// end of one that arrives at the least rate or only waits for room.
 func TestSlowBodiesEnd(t *testing.T) {
 	for name, c := range map[string]struct {
 		perSecond int64
 		ends      bool
-	}{"still": {0, true}, "trickle": {9, true}, "least pace": {10, false}} {
+	}{"still": {0, true}, "trickle": {9, true}, "least rate": {10, false}} {
 		t.Run(name, func(t *testing.T) {
 			crowd := newCrowd(config)
 			x := crowd.open("a")
--- a/serve/bytebudget/step.go
+++ b/serve/bytebudget/step.go
@@ -14,7 +14,7 @@
 }
 
 // slowSmallAge is the age from which a small claim whose body is still received counts as
-// standing still, even if single bytes arrive: a body that small fits into a few packets.
+// stalled, even if single bytes arrive: a body that small fits into a few packets.
 const slowSmallAge = time.Second
 
 // Step ends the claims whose bodies arrive too slowly or that have waited for too long,
@@ -33,12 +33,12 @@
 	return out
 }
 
-// endSlow ends the claims whose bodies arrive below the least pace.
+// endSlow ends the claims whose bodies arrive below the least rate.
 func (b *Budget[T]) endSlow(now time.Time, out *Outcome[T]) {
 	for c := b.receiving.next; c != &b.receiving; {
 		next := c.next
 		if elapsed := now.Sub(c.windowStart); c.need == 0 && elapsed >= b.cfg.Window {
-			if float64(c.windowBytes) < elapsed.Seconds()*float64(b.cfg.MinPace) {
+			if float64(c.windowBytes) < elapsed.Seconds()*float64(b.cfg.MinRate) {
 				out.end(c, Slow)
 			}
 			c.windowStart, c.windowBytes = now, 0
@@ -59,7 +59,7 @@
 		return cmp.Or(
 			compareBool(y.small, x.small),
 			compareBool(y.isKnown(), x.isKnown()),
-			cmp.Compare(x.share.lasting(), y.share.lasting()),
+			cmp.Compare(x.share.active(), y.share.active()),
 			cmp.Compare(x.order, y.order),
 		)
 	})
@@ -96,7 +96,7 @@
 }
 
 // endWait records that the claim no longer waits. The time of the wait doesn't count for
-// its pace.
+// its rate.
 func (c *Claim[T]) endWait(now time.Time) {
 	wait := now.Sub(c.waitingSince)
 	c.waited += wait
@@ -131,7 +131,7 @@
 		if c.small {
 			room.endFor(c, need-b.cfg.Total)
 		} else {
-			if c.waitedFor(now) >= b.cfg.Patience {
+			if c.waitedFor(now) >= b.cfg.DisplaceAfter {
 				room.endFor(c, need-(b.cfg.Total-b.cfg.Reserve))
 			}
 			return
@@ -173,7 +173,7 @@
 
 // candidates returns the claims that may be ended for others, in the order in which that
 // happens: first those that aren't small, those of unknown clients, those of the
-// organisation that holds most, and those that stand still. Of the rest the newest goes
+// organisation that holds most, and those that stall. Of the rest the newest goes
 // first if it isn't small, because an older body is closer to its end. A small body is
 // complete after a moment, so the oldest small claim goes first.
 func (b *Budget[T]) candidates(now time.Time) []*Claim[T] {
@@ -191,27 +191,27 @@
 		return cmp.Or(
 			compareBool(x.isSmall(0), y.isSmall(0)),
 			compareBool(x.isKnown(), y.isKnown()),
-			cmp.Compare(y.share.lasting(), x.share.lasting()),
-			compareBool(y.standsStill(now), x.standsStill(now)),
+			cmp.Compare(y.share.active(), x.share.active()),
+			compareBool(y.isStalled(now), x.isStalled(now)),
 			byAge,
 		)
 	})
 	return list
 }
 
-// standsStill reports whether no bytes arrive although the claim doesn't wait for room.
-func (c *Claim[T]) standsStill(now time.Time) bool {
+// isStalled reports whether no bytes arrive although the claim doesn't wait for room.
+func (c *Claim[T]) isStalled(now time.Time) bool {
 	if c.need != 0 {
 		return false
 	}
-	return now.Sub(c.lastProgress) >= c.budget.cfg.Standstill || c.isSmall(0) && now.Sub(c.openedAt) >= slowSmallAge
+	return now.Sub(c.lastProgress) >= c.budget.cfg.StallTimeout || c.isSmall(0) && now.Sub(c.openedAt) >= slowSmallAge
 }
 
 // displaces reports whether other may be ended in favour of c. A small claim displaces all
 // that aren't small, and small ones unless it alone is of an unknown client. Another claim
 // displaces none that is small; it displaces those of unknown clients, those of an
 // organisation that still holds at least as much without them, and of its own organisation
-// those that stand still or are newer.
+// those that stall or are newer.
 func (c *Claim[T]) displaces(now time.Time, other *Claim[T]) bool {
 	switch {
 	case c.small && !other.isSmall(0):
@@ -223,8 +223,8 @@
 	case c.isKnown() != other.isKnown():
 		return c.isKnown()
 	case c.share != other.share:
-		return other.share.lasting()-other.held >= c.share.lasting()+c.need
+		return other.share.active()-other.held >= c.share.active()+c.need
 	default:
-		return other.standsStill(now) || other.order > c.order
+		return other.isStalled(now) || other.order > c.order
 	}
 }
--- a/serve/connlimit/connlimit.go
+++ b/serve/connlimit/connlimit.go
@@ -15,9 +15,9 @@
 	Head State = iota
 	// Busy means that a request is in progress.
 	Busy
-	// Ahead means that a request is in progress and bytes of the next one have arrived,
+	// Pipelined means that a request is in progress and bytes of the next one have arrived,
 	// which the process doesn't read yet.
-	Ahead
+	Pipelined
 	// Idle means that the connection waits for the next request.
 	Idle
 	// Closing means that the last response has been sent, and the rest of its request is
@@ -29,15 +29,15 @@
 
 // String returns the name of s in metrics and logs.
 func (s State) String() string {
-	return [stateCount]string{"head", "busy", "ahead", "idle", "closing"}[s]
+	return [stateCount]string{"head", "busy", "pipelined", "idle", "closing"}[s]
 }
 
 // Config holds the bounds of a table.
 type Config struct {
 	// Max is the number of connections.
 	Max int
-	// MaxAhead is the number of connections in the state Ahead.
-	MaxAhead int
+	// MaxPipelined is the number of connections in the state Pipelined.
+	MaxPipelined int
 	// MaxHeadBytes is what all unfinished heads together may take.
 	MaxHeadBytes int64
 }
@@ -92,7 +92,7 @@
 // TakeExcess removes a connection that has to be closed and returns it, or nil if the table
 // is within its bounds. Beyond Max these are, in this order, those that are being closed
 // anyway, those that have been idle longest, and those with the oldest unfinished head.
-// Connections with a request in progress are closed only if their clients send ahead.
+// Connections with a request in progress are closed only if their clients pipeline requests.
 func (t *Table[T]) TakeExcess() *Conn[T] {
 	c := t.excess()
 	if c != nil {
@@ -102,8 +102,8 @@
 }
 
 func (t *Table[T]) excess() *Conn[T] {
-	if t.sizes[Ahead] > t.cfg.MaxAhead {
-		return t.oldest(Ahead)
+	if t.sizes[Pipelined] > t.cfg.MaxPipelined {
+		return t.oldest(Pipelined)
 	}
 	if t.headBytes > t.cfg.MaxHeadBytes {
 		return t.oldest(Head)
--- a/serve/connlimit/connlimit_test.go
+++ b/serve/connlimit/connlimit_test.go
@@ -10,7 +10,7 @@
 )
 
 func newTable(maxConns int) *connlimit.Table[int] {
-	return connlimit.New[int](connlimit.Config{Max: maxConns, MaxAhead: 2, MaxHeadBytes: 100})
+	return connlimit.New[int](connlimit.Config{Max: maxConns, MaxPipelined: 2, MaxHeadBytes: 100})
 }
 
 // takeAll returns the values of the connections that have to be closed.
@@ -30,14 +30,14 @@
 		conns = append(conns, table.Add(i))
 	}
 	conns[0].SetState(connlimit.Busy)
-	conns[1].SetState(connlimit.Ahead)
+	conns[1].SetState(connlimit.Pipelined)
 	conns[5].SetState(connlimit.Idle)
 	conns[2].SetState(connlimit.Idle)
 	conns[6].SetState(connlimit.Closing)
 	conns[3].SetState(connlimit.Head) // is in it already, and stays the oldest one
 	require.Equal(t, []int{6, 5, 2, 3, 4, 7}, takeAll(table))
 	require.Equal(t, 2, table.Len())
-	require.Equal(t, 1, table.Count(connlimit.Ahead))
+	require.Equal(t, 1, table.Count(connlimit.Pipelined))
 }
 
 // Guards against an idle time that counts from the first response of a connection.
@@ -76,7 +76,7 @@
 	for i := range 4 {
 		c := table.Add(i)
 		c.SetState(connlimit.Busy)
-		c.SetState(connlimit.Ahead)
+		c.SetState(connlimit.Pipelined)
 	}
 	require.Equal(t, []int{0, 1}, takeAll(table))
 }
@@ -95,7 +95,7 @@
 			if c != nil {
 				c.AddHeadBytes(rapid.Int64Range(0, 30).Draw(t, "head"))
 				c.SetState(rapid.SampledFrom([]connlimit.State{
-					connlimit.Head, connlimit.Busy, connlimit.Ahead, connlimit.Idle, connlimit.Closing,
+					connlimit.Head, connlimit.Busy, connlimit.Pipelined, connlimit.Idle, connlimit.Closing,
 				}).Draw(t, "state"))
 			}
 			for _, value := range takeAll(table) {
@@ -103,8 +103,8 @@
 				delete(open, value)
 			}
 			require.Equal(t, len(open), table.Len())
-			require.LessOrEqual(t, table.Count(connlimit.Ahead), 2)
-			inProgress := table.Count(connlimit.Busy) + table.Count(connlimit.Ahead)
+			require.LessOrEqual(t, table.Count(connlimit.Pipelined), 2)
+			inProgress := table.Count(connlimit.Busy) + table.Count(connlimit.Pipelined)
 			require.True(t, table.Len() <= 10 || table.Len() == inProgress)
 		}
 	})
