Split the placing of a request and the adding to the fair queue

The field for the place of a gateway isn't called rank any more, which is a part of a rank group elsewhere in the package. No behaviour changes.

--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -52,7 +52,7 @@
 // this number of tokens.
 func (s *Scheduler[T]) hasMemory(c *server, tokens int) bool {
 	_, small := c.memory()
-	return float64(tokens) <= small || c.rank < largeGateways && c.largeTokens()+float64(tokens) <= s.largePart(c)
+	return float64(tokens) <= small || c.gatewayRank < largeGateways && c.largeTokens()+float64(tokens) <= s.largePart(c)
 }
 
 // largeTokens returns the memory that the large requests of this gateway may need.
@@ -91,7 +91,7 @@
 // memory of a server.
 func (s *Scheduler[T]) SetRank(id string, rank int) {
 	if srv, ok := s.servers[id]; ok {
-		srv.rank = rank
+		srv.gatewayRank = rank
 	}
 }
 
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -158,6 +158,12 @@
 	if refused, ok := s.refuseByPace(now, r); ok && s.hasServer(now, r.Constraint) {
 		return nil, []Outcome[T]{refused}
 	}
+	return s.enqueue(now, r, queue)
+}
+
+// enqueue queues a request for which no server has capacity, or refuses it. It returns what
+// Place returns.
+func (s *Scheduler[T]) enqueue(now time.Time, r Request[T], queue *fairqueue.Queue[waiting[T]]) (*Ticket[T], []Outcome[T]) {
 	w := waiting[T]{value: r.Value, constraint: r.Constraint, ticket: &Ticket[T]{queue: queue}, queuedAt: now, maxWait: r.MaxWait}
 	s.queue.SetRate(s.serviceRate())
 	if !s.hasServer(now, r.Constraint) {
--- a/balance/placement/servers.go
+++ b/balance/placement/servers.go
@@ -30,10 +30,10 @@
 	// other gateways.
 	ownInFlight  int
 	peerInFlight int
-	// ownLarge holds the tokens of each large request of this gateway, and rank the place of
-	// the gateway in the order in which the gateways use the memory for them.
-	ownLarge []int
-	rank     int
+	// ownLarge holds the tokens of each large request of this gateway, and gatewayRank the
+	// place of the gateway in the order in which the gateways use the memory for them.
+	ownLarge    []int
+	gatewayRank int
 	// slowdown is the smoothed duration of a request relative to the usual one;
 	// slowdownAt is when it was last measured.
 	slowdown   float64
