--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -2,10 +2,11 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/filbertmux/filbertmux/base/errkind"
-	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 const (
@@ -51,13 +52,22 @@
 // this number of tokens.
 func (s *Scheduler[T]) hasMemory(c *server, tokens int) bool {
 	_, small := c.memory()
-	return float64(tokens) <= small || c.rank < largeGateways && c.ownLarge+float64(tokens) <= s.largePart(c)
+	return float64(tokens) <= small || c.gatewayRank < largeGateways && c.largeTokens()+float64(tokens) <= s.largePart(c)
+}
+
+// largeTokens returns the memory that the large requests of this gateway may need.
+func (c *server) largeTokens() float64 {
+	sum := 0
+	for _, tokens := range c.ownLarge {
+		sum += tokens
+	}
+	return float64(sum)
 }
 
 // takeMemory records that a request uses the memory of a server.
 func (s *Scheduler[T]) takeMemory(c *server, tokens int) {
 	if _, small := c.memory(); float64(tokens) > small {
-		c.ownLarge += float64(tokens)
+		c.ownLarge = append(c.ownLarge, tokens)
 	} else if tokens > 0 {
 		s.meanSmall += meanSmoothing * (float64(tokens) - s.meanSmall)
 	}
@@ -70,8 +80,10 @@
 	if !ok {
 		return
 	}
-	if _, small := srv.memory(); float64(tokens) > small {
-		srv.ownLarge = max(srv.ownLarge-float64(tokens), 0)
+	// The server may hold more or less than when the request started, so what is large now
+	// says nothing about it.
+	if i := slices.Index(srv.ownLarge, tokens); i >= 0 {
+		srv.ownLarge = slices.Delete(srv.ownLarge, i, i+1)
 	}
 }
 
@@ -79,7 +91,7 @@
 // memory of a server.
 func (s *Scheduler[T]) SetRank(id string, rank int) {
 	if srv, ok := s.servers[id]; ok {
-		srv.rank = rank
+		srv.gatewayRank = rank
 	}
 }
 
@@ -120,28 +132,47 @@
 	}
 }
 
-// startLarge starts the requests that wait for memory, in their order. They have a queue of
-// their own, so that they don't keep smaller ones from starting.
-func (s *Scheduler[T]) startLarge(now time.Time) []Outcome[T] {
+// startLarge starts the requests that wait for memory, in their order, while goOn returns true.
+// They have a queue of their own, so that they don't keep smaller ones from starting.
+func (s *Scheduler[T]) startLarge(now time.Time, goOn func() bool) []Outcome[T] {
 	var out []Outcome[T]
-	for {
-		next := s.large.Peek()
-		if next == nil {
-			return out
+	for s.large.Len() > 0 && goOn() {
+		t, picked := s.popLarge(now)
+		if t == nil {
+			break
 		}
-		constraint := next.Value.constraint
-		picked := s.pick(now, constraint, freeSlot)
-		if picked == nil {
-			picked = s.pick(now, constraint.withoutExclusions(), freeSlot)
+		out = append(out, s.startOn(now, picked, t.Value.constraint.Tokens, t.Value.value))
+	}
+	return out
+}
+
+// popLarge removes the next request that waits for memory and can start now, and returns it
+// with its server, or nil. Requests that wait for the memory of other regions are passed over.
+func (s *Scheduler[T]) popLarge(now time.Time) (*queuedTicket[T], *server) {
+	var picked *server
+	blocked := make(map[string]bool)
+	canStart := func(w waiting[T]) bool {
+		regions := strings.Join(w.constraint.Regions, "\n")
+		if blocked[""] || blocked[regions] {
+			return false
 		}
+		picked = s.pick(now, w.constraint, freeSlot)
 		if picked == nil {
-			return out
+			picked = s.pick(now, w.constraint.withoutExclusions(), freeSlot)
 		}
-		s.large.Pop()
-		out = append(out, s.startOn(now, picked, constraint.Tokens, next.Value.value))
+		blocked[regions] = picked == nil
+		return picked != nil
+	}
+	if !s.hasRegions && !canStart(s.large.Peek().Value) {
+		return nil, nil
 	}
+	return s.large.PopFunc(canStart), picked
 }
 
-func newQueue[T any](config Config) *fairqueue.Queue[waiting[T]] {
-	return fairqueue.New[waiting[T]](config.QueueCapacity, config.Classes)
+// largeGoesFirst reports whether the next request that waits for memory starts before the next
+// one of the queue. It does unless its class is less urgent.
+func (s *Scheduler[T]) largeGoesFirst() bool {
+	class, byReserve, _ := s.large.Next()
+	next, _, waiting := s.queue.Next()
+	return byReserve || !waiting || s.classRank(class) <= s.classRank(next)
 }
--- a/balance/placement/memory_test.go
+++ b/balance/placement/memory_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/errkind"
+	"github.com/filbertmux/filbertmux/serve/fairqueue"
 )
 
 // memoryServers returns servers with this memory in tokens.
@@ -82,6 +83,111 @@
 	require.Equal(t, []placement.Outcome[int]{{Value: 10, Server: "s0"}}, finish(700))
 }
 
+// Guards against requests that get memory in the order of their arrival and not of their
+// classes, because the classes were set after the scheduler was made.
+func TestMemoryGoesToUrgentRequestFirst(t *testing.T) {
+	s := placement.New[int](placement.Config{ServerQueueDepth: 1, QueueCapacity: 8}, rand.New(rand.NewPCG(1, 2)))
+	s.SetClasses([]fairqueue.Class{{Name: "urgent"}, {Name: "usual"}})
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(1, 700))
+	for value, class := range []string{"usual", "urgent"} {
+		r := largeRequest(10+value, 600)
+		r.Class = class
+		ticket, _ := s.Place(start, r)
+		require.NotNil(t, ticket)
+	}
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 11, Server: "s0"}}, s.Dispatch(start))
+}
+
+// memoryRegions returns a scheduler with one server in each of two failure domains and regions.
+func memoryRegions() *placement.Scheduler[int] {
+	s := scheduler(0, 0)
+	servers := memoryServers(2, 4, 2000)
+	servers[0].FailureDomain, servers[0].Region = "a", "north"
+	servers[1].FailureDomain, servers[1].Region = "b", "south"
+	s.SetServers(servers)
+	return s
+}
+
+// placeLarge places a large request that may run in one region.
+func placeLarge(s *placement.Scheduler[int], value, tokens int, region string) (*placement.Ticket[int], []placement.Outcome[int]) {
+	r := largeRequest(value, tokens)
+	r.Regions = []string{region}
+	return s.Place(start, r)
+}
+
+// Guards against requests that wait in vain for the memory of evacuated servers.
+func TestRequestsForEvacuatedMemoryAreRefused(t *testing.T) {
+	s := memoryRegions()
+	placeLarge(s, 1, 700, "north")
+	ticket, _ := placeLarge(s, 2, 600, "north")
+	require.NotNil(t, ticket)
+	out := s.SetEvacuated(start, []string{"a"})
+	require.Len(t, out, 1)
+	require.Equal(t, 2, out[0].Value)
+	require.True(t, errkind.Is(out[0].Err, errkind.NoBackendServer))
+	require.Zero(t, s.QueueLen())
+}
+
+// Guards against a request that waits for memory in its region and keeps those of other
+// regions, whose servers have memory, from starting.
+func TestMemoryOfOtherRegionIsUsed(t *testing.T) {
+	s := memoryRegions()
+	placeLarge(s, 1, 700, "north")
+	placeLarge(s, 2, 700, "south")
+	for value, region := range []string{"north", "south", "south"} {
+		ticket, _ := placeLarge(s, 10+value, 600-value, region)
+		require.NotNil(t, ticket)
+	}
+	s.FreeMemory("s1", 700)
+	s.Finish("s1", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 11, Server: "s1"}}, s.Dispatch(start))
+}
+
+// Guards against a request that waits for memory and takes a slot for which a more urgent
+// request waits.
+func TestUrgentRequestGoesBeforeMemory(t *testing.T) {
+	s := scheduler(0, 0)
+	s.SetServers(memoryServers(1, 1, 2000))
+	place(t, s, start, largeRequest(1, 700))
+	waiting, _ := s.Place(start, largeRequest(2, 800))
+	require.NotNil(t, waiting)
+	place(t, s, start, largeRequest(3, 100))
+	urgent := request(4)
+	urgent.Class = "urgent"
+	ticket, _ := s.Place(start, urgent)
+	require.NotNil(t, ticket)
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.Equal(t, []placement.Outcome[int]{{Value: 4, Server: "s0"}}, s.Dispatch(start))
+}
+
+// Guards against memory that counts as used for good, and against servers that get more than
+// they hold, after the memory in the configuration changes while requests run.
+func TestMemoryChangesWhileRequestsRun(t *testing.T) {
+	s := scheduler(0, 0)
+	fits := func(tokens int) bool { return s.HasFreeSlot(start, placement.Constraint{Tokens: tokens}) }
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(1, 100)) // keeps the server in use
+	place(t, s, start, largeRequest(2, 700))
+	require.False(t, fits(800))
+	s.SetServers(memoryServers(1, 4, 40_000)) // a request of 700 tokens is small
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	s.SetServers(memoryServers(1, 4, 2000))
+	require.True(t, fits(800), "the memory is free")
+
+	s.SetServers(memoryServers(1, 4, 40_000))
+	place(t, s, start, largeRequest(3, 700)) // small
+	s.SetServers(memoryServers(1, 4, 2000))
+	place(t, s, start, largeRequest(4, 450))
+	s.FreeMemory("s0", 700)
+	s.Finish("s0", time.Second, 100)
+	require.False(t, fits(300), "a large request is still running")
+}
+
 // Guards against gateways that all fill the memory of a server at the same time, and against
 // usual requests that only some gateways may send.
 func TestLargeRequestsOfFirstGateways(t *testing.T) {
--- a/daemons/inbound/memory_test.go
+++ b/daemons/inbound/memory_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
@@ -84,7 +86,7 @@
 	}
 }
 
-// Guards against a body that stands still or trickles and keeps its bytes, and against the
+// Guards against a body that stalls or trickles and keeps its bytes, and against the
 // end of one that is a little faster.
 func TestSlowBodies(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -92,16 +94,16 @@
 		response       string
 	}{
 		"still":   {0, "503 slow_body"},
-		"trickle": {minPace / 2, "503 slow_body"},
-		"above":   {minPace + minPace/10, fmt.Sprintf("200 %d bytes", 20*minPace)},
+		"trickle": {minBodyRate / 2, "503 slow_body"},
+		"above":   {minBodyRate + minBodyRate/10, fmt.Sprintf("200 %d bytes", 20*minBodyRate)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				d := newDaemon(t, budgetConfig(), connConfig(100))
 				conn, responses := d.dial()
 				go func() {
-					_, _ = io.WriteString(conn, head("/", fmt.Sprintf("Content-Length: %d", 20*minPace)))
-					for left := 20 * minPace; left > 0; {
+					_, _ = io.WriteString(conn, head("/", fmt.Sprintf("Content-Length: %d", 20*minBodyRate)))
+					for left := 20 * minBodyRate; left > 0; {
 						n, err := conn.Write(make([]byte, min(left, c.bytesPerSecond/10)))
 						if err != nil {
 							return
@@ -275,6 +277,24 @@
 	require.Equal(t, int64(maxBody), m.takeUse().free)
 }
 
+// Guards against a request that keeps the block of a body that was given back: it would take
+// memory that nobody counts for as long as its response runs.
+func TestReleasedBlockIsNotKept(t *testing.T) {
+	cfg := budgetConfig()
+	cfg.Total, cfg.Reserve = requestBytes+BlockBytes, 0
+	m := newTestMemory(t, cfg)
+	r := httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(make([]byte, BlockBytes)))
+	q, err := m.Read(httptest.NewRecorder(), r, ReadOptions{MaxBody: maxBody})
+	require.NoError(t, err)
+	block := weak.Make(&q.Body().Blocks()[0][0])
+	q.Body().Release()
+	require.True(t, q.TryGrow(BlockBytes), "another part of the process uses the bytes")
+	require.Zero(t, m.takeUse().free)
+	runtime.GC()
+	require.Nil(t, block.Value())
+	q.Close()
+}
+
 // Guards against a body whose end needs another block.
 func TestBodyOfOneBlock(t *testing.T) {
 	m := newTestMemory(t, budgetConfig())
