--- a/balance/placement/spread.go
+++ b/balance/placement/spread.go
@@ -19,9 +19,9 @@
 // candidate is a server that may get the request.
 type candidate struct {
 	server *server
-	// inFlight is the number of requests on the server, including the penalties for
-	// another failure domain and for a cold server. serviceTime is the time per request relative to the
-	// usual time of a server with one slot.
+	// inFlight is the number of requests on the server, including the penalties for another
+	// failure domain and for a cold server. serviceTime is the time per request relative to
+	// the usual time of a server with one slot.
 	inFlight    float64
 	serviceTime float64
 }
--- a/balance/requestlimit/requestlimit.go
+++ b/balance/requestlimit/requestlimit.go
@@ -2,12 +2,12 @@
 // gateways that send to it. A rate has one of two sources: the server states it, or it is
 // the rate that the configuration states for the cold servers of its service (ColdLimit).
 //
-// The division of stated rates is designed for a few servers in need among many gateways: a server may take two
-// requests per second from hundreds of gateways together, so that an even share would
-// be one request in minutes each, and the first request of each gateway would already
-// exceed the limit. So a few gateways, about one for each request per second, share the
-// rate evenly, and the others use other servers. All gateways choose the same ones by
-// rendezvous hashing, without messages.
+// The division of stated rates is designed for a few servers in need among many gateways: a
+// server may take two requests per second from hundreds of gateways together, so that an
+// even share would be one request in minutes each, and the first request of each gateway
+// would already exceed the limit. So a few gateways, about one for each request per second,
+// share the rate evenly, and the others use other servers. All gateways choose the same ones
+// by rendezvous hashing, without messages.
 //
 // What servers state travels with the load reports of the gateways. If no gateway has
 // heard from a server for a while, because those that may use it have no requests, all
--- a/daemons/rankagent/holder.go
+++ b/daemons/rankagent/holder.go
@@ -168,13 +168,7 @@
 // next round.
 func (h *holder) round(ctx context.Context) time.Duration {
 	start := clock.Now()
-	if !h.mayBeHeld() {
-		// The store is not read while the group may be held: a store that doesn't
-		// respond would prolong the hold.
-		if err := h.group.refresh(ctx, h.phase == switchover.Unknown); err != nil {
-			h.log.Debug().Err(err).Msg("cannot read the members of the group")
-		}
-	}
+	h.refreshMembers(ctx)
 	idle := h.phase == switchover.Idle || h.phase == switchover.Unknown
 	readsCounts := idle || h.phase == switchover.Preparing
 	// The reads also tell the agents that the group has a holder, so they are made
@@ -215,6 +209,17 @@
 	return h.nextInterval()
 }
 
+// refreshMembers reads the members of the group from the store, unless the group may be held: a
+// store that doesn't respond would prolong the hold.
+func (h *holder) refreshMembers(ctx context.Context) {
+	if h.mayBeHeld() {
+		return
+	}
+	if err := h.group.refresh(ctx, h.phase == switchover.Unknown); err != nil {
+		h.log.Debug().Err(err).Msg("cannot read the members of the group")
+	}
+}
+
 // nextOrders returns the next orders for the reports of all ranks.
 func (h *holder) nextOrders(reports []switchover.Report, inForce *experts.Map) []switchover.Order {
 	h.raiseVersion(reports)
@@ -267,43 +272,6 @@
 	return ranks
 }
 
-// selectCountReaders returns the ranks whose expert counts are read in a round: none
-// while the group may be held or no total is due soon, otherwise as many in turn as the
-// link carries.
-func (h *holder) selectCountReaders(now time.Time, readsCounts bool) []bool {
-	engine := h.group.engine
-	if !readsCounts || engine == nil || engine.Experts == nil {
-		return nil
-	}
-	interval := h.readInterval(idleInterval)
-	if h.phase == switchover.Preparing {
-		interval = h.readInterval(copyInterval)
-	}
-	_, _, size := h.agent.Identity()
-	n := h.group.link.CountReadings(interval, size, engine.Experts.LayerSets*engine.Experts.ExpertsPerLayer)
-	furtherRounds := (size - 1) / max(n, 1)
-	if !h.planner.recent.Due(now, time.Duration(furtherRounds)*interval) {
-		return nil
-	}
-	return h.countReaders.Select(size, n)
-}
-
-// maxCountAge returns the age up to which the counts of a rank are used: a little more
-// than it takes to read those of all ranks.
-func (h *holder) maxCountAge() time.Duration {
-	_, _, size := h.agent.Identity()
-	e := h.group.engine.Experts
-	interval := h.readInterval(idleInterval)
-	rounds := (size-1)/h.group.link.CountReadings(interval, size, e.LayerSets*e.ExpertsPerLayer) + 1
-	return max(minCountAge, time.Duration(rounds)*interval*3/2)
-}
-
-// readInterval returns the time between two readings of all ranks, at least interval.
-func (h *holder) readInterval(interval time.Duration) time.Duration {
-	_, _, size := h.agent.Identity()
-	return h.group.link.ReadInterval(interval, size)
-}
-
 // yieldIfSuperseded gives up the role of holder if an agent knows a newer holder. A
 // holder that can't reach the store learns of a newer one in no other way.
 func (h *holder) yieldIfSuperseded(responses []*pb.ReadRankResponse) bool {
@@ -352,61 +320,6 @@
 	h.group.sendOrders(ctx, h.coordinator, orders, t, callOptions{token: h.token, direct: h.failedReadRounds > failedReadsBeforeDirect})
 }
 
-// nextInterval returns the time to the next round. It abandons a map that the ranks
-// did not prepare in time.
-func (h *holder) nextInterval() time.Duration {
-	switch h.phase {
-	case switchover.Preparing:
-		if clock.Now().Sub(h.switchStart) > copyTimeout {
-			h.log.Warn().Msg("ranks did not copy the experts in time; abandoning the plan")
-			h.coordinator.Abandon()
-			h.switchStart = clock.Now()
-		}
-		return h.readInterval(copyInterval)
-	case switchover.Switching:
-		if !h.held {
-			// The ranks switch when they start the step. There is nothing to order.
-			return h.readInterval(copyInterval)
-		}
-		return switchInterval
-	case switchover.Holding, switchover.Arming:
-		return switchInterval
-	case switchover.Unknown:
-		return readRetryInterval
-	default:
-		return h.readInterval(idleInterval)
-	}
-}
-
-// updatePhase stores the phase of the coordinator, and logs the end of a switch.
-func (h *holder) updatePhase() {
-	now := h.coordinator.Phase()
-	if now == h.phase {
-		return
-	}
-	if now == switchover.Holding {
-		h.preparedAt = clock.Now()
-	}
-	h.releaseDue = now == switchover.Switching && h.phase == switchover.Arming && !h.preparedAt.IsZero()
-	if h.releaseDue {
-		h.armedAt = clock.Now()
-	}
-	if h.phase == switchover.Switching && now == switchover.Idle {
-		h.logSwitch()
-		h.effectDue = true
-	}
-	h.phase = now
-}
-
-// logSwitch logs the end of a switch, with the times of its parts if this holder began it.
-func (h *holder) logSwitch() {
-	line := h.log.Info().Int64("token", h.token).Int("moves", h.moveCount).Dur("took_ms", clock.Now().Sub(h.switchStart))
-	if !h.preparedAt.IsZero() {
-		line.Dur("prepare_ms", h.preparedAt.Sub(h.switchStart)).Dur("arm_ms", h.armedAt.Sub(h.preparedAt))
-	}
-	line.Msg("expert map switched")
-}
-
 // raiseVersion keeps the versions of this holder above all versions of the ranks.
 func (h *holder) raiseVersion(reports []switchover.Report) {
 	newest := newestVersion(reports)
@@ -416,53 +329,3 @@
 	}
 	h.version = max(h.version, newest)
 }
-
-// observeCounts passes the counts of the ranks to the planner. It returns true if the
-// counts of most ranks are newer than at the last observation. now is the begin of the
-// round, so that the time between two observations is that between two rounds.
-func (h *holder) observeCounts(now time.Time, responses []*pb.ReadRankResponse, t *experts.Topology, inForce *experts.Map) bool {
-	observed, err := h.planner.observe(now, h.group.engine.Experts, t, inForce, responses, h.maxCountAge())
-	if err != nil {
-		h.log.Warn().Err(err).Msg("cannot use the expert counts")
-		return false
-	}
-	if observed && h.effectDue {
-		h.effectDue = false
-		h.addLoad(h.log.Info()).Float64("expected_skew", h.expectedSkew).Float64("skew_before", h.skewBefore).
-			Msg("load under the new expert map")
-	}
-	return observed
-}
-
-// addLoad adds the seen load of the experts and the step time to a log line.
-func (h *holder) addLoad(line *zerolog.Event) *zerolog.Event {
-	seen := h.planner.seen
-	return line.Float64("skew", seen.skew).Dur("count_age_ms", seen.countAge).
-		Float64("observations", seen.observations).Dur("step_ms", h.stepTimes.mean)
-}
-
-// submitPlan plans a new map, and submits it if the switch is worth its cost.
-func (h *holder) submitPlan(t *experts.Topology, inForce *experts.Map) {
-	now := clock.Now()
-	passes := passTimes{mean: h.stepTimes.mean, gap: h.stepTimes.relativeTo(h.group.eventGapObjective)}
-	d, err := h.planner.decide(now, h.group.engine, t, inForce, passes, h.group.link)
-	if err != nil {
-		h.log.Warn().Err(err).Msg("cannot plan an expert map")
-		return
-	}
-	if !d.Rebalance {
-		h.addLoad(h.log.Debug()).Stringer("reason", d.Reason).Msg("expert map kept")
-		return
-	}
-	version := h.version + 1
-	if !h.coordinator.Submit(version, &d.Target) {
-		return
-	}
-	h.version = version
-	h.switchStart, h.moveCount = now, len(d.Moves)
-	h.expectedSkew, h.skewBefore = h.planner.expectedSkew(t, &d.Target), h.planner.seen.skew
-	h.phase = switchover.Preparing
-	h.addLoad(h.log.Info()).Int64("token", h.token).Int64("version", version).Int("moves", len(d.Moves)).
-		Dur("saved_ms", d.Saved).Dur("cost_ms", d.Cost).Dur("copy_ms", d.CopyTime).Float64("expected_skew", h.expectedSkew).
-		Dur("planning_ms", clock.Now().Sub(now)).Msg("expert map planned")
-}
