Don't divide by the size of a group that the own rank has left

Cause: the age up to which counts are used is derived from the number of ranks that are read in a round, which is 0 if the size of the group is. The size is that of the last reading of the own rank, which other agents' calls read as well, so it may become 0 after a round has found the group whole.

Change: at least one rank counts as read in a round, as where the ranks are selected.

Evidence: TestCountAgeWithoutGroup panics without the change.

--- a/daemons/rankagent/holder_plan.go
+++ b/daemons/rankagent/holder_plan.go
@@ -38,7 +38,9 @@
 	_, _, size := h.agent.Identity()
 	e := h.group.engine.Experts
 	interval := h.readInterval(idleInterval)
-	rounds := (size-1)/h.group.link.CountReadings(interval, size, e.LayerSets*e.ExpertsPerLayer) + 1
+	// The size is 0 if the rank has left its group since the round began.
+	perRound := max(h.group.link.CountReadings(interval, size, e.LayerSets*e.ExpertsPerLayer), 1)
+	rounds := (size-1)/perRound + 1
 	return max(minCountAge, time.Duration(rounds)*interval*3/2)
 }
 
--- a/daemons/rankagent/mapview_test.go
+++ b/daemons/rankagent/mapview_test.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
 	"github.com/filbertmux/filbertmux/platform"
@@ -95,3 +96,13 @@
 	_, err := g.currentMap(topology(g.engine.Experts, g.failureDomains()), responses)
 	require.Error(t, err)
 }
+
+// Guards against a division by the size of a group of which the own rank is no longer a part.
+func TestCountAgeWithoutGroup(t *testing.T) {
+	agent := NewAgent(nil, zerolog.Nop())
+	h := &holder{agent: agent, group: newGroupClient(Options{Log: zerolog.Nop()}, agent, nil)}
+	h.group.engine = &fleet.Engine{Experts: &fleet.Experts{LayerSets: layers, ExpertsPerLayer: perLayer, SlotsPerRank: 3}}
+	require.GreaterOrEqual(t, h.maxCountAge(), minCountAge)
+	h.planner = newPlanner()
+	require.Empty(t, h.selectCountReaders(clock.Now(), true))
+}
