Don't continue a cut body with the events of another server

Cause: a response that is a stream marks the request as resumable. If that stream ended without events, the next server's response was a body of over 1 MiB that isn't a stream, and its connection broke, the request still counted as resumable. It was sent to a third server, after the body for retries had been given back, and the events of that server were written into the cut body. The request ended as complete.

Change: a response that isn't a stream ends the mark.

--- a/daemons/gateway/buffered.go
+++ b/daemons/gateway/buffered.go
@@ -23,6 +23,7 @@
 // is larger than maxBufferedResponse, or than the memory that is free, is forwarded as it
 // arrives.
 func (x *exchange) relayBuffered(resp *http.Response) error {
+	x.out.resumable = false // an earlier attempt may have begun a stream without events
 	body, complete, err := x.r.memory.ReadResponse(watchedBody{resp.Body, x.watch}, resp.ContentLength, maxBufferedResponse)
 	defer body.Release()
 	if err != nil {
