Claim the replay buffers of finished attempts as a whole

Cause: the first 4 KiB of a replay buffer are a part of what a call in progress takes beside its body. When the attempt ended, that part was given back whole, while the buffer was kept for the resume window and counted only for its own bound, half of the memory for requests. So a sidecar with many small answers could hold half more than its budget.

Change: a finished attempt keeps the first size of its buffer claimed.

Evidence: TestRetainedAttemptsAreClaimed fails without the change (12,288 bytes retained, 0 claimed).

--- a/daemons/inbound/meter.go
+++ b/daemons/inbound/meter.go
@@ -80,8 +80,9 @@
 	m.stepForWaiting()
 }
 
-// ReleaseProgress gives back what a request in progress takes beside its body.
-func (q *Request) ReleaseProgress() { q.Shrink(requestBytes) }
+// ReleaseProgress gives back what a request in progress takes beside its body, but for the bytes
+// that its owner keeps after its end.
+func (q *Request) ReleaseProgress(kept int) { q.Shrink(requestBytes - kept) }
 
 // meteredBody is a body whose bytes are claimed as they are read.
 type meteredBody struct {
--- a/daemons/inbound/meter_test.go
+++ b/daemons/inbound/meter_test.go
@@ -99,8 +99,8 @@
 		require.Equal(t, "503 memory_exhausted: no memory is left for this request", <-d.post("/"))
 		require.GreaterOrEqual(t, time.Since(started), maxWait)
 		q := <-taken
-		q.ReleaseProgress()
-		require.Equal(t, int64(2*5), d.memory.Held())
+		q.ReleaseProgress(7)
+		require.Equal(t, int64(2*5+7), d.memory.Held())
 		q.Close()
 		d.requireNothingHeld()
 	})
--- a/daemons/sidecar/memory.go
+++ b/daemons/sidecar/memory.go
@@ -110,7 +110,7 @@
 		return 0
 	}
 	a.memory.ReleaseBody()
-	a.memory.ReleaseProgress()
+	a.memory.ReleaseProgress(min(firstReplayBytes, a.maxReplay))
 	a.memory.Shrink(a.answerBytes)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemons/sidecar/memory_test.go
+++ b/daemons/sidecar/memory_test.go
@@ -129,6 +129,24 @@
 	require.NoError(t, resume(receivers[4]))
 }
 
+// Guards against finished attempts whose replay buffers count for their bound, but not for the
+// memory that calls may take.
+func TestRetainedAttemptsAreClaimed(t *testing.T) {
+	for _, size := range []int{4, 40 << 10} {
+		var calls atomic.Int32
+		f := newSmallFixture(t, answerHandler(size, &calls))
+		for i := range 3 {
+			r := f.runToEnd(t, newCall(fmt.Sprint("r", i), true))
+			require.NoError(t, r.Err())
+			require.Eventually(t, func() bool { return f.server.isRetained(r.ID()) }, 10*time.Second, time.Millisecond)
+		}
+		f.server.mu.Lock()
+		require.Positive(t, f.server.retained)
+		require.EqualValues(t, f.server.retained, f.server.memory.Held(), "answers of %d bytes", size)
+		f.server.mu.Unlock()
+	}
+}
+
 // isRetained reports whether an attempt has finished and is kept for replay.
 func (s *Server) isRetained(id *pb.AttemptId) bool {
 	s.mu.Lock()
