Share the reads of the configuration among the gateways

Cause: with 24 gateways four fifths of the calls to the store are polls that return nothing, and a gateway that the store turns away refuses requests with keys after 3 s although its neighbours know that nothing has changed.

Change: gateways that aren't pollers confirm the configuration by proofs, which count like a read that found nothing, also for evacuations that a peer reported. A read that returns a part of the records no longer confirms the configuration.

The fixture of the gateway tests can start gateways that share their reads; what it does for the other tests is the same.

--- a/config/fleet/evacuations.go
+++ b/config/fleet/evacuations.go
@@ -82,6 +82,17 @@
 	return transitions(before, e.View())
 }
 
+// Confirm records that the store had no records at a time beyond those of the own reads. Like
+// a complete read that was sent at that time, it overrides the view that another process sent
+// before. It returns the evacuations that began and ended by it.
+func (e *Evacuations) Confirm(at time.Time) EvacuationTransitions {
+	before := e.View()
+	if at.After(e.reportedAt) {
+		e.reported = EvacuationView{}
+	}
+	return transitions(before, e.View())
+}
+
 // ApplyReport adopts the view that another process has sent, if that has read further. It
 // returns the evacuations that began and ended by it.
 func (e *Evacuations) ApplyReport(now time.Time, v EvacuationView) EvacuationTransitions {
--- a/config/fleet/evacuations_test.go
+++ b/config/fleet/evacuations_test.go
@@ -175,3 +175,22 @@
 	require.Equal(t, []fleet.Evacuation{{Domain: "c", Offset: 2}}, changed.Ended)
 	require.Equal(t, []string{"a", "b"}, e.View().Names())
 }
+
+// Guards against a view of another process, say of another deployment, that counts for good
+// because this process doesn't read the store itself, and against one that is dropped by a
+// proof that is older.
+func TestConfirmedReadsOverrideEarlierViews(t *testing.T) {
+	var e fleet.Evacuations
+	start := time.Unix(1000, 0)
+	e.ApplyRead(fleet.EvacuationRead{
+		Changes: []fleet.EvacuationChange{{Domain: "a", Offset: 4}}, Snapshot: true, Complete: true, EndOffset: 5, Sent: start,
+	})
+	reported := fleet.EvacuationView{EndOffset: 9, Domains: []fleet.Evacuation{{Domain: "b", Offset: 8}}}
+	require.False(t, e.ApplyReport(start.Add(time.Second), reported).Empty())
+	require.True(t, e.Confirm(start.Add(time.Second)).Empty())
+	require.Equal(t, []string{"b"}, e.View().Names())
+	changed := e.Confirm(start.Add(time.Second + 1))
+	require.Equal(t, []fleet.Evacuation{{Domain: "a", Offset: 4}}, changed.Began)
+	require.Equal(t, []fleet.Evacuation{{Domain: "b", Offset: 8}}, changed.Ended)
+	require.Equal(t, []string{"a"}, e.View().Names())
+}
--- a/daemons/gateway/evacuation.go
+++ b/daemons/gateway/evacuation.go
@@ -86,6 +86,13 @@
 	t.apply(t.evacuations.ApplyRead(read), storeSource)
 }
 
+// confirm records that the store had no further records at a time, as other gateways prove.
+func (t *evacuationTracker) confirm(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.apply(t.evacuations.Confirm(at), storeSource)
+}
+
 // apply puts evacuations that have begun or ended into force. The caller holds the mutex.
 func (t *evacuationTracker) apply(changed fleet.EvacuationTransitions, source string) {
 	if changed.Empty() {
--- a/daemons/gateway/fixture_test.go
+++ b/daemons/gateway/fixture_test.go
@@ -32,6 +32,12 @@
 	gateway  *Gateway
 	server   *httptest.Server
 	logs     *logBuffer
+	// link is the way to the store of gateways that share their reads, and peers their
+	// exchange with the others; both are nil for a gateway that polls for itself.
+	link  *platformtest.StoreLink
+	peers *peerExchange
+	// stop ends the gateway.
+	stop func()
 }
 
 // logBuffer collects the log output.
@@ -123,9 +129,14 @@
 	gateway := New(f.settings, state, telemetry.NewMetrics(Role, "g1", log), log)
 	client := platform.NewStoreClient(f.store.Address())
 	ctx, cancel := context.WithCancel(context.Background())
+	var proofs *proofExchange
+	if f.link != nil {
+		client = platform.NewStoreClient(f.link.Address())
+		proofs = f.listenForProofs(ctx, gateway, log)
+	}
 	done := make(chan struct{}, 3)
 	go func() {
-		_ = FollowConfig(ctx, client, state, log, gateway.evacuations.applyRead)
+		_ = followConfig(ctx, client, state, log, gateway.evacuations.applyRead, proofs)
 		done <- struct{}{}
 	}()
 	go func() {
@@ -141,16 +152,19 @@
 	server.Listener = gateway.connections.Listen(server.Listener)
 	gateway.connections.Observe(server.Config)
 	server.Start()
-	t.Cleanup(func() {
-		if t.Failed() {
-			t.Log(logs.String())
-		}
+	f.stop = sync.OnceFunc(func() {
 		cancel()
 		server.Close()
 		for range cap(done) {
 			<-done
 		}
 	})
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(logs.String())
+		}
+		f.stop()
+	})
 	f.gateway, f.server = gateway, server
 }
 
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/filbertmux/filbertmux/base/clock"
@@ -14,11 +15,6 @@
 )
 
 const (
-	// configPollTimeout is the duration of a long poll for a new configuration.
-	// The configuration was confirmed as the newest one at most two polls ago, so
-	// a gateway that loses the store serves requests with keys for three more
-	// seconds of the usual revocation bound of 5 s.
-	configPollTimeout = 800 * time.Millisecond
 	// drainMargin is how long before the drain bound the servers are read again.
 	// It covers the read itself and the requests that are just being sent.
 	drainMargin = 650 * time.Millisecond
@@ -44,6 +40,8 @@
 	failures int
 	// failingSince is the time of the first of the consecutive failures.
 	failingSince time.Time
+	// startedOver means that the store has started over since the last successful read.
+	startedOver bool
 }
 
 func newTopicFollower(store *platform.StoreClient, topic string, log zerolog.Logger) *topicFollower {
@@ -57,10 +55,13 @@
 	snapshot bool
 	// next is the offset at which the next read begins.
 	next int64
+	// complete means that the topic had no further records when the read was sent.
+	complete bool
 	// sent and received are the times of the request and of the response.
 	sent     time.Time
 	received time.Time
-	// recovered means that this is the first successful read after a failure.
+	// recovered means that this is the first successful read after a failure, or after the
+	// store has started over.
 	recovered bool
 }
 
@@ -68,12 +69,14 @@
 // error the caller must wait for the duration that backoff returns.
 func (f *topicFollower) read(ctx context.Context, pollTimeout time.Duration) (topicUpdate, error) {
 	u := topicUpdate{sent: clock.Now(), snapshot: f.snapshot}
-	var next int64
 	var err error
 	if f.snapshot {
-		u.records, next, err = f.store.ReadNewest(ctx, f.topic)
+		u.complete = true
+		u.records, u.next, err = f.store.ReadNewest(ctx, f.topic)
 	} else {
-		u.records, next, err = f.store.ReadKeyed(ctx, f.topic, f.next, pollTimeout)
+		var b platform.KeyedBatch
+		b, err = f.store.ReadKeyedBatch(ctx, f.topic, f.next, pollTimeout)
+		u.records, u.next, u.complete = b.Records, b.Next, len(b.Records) == 0 || b.Next >= b.EndOffset
 	}
 	u.received = clock.Now()
 	if err != nil {
@@ -81,15 +84,16 @@
 		return topicUpdate{}, err
 	}
 	u.recovered = f.recordRecovery()
-	f.next, f.snapshot = next, false
-	u.next = next
+	f.next, f.snapshot = u.next, false
 	return u, nil
 }
 
 func (f *topicFollower) recordFailure(err error) {
 	if errkind.Is(err, errkind.RecordsTrimmed) {
 		f.snapshot = true
-		f.log.Warn().Int64("offset", f.next).Msg("records were trimmed; reading the newest record of each key")
+		f.startedOver = f.startedOver || errors.Is(err, platform.ErrStartedOver)
+		f.log.Warn().Int64("offset", f.next).Bool("started_over", f.startedOver).
+			Msg("records were trimmed; reading the newest record of each key")
 		return
 	}
 	f.store.CloseIdleConnections()
@@ -101,8 +105,10 @@
 }
 
 func (f *topicFollower) recordRecovery() bool {
+	startedOver := f.startedOver
+	f.startedOver = false
 	if f.failures == 0 {
-		return false
+		return startedOver
 	}
 	f.log.Info().Int("failures", f.failures).Dur("lost_ms", clock.Now().Sub(f.failingSince)).
 		Int64("offset", f.next).Msg("store regained")
@@ -125,64 +131,6 @@
 	return time.Duration((0.5 + rand.Float64()) * float64(wait))
 }
 
-// FollowConfig keeps the configuration in state up to date until ctx ends. It calls
-// applyEvacuations with each read of the topic, which holds the evacuations as well.
-func FollowConfig(
-	ctx context.Context, store *platform.StoreClient, state *ClusterState, log zerolog.Logger,
-	applyEvacuations func(topicUpdate),
-) error {
-	f := newTopicFollower(store, platform.ConfigTopic, log)
-	for ctx.Err() == nil {
-		u, err := f.read(ctx, configPollTimeout)
-		if err != nil {
-			clock.Sleep(ctx, f.backoff())
-			continue
-		}
-		// No request is served before the first configuration is installed, so none is sent
-		// to a failure domain that was evacuated before.
-		applyEvacuations(u)
-		ok := true
-		for _, r := range u.records {
-			ok = installConfig(r, state, u, log) && ok
-		}
-		// If a new configuration can't be decoded, the installed one must not be
-		// confirmed as the newest one.
-		if ok {
-			state.ConfirmConfig(u.sent, u.received)
-		}
-		if state.Index() == nil {
-			clock.Sleep(ctx, minBackoff)
-		}
-	}
-	return nil
-}
-
-func installConfig(r platform.KeyedRecord, state *ClusterState, u topicUpdate, log zerolog.Logger) bool {
-	if r.Err != nil {
-		log.Error().Err(r.Err).Str("key", r.Key).Msg("record of the configuration can't be read; ignoring it")
-		return false
-	}
-	if r.Key != platform.ConfigKey || len(r.Value) == 0 {
-		return true
-	}
-	c, err := platform.DecodeConfig(r.Value)
-	if err != nil {
-		log.Error().Err(err).Int64("offset", r.Offset).Msg("configuration can't be decoded or served; ignoring it")
-		return false
-	}
-	if state.InstallConfig(c) {
-		log.Info().Int64("config_version", c.Version).Int("routes", len(c.Routes)).
-			Int("services", len(c.Services)).Int("organisations", len(c.Organisations)).
-			Dur("read_ms", u.received.Sub(u.sent)).Msg("configuration in force")
-		return true
-	}
-	if current := state.currentConfig(); c.Version < current.Version {
-		log.Warn().Int64("config_version", c.Version).Int64("in_force", current.Version).Int64("offset", r.Offset).
-			Msg("configuration with a lower version; ignoring it")
-	}
-	return true
-}
-
 // serverInterval returns the time between reads of the servers. Reads are
 // billed, so they are only as frequent as the drain bound requires.
 func serverInterval(b *platform.Bounds) time.Duration {
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -29,6 +29,8 @@
 	Log      zerolog.Logger
 	// MetricsPort is the port that serves the metrics, or 0 for none.
 	MetricsPort int
+	// ShareStoreReads makes the gateways share their reads of the configuration.
+	ShareStoreReads bool
 	// Reloads delivers requests to reload the settings. It may be nil.
 	Reloads <-chan struct{}
 }
@@ -57,12 +59,21 @@
 	if err != nil {
 		return nil, errkind.Wrap(errkind.InvalidSettings, err, "listen on the address for other gateways")
 	}
-	return newPeerExchange(conn, g, store, o.Log), nil
+	p := newPeerExchange(conn, g, store, o.Log)
+	if o.ShareStoreReads {
+		p.shareReads(g)
+	}
+	return p, nil
 }
 
-func followMetadata(lc fx.Lifecycle, o Options, g *Gateway, store *platform.StoreClient, state *ClusterState) {
+func followMetadata(
+	lc fx.Lifecycle, o Options, g *Gateway, store *platform.StoreClient, state *ClusterState, p *peerExchange,
+) {
+	if p.proofs != nil {
+		daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "ask for proofs", Run: p.proofs.run})
+	}
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "follow configuration", Run: func(ctx context.Context) error {
-		return FollowConfig(ctx, store, state, o.Log, g.evacuations.applyRead)
+		return followConfig(ctx, store, state, o.Log, g.evacuations.applyRead, p.proofs)
 	}})
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "watch evacuations", Run: g.evacuations.watch})
 	daemon.StartTask(lc, o.Log, daemon.BackgroundTask{Name: "follow servers", Run: func(ctx context.Context) error {
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -48,9 +48,11 @@
 	crashes     *crashTracker
 	refusals    *refusalKeeper
 	evacuations *evacuationTracker
-	metrics     *telemetry.Metrics
-	store       *platform.StoreClient
-	log         zerolog.Logger
+	// proofs is nil if this gateway doesn't share its reads of the store.
+	proofs  *proofExchange
+	metrics *telemetry.Metrics
+	store   *platform.StoreClient
+	log     zerolog.Logger
 
 	mu       sync.Mutex
 	table    *loadshare.Table
@@ -86,11 +88,17 @@
 	return p
 }
 
+// shareReads makes the gateway share its reads of the configuration with the others. It is
+// called before the first datagram is sent or received.
+func (p *peerExchange) shareReads(g *Gateway) {
+	p.proofs = newProofExchange(p.self, g, func(to string, data []byte) { p.sendTo([]string{to}, data) }, p.log)
+}
+
 // receive handles datagrams until the socket is closed.
 func (p *peerExchange) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -120,6 +128,9 @@
 		if r := m.GetRefusal(); r != nil {
 			p.refusals.receive(r)
 		}
+		if p.proofs != nil {
+			p.proofs.handle(from, &m)
+		}
 		if report := m.GetPace(); report != nil {
 			p.services.avoidSlowRank(report.GetServer(), report.GetPace())
 		}
@@ -187,6 +198,9 @@
 	p.mu.Unlock()
 	p.services.setPeerLoad(peerLoad, staleness)
 	p.services.setGateways(list)
+	if p.proofs != nil {
+		p.proofs.setLive(list.live)
+	}
 	p.metrics.SetGauge(coldServersGauge, float64(p.services.coldServers()))
 }
 
