--- a/daemons/cli/gateway.go
+++ b/daemons/cli/gateway.go
@@ -28,7 +28,7 @@
 type gatewayCommand struct {
 	LogLevel      string `name:"log-level" default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
 	MetricsPort   int    `name:"metrics-port" default:"0" help:"Port of the metrics at the instance's address; 0 serves none."`
-	ShareReads    bool   `name:"share-store-reads" default:"true" negatable:"" help:"Let a few gateways poll the store for the configuration and ask them whether it is current; otherwise each gateway polls."`
+	ShareReads    bool   `name:"share-store-reads" help:"Let a few gateways poll the store for the configuration and ask them whether it is current; otherwise each gateway polls."`
 	CheckSettings bool   `name:"check-settings" help:"Read the settings file of the platform, report all faults, and exit."`
 }
 
