Forget replaced servers of a service without requests

Cause: a server that isn't listed any more is kept until its pace has passed, as of the last start of a request at this gateway. Without requests that time stands still, so a service with a pace whose servers are replaced kept all of them, and each report of load walks through them.

Change: the time counts as of the last call of Place or Dispatch; the latter follows each report.

--- a/balance/placement/dispatch.go
+++ b/balance/placement/dispatch.go
@@ -18,6 +18,7 @@
 // those whose deadline has passed. It must be called after each change of the load,
 // and also at regular intervals to detect passed deadlines.
 func (s *Scheduler[T]) Dispatch(now time.Time) []Outcome[T] {
+	s.lastNow = now
 	s.observeOwnLoad(now)
 	out := append(s.expire(now), s.startLarge(now, s.largeGoesFirst)...)
 	for t, need := s.popNext(now); t != nil; t, need = s.popNext(now) {
--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -85,6 +85,8 @@
 	smallOnAll float64
 	// outages holds the groups that are known to be broken, by name.
 	outages map[string]*outage
+	// lastNow is the latest time of a call.
+	lastNow time.Time
 	// peerStaleness is the sum of the ages of the load reports of the other
 	// gateways; startRate is the rate at which this gateway starts requests.
 	peerStaleness time.Duration
@@ -140,6 +142,7 @@
 	if refused, ok := s.refuseTooLarge(now, r); ok {
 		return nil, []Outcome[T]{refused}
 	}
+	s.lastNow = now
 	s.observeOwnLoad(now)
 	s.hasRegions = s.hasRegions || r.Regions != nil
 	queue := s.queue
--- a/balance/placement/servers.go
+++ b/balance/placement/servers.go
@@ -92,7 +92,7 @@
 // removable reports whether a server that is no longer listed may be forgotten. It may be
 // listed again at once, and its pace has to hold then as well.
 func (s *Scheduler[T]) removable(c *server) bool {
-	return !c.listed && c.ownInFlight == 0 && !c.pace.next.After(s.startRate.at)
+	return !c.listed && c.ownInFlight == 0 && !c.pace.next.After(s.lastNow)
 }
 
 // forget drops what was observed of another incarnation of the server. Its requests in
