Name what held servers back in the line of a refused request

Cause: a refusal said that no server was left or that no slot became free, and not which belief kept the servers from being used. Change: placement.HeldBack counts the servers by a closed list of reasons. The line of a refused request has the counts, and the gauge servers_held_back has them for each service with the load reports. Requests that aren't refused cost nothing more; the ejected servers are noted when the list is applied.

--- a/balance/placement/placement.go
+++ b/balance/placement/placement.go
@@ -158,7 +158,9 @@
 	hasRegions bool
 	// evacuated lists the evacuated failure domains.
 	evacuated []string
-	large     *fairqueue.Queue[waiting[T]]
+	// ejected holds the servers that are left out of the list because they fail.
+	ejected []Server
+	large   *fairqueue.Queue[waiting[T]]
 	// meanSmall is the moving average of the tokens of small requests.
 	meanSmall float64
 	// smallOnAll is the size up to which a request is small on all servers.
--- a/base/telemetry/metrics.go
+++ b/base/telemetry/metrics.go
@@ -102,6 +102,12 @@
 // SetGauge sets the gauge with the given name.
 func (m *Metrics) SetGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
+// SetServiceGauge sets the gauge with the given name of a service and one more label. The
+// label has few values.
+func (m *Metrics) SetServiceGauge(name, service, label, value string, gauge float64) {
+	m.scope.Tagged(map[string]string{"service": m.services.Value(service), label: value}).Gauge(name).Update(gauge)
+}
+
 // AddToCounter adds n to the counter with the given name.
 func (m *Metrics) AddToCounter(name string, n int64) { m.scope.Counter(name).Inc(n) }
 
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -97,6 +97,7 @@
 			line.Str("reason", placement.ErrCold.Error())
 		}
 		g.addLoadFields(line, r)
+		g.addHeldBack(line, r, err)
 	}
 	r.addLogFields(line)
 	line.Dur("took_ms", took).Msg("request ended")
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -188,6 +188,7 @@
 	p.services.setPeerLoad(peerLoad, staleness)
 	p.services.setGateways(list)
 	p.metrics.SetGauge(coldServersGauge, float64(p.services.coldServers()))
+	p.services.reportHeldBack(now, p.metrics)
 }
 
 // sendLoad sends one load report to the peers that are due and returns the number
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -122,6 +122,9 @@
 	outputTimes placement.OutputTimes
 	// urgencies are those of the priority classes of the scheduler.
 	urgencies []fleet.Urgency
+	// reportedHeldBack are the numbers of servers held back that the metrics show. They belong
+	// to the goroutine that reports them and not to the mutex.
+	reportedHeldBack placement.HeldBack
 }
 
 // waiter is a request that waits for a slot.
@@ -212,14 +215,11 @@
 	s.incarnations = incarnations
 	var kept []placement.Server
 	for _, c := range append(s.outliers.Filter(now, candidates), evacuated...) {
-		l := byID[c.ID]
-		kept = append(kept, placement.Server{
-			ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
-			Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
-			MemoryTokens: s.memoryTokens,
-		})
+		kept = append(kept, s.placementServer(byID[c.ID]))
+		delete(byID, c.ID)
 	}
 	s.scheduler.SetServers(kept)
+	s.setEjected(byID)
 	s.meanLoads = s.scheduler.MeanLoads()
 	maps.DeleteFunc(s.batchLimits, func(key string, _ *placement.BatchLimit) bool {
 		_, listed := s.meanLoads[key]
@@ -232,6 +232,15 @@
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
+// placementServer converts a registered server.
+func (s *service) placementServer(l fleet.Server) placement.Server {
+	return placement.Server{
+		ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
+		Slots: l.Slots, Group: l.Group, Incarnation: s.incarnations[l.ID],
+		MemoryTokens: s.memoryTokens,
+	}
+}
+
 // setEvacuated replaces the evacuated failure domains.
 func (s *service) setEvacuated(now time.Time, domains []string) {
 	s.mu.Lock()
