Check beliefs by a model of all ways in which servers get requests

Cause: the belief test knew no groups, statements of leaving, evacuations, limits, cold servers, queue, standbys, probes or steps of the time of day. Extending it found six faults: - waiting requests started on a leaving or paused server because limits were applied before statements, in a list and in a response; - a request whose connection took long was sent to a server that had stated meanwhile that it is leaving or wants no requests, and a leaving server was probed; - the pace of a limit that was forgotten while its server was not listed stayed for good; - a group stayed blocked for good if its test server was listed in another group before the test ended; - an ejection lasted as long as the store was away. Waiting requests are refused at once when the last server leaves or pauses. A 421 of another server no longer states the limit of the expected one. Tried, each fails: statements ignored by first attempts, retries, standbys, the queue, requests that wait for a connection, probes; either order; the kept pace; the test server by its group; ejections by the list only; a ban of an hour; no end of leaving; another server's limit or statement.

--- a/balance/membership/outliers.go
+++ b/balance/membership/outliers.go
@@ -84,12 +84,18 @@
 	maps.DeleteFunc(d.servers, func(id string, _ *outlierState) bool { return !known(id) })
 }
 
+// Ejected reports whether a server is ejected. Filter may keep it nevertheless.
+func (d *OutlierDetector) Ejected(now time.Time, id string) bool {
+	s, ok := d.servers[id]
+	return ok && now.Before(s.ejectedUntil)
+}
+
 // Filter returns the candidates that are not ejected, or all candidates if more
 // than MaxEjectedFraction of them are ejected.
 func (d *OutlierDetector) Filter(now time.Time, candidates []Server) []Server {
 	kept := make([]Server, 0, len(candidates))
 	for _, c := range candidates {
-		if s, ok := d.servers[c.ID]; !ok || !now.Before(s.ejectedUntil) {
+		if !d.Ejected(now, c.ID) {
 			kept = append(kept, c)
 		}
 	}
--- a/balance/placement/evacuation.go
+++ b/balance/placement/evacuation.go
@@ -17,19 +17,33 @@
 		c.evacuated = slices.Contains(domains, c.FailureDomain)
 	}
 	s.countBatches()
-	return append(s.refuseUnservable(now, s.queue), s.refuseUnservable(now, s.late)...)
+	return s.RefuseUnservable(now)
+}
+
+// RefuseUnservable returns the refusals of the queued requests that no server can take, now
+// or as long as they may wait: their callers can use the time elsewhere.
+func (s *Scheduler[T]) RefuseUnservable(now time.Time) []Outcome[T] {
+	var out []Outcome[T]
+	for _, q := range []*fairqueue.Queue[waiting[T]]{s.queue, s.late, s.large} {
+		out = append(out, s.refuseUnservable(now, q)...)
+	}
+	return out
 }
 
-// refuseUnservable refuses the queued requests that no server can take, now or later.
 func (s *Scheduler[T]) refuseUnservable(now time.Time, q *fairqueue.Queue[waiting[T]]) []Outcome[T] {
 	unservable := q.RemoveFunc(func(w waiting[T]) bool {
 		c := w.constraint.withoutExclusions()
 		_, outage := s.outageWait(now, c)
-		return !outage && !s.hasServer(now, c)
+		return !outage && (!s.hasServer(now, c) || s.pausedBeyond(now, c, w.waitsUntil()))
 	})
 	var out []Outcome[T]
 	for _, t := range unservable {
-		out = append(out, s.refuseNoServer(now, t.Value.constraint, t.Value.value))
+		w := t.Value
+		if s.hasServer(now, w.constraint.withoutExclusions()) {
+			out = append(out, s.refusalByPause(now, w.constraint.withoutExclusions(), w.value))
+			continue
+		}
+		out = append(out, s.refuseNoServer(now, w.constraint, w.value))
 	}
 	return out
 }
--- a/balance/placement/late.go
+++ b/balance/placement/late.go
@@ -43,6 +43,14 @@
 	ticket    *Ticket[T]
 }
 
+// waitsUntil returns when the request is refused if it hasn't started.
+func (w waiting[T]) waitsUntil() time.Time {
+	if until := w.queuedAt.Add(w.maxWait); until.After(w.lateUntil) {
+		return until
+	}
+	return w.lateUntil
+}
+
 // expire refuses the requests whose time in their queue has passed, or moves them to
 // the queue of late requests.
 func (s *Scheduler[T]) expire(now time.Time) []Outcome[T] {
--- a/balance/placement/outage.go
+++ b/balance/placement/outage.go
@@ -57,10 +57,13 @@
 }
 
 // clearProbe ends a test request that gave no result, so that another one may be
-// sent. It does nothing if c runs no test request.
+// sent. It does nothing if c runs no test request. The list may show c in another group than
+// when the test began.
 func (s *Scheduler[T]) clearProbe(c *server) {
-	if o, ok := s.outages[c.Group]; ok && o.probeServer == c.ID {
-		o.probeServer = ""
+	for _, o := range s.outages {
+		if o.probeServer == c.ID {
+			o.probeServer = ""
+		}
 	}
 }
 
--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -61,17 +61,19 @@
 }
 
 // ConfirmSend must be called right before a request is sent to the server that it was
-// assigned to. It reports whether the pace still allows that. A connection may take longer
-// than the interval, and then requests that started one after the other are ready together.
+// assigned to. It reports whether the server may still get it: the server may have stated
+// meanwhile that it is leaving or wants no requests, or lost its address, and its pace has to
+// allow it. A connection may take longer than the interval of the pace, and then requests that
+// started one after the other are ready together.
 func (s *Scheduler[T]) ConfirmSend(now time.Time, id string) bool {
 	srv, ok := s.servers[id]
-	return !ok || srv.pace.send(now)
+	return !ok || !srv.unusable(now) && srv.pace.send(now)
 }
 
 // AllowProbe reports whether a server may be sent a probe now, which counts as a request.
 func (s *Scheduler[T]) AllowProbe(now time.Time, id string) bool {
 	srv, ok := s.servers[id]
-	return !ok || srv.pace.allows(now) && srv.pace.send(now)
+	return !ok || !srv.unusable(now) && srv.pace.allows(now) && srv.pace.send(now)
 }
 
 // allows reports whether a request may start now.
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -26,7 +26,7 @@
 	errDeadline     = errors.New("deadline exceeded")
 	errShutdown     = errors.New("the grace period of this process has ended")
 	errServerSilent = errors.New("the server sent nothing within the silence limit")
-	errPaced        = errors.New("another request was sent to the server while the connection was opened")
+	errPaced        = errors.New("the server takes no request any more since the connection was opened")
 )
 
 // forward sends a request to backend servers until one of them returns a complete
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -139,10 +139,11 @@
 		return nil, x.connectionFailed(err)
 	}
 	x.response = platform.DecodeResponseHeader(resp.StatusCode, resp.Header)
-	x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
 	x.wrongServer = x.response.Misdirected && !x.response.RefusedBy(x.server.ID)
 	if !x.wrongServer {
+		// A new limit may start waiting requests, so what else the server states comes first.
 		x.svc.recordStatements(x.server.ID, isSuccess(resp.StatusCode), x.response)
+		x.svc.recordRequestLimit(x.startedAt, x.server.ID, x.response)
 	}
 	if x.response.NotExecuted {
 		return nil, x.serverRefused(resp)
--- a/daemons/gateway/held_back.go
+++ b/daemons/gateway/held_back.go
@@ -9,22 +9,11 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/base/telemetry"
-	"github.com/filbertmux/filbertmux/config/fleet"
 )
 
 // heldBackGauge is the gauge of the servers that get no requests, by service and reason.
 const heldBackGauge = "servers_held_back"
 
-// setEjected sets the servers that are left out because they fail. The caller holds the
-// mutex.
-func (s *service) setEjected(list map[string]fleet.Server) {
-	var ejected []placement.Server
-	for _, l := range list {
-		ejected = append(ejected, s.placementServer(l))
-	}
-	s.scheduler.SetEjected(ejected)
-}
-
 // heldBack counts the servers that can't start a request with a constraint now, by reason.
 func (s *service) heldBack(now time.Time, c placement.Constraint) placement.HeldBack {
 	s.mu.Lock()
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -96,7 +96,8 @@
 }
 
 // serverLiveness returns what is known about the liveness of a server that sends
-// nothing. A probe that the pace of the server doesn't allow has to wait.
+// nothing. A probe that the pace of the server doesn't allow has to wait, and one to a server
+// that is leaving or wants no requests isn't sent.
 func (s *service) serverLiveness(now time.Time, id string) liveness.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemons/gateway/requestlimits.go
+++ b/daemons/gateway/requestlimits.go
@@ -60,6 +60,7 @@
 	s.requestLimits.SetGateways(list.self, list.live)
 	s.scheduler.SetGateways(len(list.live) + 1)
 	s.requestLimits.SetKnownGateways(list.known, list.listed)
+	s.refreshEjections(now)
 	s.endCold(now)
 	s.applyMemoryRanks()
 	s.applyRequestLimits(now)
@@ -82,6 +83,9 @@
 	s.requestLimits.SetServerCount(len(listed))
 	s.requestLimits.Retain(func(key loadshare.ServerKey) bool { return listed[key] })
 	s.applyMemoryRanks()
+	// A server that was not listed for a while may still have the pace of a limit that was
+	// forgotten meanwhile.
+	s.paced = true
 	s.applyRequestLimits(now)
 }
 
@@ -105,11 +109,11 @@
 	if !s.paced && s.requestLimits.Empty() {
 		return
 	}
-	for id := range s.groupByServer {
-		key := loadshare.ServerKeyOf(id)
+	for _, l := range s.listed {
+		key := loadshare.ServerKeyOf(l.ID)
 		interval, allowed := s.requestLimits.Interval(now, key)
-		s.scheduler.SetPace(now, id, interval, allowed)
-		s.scheduler.SetPaceReason(id, s.paceReason(now, key))
+		s.scheduler.SetPace(now, l.ID, interval, allowed)
+		s.scheduler.SetPaceReason(l.ID, s.paceReason(now, key))
 	}
 	s.paced = !s.requestLimits.Empty()
 	s.deliver(s.scheduler.Dispatch(now))
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -89,6 +89,10 @@
 	// addresses to server IDs.
 	groupByServer   map[string]string
 	serverByAddress map[string]string
+	// listed is the last list of the registered servers, and ejected those of them that are
+	// left out because they fail.
+	listed  []fleet.Server
+	ejected map[string]bool
 	// incarnations holds the incarnation of each server.
 	incarnations map[string]string
 	// evacuated lists the evacuated failure domains.
@@ -182,6 +186,12 @@
 func (s *service) setServers(now time.Time, list []fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.listed = list
+	s.applyServers(now, list)
+}
+
+// applyServers applies the list of the registered servers. The caller holds the mutex.
+func (s *service) applyServers(now time.Time, list []fleet.Server) {
 	known := make(map[string]bool, len(list))
 	candidates := make([]membership.Server, 0, len(list))
 	// Servers without requests prove nothing about the others, so the evacuated ones aren't
@@ -227,8 +237,9 @@
 	})
 	s.setBatchLimits(now)
 	s.recordColdServers(now, list, former)
-	s.retainRequestLimits(now)
+	// Applying the limits starts waiting requests, so what the servers have stated comes first.
 	s.retainStatements(now, list)
+	s.retainRequestLimits(now)
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
--- a/daemons/gateway/statements.go
+++ b/daemons/gateway/statements.go
@@ -21,19 +21,29 @@
 	if !h.Leaving && h.Pause <= 0 && h.ColdFor <= 0 {
 		return
 	}
-	now := clock.Now()
+	s.applyResponse(clock.Now(), server, h)
+}
+
+// applyResponse records what a server states in a response. Waiting requests that no server
+// can take any more in time are refused.
+func (s *service) applyResponse(now time.Time, server string, h platform.ResponseHeader) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h.Leaving && s.statements.RecordLeaving(server) {
+	leaves := h.Leaving && s.statements.RecordLeaving(server)
+	if leaves {
 		s.log.Info().Str("server", server).Msg("backend server states that it is leaving; sending no more requests to it")
 	}
 	if s.statements.RecordPause(now, server, h.Pause) {
 		s.log.Info().Str("server", server).Dur("pause_ms", h.Pause).Msg("backend server wants no requests for a time")
 	}
+	// Applying the limits starts waiting requests, so what the server has stated comes first.
+	s.applyStatements(server)
 	if s.recordCold(now, server, now.Add(h.ColdFor)) {
 		s.applyRequestLimits(now)
 	}
-	s.applyStatements(server)
+	if leaves || h.Pause > 0 {
+		s.deliver(s.scheduler.RefuseUnservable(now))
+	}
 }
 
 // retainStatements forgets the statements of servers that have started again or are gone for
@@ -52,10 +62,3 @@
 func (s *service) applyStatements(server string) {
 	s.scheduler.SetStated(server, s.statements.Leaving(server), s.statements.PausedUntil(server))
 }
-
-// isPaused reports whether a server wants no requests, including probes.
-func (s *service) isPaused(now time.Time, server string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.statements.PausedUntil(server).After(now)
-}
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -191,11 +191,7 @@
 	case liveness.Unresponsive:
 		return false
 	case liveness.NeedsProbe:
-		if w.x.svc.isPaused(now, id) {
-			w.x.svc.recordProbe(now, id, nil) // it has just answered another request
-		} else {
-			go w.probe()
-		}
+		go w.probe()
 	case liveness.Alive, liveness.Probing:
 	}
 	return true
