--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -131,7 +131,8 @@
 	var reason error
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.unusable(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
+		// A server that wants no requests for a while may get some while the request waits.
+		if c.gone(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
 			continue
 		}
 		if c.pace.interval == 0 {
@@ -139,7 +140,7 @@
 		}
 		reason = cmp.Or(reason, c.pace.reason)
 		if c.pace.interval < farFuture {
-			earliest = min(earliest, max(c.pace.next.Sub(now), 0))
+			earliest = min(earliest, max(c.pace.next.Sub(now), c.pausedUntil.Sub(now), 0))
 			perSecond += 1 / c.pace.interval.Seconds()
 		}
 	}
