--- a/balance/placement/pace.go
+++ b/balance/placement/pace.go
@@ -61,17 +61,19 @@
 }
 
 // ConfirmSend must be called right before a request is sent to the server that it was
-// assigned to. It reports whether the pace still allows that. A connection may take longer
-// than the interval, and then requests that started one after the other are ready together.
+// assigned to. It reports whether the server may still get it: the server may have stated
+// meanwhile that it is leaving or wants no requests, or lost its address, and its pace has to
+// allow it. A connection may take longer than the interval of the pace, and then requests that
+// started one after the other are ready together.
 func (s *Scheduler[T]) ConfirmSend(now time.Time, id string) bool {
 	srv, ok := s.servers[id]
-	return !ok || srv.pace.send(now)
+	return !ok || !srv.unusable(now) && srv.pace.send(now)
 }
 
 // AllowProbe reports whether a server may be sent a probe now, which counts as a request.
 func (s *Scheduler[T]) AllowProbe(now time.Time, id string) bool {
 	srv, ok := s.servers[id]
-	return !ok || srv.pace.allows(now) && srv.pace.send(now)
+	return !ok || !srv.unusable(now) && srv.pace.allows(now) && srv.pace.send(now)
 }
 
 // allows reports whether a request may start now.
@@ -123,7 +125,8 @@
 	var reason error
 	for _, id := range s.serverIDs {
 		c := s.servers[id]
-		if c.unusable(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
+		// A server that wants no requests for a while may get some while the request waits.
+		if c.gone(now) || !r.allows(c) || s.groupBlocked(now, c.Group) {
 			continue
 		}
 		if c.pace.interval == 0 {
@@ -131,7 +134,7 @@
 		}
 		reason = cmp.Or(reason, c.pace.reason)
 		if c.pace.interval < farFuture {
-			earliest = min(earliest, max(c.pace.next.Sub(now), 0))
+			earliest = min(earliest, max(c.pace.next.Sub(now), c.pausedUntil.Sub(now), 0))
 			perSecond += 1 / c.pace.interval.Seconds()
 		}
 	}
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -89,6 +89,10 @@
 	// addresses to server IDs.
 	groupByServer   map[string]string
 	serverByAddress map[string]string
+	// listed is the last list of the registered servers, and ejected those of them that are
+	// left out because they fail.
+	listed  []fleet.Server
+	ejected map[string]bool
 	// incarnations holds the incarnation of each server.
 	incarnations map[string]string
 	// evacuated lists the evacuated failure domains.
@@ -122,6 +126,9 @@
 	outputTimes placement.OutputTimes
 	// urgencies are those of the priority classes of the scheduler.
 	urgencies []fleet.Urgency
+	// reportedHeldBack are the numbers of servers held back that the metrics show. They belong
+	// to the goroutine that reports them and not to the mutex.
+	reportedHeldBack placement.HeldBack
 }
 
 // waiter is a request that waits for a slot.
@@ -179,6 +186,12 @@
 func (s *service) setServers(now time.Time, list []fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.listed = list
+	s.applyServers(now, list)
+}
+
+// applyServers applies the list of the registered servers. The caller holds the mutex.
+func (s *service) applyServers(now time.Time, list []fleet.Server) {
 	known := make(map[string]bool, len(list))
 	candidates := make([]membership.Server, 0, len(list))
 	// Servers without requests prove nothing about the others, so the evacuated ones aren't
@@ -212,14 +225,11 @@
 	s.incarnations = incarnations
 	var kept []placement.Server
 	for _, c := range append(s.outliers.Filter(now, candidates), evacuated...) {
-		l := byID[c.ID]
-		kept = append(kept, placement.Server{
-			ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
-			Slots: l.Slots, Group: l.Group, Incarnation: incarnations[l.ID],
-			MemoryTokens: s.memoryTokens,
-		})
+		kept = append(kept, s.placementServer(byID[c.ID]))
+		delete(byID, c.ID)
 	}
 	s.scheduler.SetServers(kept)
+	s.setEjected(byID)
 	s.meanLoads = s.scheduler.MeanLoads()
 	maps.DeleteFunc(s.batchLimits, func(key string, _ *placement.BatchLimit) bool {
 		_, listed := s.meanLoads[key]
@@ -227,11 +237,21 @@
 	})
 	s.setBatchLimits(now)
 	s.recordColdServers(now, list, former)
-	s.retainRequestLimits(now)
+	// Applying the limits starts waiting requests, so what the servers have stated comes first.
 	s.retainStatements(now, list)
+	s.retainRequestLimits(now)
 	s.deliver(s.scheduler.Dispatch(now))
 }
 
+// placementServer converts a registered server.
+func (s *service) placementServer(l fleet.Server) placement.Server {
+	return placement.Server{
+		ID: l.ID, FailureDomain: l.FailureDomain, Region: s.regions.Of(l.FailureDomain),
+		Slots: l.Slots, Group: l.Group, Incarnation: s.incarnations[l.ID],
+		MemoryTokens: s.memoryTokens,
+	}
+}
+
 // setEvacuated replaces the evacuated failure domains.
 func (s *service) setEvacuated(now time.Time, domains []string) {
 	s.mu.Lock()
