--- a/daemons/inbound/connections_test.go
+++ b/daemons/inbound/connections_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -204,6 +205,19 @@
 	require.Equal(t, 100, Divide(8<<30, 100).Connections.Max)
 }
 
+// Guards against an ordinary request that doesn't get memory while others hold all but the
+// reserve, because its head has many lines: its body comes in chunks, so a whole block is
+// claimed for it.
+func TestRequestWithLongHeadIsSmall(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/", io.NopCloser(strings.NewReader("{}")))
+	r.ContentLength = -1
+	for i := range 32 {
+		r.Header.Set(fmt.Sprint("X-Header-", i), strings.Repeat("v", 40))
+	}
+	claimed := requestBytes + extraHeadBytes(r.Header) + int64(firstBlockSize(r))
+	require.LessOrEqual(t, claimed, Divide(136<<20, 1000).Budget.Small)
+}
+
 // Guards against log lines without a bound, and against refusals that none of them counts.
 func TestReportIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemons/inbound/limits.go
+++ b/daemons/inbound/limits.go
@@ -96,7 +96,7 @@
 		Budget: bytebudget.Config{
 			Total:         total,
 			Reserve:       int64(reserveShare * float64(total)),
-			Small:         requestBytes + BlockBytes,
+			Small:         requestBytes + smallHeadBytes + BlockBytes,
 			MinRate:       minBodyRate,
 			Window:        rateWindow,
 			StallTimeout:  stallTimeout,
--- a/daemons/inbound/request.go
+++ b/daemons/inbound/request.go
@@ -16,6 +16,9 @@
 	usualHeadBytes = 2 << 10
 	// headCopies is how often a head is held: as it was read, and as it is sent on.
 	headCopies = 2
+	// smallHeadBytes is what the head of a small request takes beyond usualHeadBytes. Callers
+	// behind proxies send some 30 lines.
+	smallHeadBytes = 8 << 10
 	// fullRetryAfter is the Retry-After value of a request for which there is no memory. It
 	// is short because another process can serve the request at once.
 	fullRetryAfter = 200 * time.Millisecond
