--- a/measure/scenarios/commands_test.go
+++ b/measure/scenarios/commands_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os/exec"
 	"regexp"
 	"slices"
@@ -19,9 +18,6 @@
 	"github.com/filbertmux/filbertmux/measure/standin"
 )
 
-// callerOrganisation is the organisation whose API key a call uses by default.
-const callerOrganisation = "mureseni-desk"
-
 // commands are the script commands, which docs/scenarios.md describes.
 var commands = map[string]func(*testscript.TestScript, bool, []string){
 	"start":          command(2, (*scriptCommand).start),
@@ -96,13 +92,6 @@
 	return nil
 }
 
-func (r *scriptCommand) process(name string) (*process, error) {
-	if p := r.processes[name]; p != nil {
-		return p, nil
-	}
-	return nil, fmt.Errorf("no process %s", name)
-}
-
 func (r *scriptCommand) instances(args []string) error {
 	list := []infra.Instance{}
 	for _, arg := range args {
@@ -128,93 +117,6 @@
 	return r.instances(names)
 }
 
-// row returns the instance for NAME or NAME@LINK, where =leaving may follow.
-func (r *scriptCommand) row(arg string) (infra.Instance, error) {
-	arg, leaving := strings.CutSuffix(arg, "=leaving")
-	name, linkName, _ := strings.Cut(arg, "@")
-	p, err := r.process(name)
-	if err != nil {
-		return infra.Instance{}, err
-	}
-	row := infra.Instance{
-		ID: name, Role: infra.RoleBackend, Service: p.service, Address: p.address,
-		FailureDomain: p.domain, Region: "ro-centru", State: infra.StateLive,
-	}
-	if p.kind == kindEntry {
-		row.Role, row.Address = infra.RoleEntry, p.peer
-	}
-	row.Group = lastFlagValue(p.flags, "group")
-	if row.Ranks, err = p.ranks(); err != nil {
-		return infra.Instance{}, err
-	}
-	if linkName != "" {
-		row.Address = r.links[linkName].address
-	}
-	if leaving {
-		row.State = infra.StateLeaving
-	}
-	return row, nil
-}
-
-// put sends a value to the stand-in platform.
-func (r *scriptCommand) put(path string, value any) error {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	p, err := r.process("platform")
-	if err != nil {
-		return err
-	}
-	return r.expect2xx(http.MethodPut, "http://"+p.address+path, string(data))
-}
-
-func (r *scriptCommand) expect2xx(method, url, body string) error {
-	status, text, err := r.do(method, url, body)
-	if err == nil && status/100 != 2 {
-		err = fmt.Errorf("%s %s answered %d: %s", method, url, status, text)
-	}
-	return err
-}
-
-// ready waits until the named processes serve, and until the entries among them
-// know a backend server for the service of each named sidecar. The second check
-// is needed because an entry reports ready after its first instance list, even
-// if that is empty.
-func (r *scriptCommand) ready(args []string) error {
-	var entries []string
-	services := map[string]bool{}
-	for _, name := range args {
-		p, err := r.process(name)
-		if err != nil {
-			return err
-		}
-		path := "/healthz"
-		switch p.kind {
-		case kindEntry:
-			path = "/readyz"
-			entries = append(entries, name)
-		case kindSidecar:
-			services[p.service] = true
-		}
-		if err := poll(func() error { return r.expect2xx(http.MethodGet, "http://"+p.address+path, "") }); err != nil {
-			return err
-		}
-	}
-	for _, entry := range entries {
-		for service := range services {
-			if err := r.until([]string{entry + "/statusz", regexp.QuoteMeta(strconv.Quote(service)) + ":[1-9]"}); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-var signals = map[string]syscall.Signal{
-	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
-}
-
 func (r *scriptCommand) signal(args []string) error {
 	s, ok := signals[args[0]]
 	if !ok {
@@ -277,22 +179,6 @@
 	return l.setMode(args[1])
 }
 
-func (r *scriptCommand) hold(args []string) error    { return r.setHold(http.MethodPut, args) }
-func (r *scriptCommand) release(args []string) error { return r.setHold(http.MethodDelete, args) }
-
-func (r *scriptCommand) setHold(method string, names []string) error {
-	for _, name := range names {
-		p, err := r.process(name)
-		if err != nil {
-			return err
-		}
-		if err := r.expect2xx(method, "http://"+p.address+"/standin/hold", ""); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // find waits until the answer of one of several processes to a path matches. It
 // sets VAR to the name of that process, VAR_other to the names of the others,
 // and VAR_1, VAR_2 and so on to each of the others.
@@ -329,24 +215,6 @@
 	})
 }
 
-func (r *scriptCommand) until(args []string) error {
-	pattern, err := regexp.Compile(args[1])
-	if err != nil {
-		return err
-	}
-	return poll(func() error {
-		address, path, _ := strings.Cut(args[0], "/")
-		if p := r.processes[address]; p != nil {
-			address = p.address
-		}
-		status, body, err := r.get("http://" + address + "/" + path)
-		if err == nil && !pattern.MatchString(body) {
-			err = fmt.Errorf("%s answers %d %s", args[0], status, body)
-		}
-		return err
-	})
-}
-
 // repeat runs the program until it exits with code 0 and its output matches.
 func (r *scriptCommand) repeat(args []string) error {
 	pattern, err := regexp.Compile(args[0])
--- a/measure/scenarios/environment_test.go
+++ b/measure/scenarios/environment.go
@@ -5,10 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
-
-	"github.com/rogpeppe/go-internal/testscript"
 )
 
 const (
@@ -22,46 +19,43 @@
 // of a process. The default of 1 s dominated the run time of the table scripts.
 const raceDetectorOptions = "atexit_sleep_ms=20"
 
-type environmentKey struct{}
+// reporter gets the results of a script or of a run with random faults. A testing.TB
+// is one.
+type reporter interface {
+	Errorf(format string, args ...any)
+	Logf(format string, args ...any)
+	Failed() bool
+}
 
 // environment is the state of one script. Its maps are owned by the goroutine of
 // the script. mu guards violations and bookingKeys, which other goroutines use as
 // well, and additions to processes.
 type environment struct {
-	t         testing.TB
+	t         reporter
 	dir       string
 	processes map[string]*process
 	links     map[string]*link
 	calls     map[string]*call
 	client    *http.Client
+	// program is the name or the path of the program under test.
+	program string
+	// checkAtShutdown, if set, runs further checks before the processes are killed.
+	checkAtShutdown func()
 
 	mu          sync.Mutex
 	violations  []string
 	bookingKeys map[string]bool
 }
 
-func newEnvironment(t testing.TB, dir string) *environment {
+func newEnvironment(t reporter, dir string) *environment {
 	return &environment{
-		t: t, dir: dir,
+		t: t, dir: dir, program: "filbertmux",
 		processes: make(map[string]*process), links: make(map[string]*link), calls: make(map[string]*call),
 		client:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		bookingKeys: make(map[string]bool),
 	}
 }
 
-func setup(env *testscript.Env) error {
-	e := newEnvironment(env.T().(testing.TB), env.WorkDir)
-	env.Values[environmentKey{}] = e
-	env.Setenv("long", strings.Repeat("x", 300))
-	env.Setenv("GORACE", raceDetectorOptions)
-	env.Defer(e.shutdown)
-	return nil
-}
-
-func environmentOf(ts *testscript.TestScript) *environment {
-	return ts.Value(environmentKey{}).(*environment)
-}
-
 func (env *environment) recordViolation(text string) {
 	env.mu.Lock()
 	defer env.mu.Unlock()
@@ -76,7 +70,9 @@
 			env.recordViolation("key " + key + " ran " + strconv.Itoa(runs) + " times")
 		}
 	}
-	env.checkGroup()
+	if env.checkAtShutdown != nil {
+		env.checkAtShutdown()
+	}
 	for _, l := range env.links {
 		l.close()
 	}
@@ -104,7 +100,7 @@
 	}
 }
 
-func (env *environment) plainServices() []*process {
+func (env *environment) plainProcesses() []*process {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	var plain []*process
@@ -119,7 +115,7 @@
 // runs returns the number of times that the plain services together ran key.
 func (env *environment) runs(key string) int {
 	total := 0
-	for _, p := range env.plainServices() {
+	for _, p := range env.plainProcesses() {
 		status, body, err := env.get("http://" + p.address + "/standin/runs?key=" + key)
 		n, parseErr := strconv.Atoi(body)
 		if err != nil || status != http.StatusOK || parseErr != nil {
--- a/measure/scenarios/process_test.go
+++ b/measure/scenarios/process.go
@@ -95,7 +95,7 @@
 }
 
 func (env *environment) startOnce(name string, k kind, platform string, flags []string) (*process, error) {
-	program, err := exec.LookPath("filbertmux")
+	program, err := exec.LookPath(env.program)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/measure/scenarios/random.go
@@ -0,0 +1,422 @@
+package scenarios
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/filbertmux/filbertmux/base/infra"
+	"github.com/filbertmux/filbertmux/examples"
+	"github.com/filbertmux/filbertmux/measure/standin"
+)
+
+const (
+	// randomFaultSteps is the number of steps of a run, each with one or two
+	// faults, and stepPause the time between two steps.
+	randomFaultSteps = 40
+	stepPause        = 250 * time.Millisecond
+	// callTimeout is the time that a caller waits for an answer. It is needed
+	// because an entry may be stopped by SIGSTOP.
+	callTimeout = 4 * time.Second
+	// bookingCallers, lookupCallers and completionCallers are the numbers of
+	// concurrent callers. Each sends one call at a time.
+	bookingCallers    = 4
+	lookupCallers     = 2
+	completionCallers = 3
+	completionTokens  = 60
+	// maxBookingSends is the number of times that a caller sends a booking at most
+	// while there are faults.
+	maxBookingSends = 4
+)
+
+// deployedProcess is a process that is subject to faults.
+type deployedProcess struct {
+	name  string
+	kind  kind
+	flags []string
+}
+
+// deployedProcesses excludes the platform and the plain services, which hold the
+// log and the run counts and are never killed, and the engines, which
+// restartEngine crashes.
+var deployedProcesses = []deployedProcess{
+	{"book1", kindSidecar, []string{"--service=order-book", "--backend-url=http://$plain1"}},
+	{"book2", kindSidecar, []string{"--service=order-book", "--backend-url=http://$plain2"}},
+	{"book3", kindSidecar, []string{"--service=order-book", "--backend-url=http://$plain3"}},
+	{"text1", kindSidecar, []string{"--service=text-desk", "--backend-url=http://$engine1"}},
+	{"text2", kindSidecar, []string{"--service=text-desk", "--backend-url=http://$engine2"}},
+	{"entry1", kindEntry, []string{"--silence-timeout=500ms", "--progress-timeout=2s"}},
+	{"entry2", kindEntry, []string{"--silence-timeout=500ms", "--progress-timeout=2s"}},
+}
+
+var (
+	plainServices = []string{"plain1", "plain2", "plain3"}
+	engines       = []string{"engine1", "engine2"}
+)
+
+// booking is one booking with its idempotency key.
+type booking struct {
+	key, body string
+	// concurrent bookings are sent through both entries at once, so that a not_run
+	// answer to one request does not mean that the key has not run.
+	concurrent bool
+}
+
+// randomRun is the state of a run with random faults. Its fields are owned by
+// the goroutine that injects them, except those that mu guards.
+type randomRun struct {
+	*environment
+	rng *rand.Rand
+	// platformLinks are the links from each process to the platform, peerLinks
+	// those from the entries to each sidecar, and engineLinks those from the
+	// sidecars to each engine.
+	platformLinks map[string]*link
+	peerLinks     map[string]*link
+	engineLinks   map[string]*link
+
+	mu           sync.Mutex
+	addresses    map[string]string // at which callers reach the processes
+	disturbances map[string]int    // number of signals KILL, TERM and STOP by process
+	bookings     []booking
+	eventCounts  map[string]int
+	stopped      chan struct{}
+}
+
+func newRandomRun(env *environment, seed uint64) (*randomRun, error) {
+	r := &randomRun{
+		environment: env, rng: rand.New(rand.NewPCG(seed, 1)),
+		platformLinks: make(map[string]*link), peerLinks: make(map[string]*link), engineLinks: make(map[string]*link),
+		addresses: make(map[string]string), disturbances: make(map[string]int), eventCounts: make(map[string]int),
+		stopped: make(chan struct{}),
+	}
+	if err := r.startAll(); err != nil {
+		return nil, err
+	}
+	if err := os.CopyFS(filepath.Join(env.dir, "table"), examples.Demo()); err != nil {
+		return nil, err
+	}
+	if err := r.publishLiveInstances(); err != nil {
+		return nil, err
+	}
+	code, out := r.filbertmux("table", "publish", "table", "--office=sibiu", r.platformFlag())
+	if code != 0 {
+		return nil, fmt.Errorf("publish the table: exit code %d: %s", code, out)
+	}
+	return r, r.awaitReady()
+}
+
+// startAll starts the platform, the backend servers and deployedProcesses.
+func (r *randomRun) startAll() error {
+	p, err := r.start("platform", kindPlatform, "", nil)
+	if err != nil {
+		return err
+	}
+	r.addresses["platform"] = p.address
+	for _, name := range plainServices {
+		if _, err := r.start(name, kindPlain, p.address, []string{"--service-name=order-book"}); err != nil {
+			return err
+		}
+	}
+	for _, name := range engines {
+		engine, err := r.start(name, kindEngine, p.address, []string{"--model=text-desk", "--token-interval=10ms"})
+		if err != nil {
+			return err
+		}
+		if r.engineLinks[name], err = r.newLink(name, engine.address); err != nil {
+			return err
+		}
+	}
+	for _, d := range deployedProcesses {
+		if r.platformLinks[d.name], err = r.newLink(d.name+"-platform", p.address); err != nil {
+			return err
+		}
+		if err := r.startProcess(d.name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// platformFlag is the flag of the table commands.
+func (r *randomRun) platformFlag() string { return "--platform=http://" + r.addressOf("platform") }
+
+func (r *randomRun) newLink(name, target string) (*link, error) {
+	l, err := newLink(target)
+	if err == nil {
+		r.links[name] = l
+	}
+	return l, err
+}
+
+// startProcess starts or restarts one of deployedProcesses.
+func (r *randomRun) startProcess(name string) error {
+	i := slices.IndexFunc(deployedProcesses, func(d deployedProcess) bool { return d.name == name })
+	flags := slices.Clone(deployedProcesses[i].flags)
+	for n, f := range flags {
+		for backend, p := range r.processes {
+			address := p.address
+			if l := r.engineLinks[backend]; l != nil {
+				address = l.address
+			}
+			f = strings.ReplaceAll(f, "$"+backend, address)
+		}
+		flags[n] = f
+	}
+	p, err := r.start(name, deployedProcesses[i].kind, r.platformLinks[name].address, flags)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.addresses[name] = p.address
+	r.mu.Unlock()
+	if p.kind != kindSidecar {
+		return nil
+	}
+	if l := r.peerLinks[name]; l != nil {
+		l.retarget(p.address)
+		return nil
+	}
+	r.peerLinks[name], err = r.newLink(name+"-peer", p.address)
+	return err
+}
+
+// publishLiveInstances publishes the instance list of the processes that
+// currently run.
+func (r *randomRun) publishLiveInstances() error {
+	list := []infra.Instance{}
+	for _, d := range deployedProcesses {
+		if r.processes[d.name].ended() {
+			continue
+		}
+		row, err := r.row(d.name)
+		if err != nil {
+			return err
+		}
+		if l := r.peerLinks[d.name]; l != nil {
+			row.Address = l.address
+		}
+		list = append(list, row)
+	}
+	return r.put(infra.InstancePath, list)
+}
+
+func (r *randomRun) awaitReady() error {
+	for _, d := range deployedProcesses {
+		if err := r.ready([]string{d.name}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// filbertmux runs a command of the program and returns its exit code and output.
+func (r *randomRun) filbertmux(args ...string) (code int, output string) {
+	cmd := exec.Command(r.program, args...)
+	cmd.Dir = r.dir
+	cmd.Env = append(os.Environ(), "GORACE="+raceDetectorOptions)
+	out, _ := cmd.CombinedOutput() // the exit code is returned
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func (r *randomRun) countEvent(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eventCounts[event]++
+}
+
+// injectFaults injects random faults while callers send calls and operators
+// publish changes.
+func (r *randomRun) injectFaults() error {
+	var background sync.WaitGroup
+	for n := range bookingCallers {
+		rng := rand.New(rand.NewPCG(r.rng.Uint64(), 2))
+		background.Go(func() { r.callBookings(rng, n) })
+	}
+	for n := range lookupCallers {
+		rng := rand.New(rand.NewPCG(r.rng.Uint64(), 3))
+		background.Go(func() { r.callLookups(rng, n) })
+	}
+	for n := range completionCallers {
+		rng := rand.New(rand.NewPCG(r.rng.Uint64(), 4))
+		background.Go(func() { r.callCompletions(rng, n) })
+	}
+	operators := rand.New(rand.NewPCG(r.rng.Uint64(), 5))
+	background.Go(func() { r.publishRaces(operators) })
+	err := r.injectSteps(randomFaultSteps)
+	close(r.stopped)
+	background.Wait()
+	r.t.Logf("answers: %v", r.eventCounts)
+	return err
+}
+
+func (r *randomRun) injectSteps(n int) error {
+	for range n {
+		for range 1 + r.rng.IntN(2) {
+			fault, err := r.injectFault()
+			if err != nil {
+				return err
+			}
+			r.t.Logf("%s", fault)
+		}
+		time.Sleep(stepPause)
+	}
+	return nil
+}
+
+func (r *randomRun) running() bool {
+	select {
+	case <-r.stopped:
+		return false
+	default:
+		return true
+	}
+}
+
+var linkModes = []string{"refuse", "reset", "silence", "swallow", "pass", "pass", "pass"}
+
+// injectFault starts or ends one random fault and describes it.
+func (r *randomRun) injectFault() (string, error) {
+	name := deployedProcesses[r.rng.IntN(len(deployedProcesses))].name
+	p := r.processes[name]
+	switch r.rng.IntN(16) {
+	case 0:
+		return r.signalProcess(p, "KILL"), nil
+	case 1:
+		return r.signalProcess(p, "TERM"), nil
+	case 2:
+		return r.signalProcess(p, "STOP"), nil
+	case 3, 4, 11, 12, 13:
+		// Processes are started more often than stopped, so that calls are in
+		// flight at most faults.
+		_ = p.signal(syscall.SIGCONT)
+		if p.ended() {
+			return "start " + name, r.startProcess(name)
+		}
+		return "CONT " + name, nil
+	case 5, 6:
+		return r.changeLinkMode("platform link of "+name, r.platformLinks[name]), nil
+	case 7:
+		return r.changeLinkMode("peer link of "+name, r.peerLinks[name]), nil
+	case 8:
+		return r.restartEngine()
+	case 9:
+		return r.holdOrReleasePlain(), nil
+	case 10, 14:
+		return fmt.Sprintf("list live instances: %v", r.publishLiveInstances()), nil
+	default:
+		return r.setPlatformFaults(), nil
+	}
+}
+
+func (r *randomRun) signalProcess(p *process, name string) string {
+	r.mu.Lock()
+	r.disturbances[p.name]++
+	r.mu.Unlock()
+	_ = p.signal(signals[name]) // it may have ended
+	if name == "KILL" {
+		<-p.done
+	}
+	return name + " " + p.name
+}
+
+func (r *randomRun) changeLinkMode(name string, l *link) string {
+	if l == nil {
+		return "no fault"
+	}
+	mode := linkModes[r.rng.IntN(len(linkModes))]
+	if mode == "refuse" {
+		// In mode refuse the listener is closed and must not be closed again.
+		_ = l.setMode("pass")
+	}
+	return fmt.Sprintf("%s: %s %v", name, mode, l.setMode(mode))
+}
+
+func (r *randomRun) restartEngine() (string, error) {
+	name := engines[r.rng.IntN(len(engines))]
+	p := r.processes[name]
+	_ = p.signal(syscall.SIGKILL)
+	<-p.done
+	p, err := r.start(name, kindEngine, r.processes["platform"].address, p.flags)
+	if err != nil {
+		return "", err
+	}
+	r.engineLinks[name].retarget(p.address)
+	return "crash of " + name, nil
+}
+
+func (r *randomRun) holdOrReleasePlain() string {
+	name := plainServices[r.rng.IntN(len(plainServices))]
+	if r.rng.IntN(3) == 0 {
+		return fmt.Sprintf("hold %s: %v", name, r.hold([]string{name}))
+	}
+	return fmt.Sprintf("release %s: %v", name, r.release([]string{name}))
+}
+
+func (r *randomRun) setPlatformFaults() string {
+	f := standin.Faults{
+		LogDown:             r.rng.IntN(5) == 0,
+		LogDelayMS:          []int64{0, 0, 0, 50, 700}[r.rng.IntN(5)],
+		LoseAppendResponses: r.rng.IntN(6),
+		StreamPrefix:        []string{"", "claims.", "table"}[r.rng.IntN(3)],
+		ListDown:            r.rng.IntN(5) == 0,
+		ListFrozen:          r.rng.IntN(5) == 0,
+	}
+	return fmt.Sprintf("platform %+v: %v", f, r.put(standin.FaultsPath, f))
+}
+
+// endFaults ends all faults and restarts the processes that were signalled.
+func (r *randomRun) endFaults() error {
+	if err := r.put(standin.FaultsPath, standin.Faults{}); err != nil {
+		return err
+	}
+	if err := r.release(plainServices); err != nil {
+		return err
+	}
+	for _, l := range r.links {
+		// Connections whose bytes were dropped stay silent, as in a network that
+		// has lost their state.
+		if err := l.setMode("pass"); err != nil {
+			return err
+		}
+	}
+	for _, d := range deployedProcesses {
+		if err := r.replaceDisturbed(d.name); err != nil {
+			return err
+		}
+	}
+	if err := r.publishLiveInstances(); err != nil {
+		return err
+	}
+	return r.awaitReady()
+}
+
+// replaceDisturbed replaces a process that has been killed, is draining, which ends
+// by itself, or has been stopped and resumed.
+func (r *randomRun) replaceDisturbed(name string) error {
+	p := r.processes[name]
+	_ = p.signal(syscall.SIGCONT)
+	if r.disturbanceCount(name) == 0 {
+		return nil
+	}
+	_ = p.signal(syscall.SIGTERM)
+	if err := r.awaitExit(p); err != nil {
+		return err
+	}
+	return r.startProcess(name)
+}
+
+func (r *randomRun) awaitExit(p *process) error {
+	return poll(func() error {
+		if !p.ended() {
+			return fmt.Errorf("%s does not end after SIGTERM", p.name)
+		}
+		return nil
+	})
+}
--- a/measure/scenarios/randomcalls_test.go
+++ b/measure/scenarios/randomcalls.go
@@ -10,11 +10,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/stretchr/testify/require"
 
 	"github.com/filbertmux/filbertmux/examples"
 	"github.com/filbertmux/filbertmux/measure/standin"
@@ -162,7 +160,7 @@
 // publishRaces makes two operators change the same row of the same version
 // concurrently, of whom at most one may succeed.
 func (r *randomRun) publishRaces(rng *rand.Rand) {
-	platformURL := "--platform=http://" + r.addressOf("platform")
+	platformURL := r.platformFlag()
 	for n := 0; r.running(); n++ {
 		dir := fmt.Sprintf("race%d", n)
 		if code, _ := r.filbertmux("table", "export", dir+"a", platformURL); code != 0 {
@@ -216,74 +214,114 @@
 // checkRecovered checks that the deployment serves every kind of call again
 // without an operator, that a new change of the table comes into force
 // everywhere, and that each booking has a consistent final answer.
-func (r *randomRun) checkRecovered(t *testing.T) {
+func (r *randomRun) checkRecovered() error {
 	faultsEnded := time.Now()
 	for _, e := range entries {
-		require.NoError(t, poll(func() error {
+		err := poll(func() error {
 			if !r.sendLookup(e, "/stock/after-"+e) || !r.sendCompletion(e, "after the faults at "+e) {
 				return fmt.Errorf("%s does not serve", e)
 			}
 			return nil
-		}))
+		})
+		if err != nil {
+			return err
+		}
+	}
+	r.t.Logf("serves again %s after the faults", time.Since(faultsEnded).Round(time.Millisecond))
+	if err := r.checkTable(); err != nil {
+		return err
 	}
-	t.Logf("serves again %s after the faults", time.Since(faultsEnded).Round(time.Millisecond))
-	r.checkTable(t)
-	r.checkBookings(t)
+	return r.checkBookings()
 }
 
-func (r *randomRun) checkTable(t *testing.T) {
-	platformURL := "--platform=http://" + r.processes["platform"].address
-	code, out := r.filbertmux("table", "export", "last", platformURL)
-	require.Zero(t, code, out)
-	require.NoError(t, editWeight(filepath.Join(r.dir, "last", "weights.csv"), 999))
-	code, out = r.filbertmux("table", "publish", "last", "--office=sibiu", platformURL)
-	require.Zero(t, code, out)
+func (r *randomRun) checkTable() error {
+	code, out := r.filbertmux("table", "export", "last", r.platformFlag())
+	if code != 0 {
+		return fmt.Errorf("table export: exit code %d: %s", code, out)
+	}
+	if err := editWeight(filepath.Join(r.dir, "last", "weights.csv"), 999); err != nil {
+		return err
+	}
+	offset, err := r.publish("last")
+	if err != nil {
+		return err
+	}
+	return r.awaitInForce(offset)
+}
+
+// publish publishes a directory and returns the offset of the accepted change set.
+func (r *randomRun) publish(dir string) (uint64, error) {
+	code, out := r.filbertmux("table", "publish", dir, "--office=sibiu", r.platformFlag())
 	m := acceptedLine.FindStringSubmatch(out)
-	require.NotNil(t, m, out)
-	offset, err := strconv.ParseUint(m[1], 10, 64)
-	require.NoError(t, err)
+	if code != 0 || m == nil {
+		return 0, fmt.Errorf("table publish: exit code %d: %s", code, out)
+	}
+	return strconv.ParseUint(m[1], 10, 64)
+}
+
+// awaitInForce waits until all processes have a change that was just accepted in
+// force, and records a violation if that takes longer than propagationBound.
+func (r *randomRun) awaitInForce(offset uint64) error {
 	accepted := time.Now()
 	for _, d := range deployedProcesses {
-		require.NoError(t, poll(func() error {
+		err := poll(func() error {
 			got, err := r.tableOffset(r.processes[d.name])
 			if err == nil && got < offset {
 				err = fmt.Errorf("%s is at table offset %d, want %d", d.name, got, offset)
 			}
 			return err
-		}))
+		})
+		if err != nil {
+			return err
+		}
 	}
 	if took := time.Since(accepted); took > propagationBound {
 		r.recordViolation(fmt.Sprintf("the table was in force everywhere after %s, want %s", took, propagationBound))
 	}
+	return nil
 }
 
-// checkBookings repeats each booking until its answer is final: done, or unknown
-// if its owner died during the run. A claim without an outcome is reported as in
-// progress for its first minutes, because no process knows whether its owner has
-// died.
-func (r *randomRun) checkBookings(t *testing.T) {
-	done, unknown := 0, 0
+// checkBookings checks the final answer of each booking.
+func (r *randomRun) checkBookings() error {
+	done := 0
 	for n, b := range r.bookings {
-		var c *call
-		require.NoError(t, poll(func() error {
-			c = r.send(entries[n%2], callRequest{method: http.MethodPost, url: "/order-book/orders", key: b.key, body: b.body})
-			if c.err != nil {
-				return c.err
-			}
-			if c.header.Get("Retry-After") != "" && c.refusal().Kind != "in_progress" {
-				return fmt.Errorf("booking %s: status %d, %.300s", b.body, c.status, c.body)
-			}
-			return nil
-		}))
-		runs := r.environment.runs(b.key)
-		switch {
-		case c.status == http.StatusOK && runs == 1:
+		isDone, err := r.checkBooking(entries[n%2], b)
+		if err != nil {
+			return err
+		}
+		if isDone {
 			done++
-		case c.refusal().Execution == "unknown" && runs <= 1:
-			unknown++
-		default:
-			r.recordViolation(fmt.Sprintf("booking %s ran %d times, its final answer is %d %.300s", b.body, runs, c.status, c.body))
 		}
 	}
-	t.Logf("%d bookings: %d done, %d permanently unknown", len(r.bookings), done, unknown)
+	r.t.Logf("%d bookings: %d done, the others are permanently unknown", len(r.bookings), done)
+	return nil
+}
+
+// checkBooking repeats a booking until its answer is final: done, or unknown if its
+// owner died during the run. A claim without an outcome is reported as in progress
+// for its first minutes, because no process knows whether its owner has died.
+func (r *randomRun) checkBooking(entry string, b booking) (done bool, err error) {
+	var c *call
+	err = poll(func() error {
+		c = r.send(entry, callRequest{method: http.MethodPost, url: "/order-book/orders", key: b.key, body: b.body})
+		if c.err != nil {
+			return c.err
+		}
+		if c.header.Get("Retry-After") != "" && c.refusal().Kind != "in_progress" {
+			return fmt.Errorf("booking %s: status %d, %.300s", b.body, c.status, c.body)
+		}
+		return nil
+	})
+	if err != nil {
+		return false, err
+	}
+	runs := r.runs(b.key)
+	switch {
+	case c.status == http.StatusOK && runs == 1:
+		return true, nil
+	case c.refusal().Execution == "unknown" && runs <= 1:
+	default:
+		r.recordViolation(fmt.Sprintf("booking %s ran %d times, its final answer is %d %.300s", b.body, runs, c.status, c.body))
+	}
+	return false, nil
 }
--- a/measure/scenarios/scenarios_test.go
+++ b/measure/scenarios/scenarios_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -25,6 +26,22 @@
 	})
 }
 
+type environmentKey struct{}
+
+func setup(env *testscript.Env) error {
+	e := newEnvironment(env.T().(testing.TB), env.WorkDir)
+	e.checkAtShutdown = e.checkGroup
+	env.Values[environmentKey{}] = e
+	env.Setenv("long", strings.Repeat("x", 300))
+	env.Setenv("GORACE", raceDetectorOptions)
+	env.Defer(e.shutdown)
+	return nil
+}
+
+func environmentOf(ts *testscript.TestScript) *environment {
+	return ts.Value(environmentKey{}).(*environment)
+}
+
 // runScript runs one script of testdata/script.
 func runScript(t *testing.T, name string) {
 	t.Parallel()
--- a/measure/scenarios/tablecommands_test.go
+++ b/measure/scenarios/tablecommands_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,8 +18,6 @@
 	return os.CopyFS(r.MkAbs(args[0]), examples.Demo())
 }
 
-var acceptedLine = regexp.MustCompile(`accepted: change set \S+ at offset (\d+)`)
-
 func (r *scriptCommand) accepted(args []string) error {
 	m := acceptedLine.FindStringSubmatch(r.ReadFile(args[0]))
 	if m == nil {
@@ -59,9 +56,6 @@
 	return batch.Records[0].Time, nil
 }
 
-// propagationBound is the time within which a change must be in force everywhere.
-const propagationBound = 7 * time.Second
-
 func (r *scriptCommand) inForce(args []string) error {
 	offset, err := strconv.ParseUint(r.Getenv(args[0]), 10, 64)
 	if err != nil {
