Move the uploads and limits of untrusted clients out of the test files

Change: Upload, PeakMemoryMB and Sockets are exported from ordinary files of measure/untrusted. No test changes what it sends or checks.

--- a/measure/untrusted/process_test.go
+++ b/measure/untrusted/process_test.go
@@ -8,8 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -122,32 +120,16 @@
 // peakMemoryMB returns the highest resident memory of the process, in MiB.
 func (p *process) peakMemoryMB(t *testing.T) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	mb, err := PeakMemoryMB(p.cmd.Process.Pid)
 	require.NoError(t, err)
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.Atoi(strings.Fields(value)[0])
-			require.NoError(t, err)
-			return kb >> 10
-		}
-	}
-	t.Fatal("the peak of the resident memory isn't known")
-	return 0
+	return mb
 }
 
 // sockets returns the number of open sockets of the process.
 func (p *process) sockets(t *testing.T) int {
 	t.Helper()
-	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
-	entries, err := os.ReadDir(dir)
+	count, err := Sockets(p.cmd.Process.Pid)
 	require.NoError(t, err)
-	count := 0
-	for _, e := range entries {
-		// A descriptor that was closed meanwhile has no target.
-		if target, err := os.Readlink(filepath.Join(dir, e.Name())); err == nil && strings.HasPrefix(target, "socket:") {
-			count++
-		}
-	}
 	return count
 }
 
--- a/measure/untrusted/untrusted_test.go
+++ b/measure/untrusted/untrusted_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,9 +23,6 @@
 	completeEvery = 8
 	// oversizedBytes is the size of a body far over the limit.
 	oversizedBytes = 8 * maxBodyBytes
-	// largeChunk and smallChunk are the sizes of chunks.
-	largeChunk = 64 << 10
-	smallChunk = 8
 	// idleClients is the number of clients that keep connections open without a body,
 	// which is more than the daemon may have sockets.
 	idleClients = 300
@@ -36,19 +32,6 @@
 	settleTimeout = 120 * time.Second
 )
 
-// upload is what a client sends after the head of its request.
-type upload struct {
-	// declared is the value of Content-Length, or negative for a body in chunks.
-	declared int
-	// chunk is the size of the chunks, or of the writes of a body with a length.
-	chunk int
-	// size is the number of bytes of the body that are sent. If it is below the whole
-	// body, the client keeps the connection open without sending the rest.
-	size int
-	// complete ends a chunked body.
-	complete bool
-}
-
 // crowd counts what its clients have sent, and holds their connections open.
 type crowd struct {
 	sent    atomic.Int64
@@ -56,48 +39,17 @@
 }
 
 // start lets n clients send concurrently.
-func (c *crowd) start(t *testing.T, d *daemonUnderTest, n int, uploadOf func(client int) upload) {
+func (c *crowd) start(t *testing.T, d *daemonUnderTest, n int, uploadOf func(client int) Upload) {
 	t.Helper()
 	for i := range n {
 		u := uploadOf(i)
-		framing := "Transfer-Encoding: chunked"
-		if u.declared >= 0 {
-			framing = "Content-Length: " + strconv.Itoa(u.declared)
-		}
-		head := d.head(framing)
+		head := d.head(u.Framing())
 		conn, err := d.dial(t)
 		if err != nil {
 			continue // refusing a connection is allowed
 		}
-		c.clients.Go(func() { c.send(conn, head, u) })
-	}
-}
-
-// send writes an upload until it has been sent or the connection ends. The daemon may
-// respond early, so responses are read and dropped.
-func (c *crowd) send(conn net.Conn, head string, u upload) {
-	go func() { _, _ = io.Copy(io.Discard, conn) }()
-	if _, err := io.WriteString(conn, head); err != nil {
-		return
-	}
-	out := bufio.NewWriterSize(conn, largeChunk)
-	piece := strings.Repeat("x", u.chunk)
-	for sent := 0; sent < u.size; {
-		n := min(u.chunk, u.size-sent)
-		text := piece[:n]
-		if u.declared < 0 {
-			text = fmt.Sprintf("%x\r\n%s\r\n", n, text)
-		}
-		if _, err := out.WriteString(text); err != nil {
-			return
-		}
-		sent += n
-		c.sent.Add(int64(n))
-	}
-	if u.declared < 0 && u.complete {
-		_, _ = out.WriteString("0\r\n\r\n")
+		c.clients.Go(func() { u.Send(conn, head, &c.sent) })
 	}
-	_ = out.Flush()
 }
 
 // settle waits until all clients have sent their uploads, or none of them gets further.
@@ -164,29 +116,29 @@
 // legal bodies stop just short of their end.
 var uploadForms = []struct {
 	name     string
-	uploadOf func(client int) upload
+	uploadOf func(client int) Upload
 }{
-	{"Whole", func(int) upload { return upload{declared: maxBodyBytes, chunk: maxBodyBytes, size: maxBodyBytes} }},
-	{"Unfinished", func(i int) upload {
-		return unfinished(i, upload{declared: maxBodyBytes, chunk: largeChunk, size: maxBodyBytes})
+	{"Whole", func(int) Upload { return Upload{Declared: maxBodyBytes, Chunk: maxBodyBytes, Size: maxBodyBytes} }},
+	{"Unfinished", func(i int) Upload {
+		return unfinished(i, Upload{Declared: maxBodyBytes, Chunk: LargeChunk, Size: maxBodyBytes})
 	}},
-	{"LargeChunks", func(i int) upload {
-		return unfinished(i, upload{declared: -1, chunk: largeChunk, size: maxBodyBytes})
+	{"LargeChunks", func(i int) Upload {
+		return unfinished(i, Upload{Declared: -1, Chunk: LargeChunk, Size: maxBodyBytes})
 	}},
-	{"SmallChunks", func(i int) upload {
-		return unfinished(i, upload{declared: -1, chunk: smallChunk, size: maxBodyBytes})
+	{"SmallChunks", func(i int) Upload {
+		return unfinished(i, Upload{Declared: -1, Chunk: SmallChunk, Size: maxBodyBytes})
 	}},
-	{"OversizedAnnounced", func(int) upload { return upload{declared: 1 << 30, chunk: largeChunk, size: oversizedBytes} }},
-	{"OversizedSent", func(int) upload { return upload{declared: -1, chunk: largeChunk, size: oversizedBytes} }},
+	{"OversizedAnnounced", func(int) Upload { return Upload{Declared: 1 << 30, Chunk: LargeChunk, Size: oversizedBytes} }},
+	{"OversizedSent", func(int) Upload { return Upload{Declared: -1, Chunk: LargeChunk, Size: oversizedBytes} }},
 }
 
 // unfinished drops the end of an upload, except for each completeEvery-th client.
-func unfinished(client int, u upload) upload {
+func unfinished(client int, u Upload) Upload {
 	if client%completeEvery == 0 {
-		u.complete = true
+		u.Complete = true
 		return u
 	}
-	u.size--
+	u.Size--
 	return u
 }
 
