Add link modes one-way and delay and a record of calls at backend servers

Cause: a run with random faults has to lose bytes in one direction only, to delay them, and to know which backend server a call reached.

Change: the modes one-way and delay of the links of measure/scenarios, and GET /standin/received of plain services and engines with the latest calls.

--- a/measure/scenarios/link.go
+++ b/measure/scenarios/link.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 )
@@ -15,10 +16,12 @@
 type link struct {
 	address string
 	target  string
+	delay   atomic.Int64 // time.Duration by which bytes are held back
 
 	mu           sync.Mutex
 	listener     net.Listener
 	dropNew      bool // new connections are accepted and their bytes are dropped
+	oneWayNew    bool // the bytes from the target on new connections are dropped
 	connections  []*forwardedConnection
 	lateEnded    chan struct{} // closed at the end of mode late, nil in other modes
 	heldPrefixes []string      // first bytes of the connections held back in mode late
@@ -27,14 +30,20 @@
 // forwardedConnection is a connection of a client and the one to its target.
 type forwardedConnection struct {
 	client, server net.Conn
-	heldLate       bool // was held back in mode late
+	heldLate       bool          // was held back in mode late
+	delay          *atomic.Int64 // that of the link
 	mu             sync.Mutex
 	dropping       bool
+	oneWay         bool // bytes from the target are dropped
 }
 
 // linkHosts is the number of loopback addresses for links.
 const linkHosts = 200
 
+// linkDelay is the time by which mode delay holds back bytes in each direction. With it,
+// a round trip takes most of the shortest silence timeout of a run.
+const linkDelay = 150 * time.Millisecond
+
 // linksStarted counts the links of this process.
 var linksStarted atomic.Int32
 
@@ -58,12 +67,16 @@
 //   - reset resets all connections and forwards new ones;
 //   - silence drops the bytes of all connections and forwards new ones;
 //   - swallow drops the bytes of all connections and of new ones;
+//   - one-way drops the bytes that the target sends on all connections and on new
+//     ones, and forwards those to it;
+//   - delay forwards all bytes linkDelay later;
 //   - late resets all connections and holds new ones back, with the bytes sent on
 //     them, until the next change of mode.
 func (l *link) setMode(mode string) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.dropNew = mode == "swallow"
+	l.dropNew, l.oneWayNew = mode == "swallow", mode == "one-way"
+	l.delay.Store(0)
 	if l.lateEnded != nil {
 		close(l.lateEnded)
 		l.lateEnded, l.heldPrefixes = nil, nil
@@ -84,6 +97,12 @@
 		for _, p := range l.connections {
 			p.dropBytes()
 		}
+	case "one-way":
+		for _, p := range l.connections {
+			p.dropReplies()
+		}
+	case "delay":
+		l.delay.Store(int64(linkDelay))
 	default:
 		return fmt.Errorf("unknown mode %q", mode)
 	}
@@ -182,7 +201,9 @@
 		resetConnection(in)
 		return
 	}
-	p := &forwardedConnection{client: in, server: out, heldLate: len(prefix) > 0, dropping: l.dropNew}
+	p := &forwardedConnection{
+		delay: &l.delay, client: in, server: out, heldLate: len(prefix) > 0, dropping: l.dropNew, oneWay: l.oneWayNew,
+	}
 	l.connections = append(l.connections, p)
 	go p.copy(in, out)
 	go p.copy(out, in)
@@ -197,7 +218,7 @@
 	for {
 		n, err := from.Read(b)
 		p.mu.Lock()
-		silent := p.dropping
+		silent := p.dropping || p.oneWay && from == p.server
 		p.mu.Unlock()
 		if silent && err == nil {
 			continue
@@ -205,6 +226,7 @@
 		if silent || err != nil && p.heldLate && from == p.client {
 			return
 		}
+		time.Sleep(time.Duration(p.delay.Load()))
 		if _, writeErr := to.Write(b[:n]); writeErr != nil || err != nil {
 			_ = from.Close()
 			_ = to.Close()
@@ -219,6 +241,12 @@
 	p.dropping = true
 }
 
+func (p *forwardedConnection) dropReplies() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.oneWay = true
+}
+
 func (p *forwardedConnection) reset() {
 	resetConnection(p.client)
 	resetConnection(p.server)
--- a/measure/standin/engine.go
+++ b/measure/standin/engine.go
@@ -71,6 +71,7 @@
 	started   atomic.Int64
 	completed atomic.Int64
 	crashes   atomic.Int64
+	received  receivedCalls
 
 	mu              sync.Mutex
 	engineCtx       context.Context
@@ -101,6 +102,7 @@
 	e.mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
 	e.mux.HandleFunc("GET /v1/cache_events", e.serveCacheEvents)
 	e.mux.HandleFunc("GET /v1/load", e.serveLoad)
+	e.mux.HandleFunc("GET "+ReceivedPath, e.received.serve)
 	e.mux.HandleFunc("POST /v1/commands", e.commands.serve)
 	return e
 }
@@ -138,6 +140,7 @@
 		writeError(w, errkind.New(errkind.InvalidRequest, "body must be a chat-completions JSON request with max_tokens up to %d", maxTokens))
 		return
 	}
+	e.received.add(req.Prompt(), r.URL.Path)
 	if e.cfg.CrashMarker != "" && strings.Contains(req.Prompt(), e.cfg.CrashMarker) {
 		if e.cfg.OnCrash != nil {
 			e.cfg.OnCrash()
--- a/measure/standin/plain.go
+++ b/measure/standin/plain.go
@@ -26,6 +26,7 @@
 	mu        sync.Mutex
 	runs      map[string]int
 	calls     int
+	received  receivedCalls
 	holdEnded chan struct{} // closed by ReleaseCalls; nil while calls are not held
 }
 
@@ -81,7 +82,8 @@
 }
 
 // ServeHTTP implements http.Handler. GET /standin/runs?key=K returns the result
-// of Runs, GET /standin/calls that of Calls. PUT and DELETE /standin/hold call
+// of Runs, GET /standin/calls that of Calls, and
+// GET /standin/received the latest calls. PUT and DELETE /standin/hold call
 // HoldCalls and ReleaseCalls. Every other request is a call of the service.
 func (p *PlainService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method + " " + r.URL.Path {
@@ -91,6 +93,9 @@
 	case "GET /standin/calls":
 		_, _ = fmt.Fprint(w, p.Calls())
 		return
+	case "GET " + ReceivedPath:
+		p.received.serve(w, r)
+		return
 	case "PUT /standin/hold":
 		p.HoldCalls()
 		return
@@ -102,6 +107,7 @@
 	if err != nil {
 		return
 	}
+	p.received.add(string(body), r.URL.Path)
 	run := p.countCall(r.Header.Get("Idempotency-Key"))
 	if p.cfg.CrashOn != "" && string(body) == p.cfg.CrashOn {
 		p.crash()
