--- a/measure/scenarios/doc.go
+++ b/measure/scenarios/doc.go
@@ -12,4 +12,7 @@
 // when a call was answered not_run, that no table offset decreased, that no rank
 // group made a step with mixed maps or ran a late command, and that no process
 // reported a data race, a panic or an invariant violation.
+//
+// The files that are not tests start the processes, inject faults and send calls. Soak
+// runs a deployment under random faults for the command filbertmux-bench soak.
 package scenarios
--- a/measure/scenarios/random.go
+++ b/measure/scenarios/random.go
@@ -356,7 +356,7 @@
 	}
 }
 
-// linkModes are the modes of links while faults overlap. A link passes most of the time,
+// linkModes are the modes of links while faults overlap. Mode pass is listed several times,
 // so that calls are in flight at most faults.
 var linkModes = []string{"refuse", "reset", "silence", "swallow", "one-way", "delay", "pass", "pass", "pass"}
 
