--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -15,6 +15,23 @@
 	srv.slowdownAt = now
 }
 
+// ObserveSlowdownAtLeast records that the duration of a request on a server would have been
+// at least this, relative to the usual one. It raises the slowdown or leaves it.
+func (s *Scheduler[T]) ObserveSlowdownAtLeast(now time.Time, id string, observed float64) {
+	if observed > s.Slowdown(now, id) {
+		s.ObserveSlowdown(now, id, observed)
+	}
+}
+
+// Slowdown returns the measured slowdown of a server, which decays towards 1 with its age.
+func (s *Scheduler[T]) Slowdown(now time.Time, id string) float64 {
+	srv, ok := s.servers[id]
+	if !ok {
+		return 1
+	}
+	return srv.decayedSlowdown(now)
+}
+
 // SetCooldown keeps requests away from a server until the given time, unless all
 // other servers are in cooldown or full.
 func (s *Scheduler[T]) SetCooldown(id string, until time.Time) {
--- a/serve/hedge/hedge.go
+++ b/serve/hedge/hedge.go
@@ -17,10 +17,10 @@
 import "time"
 
 const (
-	// doubtfulSlowdown is the slowdown above which a server is in doubt: its requests are
+	// DoubtfulSlowdown is the slowdown above which a server is in doubt: its requests are
 	// hedged earlier, and it gets no hedges. Placement measures slowdowns with steps of up to
 	// 0.5, so a single slow response doesn't exceed it.
-	doubtfulSlowdown = 1.5
+	DoubtfulSlowdown = 1.5
 	// doubtfulFactor is the part of the usual time after which a request on a server in doubt
 	// is hedged.
 	doubtfulFactor = 0.5
@@ -125,9 +125,6 @@
 	return &Hedger{latencies: newLatencies(c.Quantile), window: newShareWindow(c.Share)}
 }
 
-// InDoubt reports whether a server with this slowdown is in doubt.
-func InDoubt(slowdown float64) bool { return slowdown > doubtfulSlowdown }
-
 // RecordRequest records a new request.
 func (h *Hedger) RecordRequest(c Candidate) {
 	if c.valid {
@@ -151,7 +148,7 @@
 		return 0, false
 	}
 	usual, ok := h.latencies.usual(now, c.key)
-	if InDoubt(slowdown) {
+	if slowdown > DoubtfulSlowdown {
 		usual = time.Duration(doubtfulFactor * float64(usual))
 	}
 	return usual, ok
--- a/serve/retry/retry.go
+++ b/serve/retry/retry.go
@@ -133,6 +133,14 @@
 // the queue.
 func (b *Budget) RecordOverload(now time.Time) { b.overloadedAt = now }
 
+// Overloaded reports whether the service was overloaded lately, so that nothing is retried.
+func (b *Budget) Overloaded(now time.Time) bool {
+	return !b.overloadedAt.IsZero() && now.Sub(b.overloadedAt) < b.config.OverloadBackoff
+}
+
+// Left returns the number of retries in the budget, and the maximum.
+func (b *Budget) Left() (retries, burst float64) { return b.tokens, b.config.Burst }
+
 // Decide decides whether a failed attempt is retried. A retry is charged to the
 // budget.
 func (b *Budget) Decide(now time.Time, a Attempt, rng *rand.Rand) Decision {
@@ -142,7 +150,7 @@
 	if a.Number >= b.config.MaxAttempts {
 		return Decision{Reason: AttemptsExhausted}
 	}
-	if !b.overloadedAt.IsZero() && now.Sub(b.overloadedAt) < b.config.OverloadBackoff {
+	if b.Overloaded(now) {
 		return Decision{Reason: ServiceOverload}
 	}
 	if b.tokens < 1 {
