Hedge late requests in the gateway

Cause: a request on a slow server is late although other servers have room.

The first attempt with a valid head, of a stream with its first event, wins; the other one is cancelled at once. Off by default: without a share no hedger exists and no timer starts.

--- a/config/settings/parse.go
+++ b/config/settings/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"time"
@@ -26,6 +27,7 @@
 	return []kong.Option{
 		kong.DefaultEnvars(EnvPrefix),
 		kong.KindMapper(reflect.Int, kong.MapperFunc(e.decodeInt)),
+		kong.KindMapper(reflect.Float64, kong.MapperFunc(e.decodeFloat)),
 		kong.TypeMapper(reflect.TypeFor[time.Duration](), kong.MapperFunc(e.decodeDuration)),
 	}
 }
@@ -41,6 +43,20 @@
 	return nil
 }
 
+func (e *ParseErrors) decodeFloat(ctx *kong.DecodeContext, target reflect.Value) error {
+	text, err := popValue(ctx)
+	if err != nil {
+		return err
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if math.IsNaN(n) || math.IsInf(n, 0) {
+		err = strconv.ErrRange
+	}
+	target.SetFloat(n)
+	e.record(ctx.Value.Name, text, "a number such as 0.05", err)
+	return nil
+}
+
 func (e *ParseErrors) decodeDuration(ctx *kong.DecodeContext, target reflect.Value) error {
 	text, err := popValue(ctx)
 	if err != nil {
--- a/daemons/cli/gateway.go
+++ b/daemons/cli/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/filbertmux/filbertmux/daemons/gateway"
 	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 )
 
 const (
@@ -26,9 +27,11 @@
 // gatewayCommand has few flags, because the platform provides the settings in a
 // file.
 type gatewayCommand struct {
-	LogLevel      string `name:"log-level" default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
-	MetricsPort   int    `name:"metrics-port" default:"0" help:"Port of the metrics at the instance's address; 0 serves none."`
-	CheckSettings bool   `name:"check-settings" help:"Read the settings file of the platform, report all faults, and exit."`
+	LogLevel      string  `name:"log-level" default:"info" enum:"debug,info,warn,error" help:"Lowest level of log lines."`
+	MetricsPort   int     `name:"metrics-port" default:"0" help:"Port of the metrics at the instance's address; 0 serves none."`
+	HedgeShare    float64 `name:"hedge-share" default:"0" validate:"min=0,max=0.2" help:"Largest number of extra requests for each request that may run more than once, by which late ones are sent to a second backend server; 0 sends none."`
+	HedgeQuantile float64 `name:"hedge-quantile" default:"0.95" validate:"min=0.5,max=0.999" help:"Quantile of the recent times to the first output after which a request is late."`
+	CheckSettings bool    `name:"check-settings" help:"Read the settings file of the platform, report all faults, and exit."`
 }
 
 // Run implements the gateway command.
@@ -47,7 +50,10 @@
 	log, flush := newNonBlockingLogger(c.LogLevel, gateway.Role, s.Instance, streams)
 	defer flush()
 	reloads := make(chan struct{}, 1)
-	options := gateway.Options{Settings: s, Log: log, MetricsPort: c.MetricsPort, Reloads: reloads}
+	options := gateway.Options{
+		Settings: s, Log: log, MetricsPort: c.MetricsPort, Reloads: reloads,
+		Hedging: hedge.Config{Share: c.HedgeShare, Quantile: c.HedgeQuantile},
+	}
 	return daemon.Process{Log: log, Reload: func() { requestReload(reloads) }}.Run(ctx, gateway.Module(options))
 }
 
--- a/daemons/gateway/attempt.go
+++ b/daemons/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
 	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
@@ -46,6 +47,9 @@
 	}
 	svc := g.services.get(r.service, g.state)
 	svc.recordFirstAttempt()
+	// A request that must not run twice has no candidate.
+	r.hedging, _ = hedge.NewCandidate(r.route, r.call.PromptTokens)
+	svc.recordHedgeable(r.hedging)
 	var next *standby
 	for {
 		r.trace.attempts++
@@ -129,6 +133,7 @@
 	}
 	x.releaseSlot(err)
 	next = x.takeStandby(waitCtx, err)
+	x.recordHedge(next)
 	if err == nil {
 		return nil, nil
 	}
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -68,6 +68,8 @@
 	// heldBack means that the pace of the server no longer allowed to send the request when
 	// its connection was ready.
 	heldBack bool
+	// hedge means that the attempt is a hedge.
+	hedge bool
 }
 
 // newExchange returns an exchange with a watchdog that isn't started.
@@ -87,6 +89,7 @@
 	// A request counts as sent even if the server refuses it.
 	x.r.trace.sent++
 	x.watch.start(waitCtx)
+	x.watch.scheduleHedge()
 	defer x.watch.stop()
 	resp, err := x.roundTrip() //nolint:bodyclose // the body ends with the connection
 	if err != nil {
@@ -223,16 +226,25 @@
 // connectionFailed handles a connection that failed before the response header.
 func (x *exchange) connectionFailed(err error) error {
 	x.conn.Abort()
-	x.g.pool.CloseIdle(x.server.Address)
+	if !x.lostRace() {
+		x.g.pool.CloseIdle(x.server.Address)
+	}
 	x.checkForCrash()
 	if x.watch.hasMoved() {
-		err = errServerSilent
+		err = x.watch.moveCause()
 	}
 	e := errkind.Wrap(errkind.BackendFailed, err, "no response from the server")
 	e.Execution = errkind.Unknown
 	return e
 }
 
+// lostRace reports whether the gateway has closed the connection because the other one of the
+// first attempt and its hedge has an output, or nobody waits for the hedge any more. That says
+// nothing against the server.
+func (x *exchange) lostRace() bool {
+	return x.hedge && x.ctx.Err() != nil || x.watch.movedToHedge()
+}
+
 // checkForCrash starts a check whether the server has crashed, unless the gateway
 // itself closed the connection.
 func (x *exchange) checkForCrash() {
@@ -280,9 +292,12 @@
 		server: x.server.ID, tokens: x.r.tokens(), serverFull: x.serverFull, wrongServer: x.wrongServer,
 		groupDown: x.groupDown, atFault: x.response.ServerAtFault,
 	}
+	if x.watch.movedToHedge() {
+		res.silentFor = now.Sub(x.startedAt)
+	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = x.unsuitable || x.evacuated || x.heldBack || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = res.silentFor > 0 || x.unsuitable || x.evacuated || x.heldBack || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/logging.go
+++ b/daemons/gateway/logging.go
@@ -126,6 +126,9 @@
 	line.Str("route", r.route.Name).Str("kind", r.route.Kind.String()).Str("service", r.service).
 		Str("organisation", r.organisation).Stringer("class", r.urgency).
 		Strs("servers", t.servers).Int("sent", t.sent).Dur("waited_ms", t.waited)
+	if t.hedge != "" {
+		line.Str("hedge", t.hedge)
+	}
 	if t.timeToFirstEvent > 0 {
 		line.Dur("first_event_ms", t.timeToFirstEvent).Dur("server_wait_ms", t.serverWait).Int("events", t.events).
 			Dur("longest_gap_ms", t.longestGap).Int("longest_gap_after", t.longestGapAfter).
--- a/daemons/gateway/module.go
+++ b/daemons/gateway/module.go
@@ -18,6 +18,7 @@
 	"github.com/filbertmux/filbertmux/daemons/daemon"
 	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 )
 
 // Role is the name of this daemon in logs and metrics.
@@ -27,6 +28,8 @@
 type Options struct {
 	Settings platform.Settings
 	Log      zerolog.Logger
+	// Hedging says which requests are hedged. The zero value means none.
+	Hedging hedge.Config
 	// MetricsPort is the port that serves the metrics, or 0 for none.
 	MetricsPort int
 	// Reloads delivers requests to reload the settings. It may be nil.
@@ -43,7 +46,9 @@
 			func(o Options) *platform.StoreClient { return platform.NewStoreClient(o.Settings.Store.Address) },
 			func(o Options) *telemetry.Metrics { return telemetry.NewMetrics(Role, o.Settings.Instance, o.Log) },
 			func(o Options, state *ClusterState, m *telemetry.Metrics) *Gateway {
-				return New(o.Settings, state, m, o.Log)
+				g := New(o.Settings, state, m, o.Log)
+				g.EnableHedging(o.Hedging)
+				return g
 			},
 			listenForPeers,
 		),
@@ -134,7 +139,7 @@
 		OnStart: func(context.Context) error {
 			go f.accept(currentLimits(state))
 			o.Log.Info().Str("callers", o.Settings.FrontendAddress).Str("ready", o.Settings.ReadyAddress).
-				Str("failure_domain", o.Settings.FailureDomain).Msg("started")
+				Str("failure_domain", o.Settings.FailureDomain).Float64("hedge_share", o.Hedging.Share).Msg("started")
 			return nil
 		},
 		OnStop: func(context.Context) error { return g.shutdown(f) },
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -38,6 +38,9 @@
 	if x.isStream(resp) {
 		return x.relayEvents(resp)
 	}
+	if resp.StatusCode < http.StatusInternalServerError {
+		x.watch.recordFirstOutput()
+	}
 	return x.relayBuffered(resp)
 }
 
@@ -219,7 +222,7 @@
 func (x *exchange) responseTruncated(err error) error {
 	x.checkForCrash()
 	if x.watch.hasMoved() {
-		err = errServerSilent
+		err = x.watch.moveCause()
 	}
 	return errkind.Wrap(errkind.StreamIncomplete, err, "the response was truncated")
 }
--- a/daemons/gateway/release.go
+++ b/daemons/gateway/release.go
@@ -17,7 +17,9 @@
 	cost     float64
 	// timeToFirstOutput is the time to the first part of the response.
 	timeToFirstOutput time.Duration
-	err               *errkind.Error
+	// silentFor is how long the server had sent no output when a hedge replaced it.
+	silentFor time.Duration
+	err       *errkind.Error
 	// serverFull means that the server refused the request because it was full,
 	// wrongServer that another server has the address now.
 	serverFull  bool
@@ -45,6 +47,9 @@
 	if r.timeToFirstOutput > 0 {
 		s.recordTimeToFirstOutput(now, r.server, r.timeToFirstOutput)
 	}
+	if r.silentFor > 0 {
+		s.recordSlowOutput(now, r.server, r.silentFor)
+	}
 	switch {
 	case r.err == nil:
 		s.outliers.RecordSuccess(r.server)
--- a/daemons/gateway/request.go
+++ b/daemons/gateway/request.go
@@ -16,6 +16,7 @@
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/daemons/inbound"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
@@ -64,6 +65,8 @@
 	// lost is what is reported if its server crashes.
 	features []quarantine.Feature
 	lost     lostRequest
+	// hedging lets the request be hedged. It is the zero value if it must not run twice.
+	hedging hedge.Candidate
 	// crashCheck is closed when the check of the last server whose connection broke
 	// has ended, or nil.
 	crashCheck <-chan struct{}
@@ -93,6 +96,9 @@
 	noRetryReason retry.Reason
 	outcome       string
 	status        int
+	// hedge is the outcome of the hedge, or why there was none when it was due. It is empty if
+	// none was due.
+	hedge string
 	// mayHaveRun is set once a backend server may have run the request.
 	mayHaveRun bool
 }
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -22,6 +22,7 @@
 	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/serve/fairqueue"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
@@ -122,6 +123,9 @@
 	outputTimes placement.OutputTimes
 	// urgencies are those of the priority classes of the scheduler.
 	urgencies []fleet.Urgency
+	// hedger decides about hedges. It is nil if requests aren't hedged, which doesn't change,
+	// so that may be read without the mutex.
+	hedger *hedge.Hedger
 }
 
 // waiter is a request that waits for a slot.
--- a/daemons/gateway/services.go
+++ b/daemons/gateway/services.go
@@ -13,6 +13,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
@@ -37,6 +38,8 @@
 	staleness time.Duration
 	// evacuated lists the evacuated failure domains.
 	evacuated []string
+	// hedging is the configuration of the hedgers. It doesn't change while the gateway serves.
+	hedging hedge.Config
 }
 
 // gatewayList holds the addresses of this gateway and of the others.
@@ -70,6 +73,7 @@
 	s.byName[name] = svc
 	now := clock.Now()
 	svc.regions = s.regions
+	svc.hedger = newHedger(s.hedging)
 	svc.setEvacuated(now, s.evacuated)
 	svc.configure(state)
 	svc.setGateways(now, s.gateways)
--- a/daemons/gateway/standby.go
+++ b/daemons/gateway/standby.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
@@ -13,7 +15,7 @@
 )
 
 // standby is an attempt at another server that is made while the server of a request is
-// silent. It holds a slot and has used a retry of the budget. One goroutine sends the
+// silent, or a hedge. It holds a slot and has used a retry of the budget. One goroutine sends the
 // request and reads the header of the response; after that the standby belongs to the
 // request, or is abandoned.
 type standby struct {
@@ -71,6 +73,11 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return nil, errkind.New(errkind.BackendFailed, "the server failed with status %d", resp.StatusCode)
 	}
+	if s.x.hedge {
+		if err := s.x.awaitOutput(resp); err != nil {
+			return nil, err
+		}
+	}
 	return resp, nil
 }
 
@@ -176,10 +183,16 @@
 	}
 }
 
-// logMove logs that a request continues on its standby.
+// logMove logs that a request continues on its standby, unless that is a hedge that was the
+// first one with an output. Hedges have counters of their own.
 func (r *request) logMove(g *Gateway, err error, from string, to *standby) {
-	g.metrics.AddToCounter("retries", 1)
-	g.metrics.AddToCounter("standby_moves", 1)
+	if !to.x.hedge {
+		g.metrics.AddToCounter("retries", 1)
+		g.metrics.AddToCounter("standby_moves", 1)
+	}
+	if errors.Is(err, errHedgeFirst) {
+		return
+	}
 	if !g.allowLog(logAttempt) {
 		return
 	}
--- a/daemons/gateway/watchdog.go
+++ b/daemons/gateway/watchdog.go
@@ -10,6 +10,7 @@
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 )
 
 const (
@@ -61,6 +62,12 @@
 	// standby is the newest standby, and earlier are those that have failed.
 	standby *standby
 	earlier []*standby
+	// candidate lets the request be hedged, and hedgeTimer starts the hedge. answered means that
+	// the server has sent its first output, and hedgeOutcome is that of the hedge so far.
+	candidate    hedge.Candidate
+	hedgeTimer   *time.Timer
+	answered     bool
+	hedgeOutcome string
 }
 
 func newWatchdog(x *exchange) *watchdog {
@@ -115,6 +122,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.writing = !w.moved
+	if w.writing {
+		w.answer()
+	}
 	return w.writing
 }
 
@@ -167,6 +177,11 @@
 		return // takeStandby decides
 	case s.err != nil:
 		w.standby, w.earlier = nil, append(w.earlier, s)
+	case s.x.hedge && !w.hedgeOpened(s):
+		w.standby, w.earlier = nil, append(w.earlier, s)
+	case s.x.hedge:
+		w.moved = true
+		w.x.conn.Abort()
 	case w.writing || w.lastProgressAt.After(s.x.startedAt):
 		s.abandon()
 		w.standby, w.earlier = nil, append(w.earlier, s)
@@ -228,6 +243,9 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	if w.hedgeTimer != nil {
+		w.hedgeTimer.Stop()
+	}
 	return !w.moved
 }
 
