--- a/serve/hedge/pool_test.go
+++ b/serve/hedge/pool_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -259,8 +258,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			without, with := simulate(t, 0, c.trouble), simulate(t, poolShare, c.trouble)
 			extra := float64(with.extra) / float64(with.requests)
-			t.Log(fmt.Sprintf("p99 without hedging %v, with %v; extra work %.2f%%; refused %v",
-				without.p99.Round(time.Millisecond), with.p99.Round(time.Millisecond), 100*extra, with.refused))
+			t.Logf("p99 without hedging %v, with %v; extra work %.2f%%; refused %v",
+				without.p99.Round(time.Millisecond), with.p99.Round(time.Millisecond), 100*extra, with.refused)
 			require.Zero(t, without.extra)
 			require.LessOrEqual(t, float64(with.extra), poolShare*float64(with.requests+hedge.Window))
 			switch {
