--- a/balance/placement/health.go
+++ b/balance/placement/health.go
@@ -55,6 +55,23 @@
 	return slowdown
 }
 
+// ObserveSlowdownAtLeast records that the duration of a request on a server would have been
+// at least this, relative to the usual one. It raises the slowdown or leaves it.
+func (s *Scheduler[T]) ObserveSlowdownAtLeast(now time.Time, id string, observed float64) {
+	if observed > s.Slowdown(now, id) {
+		s.ObserveSlowdown(now, id, observed)
+	}
+}
+
+// Slowdown returns the measured slowdown of a server, which decays towards 1 with its age.
+func (s *Scheduler[T]) Slowdown(now time.Time, id string) float64 {
+	srv, ok := s.servers[id]
+	if !ok {
+		return 1
+	}
+	return srv.decayedSlowdown(now)
+}
+
 // SetCooldown keeps requests away from a server until the given time, unless all
 // other servers are in cooldown or full.
 func (s *Scheduler[T]) SetCooldown(id string, until time.Time) {
--- a/daemons/gateway/service.go
+++ b/daemons/gateway/service.go
@@ -22,6 +22,7 @@
 	"github.com/filbertmux/filbertmux/base/infra"
 	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/serve/fairqueue"
+	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/retry"
 )
 
@@ -129,6 +130,9 @@
 	// reportedHeldBack are the numbers of servers held back that the metrics show. They belong
 	// to the goroutine that reports them and not to the mutex.
 	reportedHeldBack placement.HeldBack
+	// hedger decides about hedges. It is nil if requests aren't hedged, which doesn't change,
+	// so that may be read without the mutex.
+	hedger *hedge.Hedger
 }
 
 // waiter is a request that waits for a slot.
