--- a/balance/placement/memory.go
+++ b/balance/placement/memory.go
@@ -132,11 +132,11 @@
 	}
 }
 
-// startLarge starts the requests that wait for memory, in their order, while goOn returns true.
+// startLarge starts the requests that wait for memory, in their order, while allowed returns true.
 // They have a queue of their own, so that they don't keep smaller ones from starting.
-func (s *Scheduler[T]) startLarge(now time.Time, goOn func() bool) []Outcome[T] {
+func (s *Scheduler[T]) startLarge(now time.Time, allowed func() bool) []Outcome[T] {
 	var out []Outcome[T]
-	for s.large.Len() > 0 && goOn() {
+	for s.large.Len() > 0 && allowed() {
 		t, picked := s.popLarge(now)
 		if t == nil {
 			break
@@ -166,7 +166,8 @@
 	if !s.hasRegions && !canStart(s.large.Peek().Value) {
 		return nil, nil
 	}
-	return s.large.PopFunc(canStart), picked
+	t := s.large.PopFunc(canStart) // sets picked
+	return t, picked
 }
 
 // largeGoesFirst reports whether the next request that waits for memory starts before the next
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -65,6 +65,9 @@
 	wrongServer bool
 	unsuitable  bool
 	groupDown   bool
+	// unused means that the response of a hedge is no fault of its server, but can't replace
+	// the first attempt.
+	unused bool
 	// heldBack means that the pace of the server no longer allowed to send the request when
 	// its connection was ready.
 	heldBack bool
@@ -298,7 +301,7 @@
 	}
 	if err != nil {
 		res.err = errkind.Of(err)
-		res.notServerFault = res.silentFor > 0 || x.unsuitable || x.evacuated || x.heldBack || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
+		res.notServerFault = res.silentFor > 0 || x.unsuitable || x.evacuated || x.heldBack || x.unused || errkind.Is(err, errkind.Canceled) || x.r.http.Context().Err() != nil
 		return res
 	}
 	res.duration, res.cost = now.Sub(x.startedAt), x.r.cost()
--- a/daemons/gateway/hedge.go
+++ b/daemons/gateway/hedge.go
@@ -32,7 +32,7 @@
 // hold a few tokens, and hedges are few, so these bytes aren't claimed.
 const maxFirstEvent = readBufferSize
 
-var errHedgeFirst = errors.New("another server had an output before")
+var errHedgeFirst = errors.New("another server sent its first output earlier")
 
 // EnableHedging makes the gateway hedge requests. It must be called before the gateway
 // serves.
@@ -252,16 +252,17 @@
 // attempt.
 func (x *exchange) awaitOutput(resp *http.Response) error {
 	if !isSuccess(resp.StatusCode) {
+		x.unused = true
 		return errkind.New(errkind.BackendFailed, "the hedge got status %d", resp.StatusCode)
 	}
 	if !x.isStream(resp) {
 		return nil
 	}
-	return awaitFirstEvent(resp)
+	return x.awaitFirstEvent(resp)
 }
 
 // awaitFirstEvent reads up to the end of the first event, and puts what it has read back.
-func awaitFirstEvent(resp *http.Response) error {
+func (x *exchange) awaitFirstEvent(resp *http.Response) error {
 	var head bytes.Buffer
 	var events eventstream.Splitter
 	buffer := make([]byte, maxFirstEvent)
@@ -269,7 +270,11 @@
 		n, err := resp.Body.Read(buffer[:maxFirstEvent-head.Len()])
 		head.Write(buffer[:n])
 		events.Write(buffer[:n])
-		if _, ok, _ := events.Next(); ok {
+		_, ok, malformed := events.Next()
+		if malformed != nil {
+			return malformed
+		}
+		if ok {
 			resp.Body = prefixedBody{io.MultiReader(&head, resp.Body), resp.Body}
 			return nil
 		}
@@ -277,6 +282,7 @@
 			return errkind.Wrap(errkind.StreamIncomplete, err, "no event from the server")
 		}
 	}
+	x.unused = true
 	return errkind.New(errkind.StreamIncomplete, "no end of the first event within %d bytes", maxFirstEvent)
 }
 
--- a/daemons/gateway/hedge_test.go
+++ b/daemons/gateway/hedge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/filbertmux/filbertmux/balance/placement"
 	"github.com/filbertmux/filbertmux/base/clock"
+	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform/platformtest"
 	"github.com/filbertmux/filbertmux/serve/hedge"
 	"github.com/filbertmux/filbertmux/serve/quarantine"
@@ -432,3 +433,12 @@
 		})
 	}
 }
+
+// Guards against a server that is left out as faulty because a hedge got a response that
+// can't replace the first attempt: a status that callers may get from any server.
+func TestUnusedHedgeIsNoServerFault(t *testing.T) {
+	x := newWatchedExchange(t, watchedKind{kind: fleet.Idempotent, load: 1})
+	err := x.awaitOutput(&http.Response{StatusCode: http.StatusNotFound})
+	require.Error(t, err)
+	require.True(t, x.result(err).notServerFault)
+}
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -168,26 +168,44 @@
 // reportBytesPerSecond, and at least once per maxReportInterval.
 func (p *peerExchange) send(ctx context.Context) error {
 	var last map[string]int
-	var lastAt time.Time
+	var schedule reportSchedule
 	interval := minReportInterval
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, interval)
 		now := clock.Now()
 		load := p.services.ownLoad()
-		due := now.Sub(lastAt) >= maxReportInterval
-		if !due && maps.Equal(load, last) {
-			continue
+		send, expire := schedule.next(now, !maps.Equal(load, last))
+		if send {
+			bytes := p.sendLoad(now, load, false)
+			interval = max(minReportInterval, time.Duration(bytes)*time.Second/reportBytesPerSecond)
+			last = load
 		}
-		bytes := p.sendLoad(now, load, false)
-		interval = max(minReportInterval, time.Duration(bytes)*time.Second/reportBytesPerSecond)
-		last, lastAt = load, now
-		if due {
+		if expire {
 			p.expirePeers(now)
 		}
 	}
 	return nil
 }
 
+// reportSchedule decides when load reports are sent and silent peers expired.
+type reportSchedule struct {
+	sentAt, expiredAt time.Time
+}
+
+// next reports whether a report is sent now, and whether peers are expired. changed means that
+// the load has changed since the last report.
+func (s *reportSchedule) next(now time.Time, changed bool) (send, expire bool) {
+	send = changed || now.Sub(s.sentAt) >= maxReportInterval
+	expire = now.Sub(s.expiredAt) >= maxReportInterval
+	if send {
+		s.sentAt = now
+	}
+	if expire {
+		s.expiredAt = now
+	}
+	return send, expire
+}
+
 // expirePeers drops the load of gateways that no longer send reports, and divides
 // the retry budget and the limits of the servers among the gateways.
 func (p *peerExchange) expirePeers(now time.Time) {
