--- a/daemons/sidecar/attempt.go
+++ b/daemons/sidecar/attempt.go
@@ -31,7 +31,7 @@
 	cancel      context.CancelFunc
 
 	// memory is what the attempt takes, or nil. answerBytes is the part of it for the answer
-	// of a non-idempotent call; it belongs to the goroutine that runs the call.
+	// of a non-idempotent call; guarded by mu, because a call may end before its run.
 	memory      *inbound.Request
 	answerBytes int
 	// replay is the size of the replay buffer, and maxReplay its bound; guarded by mu.
--- a/daemons/sidecar/memory.go
+++ b/daemons/sidecar/memory.go
@@ -111,9 +111,9 @@
 	}
 	a.memory.ReleaseBody()
 	a.memory.ReleaseProgress(min(firstReplayBytes, a.maxReplay))
-	a.memory.Shrink(a.answerBytes)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.memory.Shrink(a.answerBytes)
 	buffered := a.sender.BufferedBytes()
 	if a.replay > max(buffered, firstReplayBytes) {
 		a.memory.Shrink(a.replay - buffered)
@@ -201,6 +201,9 @@
 			return errkind.New(errkind.BackendFailed, "no memory for %d bytes of the response", n)
 		}
 	}
+	// The call of a booking may end before its run does.
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.answerBytes += n
 	return nil
 }
