Remove servers that left during a silence of the store in time

Cause: the end of a silence was noticed up to 1.8 s late (a call's timeout of 0.9 s, then a backoff of up to 0.9 s), and from there a missing server stayed in use for 2.1 s. The bounds apply 3 s after the silence. Any failed call began the grace period, also one between two good reads, when no registration can have expired.

Ruled out: a late list at the other gateways (they stop within 0.1 s), and a server that is listed again.

Change: while the store is lost, the servers are read each 0.45 s, also beside calls that wait. The grace period ends StablePeriod after the latest call without a response, and begins only after an outage of two heartbeat intervals or if the store has started over.

--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -10,17 +11,13 @@
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/base/errkind"
-	"github.com/filbertmux/filbertmux/config/fleet"
 	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
-	// drainMargin is how long before the drain bound the servers are read again.
-	// It covers the read itself and the requests that are just being sent.
-	drainMargin = 650 * time.Millisecond
-	// minServerInterval is the shortest time between two reads of the servers. It
-	// applies when a refresh is requested.
-	minServerInterval = 250 * time.Millisecond
+	// overlapInterval is the mean time after which a call to a store that has failed before
+	// is followed by another one, although it has got no response yet.
+	overlapInterval = 450 * time.Millisecond
 	// minBackoff and maxBackoff limit the exponential backoff after a failed
 	// call. It is jittered, because all instances call the store as soon as it is
 	// available again.
@@ -38,8 +35,10 @@
 	// snapshot makes the next read start over with the newest record of each key.
 	snapshot bool
 	failures int
-	// failingSince is the time of the first of the consecutive failures.
+	// failingSince is the time of the first of the consecutive failures, and lastFailure when
+	// the latest call before the next successful one was sent.
 	failingSince time.Time
+	lastFailure  time.Time
 	// startedOver means that the store has started over since the last successful read.
 	startedOver bool
 }
@@ -61,34 +60,127 @@
 	sent     time.Time
 	received time.Time
 	// recovered means that this is the first successful read after a failure, or after the
-	// store has started over.
-	recovered bool
+	// store has started over. lastFailure is when the latest call that failed was sent, or
+	// zero.
+	recovered   bool
+	startedOver bool
+	lastFailure time.Time
+}
+
+// topicRead says what a read asks for.
+type topicRead struct {
+	next     int64
+	snapshot bool
+	// pollTimeout is how long the store waits for new records.
+	pollTimeout time.Duration
+	sent        time.Time
+}
+
+func (f *topicFollower) newRequest(pollTimeout time.Duration) topicRead {
+	return topicRead{next: f.next, snapshot: f.snapshot, pollTimeout: pollTimeout, sent: clock.Now()}
 }
 
 // read performs one read, which waits up to pollTimeout for new records. After an
 // error the caller must wait for the duration that backoff returns.
 func (f *topicFollower) read(ctx context.Context, pollTimeout time.Duration) (topicUpdate, error) {
-	u := topicUpdate{sent: clock.Now(), snapshot: f.snapshot}
+	r := f.newRequest(pollTimeout)
+	u, err := f.fetch(ctx, r)
+	if err != nil {
+		f.recordFailure(r.sent, err)
+		return topicUpdate{}, err
+	}
+	return f.recordSuccess(u), nil
+}
+
+// readResult is the result of a read.
+type readResult struct {
+	request topicRead
+	update  topicUpdate
+	err     error
+}
+
+// readUntilResponse reads until a read succeeds. While the store is lost, it doesn't wait for
+// the timeout of a call before it sends the next one, so that it notices soon that the store
+// responds again. It returns false if ctx has ended.
+func (f *topicFollower) readUntilResponse(ctx context.Context) (topicUpdate, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan readResult)
+	var pending []topicRead
+	var next <-chan time.Time
+	start := func() {
+		r := f.newRequest(0)
+		pending = append(pending, r)
+		go f.fetchAsync(ctx, r, results)
+		next = nil
+		if f.failures > 0 {
+			next = time.After(jitter(overlapInterval))
+		}
+	}
+	for start(); ; {
+		select {
+		case r := <-results:
+			pending = slices.DeleteFunc(pending, func(p topicRead) bool { return p == r.request })
+			if r.err == nil {
+				f.recordUnanswered(pending, r.request.sent)
+				return f.recordSuccess(r.update), true
+			}
+			f.recordFailure(r.request.sent, r.err)
+			if len(pending) == 0 {
+				next = time.After(f.backoff())
+			}
+		case <-next:
+			start()
+		case <-ctx.Done():
+			return topicUpdate{}, false
+		}
+	}
+}
+
+// fetchAsync sends the result of a read to results, unless ctx ends before.
+func (f *topicFollower) fetchAsync(ctx context.Context, r topicRead, results chan<- readResult) {
+	u, err := f.fetch(ctx, r)
+	select {
+	case results <- readResult{request: r, update: u, err: err}:
+	case <-ctx.Done():
+	}
+}
+
+// fetch calls the store. It changes nothing in f.
+func (f *topicFollower) fetch(ctx context.Context, r topicRead) (topicUpdate, error) {
+	u := topicUpdate{sent: r.sent, snapshot: r.snapshot}
 	var err error
-	if f.snapshot {
+	if r.snapshot {
 		u.complete = true
 		u.records, u.next, err = f.store.ReadNewest(ctx, f.topic)
 	} else {
 		var b platform.KeyedBatch
-		b, err = f.store.ReadKeyedBatch(ctx, f.topic, f.next, pollTimeout)
+		b, err = f.store.ReadKeyedBatch(ctx, f.topic, r.next, r.pollTimeout)
 		u.records, u.next, u.complete = b.Records, b.Next, len(b.Records) == 0 || b.Next >= b.EndOffset
 	}
 	u.received = clock.Now()
-	if err != nil {
-		f.recordFailure(err)
-		return topicUpdate{}, err
+	return u, err
+}
+
+// recordUnanswered records the calls that were sent before a successful one and have no
+// response yet. The store was out of reach for them.
+func (f *topicFollower) recordUnanswered(pending []topicRead, before time.Time) {
+	for _, r := range pending {
+		if r.sent.Before(before) && r.sent.After(f.lastFailure) {
+			f.lastFailure = r.sent
+		}
 	}
+}
+
+// recordSuccess records a successful read and returns it with what happened before it.
+func (f *topicFollower) recordSuccess(u topicUpdate) topicUpdate {
+	u.lastFailure, u.startedOver = f.lastFailure, f.startedOver
 	u.recovered = f.recordRecovery()
 	f.next, f.snapshot = u.next, false
-	return u, nil
+	return u
 }
 
-func (f *topicFollower) recordFailure(err error) {
+func (f *topicFollower) recordFailure(sent time.Time, err error) {
 	if errkind.Is(err, errkind.RecordsTrimmed) {
 		f.snapshot = true
 		f.startedOver = f.startedOver || errors.Is(err, platform.ErrStartedOver)
@@ -97,6 +189,7 @@
 		return
 	}
 	f.store.CloseIdleConnections()
+	f.lastFailure = sent
 	f.failures++
 	if f.failures == 1 {
 		f.failingSince = clock.Now()
@@ -107,6 +200,7 @@
 func (f *topicFollower) recordRecovery() bool {
 	startedOver := f.startedOver
 	f.startedOver = false
+	f.lastFailure = time.Time{}
 	if f.failures == 0 {
 		return startedOver
 	}
@@ -128,69 +222,10 @@
 			break
 		}
 	}
-	return time.Duration((0.5 + rand.Float64()) * float64(wait))
-}
-
-// serverInterval returns the time between reads of the servers. Reads are
-// billed, so they are only as frequent as the drain bound requires.
-func serverInterval(b *platform.Bounds) time.Duration {
-	return max(b.DrainTime-drainMargin, minServerInterval)
-}
-
-// FollowServers keeps the registered servers in state up to date until ctx ends.
-// It calls changed after each read. A value on refresh triggers an early read.
-func FollowServers(
-	ctx context.Context, store *platform.StoreClient, state *ClusterState, log zerolog.Logger,
-	bounds func() *platform.Bounds, refresh <-chan struct{}, changed func(),
-) error {
-	f := newTopicFollower(store, platform.ServerTopic, log)
-	var removals pendingRemovals
-	for ctx.Err() == nil {
-		u, err := f.read(ctx, 0)
-		if err != nil {
-			clock.Sleep(ctx, f.backoff())
-			continue
-		}
-		changes := decodeServers(u.records, u.received, log)
-		state.UpdateServers(func(s *fleet.Servers) {
-			removals.apply(s, changes, u, bounds().DrainTime, log)
-		})
-		changed()
-		clock.Sleep(ctx, minServerInterval)
-		next := removals.untilNext(clock.Now(), serverInterval(bounds())-minServerInterval)
-		select {
-		case <-refresh:
-		case <-ctx.Done():
-		case <-time.After(next):
-		}
-	}
-	return nil
-}
-
-// decodeServers returns the changes of the registrations. A record that can't be read names
-// no server to use: the server under its key counts as removed, and without a key it is
-// ignored. received is when the records were read.
-func decodeServers(records []platform.KeyedRecord, received time.Time, log zerolog.Logger) []fleet.ServerChange {
-	changes := make([]fleet.ServerChange, 0, len(records))
-	for _, r := range records {
-		server, err := decodeServer(r)
-		if err != nil {
-			log.Warn().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; treating the server as removed")
-		}
-		if server != nil && server.ColdRemaining > 0 {
-			server.ColdUntil = received.Add(server.ColdRemaining)
-		}
-		if r.Key != "" {
-			changes = append(changes, fleet.ServerChange{ID: r.Key, Offset: r.Offset, Server: server})
-		}
-	}
-	return changes
+	return jitter(wait)
 }
 
-// decodeServer returns the registered server, or nil if it was removed.
-func decodeServer(r platform.KeyedRecord) (*fleet.Server, error) {
-	if r.Err != nil || len(r.Value) == 0 {
-		return nil, r.Err
-	}
-	return platform.DecodeServer(r.Key, r.Value)
+// jitter returns a random duration between half and one and a half times d.
+func jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + rand.Float64()) * float64(d))
 }
--- a/daemons/gateway/removals.go
+++ b/daemons/gateway/removals.go
@@ -8,46 +8,45 @@
 	"github.com/rs/zerolog"
 
 	"github.com/filbertmux/filbertmux/config/fleet"
+	"github.com/filbertmux/filbertmux/platform"
 )
 
 const (
 	// recoveryGrace is how long servers that are missing from the list after a store
 	// outage stay in use. Live servers register again within 2 s.
 	recoveryGrace = 2100 * time.Millisecond
-	// sendMargin is how long before the drain bound a missing server is removed. It
-	// covers the requests that are just being sent.
+	// sendMargin is how long before the bound a missing server is removed. It covers the
+	// requests that are just being sent.
 	sendMargin = 200 * time.Millisecond
+	// minExpiryHeartbeats is the shortest outage in which registrations expire, in heartbeat
+	// intervals. They expire after three without a heartbeat, and the last one may have been
+	// an interval before the outage.
+	minExpiryHeartbeats = 2
 )
 
 // pendingRemovals delays the removal of servers after a store outage. During an
 // outage, registrations expire although their servers are alive, and removing all
 // of these servers at once would leave a service without servers.
 //
-// A server that is still listed in the first read after an outage, and not in a later
-// one, may have left: the store may have been out of reach for this gateway only. Such
-// a server is removed within the drain bound.
+// The store may have been out of reach for this gateway only, and what is missing may
+// have left. So a server that is missing in the first read after an outage is removed
+// before the bounds apply to this gateway again, StablePeriod after the outage. One that
+// is still listed in that read, and not in a later one, is removed within the drain bound.
 type pendingRemovals struct {
 	// until is the end of the grace period after an outage.
 	until time.Time
-	// lastRead is when the last read was sent.
+	// lastRead is when the last successful read was sent.
 	lastRead time.Time
 	// missing holds the times at which missing servers are removed.
 	missing map[string]time.Time
 }
 
-// apply applies the changes of one read. drainTime is the time after its removal in
-// which a server has to get no more requests.
+// apply applies the changes of one read.
 func (p *pendingRemovals) apply(
-	s *fleet.Servers, changes []fleet.ServerChange, u topicUpdate, drainTime time.Duration, log zerolog.Logger,
+	s *fleet.Servers, changes []fleet.ServerChange, u topicUpdate, bounds *platform.Bounds, log zerolog.Logger,
 ) {
 	now := u.received
-	if u.recovered {
-		p.until = now.Add(recoveryGrace)
-	}
-	removeAt := p.until
-	if bound := p.lastRead.Add(drainTime - sendMargin); !u.recovered && bound.Before(removeAt) {
-		removeAt = bound
-	}
+	removeAt := p.removalTime(u, bounds)
 	p.lastRead = u.sent
 	if u.snapshot {
 		changes = append(changes, missingServers(s, changes)...)
@@ -58,7 +57,8 @@
 		switch {
 		case c.Server == nil && known && now.Before(removeAt):
 			p.markMissing(c.ID, removeAt)
-			log.Info().Str("server", c.ID).Msg("backend server missing after an outage of the store")
+			log.Info().Str("server", c.ID).Dur("grace_ms", removeAt.Sub(now)).
+				Msg("backend server missing after an outage of the store")
 			continue
 		case c.Server == nil && known:
 			log.Info().Str("server", c.ID).Str("service", before.Service).Msg("backend server gone")
@@ -73,6 +73,38 @@
 	p.removeMissing(s, now, log)
 }
 
+// removalTime returns when servers are removed that are missing in a read. It is in the past
+// if that is at once.
+func (p *pendingRemovals) removalTime(u topicUpdate, bounds *platform.Bounds) time.Time {
+	if u.recovered && p.mayHaveExpired(u, bounds) {
+		p.until = earlier(u.received.Add(recoveryGrace), p.disturbed(u).Add(bounds.StablePeriod-sendMargin))
+		return p.until
+	}
+	return earlier(p.until, p.lastRead.Add(bounds.DrainTime-sendMargin))
+}
+
+// mayHaveExpired reports whether registrations of live servers may have been lost since the
+// last read.
+func (p *pendingRemovals) mayHaveExpired(u topicUpdate, bounds *platform.Bounds) bool {
+	return u.startedOver || u.received.Sub(p.lastRead) >= minExpiryHeartbeats*bounds.HeartbeatInterval
+}
+
+// disturbed returns the latest time at which the store is known to have been out of reach. If
+// no call has failed, the store was away at some time after the last read.
+func (p *pendingRemovals) disturbed(u topicUpdate) time.Time {
+	if u.lastFailure.IsZero() {
+		return p.lastRead
+	}
+	return u.lastFailure
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (p *pendingRemovals) markMissing(id string, removeAt time.Time) {
 	if p.missing == nil {
 		p.missing = make(map[string]time.Time)
