Ignore registrations of servers that are stored late

Cause: registrations have a number that rises, which wasn't read; the record that was stored last counted. A removed server was forgotten at once. A store that comes back from an older copy lists such registrations as well.

Change: fleet.Servers compares registrations by start time and number, and remembers those of removed servers for a minute. The rank agent had the same fault with the addresses of ranks and uses fleet.Servers too. The entry and the sidecar of the own interface have other rules (a probe decides) and stay.

--- a/daemons/gateway/follow_servers.go
+++ b/daemons/gateway/follow_servers.go
@@ -69,7 +69,8 @@
 			server.ColdUntil = received.Add(server.ColdRemaining)
 		}
 		if r.Key != "" {
-			changes = append(changes, fleet.ServerChange{ID: r.Key, Offset: r.Offset, Server: server})
+			deleted := r.Err == nil && len(r.Value) == 0
+			changes = append(changes, fleet.ServerChange{ID: r.Key, Server: server, Deleted: deleted, Offset: r.Offset, ReadAt: received})
 		}
 	}
 	return changes
--- a/daemons/gateway/removals.go
+++ b/daemons/gateway/removals.go
@@ -37,8 +37,15 @@
 	until time.Time
 	// lastRead is when the last successful read was sent.
 	lastRead time.Time
-	// missing holds the times at which missing servers are removed.
-	missing map[string]time.Time
+	// missing holds the servers that are missing.
+	missing map[string]missingServer
+}
+
+// missingServer is a server that will be removed.
+type missingServer struct {
+	removeAt time.Time
+	// deleted means that its registration was deleted, and isn't only missing or invalid.
+	deleted bool
 }
 
 // apply applies the changes of one read.
@@ -49,14 +56,19 @@
 	removeAt := p.removalTime(u, bounds)
 	p.lastRead = u.sent
 	if u.snapshot {
-		changes = append(changes, missingServers(s, changes)...)
+		changes = append(changes, s.Missing(changes, now)...)
 	}
 	for _, c := range changes {
+		if s.Outdated(c) {
+			log.Info().Str("server", c.ID).Int64("offset", c.Offset).Int64("sequence", c.Server.Sequence).
+				Msg("older registration of a backend server; ignoring it")
+			continue
+		}
 		delete(p.missing, c.ID)
 		before, known := s.Get(c.ID)
 		switch {
 		case c.Server == nil && known && now.Before(removeAt):
-			p.markMissing(c.ID, removeAt)
+			p.markMissing(c, removeAt)
 			log.Info().Str("server", c.ID).Dur("grace_ms", removeAt.Sub(now)).
 				Msg("backend server missing after an outage of the store")
 			continue
@@ -105,21 +117,22 @@
 	return b
 }
 
-func (p *pendingRemovals) markMissing(id string, removeAt time.Time) {
+func (p *pendingRemovals) markMissing(c fleet.ServerChange, removeAt time.Time) {
 	if p.missing == nil {
-		p.missing = make(map[string]time.Time)
+		p.missing = make(map[string]missingServer)
 	}
-	p.missing[id] = removeAt
+	p.missing[c.ID] = missingServer{removeAt: removeAt, deleted: c.Deleted}
 }
 
 // removeMissing removes the servers that are still missing after their delay.
 func (p *pendingRemovals) removeMissing(s *fleet.Servers, now time.Time, log zerolog.Logger) {
 	for _, id := range slices.Sorted(maps.Keys(p.missing)) {
-		if now.Before(p.missing[id]) {
+		m := p.missing[id]
+		if now.Before(m.removeAt) {
 			continue
 		}
 		delete(p.missing, id)
-		s.Apply([]fleet.ServerChange{{ID: id}})
+		s.Apply([]fleet.ServerChange{{ID: id, Deleted: m.deleted, ReadAt: now}})
 		log.Info().Str("server", id).Msg("backend server gone")
 	}
 }
@@ -127,24 +140,8 @@
 // untilNext returns the time until a missing server has to be removed, or limit if that
 // is later.
 func (p *pendingRemovals) untilNext(now time.Time, limit time.Duration) time.Duration {
-	for _, removeAt := range p.missing {
-		limit = min(limit, max(removeAt.Sub(now), 0))
+	for _, m := range p.missing {
+		limit = min(limit, max(m.removeAt.Sub(now), 0))
 	}
 	return limit
 }
-
-// missingServers returns removals for the servers that are not in list, which
-// holds all registered servers.
-func missingServers(s *fleet.Servers, list []fleet.ServerChange) []fleet.ServerChange {
-	listed := make(map[string]bool, len(list))
-	for _, c := range list {
-		listed[c.ID] = true
-	}
-	var removals []fleet.ServerChange
-	for _, id := range s.IDs() {
-		if !listed[id] {
-			removals = append(removals, fleet.ServerChange{ID: id})
-		}
-	}
-	return removals
-}
--- a/daemons/rankagent/group.go
+++ b/daemons/rankagent/group.go
@@ -57,9 +57,11 @@
 	eventGapObjective time.Duration
 	// refusedConfig is the offset of the configuration whose fault was logged last, or nil.
 	refusedConfig *int64
-	peers         map[int]*peer
-	domains       map[int]string
-	refreshedAt   time.Time
+	// registered are the backend servers of all services.
+	registered  fleet.Servers
+	peers       map[int]*peer
+	domains     map[int]string
+	refreshedAt time.Time
 	// lastOrderAt is the time when the last order was sent, by rank.
 	lastOrderAt map[int]time.Time
 }
--- a/daemons/rankagent/members.go
+++ b/daemons/rankagent/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"time"
 
 	"github.com/filbertmux/filbertmux/base/clock"
 	"github.com/filbertmux/filbertmux/config/fleet"
@@ -103,24 +104,37 @@
 	if err != nil {
 		return err
 	}
+	g.applyRegistrations(records, clock.Now())
 	name, own, size := g.agent.Identity()
-	for _, r := range records {
-		s, err := decodeRank(r)
-		if err != nil {
-			g.log.Debug().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; ignoring it")
-			continue
-		}
+	for _, id := range g.registered.IDs() {
+		s, _ := g.registered.Get(id)
 		if s.Group != name || s.Service != g.service || s.Rank >= size {
 			continue // not a rank of this group
 		}
 		g.domains[s.Rank] = s.FailureDomain
 		if s.Rank != own {
-			g.addPeer(s)
+			g.addPeer(&s)
 		}
 	}
 	return nil
 }
 
+// applyRegistrations replaces the registrations by those of the store, except that an older
+// one of a server doesn't replace a later one.
+func (g *groupClient) applyRegistrations(records []platform.KeyedRecord, now time.Time) {
+	var listed []fleet.ServerChange
+	for _, r := range records {
+		s, err := decodeRank(r)
+		if err != nil {
+			g.log.Debug().Err(err).Str("server", r.Key).Msg("registration of a backend server can't be decoded; ignoring it")
+			continue
+		}
+		listed = append(listed, fleet.ServerChange{ID: r.Key, Server: s, Offset: r.Offset, ReadAt: now})
+	}
+	g.registered.Apply(g.registered.Missing(listed, now))
+	g.registered.Apply(listed)
+}
+
 func decodeRank(r platform.KeyedRecord) (*fleet.Server, error) {
 	if r.Err != nil {
 		return nil, r.Err
--- a/daemons/rankagent/rankagent_test.go
+++ b/daemons/rankagent/rankagent_test.go
@@ -375,6 +375,29 @@
 	require.Equal(t, hostOf(1)+":1", g.peers[1].address)
 }
 
+// Guards against calls to the address that a rank had before its restart, because the store has
+// executed an earlier write of it late.
+func TestOlderRegistrationOfRank(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	agent := NewAgent(nil, zerolog.Nop())
+	agent.identity = identity{size: ranks}
+	o := Options{Log: zerolog.Nop(), Settings: platform.Settings{PeerPort: agentPort, BackendService: platformtest.ModelService}}
+	g := newGroupClient(o, agent, platform.NewStoreClient(store.Address()))
+	d := &platformtest.Deployment{Store: store}
+	register := func(host int, p platformtest.Process) {
+		d.RegisterProcess("i-1", platformtest.ModelService, hostOf(host)+":1", p)
+		require.NoError(t, g.readPeers(t.Context()))
+	}
+	agent.identity.rank = 1
+	register(1, platformtest.Process{StartedUnixMs: 1000, Sequence: 7})
+	require.Equal(t, hostOf(1)+":1", g.peers[0].address)
+	register(2, platformtest.Process{StartedUnixMs: 9000, Sequence: 1})
+	require.Equal(t, hostOf(2)+":1", g.peers[0].address)
+	register(1, platformtest.Process{StartedUnixMs: 1000, Sequence: 8})
+	require.Equal(t, hostOf(2)+":1", g.peers[0].address)
+}
+
 // Guards against an agent that ends because the configuration states more layers than fit
 // into its memory, and against one that plans with a configuration that no process can serve.
 func TestConfigurationsWithoutPlannableMaps(t *testing.T) {
