Clear requests that crash servers only by complete responses

Cause: the third event of a stream counted as proof that the request is harmless. It cleared the crashes at all gateways and withdrew refusals. In the same place, a 5xx response and a response that ends with its connection cleared features as well.

Change: the request itself is cleared only by a complete response below 500. A response that ends with its connection clears suspected features only if the server accepts a new connection. A refusal is withdrawn if later reports on the same crash show that another feature explains it as well, and is stored after 0.5 s at the earliest.

Evidence: on the old code TestPromptPartThatCrashesServers fails for crashes after 3 and 5 events and for the same request (17 servers, 8 allowed), as do TestCloseDelimitedStreamClearsOnlyIfServerLives and TestServerErrorClearsNothing. The former replaces TestShortCloseDelimitedStreamClearsNothing, in which a server that was meant to crash lived on.

--- a/daemons/gateway/buffered.go
+++ b/daemons/gateway/buffered.go
@@ -60,13 +60,25 @@
 // serverDone gives the connection and the slot back after the response was read completely.
 // The caller may read it slowly.
 func (x *exchange) serverDone(resp *http.Response) {
-	if !isCloseDelimited(resp) {
-		x.g.crashes.recordResponse(x.r.features)
-	}
+	x.recordAnswered(resp)
 	x.reuseConnection(resp)
 	x.releaseSlot(nil)
 }
 
+// recordAnswered records that a complete response shows that the request doesn't crash its
+// server. Part of a response shows nothing: the server may crash at any time before the end.
+// Nor does an error of the server, which may not have run the request.
+func (x *exchange) recordAnswered(resp *http.Response) {
+	switch {
+	case resp.StatusCode >= http.StatusInternalServerError:
+	case !isCloseDelimited(resp):
+		x.g.crashes.recordResponse(x.r.features)
+	case !x.response.Leaving && x.g.crashes.suspects(x.r.features):
+		// The end of the connection may be a crash. A server that leaves may end as well.
+		go x.g.crashes.checkAnswered(x.r.lost, x.server)
+	}
+}
+
 // releaseSlot gives the slot back, with the result of the exchange, unless it was given back
 // before.
 func (x *exchange) releaseSlot(err error) {
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -48,7 +48,7 @@
 	id          string
 	fingerprint quarantine.Fingerprint
 	promptParts []string
-	// events is the number of events that the caller had got.
+	// events is the number of events of a stream that the server had sent.
 	events int
 }
 
@@ -102,6 +102,17 @@
 	}
 }
 
+// recordProgress records the number of events of a stream that a server has sent. They may
+// show that parts of the prompt don't crash servers.
+func (c *crashTracker) recordProgress(features []quarantine.Feature, events int) {
+	c.mu.Lock()
+	cleared := c.counter.RecordProgress(features, events)
+	c.mu.Unlock()
+	if len(cleared.Features) > 0 {
+		c.reportResponse(cleared.Features)
+	}
+}
+
 // clear removes the suspicion of features.
 func (c *crashTracker) clear(features []quarantine.Feature) quarantine.Clearance {
 	c.mu.Lock()
@@ -119,32 +130,56 @@
 	}
 }
 
-// checkServer determines whether a server whose connection broke has crashed. A
-// server that accepts a new connection has not crashed, and the connection goes to
-// the pool.
+// checkServer determines whether a server whose connection broke has crashed, and records
+// the crash.
 func (c *crashTracker) checkServer(r lostRequest, s fleet.Server) {
 	time.Sleep(crashCheckDelay)
+	if err := c.connect(s); err != nil {
+		c.serverLost(r, s, err)
+	}
+}
+
+// checkAnswered determines whether a server crashed as it ended a connection, whose end is
+// that of a response, and records the crash or the response.
+func (c *crashTracker) checkAnswered(r lostRequest, s fleet.Server) {
+	time.Sleep(crashCheckDelay)
+	if err := c.connect(s); err != nil {
+		c.serverLost(r, s, err)
+		return
+	}
+	c.recordResponse(r.features())
+}
+
+// connect opens a connection to a server, which goes to the pool. A server that accepts one
+// has not crashed.
+func (c *crashTracker) connect(s fleet.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	conn, err := c.pool.Get(ctx, s.Address, 0)
 	if err == nil {
 		c.pool.Put(conn, 0)
-		return
 	}
+	return err
+}
+
+// serverLost records a crash, unless another gateway has reported it before, and tells the
+// other gateways.
+func (c *crashTracker) serverLost(r lostRequest, s fleet.Server, cause error) {
 	crashID := s.ID + "@" + time.UnixMilli(s.StartedUnixMs).UTC().Format(time.RFC3339Nano)
-	if c.recordCrash(r.features(), crashID) {
-		c.metrics.AddToCounter("crashes_detected", 1)
-		c.log.Warn().Err(err).Str("server", s.ID).Str("fingerprint", r.fingerprint.BodyHash).
-			Str("organisation", r.fingerprint.Organisation).Str("request_id", r.id).
-			Strs("prompt_parts", r.promptParts).Int("events", r.events).
-			Msg("backend server lost with a request in flight")
-		c.reportCrash(r, crashID)
+	if !c.recordCrash(r.features(), r.events, crashID) {
+		return
 	}
+	c.metrics.AddToCounter("crashes_detected", 1)
+	c.log.Warn().Err(cause).Str("server", s.ID).Str("fingerprint", r.fingerprint.BodyHash).
+		Str("organisation", r.fingerprint.Organisation).Str("request_id", r.id).
+		Strs("prompt_parts", r.promptParts).Int("events", r.events).
+		Msg("backend server lost with a request in flight")
+	c.reportCrash(r, crashID)
 }
 
 // recordReport records a crash that another gateway has detected.
 func (c *crashTracker) recordReport(r lostRequest, crashID string) {
-	if !c.recordCrash(r.features(), crashID) {
+	if !c.recordCrash(r.features(), r.events, crashID) {
 		return
 	}
 	c.metrics.AddToCounter("crashes_reported", 1)
@@ -157,13 +192,20 @@
 // reports whether it was unknown before. The crash ID consists of the server ID and
 // the start time of the process, so that a crash that several gateways report
 // counts once.
-func (c *crashTracker) recordCrash(features []quarantine.Feature, crashID string) bool {
+func (c *crashTracker) recordCrash(features []quarantine.Feature, events int, crashID string) bool {
+	now := clock.Now()
 	c.mu.Lock()
-	isNew, refusals := c.counter.RecordCrash(clock.Now(), crashID, features)
+	isNew, refusals := c.counter.RecordCrash(now, crashID, features, events)
+	withdrawn := c.counter.Reconsider(now)
 	c.mu.Unlock()
-	for _, r := range refusals {
-		c.logRefusal(r)
-		c.keepRefusal(refusalChange{refusal: r})
+	for _, refusal := range refusals {
+		c.logRefusal(refusal)
+		c.keepRefusal(refusalChange{refusal: refusal})
+	}
+	for _, refusal := range withdrawn {
+		c.log.Info().Strs("features", quarantine.FeatureNames(refusal.Features)).
+			Msg("requests with these features are no longer refused: others explain the crashes as well")
+		c.keepRefusal(refusalChange{refusal: refusal, withdrawn: true})
 	}
 	return isNew
 }
--- a/daemons/gateway/crashes_test.go
+++ b/daemons/gateway/crashes_test.go
@@ -90,7 +90,8 @@
 }
 
 // Guards against requests that share one part of their prompt, and nothing else, and
-// crash one server after another, and against refusing sound requests that share
+// crash one server after another, at once or after some events of their streams, against
+// the same request that comes again, and against refusing sound requests that share
 // another part with them.
 func TestPromptPartThatCrashesServers(t *testing.T) {
 	const (
@@ -102,25 +103,42 @@
 		maxCrashes = 5
 		maxLater   = 3
 	)
-	servers := make([]*platformtest.Server, 24)
-	for i := range servers {
-		servers[i] = platformtest.NewServer(fmt.Sprintf("s%d", i))
-		defer servers[i].Close()
-		servers[i].CrashOnPromptPart(bad)
+	for _, c := range []struct {
+		// events is the number of events after which a server crashes.
+		events      int
+		sameRequest bool
+	}{{}, {events: 1}, {events: 3}, {events: 5}, {events: 3, sameRequest: true}} {
+		t.Run(fmt.Sprintf("events=%d,sameRequest=%t", c.events, c.sameRequest), func(t *testing.T) {
+			servers := make([]*platformtest.Server, 24)
+			for i := range servers {
+				servers[i] = platformtest.NewServer(fmt.Sprintf("s%d", i))
+				defer servers[i].Close()
+				servers[i].CrashOnPromptPartAfter(bad, c.events)
+				servers[i].SetDelay(5 * time.Millisecond)
+			}
+			f := newModelFixture(t, servers...)
+			for n := range poisonRequests {
+				own := fmt.Sprintf("own%d", n)
+				request := own
+				if c.sameRequest {
+					request = "own"
+				}
+				f.send(http.MethodPost, streamPath, "bad"+request, platformtest.WithPrompt(shared, bad, request))
+				f.deregisterCrashed(servers)
+				sound := f.send(http.MethodPost, streamPath, "good"+own, platformtest.WithPrompt(shared, own))
+				require.Equal(t, http.StatusOK, sound.status)
+				require.True(t, sound.complete)
+			}
+			require.LessOrEqual(t, f.deregisterCrashed(servers), maxCrashes+maxLater, "requests with the part that reached a server")
+			id, parts := "last", []string{"other", bad, "own"}
+			if c.sameRequest {
+				id, parts = "badown", []string{shared, bad, "own"}
+			}
+			resp := f.send(http.MethodPost, streamPath, id, platformtest.WithPrompt(parts...))
+			require.Equal(t, http.StatusServiceUnavailable, resp.status)
+			require.NotEmpty(t, resp.header.Get("Retry-After"))
+		})
 	}
-	f := newModelFixture(t, servers...)
-	for n := range poisonRequests {
-		own := fmt.Sprintf("own%d", n)
-		f.send(http.MethodPost, streamPath, "bad"+own, platformtest.WithPrompt(shared, bad, own))
-		f.deregisterCrashed(servers)
-		sound := f.send(http.MethodPost, streamPath, "good"+own, platformtest.WithPrompt(shared, own))
-		require.Equal(t, http.StatusOK, sound.status)
-		require.True(t, sound.complete)
-	}
-	require.LessOrEqual(t, f.deregisterCrashed(servers), maxCrashes+maxLater, "requests with the part that reached a server")
-	resp := f.send(http.MethodPost, streamPath, "last", platformtest.WithPrompt("other", bad, "own"))
-	require.Equal(t, http.StatusServiceUnavailable, resp.status)
-	require.NotEmpty(t, resp.header.Get("Retry-After"))
 }
 
 // deregisterCrashed removes the crashed servers from the model service, waits until
@@ -150,8 +168,8 @@
 	other.CrashOnPromptPart("bad")
 	f := newModelFixture(t, s, other)
 	bad := []quarantine.Feature{{Service: platformtest.ModelService, Kind: quarantine.PromptPart, ID: "bad"}}
-	f.gateway.crashes.recordCrash(bad, "first")
-	f.gateway.crashes.recordCrash(bad, "second")
+	f.gateway.crashes.recordCrash(bad, 0, "first")
+	f.gateway.crashes.recordCrash(bad, 0, "second")
 	resp := f.send(http.MethodPost, streamPath, "a1", platformtest.WithPrompt("bad", "own"))
 	require.Equal(t, http.StatusBadGateway, resp.status, "it may have run")
 	require.NotEqual(t, s.Crashed(), other.Crashed(), "only one server has crashed")
@@ -200,17 +218,48 @@
 }
 
 // Guards against a crash after the first events that clears its own cause, because the
-// end of the connection looks like the end of the response.
-func TestShortCloseDelimitedStreamClearsNothing(t *testing.T) {
-	s := platformtest.NewServer("s1", platformtest.TwoEventStream)
+// end of the connection looks like the end of the response, and against a sound part that
+// is suspected for good because all servers end their responses in this way.
+func TestCloseDelimitedStreamClearsOnlyIfServerLives(t *testing.T) {
+	s, other := platformtest.NewServer("s1", platformtest.CrashAfterTwoEvents), platformtest.NewServer("s2")
 	defer s.Close()
+	defer other.Close()
 	f := newModelFixture(t, s)
 	features := []quarantine.Feature{{Service: platformtest.ModelService, Kind: quarantine.PromptPart, ID: "part"}}
-	f.gateway.crashes.recordCrash(features, "crash")
+	f.gateway.crashes.recordCrash(features, 0, "crash")
 	require.True(t, f.send(http.MethodPost, streamPath, "a1", platformtest.WithPrompt("part", "own")).complete)
+	f.eventually(func() bool { return f.countLogs("backend server lost with a request in flight") == 1 })
 	require.True(t, f.gateway.crashes.suspects(features))
-	require.True(t, f.send(http.MethodPost, streamPath, "a2", platformtest.WithPrompt("part", "own")).complete)
-	require.False(t, f.gateway.crashes.suspects(features), "a complete stream of six events clears the part")
+
+	f.deploy.Register(other.ID, platformtest.ModelService, other.Address())
+	f.gateway.requestServerRefresh()
+	f.eventually(func() bool { _, ok := f.gateway.state.Server(other.ID); return ok })
+	f.deregisterCrashed([]*platformtest.Server{s, other})
+	resp := f.send(http.MethodPost, streamPath, "a2", platformtest.WithPrompt("part", "own"))
+	require.Equal(t, http.StatusOK, resp.status)
+	require.Equal(t, events(0), resp.body)
+	f.eventually(func() bool { return !f.gateway.crashes.suspects(features) })
+
+	other.SetBehaviours(platformtest.TwoEventStream)
+	f.gateway.crashes.recordCrash(features, 0, "another crash")
+	require.True(t, f.send(http.MethodPost, streamPath, "a3", platformtest.WithPrompt("part", "own")).complete)
+	f.eventually(func() bool { return !f.gateway.crashes.suspects(features) })
+}
+
+// Guards against an error of a failing server, which may not have run the request, that
+// clears what crashes other servers.
+func TestServerErrorClearsNothing(t *testing.T) {
+	s := platformtest.NewServer("s1", platformtest.ServerError, platformtest.ServerError, platformtest.NotFound)
+	defer s.Close()
+	f := newFixture(t, s)
+	require.Equal(t, http.StatusInternalServerError, f.send(http.MethodPost, bookingPath, "a").status)
+	lost := lostRequest{fingerprint: quarantine.NewFingerprint(
+		platformtest.PlainService, platformtest.Organisation, http.MethodPost, bookingPath, []byte("body of a"))}
+	f.gateway.crashes.recordCrash(lost.features(), 0, "crash")
+	require.Equal(t, http.StatusInternalServerError, f.send(http.MethodPost, bookingPath, "a").status)
+	require.True(t, f.gateway.crashes.suspects(lost.features()))
+	require.Equal(t, http.StatusNotFound, f.send(http.MethodPost, bookingPath, "a").status)
+	f.eventually(func() bool { return !f.gateway.crashes.suspects(lost.features()) })
 }
 
 // startKeeper starts a gateway without servers that keeps its refusals in a store.
@@ -243,7 +292,7 @@
 	first := startKeeper(t, store)
 	bad := []quarantine.Feature{{Service: "m", Kind: quarantine.PromptPart, ID: "bad"}}
 	for n := range 3 {
-		first.crashes.recordCrash(bad, fmt.Sprintf("server-%d", n))
+		first.crashes.recordCrash(bad, 0, fmt.Sprintf("server-%d", n))
 	}
 	refused := func(g *Gateway) func() bool { return func() bool { return g.crashes.check(bad) != nil } }
 	require.True(t, refused(first)())
--- a/daemons/gateway/exchange.go
+++ b/daemons/gateway/exchange.go
@@ -256,7 +256,7 @@
 		return
 	}
 	lost := x.r.lost
-	lost.events = x.eventsBefore + x.events
+	lost.events = x.events
 	done := make(chan struct{})
 	x.crashCheck = done
 	go func() {
--- a/daemons/gateway/hedge_test.go
+++ b/daemons/gateway/hedge_test.go
@@ -404,7 +404,7 @@
 	f := newHedgingFixture(t, streamPath)
 	f.slow.SetDelay(5 * usualOutput)
 	features := []quarantine.Feature{{Service: f.service, Kind: quarantine.PromptPart, ID: "part"}}
-	f.gateway.crashes.recordCrash(features, "crash")
+	f.gateway.crashes.recordCrash(features, 0, "crash")
 	require.True(t, f.send(http.MethodPost, streamPath, "a1", platformtest.WithPrompt("part", "own")).complete)
 	require.Zero(t, f.other.RequestCount())
 	f.requireLog(`"request_id":"a1"`, `"hedge":"refused: suspect_request"`)
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -77,7 +77,7 @@
 	g.crashes.reportCrash = func(r lostRequest, crashID string) {
 		go p.broadcast(&pb.Datagram{Kind: &pb.Datagram_Crash{Crash: &pb.CrashReport{
 			Service: r.fingerprint.Service, Organisation: r.fingerprint.Organisation, BodyHash: r.fingerprint.BodyHash,
-			Crash: crashID, PromptParts: r.promptParts,
+			Crash: crashID, PromptParts: r.promptParts, Events: uint32(r.events),
 		}}})
 	}
 	g.crashes.reportResponse = func(features []quarantine.Feature) {
@@ -119,7 +119,7 @@
 				fingerprint: quarantine.Fingerprint{
 					Service: c.GetService(), Organisation: c.GetOrganisation(), BodyHash: c.GetBodyHash(),
 				},
-				promptParts: c.GetPromptParts(),
+				promptParts: c.GetPromptParts(), events: int(c.GetEvents()),
 			}, c.GetCrash())
 		}
 		if r := m.GetResponse(); r != nil {
--- a/daemons/gateway/refusals.go
+++ b/daemons/gateway/refusals.go
@@ -19,9 +19,11 @@
 )
 
 const (
-	// maxRefusalDelay bounds the random delay before a refusal is stored. All gateways
-	// decide on it at about the same time, and one of them has to store it.
-	maxRefusalDelay = time.Second
+	// minRefusalDelay is the time before a refusal is stored in which reports on its crashes
+	// may show that it is wrong. maxExtraDelay bounds a random delay after it: all gateways
+	// decide at about the same time, and one of them has to store the refusal.
+	minRefusalDelay = 500 * time.Millisecond
+	maxExtraDelay   = time.Second
 	// refusalQueueLength bounds the changes that wait to be stored.
 	refusalQueueLength = 64
 	// maxStoredRefusals bounds the keys of stored refusals that are held.
@@ -79,7 +81,7 @@
 			k.remove(ctx, c.refusal)
 			continue
 		}
-		clock.Sleep(ctx, rand.N(maxRefusalDelay))
+		clock.Sleep(ctx, minRefusalDelay+rand.N(maxExtraDelay))
 		k.add(ctx, c.refusal)
 	}
 }
--- a/daemons/gateway/relay.go
+++ b/daemons/gateway/relay.go
@@ -22,9 +22,6 @@
 	maxDiscardTime = 50 * time.Millisecond
 	// readBufferSize is the size of one read from a backend server.
 	readBufferSize = 8 << 10
-	// provenEvents is the number of events after which a stream has not crashed its
-	// server. A server that crashes when it begins to write may send the first one.
-	provenEvents = 3
 	// partialEventStep is the step in which the bytes of an event that hasn't arrived
 	// completely are claimed.
 	partialEventStep = 32 << 10
@@ -140,7 +137,8 @@
 	}
 	x.lastEventAt = now
 	x.r.trace.recordEvents(now, x.out.progress.Events())
-	x.recordEvents(accepted)
+	x.events += accepted
+	x.g.crashes.recordProgress(x.r.features, x.events)
 	x.startEventStream(resp)
 	if err := x.out.write(batch); err != nil {
 		return err
@@ -172,17 +170,6 @@
 	return batch, accepted
 }
 
-// recordEvents counts the events of this server. Those that prove that the request
-// doesn't crash it are recorded at once, because a long stream ends too late to clear
-// other requests that share its features.
-func (x *exchange) recordEvents(n int) {
-	before := x.events
-	x.events += n
-	if before < provenEvents && x.events >= provenEvents {
-		x.g.crashes.recordResponse(x.r.features)
-	}
-}
-
 // startEventStream writes the header of the response. A stream that is resumed on
 // another server keeps the header of the first one.
 func (x *exchange) startEventStream(resp *http.Response) {
--- a/daemons/sidecar/admission.go
+++ b/daemons/sidecar/admission.go
@@ -321,6 +321,10 @@
 			c.log.Warn().Strs("features", quarantine.FeatureNames(refusal.Features)).
 				Msg("requests with these features are refused from now on: they were in flight when backend servers were lost")
 		}
+		for _, refusal := range c.counter.Reconsider(c.now()) {
+			c.log.Info().Strs("features", quarantine.FeatureNames(refusal.Features)).
+				Msg("requests with these features are no longer refused: others explain the crashes as well")
+		}
 	}
 }
 
--- a/serve/quarantine/crashcounter.go
+++ b/serve/quarantine/crashcounter.go
@@ -18,6 +18,8 @@
 	// a common cause, such as the loss of a rack.
 	minBurst    = 4
 	burstWindow = time.Second
+	// reportDelay is the time within which the reports on a crash arrive.
+	reportDelay = 2 * time.Second
 	// crashRetention is how long a crash counts.
 	crashRetention = time.Hour
 	// maxCountedFeatures, maxFeatureCrashes and maxCrashesHeld bound the memory.
@@ -35,6 +37,11 @@
 // the other ones too, only requests with all of them are refused, so that requests
 // that share one of them are served.
 //
+// A complete response to a request shows that none of its features crashes servers. So does
+// part of a stream for the features that other requests have as well, if it is longer than
+// what any request with the feature had got before its server crashed: a part of a prompt
+// may crash servers late, and many sound requests may share one with it.
+//
 // A crash counts less if several other servers crashed at the same time without such a
 // request: a lost rack takes many servers with it, and a feature that many requests
 // have is in flight at some of them.
@@ -43,6 +50,8 @@
 	// crashes are the crashes of all services, oldest first.
 	crashes  []crash
 	refusals []Refusal
+	// decided are the refusals that this counter has made lately.
+	decided []Refusal
 }
 
 // featureCrashes is the state of a feature.
@@ -52,6 +61,9 @@
 	answered []crash
 	// companions are the features that each request with this one had at the crashes.
 	companions []Feature
+	// furthest is the highest number of events that a request with this feature had got
+	// before its server crashed.
+	furthest int
 }
 
 type crash struct {
@@ -66,17 +78,20 @@
 }
 
 // RecordCrash records that a request with these features was in flight at a crash of
-// its backend server. crashID identifies the crash, so that reports from several
-// processes count once. It reports whether the crash is new for any of the features,
-// and returns the refusals that follow from it.
-func (cc *CrashCounter) RecordCrash(now time.Time, crashID string, features []Feature) (isNew bool, made []Refusal) {
+// its backend server, which had sent a number of events of a stream in response to it.
+// crashID identifies the crash, so that reports from several processes count once. It
+// reports whether the crash is new for any of the features, and returns the refusals that
+// follow from it.
+func (cc *CrashCounter) RecordCrash(now time.Time, crashID string, features []Feature, events int) (isNew bool, made []Refusal) {
 	if len(features) == 0 {
 		return false, nil
 	}
 	cc.expire(now)
 	c := cc.holdCrash(now, crashID, features[0].Service)
 	for _, f := range features {
-		isNew = cc.feature(f).add(c, without(features, f)) || isNew
+		s := cc.feature(f)
+		s.furthest = max(s.furthest, events)
+		isNew = s.add(c, without(features, f)) || isNew
 	}
 	if !isNew {
 		return false, nil
@@ -84,12 +99,43 @@
 	for _, f := range cc.candidatesAt(c) {
 		if r, ok := cc.decide(f); ok && !cc.Refuses(now, r.Features) {
 			cc.AddRefusal(now, r)
+			cc.decided = append(cc.decided, r)
 			made = append(made, r)
 		}
 	}
 	return true, made
 }
 
+// Reconsider withdraws and returns the refusals that no longer follow from the crashes known,
+// because another feature explains them as well by a report that arrived later. The reports
+// on the requests that were in flight at a crash come from several processes.
+func (cc *CrashCounter) Reconsider(now time.Time) []Refusal {
+	cc.decided = slices.DeleteFunc(cc.decided, func(r Refusal) bool { return now.Sub(r.LastCrash) > reportDelay })
+	var withdrawn []Refusal
+	for _, r := range cc.decided {
+		if !cc.stillDecided(r) {
+			withdrawn = append(withdrawn, r)
+		}
+	}
+	for _, r := range withdrawn {
+		same := func(other Refusal) bool { return sameFeatures(r, other) }
+		cc.decided = slices.DeleteFunc(cc.decided, same)
+		cc.refusals = slices.DeleteFunc(cc.refusals, same)
+	}
+	return withdrawn
+}
+
+// stillDecided reports whether one of the features of a refusal is still to be refused.
+func (cc *CrashCounter) stillDecided(r Refusal) bool {
+	return slices.ContainsFunc(r.Features, func(f Feature) bool {
+		if cc.features[f] == nil {
+			return false
+		}
+		_, ok := cc.decide(f)
+		return ok
+	})
+}
+
 // holdCrash returns the crash with this ID, which it records if it is new.
 func (cc *CrashCounter) holdCrash(now time.Time, id, service string) crash {
 	for _, c := range cc.crashes {
@@ -205,7 +251,7 @@
 func (cc *CrashCounter) Apply(r Report) []Refusal {
 	switch r.Op {
 	case OpCrashed, OpCrashedAlone:
-		_, made := cc.RecordCrash(r.Time, r.EventID, r.Features())
+		_, made := cc.RecordCrash(r.Time, r.EventID, r.Features(), 0)
 		return made
 	case OpCleared, OpAnswered:
 		cc.RecordResponse(r.Features())
--- a/serve/quarantine/crashcounter_sim_test.go
+++ b/serve/quarantine/crashcounter_sim_test.go
@@ -24,11 +24,11 @@
 	simSoundRate  = 56.0
 	simPoisonRate = 1.0
 	simDuration   = 60 * time.Second
-	// simFirstEvents is the time from the start of a request until it has proved that
-	// it doesn't crash its server.
-	simFirstEvents = 150 * time.Millisecond
-	// simCrashDelay is the time until a request with the bad part crashes its server.
-	simCrashDelay = 90 * time.Millisecond
+	// simEvents is the number of events of a complete stream. simBatch of them arrive
+	// together, simBatchGap after those before.
+	simEvents   = 27
+	simBatch    = 3
+	simBatchGap = 135 * time.Millisecond
 	// simOutage is how long a crash takes all servers of the group out of service.
 	simOutage = 3500 * time.Millisecond
 	// simContact is the time within which all gateways have to know of the crashes.
@@ -51,6 +51,8 @@
 
 	// ignoreParts makes the whole request its only feature.
 	ignoreParts bool
+	// crashDelay is the time until a request with the bad part crashes its server.
+	crashDelay time.Duration
 
 	crashes        []time.Duration
 	poisonArrivals []time.Duration
@@ -63,6 +65,7 @@
 	server   int
 	poison   bool
 	retries  int
+	events   int
 	features []quarantine.Feature
 }
 
@@ -93,8 +96,8 @@
 
 func (s *crashSim) clock() time.Time { return counterStart.Add(s.now) }
 
-func runCrashSim(seed uint64, ignoreParts bool) *crashSim {
-	s := &crashSim{rng: rand.New(rand.NewPCG(seed, 1)), ignoreParts: ignoreParts, inFlight: make(map[int]simRequest)}
+func runCrashSim(seed uint64, crashDelay time.Duration, ignoreParts bool) *crashSim {
+	s := &crashSim{rng: rand.New(rand.NewPCG(seed, 1)), crashDelay: crashDelay, ignoreParts: ignoreParts, inFlight: make(map[int]simRequest)}
 	for range simGateways {
 		s.counters = append(s.counters, quarantine.NewCrashCounter())
 	}
@@ -155,19 +158,36 @@
 	s.inFlight[id] = r
 	if r.poison {
 		s.poisonArrivals = append(s.poisonArrivals, s.now)
-		s.after(simCrashDelay, func() { s.crash(id) })
-		return
+		s.after(s.crashDelay, func() { s.crash(id) })
 	}
-	s.after(simFirstEvents, func() { s.proved(id) })
+	s.after(simBatchGap, func() { s.progress(id, simBatch) })
 }
 
-func (s *crashSim) proved(id int) {
+// progress records that a request has got a number of events.
+func (s *crashSim) progress(id, events int) {
 	r, ok := s.inFlight[id]
 	if !ok {
 		return
 	}
+	r.events = events
+	s.inFlight[id] = r
+	if events == simEvents {
+		s.answered(id)
+		return
+	}
+	s.report(r, s.counters[r.gateway].RecordProgress(r.features, events).Features)
+	s.after(simBatchGap, func() { s.progress(id, events+simBatch) })
+}
+
+func (s *crashSim) answered(id int) {
+	r := s.inFlight[id]
 	delete(s.inFlight, id)
-	if cleared := s.counters[r.gateway].RecordResponse(r.features).Features; len(cleared) > 0 {
+	s.report(r, s.counters[r.gateway].RecordResponse(r.features).Features)
+}
+
+// report tells the other gateways what a response to a request has cleared.
+func (s *crashSim) report(r simRequest, cleared []quarantine.Feature) {
+	if len(cleared) > 0 {
 		s.broadcast(r.gateway, func(counter *quarantine.CrashCounter) { counter.RecordResponse(cleared) })
 	}
 }
@@ -187,13 +207,15 @@
 			continue
 		}
 		delete(s.inFlight, other)
+		events := r.events
 		s.after(60*time.Millisecond, func() {
-			s.counters[r.gateway].RecordCrash(s.clock(), crashID, r.features)
+			s.record(s.counters[r.gateway], crashID, r.features, events)
 			s.broadcast(r.gateway, func(counter *quarantine.CrashCounter) {
-				counter.RecordCrash(s.clock(), crashID, r.features)
+				s.record(counter, crashID, r.features, events)
 			})
 		})
 		if r.retries++; r.retries == 1 {
+			r.events = 0
 			s.after(time.Millisecond, func() { s.send(r) })
 		}
 	}
@@ -203,6 +225,11 @@
 	})
 }
 
+func (s *crashSim) record(counter *quarantine.CrashCounter, crashID string, features []quarantine.Feature, events int) {
+	counter.RecordCrash(s.clock(), crashID, features, events)
+	counter.Reconsider(s.clock())
+}
+
 func (s *crashSim) broadcast(from int, apply func(*quarantine.CrashCounter)) {
 	for to, counter := range s.counters {
 		if to == from {
@@ -231,17 +258,19 @@
 }
 
 // Guards against requests that share a bad part of their prompt and go on crashing
-// servers, through several gateways, and against refusing sound requests that share
-// their other parts.
+// servers, through several gateways, before the first event of a stream or after many, and
+// against refusing sound requests that share their other parts.
 func TestSimulationOfBadPromptPart(t *testing.T) {
 	const maxLater = 3
-	for _, seed := range seeds.ForTest(t, 60) {
-		s := runCrashSim(seed, false)
-		replay := seeds.ReplayCommand(t, "serve/quarantine", seed)
-		require.Greater(t, len(s.crashes), 1, replay)
-		require.LessOrEqual(t, s.laterArrivals(), maxLater, "%d crashes; %s", len(s.crashes), replay)
-		require.Zero(t, s.soundRefused, "of %d; %s", s.soundSent, replay)
-		// The control shows that the load of this seed needs the parts.
-		require.Greater(t, runCrashSim(seed, true).laterArrivals(), maxLater, replay)
+	for crashDelay, count := range map[time.Duration]int{90 * time.Millisecond: 60, 400 * time.Millisecond: 30, time.Second: 30} {
+		for _, seed := range seeds.ForTest(t, count) {
+			s := runCrashSim(seed, crashDelay, false)
+			replay := fmt.Sprintf("crash after %s; %s", crashDelay, seeds.ReplayCommand(t, "serve/quarantine", seed))
+			require.Greater(t, len(s.crashes), 1, replay)
+			require.LessOrEqual(t, s.laterArrivals(), maxLater, "%d crashes; %s", len(s.crashes), replay)
+			require.Zero(t, s.soundRefused, "of %d; %s", s.soundSent, replay)
+			// The control shows that the load of this seed needs the parts.
+			require.Greater(t, runCrashSim(seed, crashDelay, true).laterArrivals(), maxLater, replay)
+		}
 	}
 }
--- a/serve/quarantine/refusal.go
+++ b/serve/quarantine/refusal.go
@@ -20,6 +20,10 @@
 	LastCrash time.Time
 }
 
+func sameFeatures(a, b Refusal) bool {
+	return hasAll(a.Features, b.Features) && hasAll(b.Features, a.Features)
+}
+
 // Clearance is the effect of a response.
 type Clearance struct {
 	// Features are those that were in flight at crashes or refused before.
@@ -30,7 +34,25 @@
 	Narrowed  []Refusal
 }
 
-// RecordResponse records a response to a request with these features, which shows
+// ProgressMargin is the number of events by which a stream has to be longer than those that
+// crashed to show that a feature doesn't crash servers.
+const ProgressMargin = 3
+
+// RecordProgress records that a server has sent a number of events of a stream in response to
+// a request with these features. It withdraws no refusal.
+func (cc *CrashCounter) RecordProgress(features []Feature, events int) Clearance {
+	var cleared Clearance
+	for _, f := range features {
+		s := cc.features[f]
+		if f.Kind != WholeRequest && s != nil && len(s.crashes) > 0 && events >= s.furthest+ProgressMargin {
+			s.clear()
+			cleared.Features = append(cleared.Features, f)
+		}
+	}
+	return cleared
+}
+
+// RecordResponse records a complete response to a request with these features, which shows
 // that none of them crashes servers.
 func (cc *CrashCounter) RecordResponse(features []Feature) Clearance {
 	var cleared Clearance
@@ -77,7 +99,7 @@
 		return false
 	}
 	for i, known := range cc.refusals {
-		if hasAll(r.Features, known.Features) && hasAll(known.Features, r.Features) {
+		if sameFeatures(r, known) {
 			if r.LastCrash.After(known.LastCrash) {
 				cc.refusals[i].LastCrash = r.LastCrash
 			}
