Fail attempts whose response has an invalid status

What callers saw: a server sent a response with status 000. The gateway took its head as that of an informational response and the bytes of its body as the response, so that a booking was answered with 200 and with that text. In the own interface callers got status 200 with the body of the faulty response, and the health check took the server as healthy.

Cause: net/http reads any three digits as a status, and our code compared statuses on one side only.

Change: statuses outside 100 to 599, and 101, are bytes that are no response, in gateway, sidecar and entry.

--- a/daemons/entry/response_writer.go
+++ b/daemons/entry/response_writer.go
@@ -62,6 +62,9 @@
 // writeChunk writes or buffers the next head or data chunk.
 func (a *responseWriter) writeChunk(chunk *pb.Chunk) error {
 	if head := chunk.GetHead(); head != nil {
+		if !proxyhttp.IsStatus(int(head.GetStatus())) {
+			return errkind.New(errkind.BackendFailed, "response has the invalid status %03d", head.GetStatus())
+		}
 		a.head = head
 		a.eventStream = isSuccess(int(head.GetStatus())) && isEventStream(head)
 		return nil
--- a/daemons/gateway/upstream/conn.go
+++ b/daemons/gateway/upstream/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/filbertmux/filbertmux/internal/proxyhttp"
 )
 
 const (
@@ -188,6 +190,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response")
 		}
+		if err := checkStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			c.limit.N = maxInt64
 			return resp, nil
@@ -195,6 +200,15 @@
 	}
 }
 
+// checkStatus reports that a status is none that a server may send. net/http accepts any
+// three digits. No request asks for another protocol, so no server may switch to one.
+func checkStatus(status int) error {
+	if !proxyhttp.IsStatus(status) || status == http.StatusSwitchingProtocols {
+		return errors.Errorf("response has the invalid status %03d", status)
+	}
+	return nil
+}
+
 const maxInt64 = 1<<63 - 1
 
 // reusable reports whether no bytes have arrived after the last response and the
--- a/daemons/sidecar/backend.go
+++ b/daemons/sidecar/backend.go
@@ -37,7 +37,9 @@
 		// DisableKeepAlives would add "Connection: close" to the requests. A server of
 		// net/http then doesn't notice the end of a connection while it hasn't read the
 		// body, and a cancelled call would go on there.
-		Transport:     &http.Transport{MaxIdleConnsPerHost: -1, DisableCompression: true},
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: -1, DisableCompression: true,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -53,9 +55,21 @@
 	if err != nil {
 		return nil, backendError(ctx, err)
 	}
+	if err := checkStatus(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	return resp, nil
 }
 
+// checkStatus reports that the status of a response is none that a server may send.
+func checkStatus(resp *http.Response) error {
+	if !proxyhttp.IsStatus(resp.StatusCode) || resp.StatusCode == http.StatusSwitchingProtocols {
+		return errkind.New(errkind.BackendFailed, "response has the invalid status %03d", resp.StatusCode)
+	}
+	return nil
+}
+
 func (b *backendClient) newRequest(ctx context.Context, call *pb.CallRequest) (*http.Request, error) {
 	target, err := url.ParseRequestURI(call.GetPath())
 	if err != nil {
--- a/daemons/sidecar/backend_test.go
+++ b/daemons/sidecar/backend_test.go
@@ -87,3 +87,27 @@
 		require.Error(t, r.Err(), "%q", head[:length])
 	}
 }
+
+// Guards against a status that no server may send: a response with status 000 reached callers
+// as 200.
+func TestInvalidStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		head := "HTTP/1.1 " + status + " x\r\nContent-Length: 2\r\n\r\nok"
+		for _, idempotent := range []bool{true, false} {
+			f := newFixtureAt(t, rawBackend(t, head))
+			got, body, r := f.answer(t, newCall("r1", idempotent))
+			require.Zero(t, got, status)
+			require.Empty(t, body, status)
+			require.Error(t, r.Err(), status)
+		}
+	}
+}
+
+// Guards against a server that counts as healthy by a response that is none.
+func TestInvalidStatusIsNotHealthy(t *testing.T) {
+	for status, healthy := range map[string]bool{"000": false, "999": false, "200": true, "404": true} {
+		b, err := newBackendClient(rawBackend(t, "HTTP/1.1 "+status+" x\r\nContent-Length: 0\r\n\r\n"))
+		require.NoError(t, err)
+		require.Equal(t, healthy, b.checkHealth(t.Context()) == nil, status)
+	}
+}
--- a/daemons/sidecar/health.go
+++ b/daemons/sidecar/health.go
@@ -39,7 +39,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return errkind.New(errkind.BackendUnavailable, "health check: status %d", resp.StatusCode)
 	}
-	return nil
+	return checkStatus(resp)
 }
 
 // isConnectionLost reports whether err shows that the connection was refused or
--- a/internal/proxyhttp/proxyhttp.go
+++ b/internal/proxyhttp/proxyhttp.go
@@ -22,6 +22,10 @@
 // canonical name.
 func IsHopByHopHeader(name string) bool { return hopByHopHeaders[name] }
 
+// IsStatus reports whether a number is a status code of HTTP (RFC 9110, section 15). net/http
+// reads others as well, such as 000, and writes a response with status 0 as 200.
+func IsStatus(status int) bool { return status >= 100 && status <= 599 }
+
 // IsEventStream reports whether a Content-Type denotes server-sent events.
 func IsEventStream(contentType string) bool {
 	mediaType, _, err := mime.ParseMediaType(contentType)
