Bound the heads of responses in the sidecar

What could happen: a faulty server sends the head of a response without end.

Cause: no limit of its own in the sidecar's transport.

Change: 64 KiB, with the informational responses before the head.

--- a/daemons/sidecar/backend.go
+++ b/daemons/sidecar/backend.go
@@ -28,6 +28,10 @@
 	return &backendClient{baseURL: u, client: newHTTPClient()}, nil
 }
 
+// maxResponseHeaderBytes bounds the header of a response, with the informational responses
+// before it. A faulty server may send one without end.
+const maxResponseHeaderBytes = 64 << 10
+
 // newHTTPClient returns a client that does not follow redirects. Each call uses a new
 // connection: http.Transport retries a request with an Idempotency-Key header when a
 // reused connection breaks, and a backend server may write the response to an earlier
@@ -38,7 +42,7 @@
 		// net/http then doesn't notice the end of a connection while it hasn't read the
 		// body, and a cancelled call would go on there.
 		Transport: &http.Transport{
-			MaxIdleConnsPerHost: -1, DisableCompression: true,
+			MaxIdleConnsPerHost: -1, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/daemons/sidecar/backend_test.go
+++ b/daemons/sidecar/backend_test.go
@@ -6,10 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	pb "github.com/filbertmux/filbertmux/gen/filbertmux/v1"
@@ -111,3 +115,67 @@
 		require.Equal(t, healthy, b.checkHealth(t.Context()) == nil, status)
 	}
 }
+
+// Guards against a server that sends the head of a response without end, which the sidecar
+// would hold for each of the calls in flight.
+func TestEndlessHeadIsBounded(t *testing.T) {
+	const (
+		// maxWritten bounds what the server can send before the sidecar gives up: the limit
+		// of the head and the buffers of the sockets.
+		maxWritten = 4 << 20
+		calls      = 4
+	)
+	for name, bytes := range map[string]struct{ start, repeated string }{
+		"header lines":            {"HTTP/1.1 200 OK\r\n", "X-More: value\r\n"},
+		"header line":             {"HTTP/1.1 200 OK\r\nX-More: ", "value"},
+		"informational responses": {"", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+		"bytes without a line":    {"", "no response"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url, written := endlessBackend(t, bytes.start, bytes.repeated)
+			f := newFixtureAt(t, url)
+			var group sync.WaitGroup
+			for n := range calls {
+				group.Go(func() {
+					status, _, r := f.answer(t, newCall(fmt.Sprintf("r%d", n), true))
+					assert.Zero(t, status)
+					assert.Error(t, r.Err())
+				})
+			}
+			group.Wait()
+			require.Less(t, written(), calls*maxWritten)
+		})
+	}
+}
+
+// endlessBackend is a backend server that writes start and then repeated to each connection
+// until the connection ends. written returns the number of bytes so far.
+func endlessBackend(t *testing.T, start, repeated string) (url string, written func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var total atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, start)
+				for block := strings.Repeat(repeated, 1000); err == nil; {
+					var n int
+					n, err = io.WriteString(conn, block)
+					total.Add(int64(n))
+				}
+			}()
+		}
+	}()
+	return "http://" + listener.Addr().String(), func() int { return int(total.Load()) }
+}
