Follow the store when it comes back from an older copy

What happens: in a drill the store comes back from a copy some seconds old. A topic that had grown past a gateway's offset again before its next read was read on in the new history, and records at the offsets below were never seen. A read beyond the end (410) counted like one of trimmed records, so that live servers which the copy didn't list were removed at once. A token of a rank group's lease could be given out twice. Addresses of gateways and refusals were lost for gateways that start later.

Change: the client of the store reads the era of each response. Followers start over in a new era and read the newest records once more 6 s later. Evacuations stay until a record says otherwise, or until the second reading doesn't list them, and views of other gateways are compared by era first. Tokens have the era in their upper bits.

--- a/config/fleet/evacuations.go
+++ b/config/fleet/evacuations.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -27,9 +28,10 @@
 
 // EvacuationView is what one process knows about the evacuated failure domains.
 type EvacuationView struct {
-	// EndOffset means that all records before this offset are taken into account. It is 0
-	// if no record was read.
+	// EndOffset means that all records before this offset are taken into account, in an era
+	// of the store; later eras are higher. It is 0 if no record was read.
 	EndOffset int64
+	Era       int64
 	// Domains is sorted by domain.
 	Domains []Evacuation
 }
@@ -42,8 +44,12 @@
 	Snapshot bool
 	// Complete means that the store had no further records when the read was sent.
 	Complete bool
-	// EndOffset is the offset at which the next read begins.
+	// EndOffset is the offset at which the next read begins, in an era of the store.
 	EndOffset int64
+	Era       int64
+	// StartedOver means that the store has come back from an older copy since the last read.
+	// Records that are missing in it are written again within seconds.
+	StartedOver bool
 	// Sent is when the read was sent.
 	Sent time.Time
 }
@@ -69,13 +75,17 @@
 // it.
 func (e *Evacuations) ApplyRead(r EvacuationRead) EvacuationTransitions {
 	before := e.View()
-	if r.Snapshot {
+	switch {
+	case r.StartedOver:
+		e.own.forgetOffsets()
+		e.reported = EvacuationView{}
+	case r.Snapshot:
 		e.own.Domains = keepListed(e.own.Domains, r.Changes)
 	}
 	for _, c := range r.Changes {
 		e.own.apply(c)
 	}
-	e.own.EndOffset = r.EndOffset
+	e.own.EndOffset, e.own.Era = r.EndOffset, r.Era
 	if r.Complete && r.Sent.After(e.reportedAt) {
 		e.reported = EvacuationView{}
 	}
@@ -97,7 +107,7 @@
 // returns the evacuations that began and ended by it.
 func (e *Evacuations) ApplyReport(now time.Time, v EvacuationView) EvacuationTransitions {
 	before := e.View()
-	if v.EndOffset <= before.EndOffset {
+	if !v.furtherThan(before) {
 		return EvacuationTransitions{}
 	}
 	e.reported, e.reportedAt = v, now
@@ -106,12 +116,17 @@
 
 // View returns the view that counts. The caller must not modify it.
 func (e *Evacuations) View() EvacuationView {
-	if e.reported.EndOffset > e.own.EndOffset {
+	if e.reported.furtherThan(e.own) {
 		return e.reported
 	}
 	return e.own
 }
 
+// furtherThan reports whether v takes more records into account than other.
+func (v EvacuationView) furtherThan(other EvacuationView) bool {
+	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.EndOffset, other.EndOffset)) > 0
+}
+
 // Has reports whether a failure domain is evacuated.
 func (v EvacuationView) Has(domain string) bool {
 	_, found := v.find(domain)
@@ -151,6 +166,15 @@
 	}
 }
 
+// forgetOffsets makes any record newer than those that were applied. Views that were returned
+// before stay as they are.
+func (v *EvacuationView) forgetOffsets() {
+	v.Domains = slices.Clone(v.Domains)
+	for i := range v.Domains {
+		v.Domains[i].Offset = -1
+	}
+}
+
 // keepListed returns the evacuations whose failure domains a snapshot lists. The newest
 // record of the others was deleted, which is how an evacuation is taken back.
 func keepListed(domains []Evacuation, snapshot []EvacuationChange) []Evacuation {
--- a/config/fleet/servers.go
+++ b/config/fleet/servers.go
@@ -113,6 +113,15 @@
 	return c.Server.registeredBefore(r.Server)
 }
 
+// ForgetOffsets makes any record newer than those that were applied, because the store has
+// come back from an older copy and gives its offsets out again.
+func (s *Servers) ForgetOffsets() {
+	for id, r := range s.byID {
+		r.offset = -1
+		s.byID[id] = r
+	}
+}
+
 // Missing returns removals for the servers that are not in list, which holds all
 // registrations that were read at readAt.
 func (s *Servers) Missing(list []ServerChange, readAt time.Time) []ServerChange {
@@ -160,7 +169,9 @@
 func (s *Servers) newestOffsets() map[string]int64 {
 	newest := make(map[string]int64, len(s.byID))
 	for e := range maps.Values(s.byID) {
-		newest[e.Address] = max(newest[e.Address], e.offset)
+		if offset, ok := newest[e.Address]; !ok || e.offset > offset {
+			newest[e.Address] = e.offset
+		}
 	}
 	return newest
 }
--- a/daemons/gateway/crashes.go
+++ b/daemons/gateway/crashes.go
@@ -130,6 +130,13 @@
 	}
 }
 
+// refusals returns the refusals in force.
+func (c *crashTracker) refusals() []quarantine.Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counter.Refusals(clock.Now())
+}
+
 // checkServer determines whether a server whose connection broke has crashed, and records
 // the crash.
 func (c *crashTracker) checkServer(r lostRequest, s fleet.Server) {
--- a/daemons/gateway/evacuation.go
+++ b/daemons/gateway/evacuation.go
@@ -70,6 +70,7 @@
 func (t *evacuationTracker) applyRead(u topicUpdate) {
 	read := fleet.EvacuationRead{
 		Snapshot: u.snapshot, Complete: u.snapshot || len(u.records) == 0, EndOffset: u.next, Sent: u.sent,
+		Era: int64(u.era), StartedOver: u.startedOver,
 	}
 	for _, r := range u.records {
 		change, ok, err := platform.DecodeEvacuation(r)
--- a/daemons/gateway/evacuation_reports.go
+++ b/daemons/gateway/evacuation_reports.go
@@ -32,7 +32,7 @@
 	if bytes > maxEvacuationBytes {
 		return
 	}
-	m.EvacuationsEnd = view.EndOffset
+	m.EvacuationsEnd, m.EvacuationsEra = view.EndOffset, view.Era
 	for _, e := range view.Domains {
 		m.Evacuations = append(m.Evacuations, &pb.Evacuation{FailureDomain: e.Domain, Offset: e.Offset})
 	}
@@ -52,7 +52,7 @@
 
 // decodeEvacuations returns the evacuations that the sender of a load report knows.
 func decodeEvacuations(m *pb.LoadReport) (fleet.EvacuationView, error) {
-	view := fleet.EvacuationView{EndOffset: m.GetEvacuationsEnd()}
+	view := fleet.EvacuationView{EndOffset: m.GetEvacuationsEnd(), Era: m.GetEvacuationsEra()}
 	bytes := 0
 	for _, e := range m.GetEvacuations() {
 		if e.GetFailureDomain() == "" {
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -18,6 +18,9 @@
 	// overlapInterval is the mean time after which a call to a store that has failed before
 	// is followed by another one, although it has got no response yet.
 	overlapInterval = 450 * time.Millisecond
+	// rereadDelay is the time after which the newest records are read once more when the
+	// store has come back from an older copy. What was lost is written again meanwhile.
+	rereadDelay = 6 * time.Second
 	// minBackoff and maxBackoff limit the exponential backoff after a failed
 	// call. It is jittered, because all instances call the store as soon as it is
 	// available again.
@@ -32,6 +35,8 @@
 	topic string
 	log   zerolog.Logger
 	next  int64
+	// era is that of next, or 0.
+	era platform.Era
 	// snapshot makes the next read start over with the newest record of each key.
 	snapshot bool
 	failures int
@@ -41,6 +46,8 @@
 	lastFailure  time.Time
 	// startedOver means that the store has started over since the last successful read.
 	startedOver bool
+	// rereadAt is when the newest records are read once more after that, or zero.
+	rereadAt time.Time
 }
 
 func newTopicFollower(store *platform.StoreClient, topic string, log zerolog.Logger) *topicFollower {
@@ -52,8 +59,9 @@
 	records []platform.KeyedRecord
 	// snapshot means that records holds all keys, not only the changed ones.
 	snapshot bool
-	// next is the offset at which the next read begins.
+	// next is the offset at which the next read begins, in this era of the store.
 	next int64
+	era  platform.Era
 	// complete means that the topic had no further records when the read was sent.
 	complete bool
 	// sent and received are the times of the request and of the response.
@@ -70,6 +78,7 @@
 // topicRead says what a read asks for.
 type topicRead struct {
 	next     int64
+	era      platform.Era
 	snapshot bool
 	// pollTimeout is how long the store waits for new records.
 	pollTimeout time.Duration
@@ -77,7 +86,10 @@
 }
 
 func (f *topicFollower) newRequest(pollTimeout time.Duration) topicRead {
-	return topicRead{next: f.next, snapshot: f.snapshot, pollTimeout: pollTimeout, sent: clock.Now()}
+	if !f.rereadAt.IsZero() && clock.Now().After(f.rereadAt) {
+		f.rereadAt, f.snapshot = time.Time{}, true
+	}
+	return topicRead{next: f.next, era: f.era, snapshot: f.snapshot, pollTimeout: pollTimeout, sent: clock.Now()}
 }
 
 // read performs one read, which waits up to pollTimeout for new records. After an
@@ -152,16 +164,25 @@
 	var err error
 	if r.snapshot {
 		u.complete = true
-		u.records, u.next, err = f.store.ReadNewest(ctx, f.topic)
+		var s platform.Snapshot
+		s, err = f.store.ReadSnapshot(ctx, f.topic)
+		u.records, u.next, u.era = s.Records, s.Next, s.Era
 	} else {
 		var b platform.KeyedBatch
 		b, err = f.store.ReadKeyedBatch(ctx, f.topic, r.next, r.pollTimeout)
-		u.records, u.next, u.complete = b.Records, b.Next, len(b.Records) == 0 || b.Next >= b.EndOffset
+		u.records, u.next, u.complete, u.era = b.Records, b.Next, len(b.Records) == 0 || b.Next >= b.EndOffset, b.Era
 	}
 	u.received = clock.Now()
+	if err == nil && !r.snapshot && otherEra(r.era, u.era) {
+		err = errkind.Wrap(errkind.RecordsTrimmed, platform.ErrStartedOver, "read "+f.topic)
+	}
 	return u, err
 }
 
+// otherEra reports whether an offset of one era says nothing in another one. A store needn't
+// state its era in all responses.
+func otherEra(a, b platform.Era) bool { return a != 0 && b != 0 && a != b }
+
 // recordUnanswered records the calls that were sent before a successful one and have no
 // response yet. The store was out of reach for them.
 func (f *topicFollower) recordUnanswered(pending []topicRead, before time.Time) {
@@ -174,9 +195,19 @@
 
 // recordSuccess records a successful read and returns it with what happened before it.
 func (f *topicFollower) recordSuccess(u topicUpdate) topicUpdate {
+	f.startedOver = f.startedOver || otherEra(f.era, u.era)
 	u.lastFailure, u.startedOver = f.lastFailure, f.startedOver
 	u.recovered = f.recordRecovery()
+	if u.startedOver {
+		f.log.Warn().Int64("offset", f.next).Int64("next", u.next).Int64("era", int64(f.era)).Int64("new_era", int64(u.era)).
+			Msg("the store has come back from an older copy")
+		f.rereadAt = u.received.Add(rereadDelay)
+	}
 	f.next, f.snapshot = u.next, false
+	if u.era != 0 {
+		f.era = u.era
+	}
+	u.era = f.era
 	return u
 }
 
--- a/daemons/gateway/follow_config.go
+++ b/daemons/gateway/follow_config.go
@@ -85,7 +85,7 @@
 
 // waitUntilNeeded waits until the store has to be read. It returns false if ctx has ended.
 func (f *configFollower) waitUntilNeeded(ctx context.Context) bool {
-	if f.proofs == nil {
+	if f.proofs == nil || !f.topic.rereadAt.IsZero() {
 		return ctx.Err() == nil
 	}
 	reason, ok := f.proofs.waitUntilNeeded(ctx)
--- a/daemons/gateway/peers.go
+++ b/daemons/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -29,7 +30,10 @@
 	reportBytesPerSecond = 10_000
 	// discoveryInterval is the time between reads of the gateways' addresses.
 	discoveryInterval = 30 * time.Second
-	maxDatagram       = 8 << 10
+	// maxRewriteDelay bounds the random delay before a gateway writes again what the store
+	// has lost. With 300 gateways it keeps the writes far below the limits of the store.
+	maxRewriteDelay = 3 * time.Second
+	maxDatagram     = 8 << 10
 	// reportSendCount is how many times a report on crashes is sent, and
 	// reportSendInterval the time between. Datagrams may be lost, and all gateways
 	// have to know of a crash within the 3 s for which instances may be out of
@@ -280,6 +284,7 @@
 // periodically reads the addresses of the other gateways.
 func (p *peerExchange) discover(ctx context.Context) error {
 	announced := false
+	lost := p.store.EraChanges()
 	for ctx.Err() == nil {
 		if !announced {
 			announced = p.announce(ctx)
@@ -293,11 +298,26 @@
 			continue
 		}
 		p.addPeers(records)
-		clock.Sleep(ctx, discoveryInterval)
+		announced = !waitForEra(ctx, lost, discoveryInterval)
 	}
 	return nil
 }
 
+// waitForEra waits for a time, or until the store has come back from an older copy. Then it
+// returns true, after a random delay, because all gateways write to the store again.
+func waitForEra(ctx context.Context, changes <-chan platform.Era, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-changes:
+		clock.Sleep(ctx, rand.N(maxRewriteDelay))
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (p *peerExchange) addPeers(records []platform.KeyedRecord) {
 	now := clock.Now()
 	p.mu.Lock()
--- a/daemons/gateway/refusals.go
+++ b/daemons/gateway/refusals.go
@@ -71,6 +71,8 @@
 
 // run reads the stored refusals once and then stores the changes until ctx ends.
 func (k *refusalKeeper) run(ctx context.Context) error {
+	lost := k.store.EraChanges()
+	go k.restore(ctx, lost)
 	k.load(ctx)
 	for {
 		c, ok := k.changes.Pop(ctx)
@@ -86,6 +88,24 @@
 	}
 }
 
+// restore stores the refusals in force again whenever the store has come back from an older
+// copy, until ctx ends. Whether it has lost them isn't known.
+func (k *refusalKeeper) restore(ctx context.Context, lost <-chan platform.Era) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-lost:
+		}
+		k.mu.Lock()
+		clear(k.stored)
+		k.mu.Unlock()
+		for _, r := range k.crashes.refusals() {
+			k.enqueue(refusalChange{refusal: r})
+		}
+	}
+}
+
 func (k *refusalKeeper) load(ctx context.Context) {
 	k.retry(ctx, "reading the stored refusals", func() error {
 		records, _, err := k.store.ReadNewest(ctx, platform.RefusalTopic)
--- a/daemons/gateway/removals.go
+++ b/daemons/gateway/removals.go
@@ -55,6 +55,9 @@
 	now := u.received
 	removeAt := p.removalTime(u, bounds)
 	p.lastRead = u.sent
+	if u.startedOver {
+		s.ForgetOffsets()
+	}
 	if u.snapshot {
 		changes = append(changes, s.Missing(changes, now)...)
 	}
--- a/daemons/rankagent/control_bench_test.go
+++ b/daemons/rankagent/control_bench_test.go
@@ -145,7 +145,7 @@
 		}
 	}
 	e := newElection(nil, "holder", zerolog.Nop())
-	e.recordClaim(7, true)
+	e.recordClaim(platform.Position{Offset: 7}, true)
 	l.holder = &holder{group: group, agent: agent, election: e, log: zerolog.Nop(), planner: newPlanner()}
 	// The benchmarks measure calls, not plans: the planner never has enough counts.
 	l.holder.planner.observations = -1e18
--- a/daemons/rankagent/election.go
+++ b/daemons/rankagent/election.go
@@ -35,7 +35,8 @@
 //
 // An agent claims the role with a record that it appends to a topic of the group,
 // on the condition that no other record was appended first. The position of the
-// record is the fencing token. Agents claim the role when no holder calls them. A
+// record is the fencing token, which rises also when the store comes back from an older
+// copy. Agents claim the role when no holder calls them. A
 // holder has no lease to renew. It therefore continues while the store is
 // unavailable, because the group needs suitable maps then as well. Two holders at a
 // time are safe (see package switchover), and the older one stops as soon as an
@@ -161,14 +162,14 @@
 
 // recordClaim records the response to a claim. end is the position at which the topic
 // ends now, and won tells whether the claim is its last record.
-func (e *election) recordClaim(end int64, won bool) {
+func (e *election) recordClaim(end platform.Position, won bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.end, e.endKnown = end, true
+	e.end, e.endKnown = end.Offset, true
 	if !won {
 		return
 	}
-	e.holderToken = end
+	e.holderToken = end.Token()
 	e.log.Info().Str("group", e.group).Int64("token", e.holderToken).Msg("became the holder of the group")
 	select {
 	case e.won <- struct{}{}:
--- a/daemons/rankagent/election_test.go
+++ b/daemons/rankagent/election_test.go
@@ -111,7 +111,7 @@
 	r := &pb.ReadRankResponse{}
 	a.addOrderState(r)
 	h := &holder{election: newElection(nil, "m", zerolog.Nop()), token: 7}
-	h.election.recordClaim(7, true)
+	h.election.recordClaim(platform.Position{Offset: 7}, true)
 	require.True(t, h.yieldIfSuperseded([]*pb.ReadRankResponse{r}))
 	_, ok := h.election.token()
 	require.False(t, ok)
--- a/daemons/rankagent/holder_test.go
+++ b/daemons/rankagent/holder_test.go
@@ -51,7 +51,7 @@
 		}
 	}
 	e := newElection(nil, "holder", zerolog.Nop())
-	e.recordClaim(7, true)
+	e.recordClaim(platform.Position{Offset: 7}, true)
 	g.holder = &holder{group: client, agent: agents[0], election: e, log: zerolog.Nop(), planner: newPlanner()}
 	g.holder.startTerm(7)
 	client.refreshedAt = clock.Now().Add(time.Hour) // the members need no reading from the store
--- a/serve/quarantine/refusal.go
+++ b/serve/quarantine/refusal.go
@@ -113,6 +113,17 @@
 	return true
 }
 
+// Refusals returns the refusals in force at now.
+func (cc *CrashCounter) Refusals(now time.Time) []Refusal {
+	var inForce []Refusal
+	for _, r := range cc.refusals {
+		if now.Sub(r.LastCrash) <= refusalPeriod {
+			inForce = append(inForce, r)
+		}
+	}
+	return inForce
+}
+
 // Refuses reports whether a request with these features is refused at now.
 func (cc *CrashCounter) Refuses(now time.Time, features []Feature) bool {
 	for _, r := range cc.refusals {
