--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -129,7 +129,8 @@
 			next = time.After(jitter(overlapInterval))
 		}
 	}
-	for start(); ; {
+	start()
+	for {
 		select {
 		case r := <-results:
 			pending = slices.DeleteFunc(pending, func(p topicRead) bool { return p == r.request })
