--- a/daemons/sidecar/backend_test.go
+++ b/daemons/sidecar/backend_test.go
@@ -23,6 +23,23 @@
 // rawBackend is a backend server that writes arbitrary bytes: the responses to the
 // requests of a connection, in order. It closes the connection after the last one.
 func rawBackend(t *testing.T, responses ...string) (url string) {
+	t.Helper()
+	return serveConnections(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for _, response := range responses {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = fmt.Fprint(conn, response)
+		}
+	})
+}
+
+// serveConnections calls serve with each connection to a backend server until the test ends,
+// and closes the connection afterwards.
+func serveConnections(t *testing.T, serve func(net.Conn)) (url string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -35,15 +52,7 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for _, response := range responses {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = fmt.Fprint(conn, response)
-				}
+				serve(conn)
 			}()
 		}
 	}()
@@ -152,30 +161,18 @@
 // until the connection ends. written returns the number of bytes so far.
 func endlessBackend(t *testing.T, start, repeated string) (url string, written func() int) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var total atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, start)
-				for block := strings.Repeat(repeated, 1000); err == nil; {
-					var n int
-					n, err = io.WriteString(conn, block)
-					total.Add(int64(n))
-				}
-			}()
+	url = serveConnections(t, func(conn net.Conn) {
+		_ = conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
 		}
-	}()
-	return "http://" + listener.Addr().String(), func() int { return int(total.Load()) }
+		_, err := io.WriteString(conn, start)
+		for block := strings.Repeat(repeated, 1000); err == nil; {
+			var n int
+			n, err = io.WriteString(conn, block)
+			total.Add(int64(n))
+		}
+	})
+	return url, func() int { return int(total.Load()) }
 }
