Read lists whose pages state the store's era only in part

A list of the newest records in several pages failed if some responses lacked the header Store-Era, and was read again at once, without end. Eras are compared in one place now, in which an absent one differs from none.

Evidence: TestEraInSomePages fails without the change.

--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -174,16 +174,12 @@
 		u.records, u.next, u.complete, u.era = b.Records, b.Next, len(b.Records) == 0 || b.Next >= b.EndOffset, b.Era
 	}
 	u.received = clock.Now()
-	if err == nil && !r.snapshot && otherEra(r.era, u.era) {
+	if err == nil && !r.snapshot && r.era.Differs(u.era) {
 		err = errkind.Wrap(errkind.RecordsTrimmed, platform.ErrStartedOver, "read "+f.topic)
 	}
 	return u, err
 }
 
-// otherEra reports whether an offset of one era says nothing in another one. A store needn't
-// state its era in all responses.
-func otherEra(a, b platform.Era) bool { return a != 0 && b != 0 && a != b }
-
 // recordUnanswered records the calls that were sent before a successful one and have no
 // response yet. The store was out of reach for them.
 func (f *topicFollower) recordUnanswered(pending []topicRead, before time.Time) {
@@ -196,7 +192,7 @@
 
 // recordSuccess records a successful read and returns it with what happened before it.
 func (f *topicFollower) recordSuccess(u topicUpdate) topicUpdate {
-	f.startedOver = f.startedOver || otherEra(f.era, u.era)
+	f.startedOver = f.startedOver || f.era.Differs(u.era)
 	u.lastFailure, u.startedOver = f.lastFailure, f.startedOver
 	u.recovered = f.recordRecovery()
 	if u.startedOver {
