--- a/daemons/entry/faulty_sidecar_test.go
+++ b/daemons/entry/faulty_sidecar_test.go
@@ -51,6 +51,21 @@
 	require.NotContains(t, r.body, "[DONE]")
 }
 
+// Guards against a response with an invalid status that reaches a caller: 000 was written as 200.
+func TestInvalidStatusFromSidecar(t *testing.T) {
+	for _, status := range []int32{0, 99, 600, 1000, -20} {
+		invalid := func(out *connect.ServerStream[pb.Chunk], s *stream.Sender) {
+			s.Head(&pb.Head{Status: status})
+			s.Data([]byte("bad"))
+			s.End(nil)
+			flush(out, s)
+		}
+		r := newFixture(t, newFakeSidecar(t, "a", invalid)).complete(t)
+		require.Equal(t, http.StatusBadGateway, r.status, status)
+		require.NotContains(t, r.body, "bad", status)
+	}
+}
+
 // Guards against the head of a response that breaks off and counts as a complete
 // response.
 func TestTruncatedHeadOfSidecarIsNoResponse(t *testing.T) {
