Pause before reading a topic that is trimmed again and again

What could happen: a store that answers each read with 410, and the list of the newest records with 200, was called 14,000 times a second by one gateway.

Cause: trimmed records are no failure, so that there was no backoff, and the next read follows the list at once.

Change: trims in a row, without a successful read of records between them, count for the backoff; the first one still has none.

--- a/daemons/gateway/era_test.go
+++ b/daemons/gateway/era_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,3 +165,36 @@
 	require.False(t, stored())
 	require.Eventually(t, stored, 12*time.Second, 20*time.Millisecond)
 }
+
+// Guards against a follower that calls the store without a pause, because each read is answered
+// with 410, with or without a plausible offset.
+func TestStoreThatAlwaysTrims(t *testing.T) {
+	const (
+		watch    = 2 * time.Second
+		maxCalls = 30
+	)
+	for _, body := range []string{`{"startOffset":99}`, `{"startOffset":1}`, `{}`, `gone`} {
+		t.Run(body, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int64
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				if r.URL.Path == "/api/log-newest" {
+					_, _ = w.Write([]byte(`{"items":[],"endOffset":7}`))
+					return
+				}
+				w.WriteHeader(http.StatusGone)
+				_, _ = w.Write([]byte(body))
+			}))
+			defer server.Close()
+			f := newTopicFollower(platform.NewStoreClient(strings.TrimPrefix(server.URL, "http://")), "keyed.x", zerolog.Nop())
+			ctx, cancel := context.WithTimeout(t.Context(), watch)
+			defer cancel()
+			for ctx.Err() == nil {
+				f.readUntilResponse(ctx)
+			}
+			require.LessOrEqual(t, calls.Load(), int64(maxCalls))
+			require.Greater(t, calls.Load(), int64(2))
+		})
+	}
+}
--- a/daemons/gateway/follow.go
+++ b/daemons/gateway/follow.go
@@ -26,6 +26,8 @@
 	// available again.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	// maxBackoffSteps is the number of steps after which the backoff has reached maxBackoff.
+	maxBackoffSteps = 8
 )
 
 // topicFollower reads a keyed topic: first the newest record of each key, then
@@ -40,6 +42,9 @@
 	// snapshot makes the next read start over with the newest record of each key.
 	snapshot bool
 	failures int
+	// trims counts the reads that failed because their records were trimmed, since the last
+	// successful one that wasn't a snapshot.
+	trims int
 	// failingSince is the time of the first of the consecutive failures, and lastFailure when
 	// the latest call before the next successful one was sent.
 	failingSince time.Time
@@ -200,6 +205,9 @@
 			Msg("the store has come back from an older copy")
 		f.rereadAt = u.received.Add(rereadDelay)
 	}
+	if !u.snapshot {
+		f.trims = 0
+	}
 	f.next, f.snapshot = u.next, false
 	if u.era != 0 {
 		f.era = u.era
@@ -211,6 +219,7 @@
 func (f *topicFollower) recordFailure(sent time.Time, err error) {
 	if errkind.Is(err, errkind.RecordsTrimmed) {
 		f.snapshot = true
+		f.trims++
 		f.startedOver = f.startedOver || errors.Is(err, platform.ErrStartedOver)
 		f.log.Warn().Int64("offset", f.next).Bool("started_over", f.startedOver).
 			Msg("records were trimmed; reading the newest record of each key")
@@ -238,19 +247,14 @@
 	return true
 }
 
-// backoff returns how long to wait after a failed read.
+// backoff returns how long to wait after a failed read. Records that were trimmed are no reason
+// to wait, unless the store says so again and again.
 func (f *topicFollower) backoff() time.Duration {
-	if f.failures == 0 {
+	failures := max(f.failures, f.trims-1)
+	if failures == 0 {
 		return 0
 	}
-	wait := minBackoff
-	for range f.failures - 1 {
-		if wait *= 2; wait >= maxBackoff {
-			wait = maxBackoff
-			break
-		}
-	}
-	return jitter(wait)
+	return jitter(min(minBackoff<<min(failures-1, maxBackoffSteps), maxBackoff))
 }
 
 // jitter returns a random duration between half and one and a half times d.
