--- a/review/kit3/store.go
+++ b/review/kit3/store.go
@@ -40,8 +40,6 @@
 	changed chan struct{}
 	era     int
 	down    bool
-	// lateAppends delays appends of topics by name; the caller gets no response.
-	calls int
 }
 
 // NewStore starts an empty store at a host.
@@ -121,7 +119,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		down, era := s.down, s.era
-		s.calls++
 		s.mu.Unlock()
 		if down {
 			panic(http.ErrAbortHandler)
