--- a/review/kit3/cmd/older-copy/main.go
+++ b/review/kit3/cmd/older-copy/main.go
@@ -41,6 +41,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	kit3.EndOnSignal(cannotRun)
 	record, err := kit3.NewRecord(os.Args[1])
 	if err != nil {
 		return cannotRun
--- a/review/kit3/process.go
+++ b/review/kit3/process.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -41,7 +43,7 @@
 func (d *Deployment) Remove() { _ = os.RemoveAll(d.Dir) }
 
 func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return 0, err
 	}
@@ -99,7 +101,30 @@
 	g.cmd.Dir = g.d.Root
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FILBERTMUX_BOOT=" + settings}
 	g.cmd.Stdout, g.cmd.Stderr = log, log
-	return g.cmd.Start()
+	if err := g.cmd.Start(); err != nil {
+		g.cmd = nil
+		return err
+	}
+	started.Store(g.cmd.Process.Pid, g.cmd.Process)
+	return nil
+}
+
+// started holds the processes that run, by their id.
+var started sync.Map
+
+// EndOnSignal ends the processes that were started, and then this one with a code, if this one is
+// told to end.
+func EndOnSignal(code int) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		started.Range(func(_, p any) bool {
+			_ = p.(*os.Process).Kill()
+			return true
+		})
+		os.Exit(code)
+	}()
 }
 
 // NewAgent returns the agent of a rank that isn't started. app is the address of its rank.
@@ -117,6 +142,7 @@
 	}
 	_ = g.cmd.Process.Kill()
 	_ = g.cmd.Wait()
+	started.Delete(g.cmd.Process.Pid)
 	_ = g.log.Close()
 	g.cmd = nil
 }
